Thin whole path: node, stand-ins, demo, operator commands

Cause: the project had no code; a request had to go end to end first.

Ruled out: a central scheduler for each request (140,000 requests a second), clock-bound leases (a paused holder acts after expiry), heartbeats for each shard (control traffic), and configuration as one watched object for each declaration (two operators could each win half).

Change: sessions hash to shards; each shard is a replicated log (package raft) whose leader decides, with a Begin entry committed before the first byte goes to a back end and a Finish entry before the caller is answered. Decision logic is pure (packages raft, shard, core, schedule, catalogue, membership); package server owns sockets and clock. Configuration is a log of change sets, each one object created only if absent.

Conclusion: the path stands; proof under failure comes next.

--- /dev/null
+++ b/internal/command/get.go
@@ -0,0 +1,62 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/spf13/cobra"
+
+	"swiftbank.dev/swiftbank/internal/catalogue"
+	"swiftbank.dev/swiftbank/internal/change"
+	"swiftbank.dev/swiftbank/internal/declaration"
+	"swiftbank.dev/swiftbank/internal/objectapi"
+)
+
+func newGetCommand() *cobra.Command {
+	command := &cobra.Command{
+		Use:     "get [KIND [NAME]]",
+		Short:   "Print the declarations in force",
+		Example: "  swiftbank get Tenant coop-riga -o json",
+		Args:    cobra.MaximumNArgs(2),
+	}
+	format := outputFlag(command)
+	platform := platformFlag(command)
+	command.RunE = func(command *cobra.Command, arguments []string) error {
+		if err := checkOutput(*format); err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(command.Context(), operatorTimeout)
+		defer cancel()
+		current, err := change.Load(ctx, objectapi.New(*platform))
+		if err != nil {
+			return exitWith(ExitFailure, err)
+		}
+		chosen := choose(current, arguments)
+		if len(arguments) == 2 && len(chosen) == 0 {
+			return exitWith(ExitFailure, fmt.Errorf("%s/%s is not in force", arguments[0], arguments[1]))
+		}
+		if *format == "json" {
+			return printJSON(command.OutOrStdout(), chosen)
+		}
+		for _, stored := range chosen {
+			fmt.Fprintf(command.OutOrStdout(), "%s\trevision %d\n", stored.Object.Reference, stored.Revision)
+		}
+		return nil
+	}
+	return command
+}
+
+func choose(current *catalogue.Catalogue, arguments []string) []catalogue.Stored {
+	chosen := []catalogue.Stored{}
+	for _, stored := range current.All() {
+		reference := stored.Object.Reference
+		if len(arguments) > 0 && reference.Kind != declaration.Kind(arguments[0]) {
+			continue
+		}
+		if len(arguments) > 1 && reference.Name != arguments[1] {
+			continue
+		}
+		chosen = append(chosen, stored)
+	}
+	return chosen
+}
--- /dev/null
+++ b/internal/core/drain.go
@@ -0,0 +1,57 @@
+package core
+
+import (
+	"swiftbank.dev/swiftbank/internal/raft"
+)
+
+// drainLeadership moves the leadership of every shard led here to a live member
+// that is caught up, while this node prepares to stop. Attempts already sent go
+// on here and report to the new leaders.
+func (n *Node) drainLeadership() {
+	if !n.draining {
+		return
+	}
+	for _, number := range n.numbers {
+		g := n.groups[number]
+		if g.raft.Role() != raft.Leader {
+			continue
+		}
+		for _, successor := range n.successors(g) {
+			if g.raft.TransferLeadership(successor) {
+				break
+			}
+		}
+	}
+}
+
+// successors returns the voters that could lead a group after this node.
+func (n *Node) successors(g *group) []raft.MemberID {
+	var list []raft.MemberID
+	for _, member := range g.raft.Membership().Members {
+		if !member.Learner && member.ID != n.member && n.detector.Alive(member.ID) && !n.nodeDraining(member.ID) {
+			list = append(list, member.ID)
+		}
+	}
+	return list
+}
+
+func (n *Node) nodeDraining(id raft.MemberID) bool {
+	heartbeat, _, known := n.detector.Last(nodeOf(id))
+	return known && heartbeat.Draining
+}
+
+// checkStop reports once that a draining node has nothing left to do: it leads
+// nothing that another could lead, its attempts are recorded, and its callers are answered.
+func (n *Node) checkStop() {
+	if !n.draining || n.stopReadySent || len(n.attempts) > 0 || len(n.callerRequests) > 0 {
+		return
+	}
+	for _, number := range n.numbers {
+		g := n.groups[number]
+		if g.raft.Role() == raft.Leader && len(n.successors(g)) > 0 {
+			return
+		}
+	}
+	n.stopReadySent = true
+	n.emit(StopReady{})
+}
--- /dev/null
+++ b/internal/core/liveness.go
@@ -0,0 +1,89 @@
+package core
+
+import (
+	"time"
+
+	"swiftbank.dev/swiftbank/internal/membership"
+	"swiftbank.dev/swiftbank/internal/raft"
+)
+
+const (
+	// gossipInterval is how often a node tells one node outside its cell of itself.
+	gossipInterval = time.Second
+	// formationInterval spaces the tries to found a cell.
+	formationInterval = time.Second
+)
+
+// sendHeartbeats sends to every member of the cell, and now and then to one node
+// elsewhere, so that the cost does not grow with the number of nodes.
+func (n *Node) sendHeartbeats(now time.Time) {
+	if now.Before(n.nextHeartbeat) {
+		return
+	}
+	n.nextHeartbeat = now.Add(membership.HeartbeatInterval)
+	heartbeat := membership.Heartbeat{
+		Incarnation: n.config.Incarnation, Formed: n.formed,
+		Draining: n.draining, ConfigRevision: n.catalogue.Revision(),
+	}
+	for _, node := range n.config.Topology.CellMembers(n.cell) {
+		if node != n.config.Node {
+			n.send(node, heartbeat)
+		}
+	}
+	cells := n.config.Topology.Cells()
+	if cells == 1 || now.Before(n.nextGossip) {
+		return
+	}
+	n.nextGossip = now.Add(gossipInterval)
+	other := (n.cell + 1 + n.random.IntN(cells-1)) % cells
+	members := n.config.Topology.CellMembers(other)
+	n.send(members[n.random.IntN(len(members))], heartbeat)
+}
+
+// tryFormation founds the cell when all its nodes are alive and none belongs to
+// it yet. The founding is an object created once in the object API, so two nodes
+// that try found the same cell. A node that starts later hears from a formed
+// peer and is added by the leaders; it needs no object API.
+func (n *Node) tryFormation(now time.Time) {
+	if n.formed || now.Before(n.nextFormation) {
+		return
+	}
+	n.nextFormation = now.Add(formationInterval)
+	members := n.config.Topology.CellMembers(n.cell)
+	founders := make([]raft.MemberID, 0, len(members))
+	for _, node := range members {
+		incarnation := n.config.Incarnation
+		if node != n.config.Node {
+			heartbeat, _, known := n.detector.Last(node)
+			if !known || heartbeat.Formed || !n.detector.NodeAlive(node) {
+				return
+			}
+			incarnation = heartbeat.Incarnation
+		}
+		founders = append(founders, membership.MemberID(node, incarnation))
+	}
+	n.emit(FormCell{Cell: n.cell, Members: founders})
+}
+
+// form creates the cell's shards from the founding members. It is ignored when
+// this incarnation is not a founder: it is then added by the shards' leaders.
+func (n *Node) form(founders []raft.MemberID) {
+	byNode := map[string]raft.MemberID{}
+	for _, founder := range founders {
+		node, _ := membership.SplitMemberID(founder)
+		byNode[node] = founder
+	}
+	if n.formed || byNode[n.config.Node] != n.member {
+		return
+	}
+	n.formed = true
+	for _, number := range n.config.Topology.ShardsOfCell(n.cell) {
+		var initial raft.Membership
+		for _, node := range n.config.Topology.Voters(number) {
+			initial.Members = append(initial.Members, raft.Member{ID: byNode[node]})
+		}
+		if n.groups[number] == nil && initial.Voter(n.member) {
+			n.addGroup(number, initial)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/node.go
@@ -0,0 +1,277 @@
+package core
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"swiftbank.dev/swiftbank/internal/catalogue"
+	"swiftbank.dev/swiftbank/internal/membership"
+	"swiftbank.dev/swiftbank/internal/raft"
+	"swiftbank.dev/swiftbank/internal/schedule"
+	"swiftbank.dev/swiftbank/internal/shard"
+	"swiftbank.dev/swiftbank/internal/topology"
+)
+
+const (
+	// TickInterval is how often the owner sends Tick.
+	TickInterval = 50 * time.Millisecond
+	// maintenanceInterval spaces the work that goes through whole shards.
+	maintenanceInterval = time.Second
+	// keptEntries is how many applied entries a shard's log keeps for followers
+	// that are a little behind; others get a snapshot.
+	keptEntries = 2048
+)
+
+// Config is what a node knows at its start.
+type Config struct {
+	Node        string
+	Incarnation uint64
+	Topology    *topology.Topology
+	// Seed feeds the node's only random source.
+	Seed     uint64
+	Timeouts Timeouts
+}
+
+// Timeouts bound attempts by kind of call.
+type Timeouts struct {
+	Engine      time.Duration
+	Application time.Duration
+	Tool        time.Duration
+}
+
+// DefaultTimeouts are used where the settings give none.
+func DefaultTimeouts() Timeouts {
+	return Timeouts{Engine: 10 * time.Minute, Application: 30 * time.Second, Tool: time.Minute}
+}
+
+// Node is the state of one node. It is not safe for concurrent use.
+type Node struct {
+	config   Config
+	member   raft.MemberID
+	cell     int
+	random   *rand.Rand
+	detector *membership.Detector
+	links    *linkTable
+
+	formed  bool
+	groups  map[uint32]*group
+	numbers []uint32 // the keys of groups, in order
+	// raftQueue collects replication messages until the end of a step.
+	raftQueue   map[string][]raft.Message
+	raftTargets []string
+
+	catalogue *catalogue.Catalogue
+	scheduler *schedule.Scheduler
+
+	routed     map[uint64]*routedRequest
+	nextRouted uint64
+	// callerRequests maps the owner's request ids to routed requests.
+	callerRequests map[uint64]uint64
+
+	attempts    map[shard.AttemptID]*attempt
+	abandoned   map[shard.AttemptID]bool
+	timers      timerQueue
+	retryTokens float64
+
+	draining        bool
+	stopReadySent   bool
+	nextHeartbeat   time.Time
+	nextGossip      time.Time
+	nextMaintenance time.Time
+	nextFormation   time.Time
+	nextConfigRead  time.Time
+	nextSweep       time.Time
+	pulledAt        time.Time
+
+	// stepTime is the time of the step in progress.
+	stepTime time.Time
+	actions  []Action
+}
+
+// New returns a node that belongs to no group yet.
+func New(config Config) *Node {
+	random := rand.New(rand.NewPCG(config.Seed, config.Incarnation))
+	info, _ := config.Topology.Node(config.Node)
+	return &Node{
+		config:         config,
+		member:         membership.MemberID(config.Node, config.Incarnation),
+		cell:           config.Topology.CellOfNode(config.Node),
+		random:         random,
+		detector:       membership.New(config.Node, config.Incarnation),
+		links:          newLinkTable(config.Node, config.Incarnation),
+		groups:         map[uint32]*group{},
+		raftQueue:      map[string][]raft.Message{},
+		catalogue:      catalogue.New(),
+		scheduler:      schedule.New(info.Zone, random),
+		routed:         map[uint64]*routedRequest{},
+		callerRequests: map[uint64]uint64{},
+		attempts:       map[shard.AttemptID]*attempt{},
+		abandoned:      map[shard.AttemptID]bool{},
+		retryTokens:    maxRetryTokens,
+	}
+}
+
+// Step handles one event at the given time and returns what must be done, in order.
+func (n *Node) Step(now time.Time, event Event) []Action {
+	n.stepTime = now
+	n.detector.Advance(now)
+	n.handle(now, event)
+	n.assignWork(now)
+	n.drainGroups(now)
+	n.checkStop()
+	actions := n.actions
+	n.actions = nil
+	return actions
+}
+
+func (n *Node) handle(now time.Time, event Event) {
+	switch e := event.(type) {
+	case Tick:
+		n.tick(now)
+	case PeerReceived:
+		n.receive(now, e.Envelope)
+	case CallReceived:
+		n.submitCaller(now, e.RequestID, n.shardOf(e.Request.ID.Key), CallPayload{Request: e.Request, Stream: e.Stream}, e.Request.Deadline)
+	case AnswerWanted:
+		n.submitCaller(now, e.RequestID, n.shardOf(e.ID.Key), AnswerPayload{ID: e.ID, Stream: e.Stream, Offset: e.Offset, Wait: e.Wait}, time.Time{})
+	case SessionWanted:
+		n.submitCaller(now, e.RequestID, n.shardOf(e.Key), SessionPayload{Key: e.Key}, now.Add(readPatience))
+	case EndWanted:
+		n.submitCaller(now, e.RequestID, n.shardOf(e.Key), EndPayload{Key: e.Key}, now.Add(readPatience))
+	case CallerGone:
+		n.callerGone(e.RequestID)
+	case AttemptFinished:
+		n.attemptFinished(now, e)
+	case BackEndsListed:
+		n.scheduler.SetBackEnds(e.BackEnds)
+	case LoadReported:
+		n.scheduler.Report(e.Report)
+	case HoldsReported:
+		n.holdsReported(now, e)
+	case ReleaseFinished:
+		n.releaseFinished(now, e)
+	case ChangesRead:
+		n.applyChanges(e.Changes)
+	case CellFormed:
+		n.form(e.Members)
+	case StopWanted:
+		n.draining = true
+	}
+}
+
+func (n *Node) receive(now time.Time, envelope Envelope) {
+	if !n.links.accept(envelope) {
+		return
+	}
+	switch m := envelope.Message.(type) {
+	case membership.Heartbeat:
+		n.detector.Receive(envelope.From, m)
+		n.noticeRevision(now, envelope.From, m.ConfigRevision)
+	case RaftMessages:
+		n.receiveRaft(now, m)
+	case Forward:
+		n.receiveForward(now, envelope.From, m)
+	case ForwardReply:
+		n.receiveReply(now, m)
+	case AttemptQuery:
+		n.answerQuery(envelope.From, m)
+	case AttemptReport:
+		n.receiveReport(now, m)
+	case ConfigPull:
+		n.answerPull(envelope.From, m)
+	case ConfigPush:
+		n.applyChanges(m.Changes)
+	}
+}
+
+func (n *Node) tick(now time.Time) {
+	n.sendHeartbeats(now)
+	n.tryFormation(now)
+	for _, number := range n.numbers {
+		n.groups[number].raft.Tick(now)
+	}
+	n.timers.run(now)
+	n.expireWork(now)
+	n.tickAttempts(now)
+	n.tickRouted(now)
+	n.tickConfiguration(now)
+	n.drainLeadership()
+	if !now.Before(n.nextMaintenance) {
+		n.nextMaintenance = now.Add(maintenanceInterval)
+		n.maintain(now)
+	}
+}
+
+// maintain does the work that goes through each led shard.
+func (n *Node) maintain(now time.Time) {
+	for _, number := range n.numbers {
+		g := n.groups[number]
+		g.raft.Compact(keptEntries)
+		if !g.raft.LeaderReady() {
+			continue
+		}
+		n.maintainMembers(now, g)
+		n.checkOpenCalls(now, g)
+		n.orderReleases(g)
+		n.maintainAllowances(now, g)
+	}
+	n.sweepEngines(now)
+}
+
+func (n *Node) emit(action Action) { n.actions = append(n.actions, action) }
+
+func (n *Node) send(to string, message any) {
+	n.emit(SendPeer{To: to, Envelope: n.links.wrap(to, message)})
+}
+
+func (n *Node) shardOf(key shard.SessionKey) uint32 {
+	return n.config.Topology.ShardOfSession(key)
+}
+
+// Catalogue returns the configuration in force, for the owner to read.
+func (n *Node) Catalogue() *catalogue.Catalogue { return n.catalogue }
+
+// Scheduler returns the node's scheduler, for the owner to read.
+func (n *Node) Scheduler() *schedule.Scheduler { return n.scheduler }
+
+// Status is a summary of the node for operators and tests.
+type Status struct {
+	Node           string `json:"node"`
+	Incarnation    uint64 `json:"incarnation"`
+	Formed         bool   `json:"formed"`
+	Draining       bool   `json:"draining"`
+	ConfigRevision uint64 `json:"configRevision"`
+	Shards         int    `json:"shards"`
+	Leading        int    `json:"leading"`
+	Sessions       int    `json:"sessions"`
+	Waiting        int    `json:"waiting"`
+	Attempts       int    `json:"attempts"`
+	LiveBackEnds   int    `json:"liveBackEnds"`
+	// Ready is set when every shard of the cell has a known live leader.
+	Ready bool `json:"ready"`
+}
+
+// Status returns the node's summary.
+func (n *Node) Status() Status {
+	status := Status{
+		Node: n.config.Node, Incarnation: n.config.Incarnation, Formed: n.formed, Draining: n.draining,
+		ConfigRevision: n.catalogue.Revision(), Shards: len(n.groups),
+		Waiting: n.scheduler.QueueLength(), Attempts: len(n.attempts), Ready: n.formed && !n.draining,
+	}
+	for _, number := range n.numbers {
+		g := n.groups[number]
+		if g.raft.LeaderReady() {
+			status.Leading++
+			status.Sessions += len(g.state.Sessions)
+		}
+		if g.raft.Leader() == "" || !n.detector.Alive(g.raft.Leader()) {
+			status.Ready = false
+		}
+	}
+	for _, backEnd := range n.scheduler.BackEnds() {
+		if !backEnd.Leaving {
+			status.LiveBackEnds++
+		}
+	}
+	return status
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,178 @@
+// Package settings reads a node's settings file and checks it. Flags go over
+// the file; unknown keys and bad values are errors that say what to write instead.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/knadh/koanf/providers/confmap"
+	"github.com/knadh/koanf/v2"
+	"go.yaml.in/yaml/v3"
+
+	"swiftbank.dev/swiftbank/internal/topology"
+)
+
+// Node holds the settings of one node. docs/OPERATING.md explains each key.
+type Node struct {
+	ID string `koanf:"id" validate:"required"`
+	// CallerAddress is where callers reach the node over HTTP.
+	CallerAddress string `koanf:"callerAddress" validate:"required,hostname_port"`
+	// OperatorAddress serves metrics, health and status.
+	OperatorAddress string `koanf:"operatorAddress" validate:"required,hostname_port"`
+	// PlatformAddress is the platform's object API and machine list.
+	PlatformAddress string `koanf:"platformAddress" validate:"required,url"`
+	// DataFolder is where a node with a disk keeps its data; empty without a disk.
+	DataFolder string `koanf:"dataFolder"`
+	// Nodes lists all nodes of the region, this one included.
+	Nodes         []topology.Node `koanf:"nodes" validate:"required,min=1,dive"`
+	ShardsPerCell int             `koanf:"shardsPerCell" validate:"gte=1,lte=1024"`
+	Limits        Limits          `koanf:"limits"`
+	Timeouts      Timeouts        `koanf:"timeouts"`
+	LogLevel      string          `koanf:"logLevel" validate:"oneof=debug info warn error"`
+}
+
+// Limits protect a node from its callers.
+type Limits struct {
+	BodyBytes   int64 `koanf:"bodyBytes" validate:"gt=0"`
+	HeaderBytes int   `koanf:"headerBytes" validate:"gt=0"`
+	// OpenCalls bounds the calls and streams open at once.
+	OpenCalls int `koanf:"openCalls" validate:"gt=0"`
+	// HeaderTime, ReadTime and WriteTime bound how long a caller may take to send
+	// headers and body, and to accept each piece of an answer.
+	HeaderTime time.Duration `koanf:"headerTime" validate:"gt=0"`
+	ReadTime   time.Duration `koanf:"readTime" validate:"gt=0"`
+	WriteTime  time.Duration `koanf:"writeTime" validate:"gt=0"`
+}
+
+// Timeouts bound calls to back ends and the planned stop.
+type Timeouts struct {
+	Engine      time.Duration `koanf:"engine" validate:"gt=0"`
+	Application time.Duration `koanf:"application" validate:"gt=0"`
+	Tool        time.Duration `koanf:"tool" validate:"gt=0"`
+	Drain       time.Duration `koanf:"drain" validate:"gt=0"`
+}
+
+// Default returns the settings in force where the file says nothing.
+func Default() Node {
+	return Node{
+		ShardsPerCell: 16,
+		LogLevel:      "info",
+		Limits: Limits{
+			BodyBytes: 4 << 20, HeaderBytes: 32 << 10, OpenCalls: 4096,
+			HeaderTime: 5 * time.Second, ReadTime: 30 * time.Second, WriteTime: 30 * time.Second,
+		},
+		Timeouts: Timeouts{
+			Engine: 10 * time.Minute, Application: 30 * time.Second, Tool: time.Minute, Drain: 2 * time.Minute,
+		},
+	}
+}
+
+// Load reads the file and puts the overrides, given as "key=value", over it.
+func Load(path string, overrides []string) (Node, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Node{}, fmt.Errorf("settings: %w", err)
+	}
+	var values map[string]any
+	if err := yaml.Unmarshal(content, &values); err != nil {
+		return Node{}, fmt.Errorf("settings: %s: %w", path, err)
+	}
+	tree := koanf.New(".")
+	if err := tree.Load(confmap.Provider(values, "."), nil); err != nil {
+		return Node{}, fmt.Errorf("settings: %s: %w", path, err)
+	}
+	for _, override := range overrides {
+		key, value, found := strings.Cut(override, "=")
+		if !found {
+			return Node{}, fmt.Errorf("settings: --set %q: write it as key=value", override)
+		}
+		if err := tree.Set(key, value); err != nil {
+			return Node{}, fmt.Errorf("settings: --set %q: %w", override, err)
+		}
+	}
+	return decode(path, tree)
+}
+
+func decode(path string, tree *koanf.Koanf) (Node, error) {
+	if unknown := unknownKeys(tree); len(unknown) > 0 {
+		return Node{}, fmt.Errorf("settings: %s: unknown key %s; known keys are %s",
+			path, strings.Join(unknown, ", "), strings.Join(knownKeys(reflect.TypeFor[Node](), ""), ", "))
+	}
+	node := Default()
+	if err := tree.Unmarshal("", &node); err != nil {
+		return Node{}, fmt.Errorf("settings: %s: %w", path, err)
+	}
+	if err := node.Check(); err != nil {
+		return Node{}, fmt.Errorf("settings: %s: %w", path, err)
+	}
+	return node, nil
+}
+
+// Check reports the first thing that is wrong with the settings.
+func (n Node) Check() error {
+	check := validator.New(validator.WithRequiredStructEnabled())
+	check.RegisterTagNameFunc(func(field reflect.StructField) string { return field.Tag.Get("koanf") })
+	var failures validator.ValidationErrors
+	if errors.As(check.Struct(n), &failures) {
+		return explain(failures[0])
+	}
+	if !slices.ContainsFunc(n.Nodes, func(node topology.Node) bool { return node.ID == n.ID }) {
+		return fmt.Errorf("id: %q is not in the list of nodes; add it there with its zone and address", n.ID)
+	}
+	if n.DataFolder == "" {
+		return nil
+	}
+	if info, err := os.Stat(n.DataFolder); err != nil || !info.IsDir() {
+		return fmt.Errorf("dataFolder: folder %q does not exist; create it, or leave the key out on a machine without a disk", n.DataFolder)
+	}
+	return nil
+}
+
+func explain(failure validator.FieldError) error {
+	_, key, _ := strings.Cut(failure.Namespace(), ".")
+	switch failure.Tag() {
+	case "required":
+		return fmt.Errorf("%s: is missing", key)
+	case "hostname_port":
+		return fmt.Errorf("%s: %q is no address; write host:port, for example 127.0.0.1:7101", key, failure.Value())
+	case "url":
+		return fmt.Errorf("%s: %q is no URL; write for example http://127.0.0.1:7000", key, failure.Value())
+	case "oneof":
+		return fmt.Errorf("%s: %q must be one of %s", key, failure.Value(), failure.Param())
+	default:
+		return fmt.Errorf("%s: %v must satisfy %s %s", key, failure.Value(), failure.Tag(), failure.Param())
+	}
+}
+
+func unknownKeys(tree *koanf.Koanf) []string {
+	known := knownKeys(reflect.TypeFor[Node](), "")
+	var unknown []string
+	for _, key := range tree.Keys() {
+		if !slices.Contains(known, key) {
+			unknown = append(unknown, key)
+		}
+	}
+	return unknown
+}
+
+// knownKeys lists the keys of a struct with their path.
+func knownKeys(structure reflect.Type, prefix string) []string {
+	var keys []string
+	for i := range structure.NumField() {
+		field := structure.Field(i)
+		name := prefix + field.Tag.Get("koanf")
+		if field.Type.Kind() == reflect.Struct {
+			keys = append(keys, knownKeys(field.Type, name+".")...)
+			continue
+		}
+		keys = append(keys, name)
+	}
+	return keys
+}
--- /dev/null
+++ b/internal/verdict/verdict.go
@@ -0,0 +1,92 @@
+// Package verdict says whether a request may have run. Every error that can
+// reach a caller carries a Verdict, so that the caller knows whether asking
+// again could run the request twice.
+package verdict
+
+import (
+	"fmt"
+	"time"
+)
+
+// Verdict is what is known about the execution of one request.
+type Verdict uint8
+
+const (
+	// NotRun means that no back end began the request and none ever will.
+	NotRun Verdict = iota + 1
+	// MayHaveRun means that the request left for a back end and its outcome is unknown.
+	MayHaveRun
+	// Ran means that a back end ran the request and its outcome is recorded.
+	Ran
+)
+
+// String returns the form used in HTTP answers, logs and reports.
+func (v Verdict) String() string {
+	switch v {
+	case NotRun:
+		return "not_run"
+	case MayHaveRun:
+		return "may_have_run"
+	case Ran:
+		return "ran"
+	default:
+		return "unknown"
+	}
+}
+
+// Code names the reason of a refusal or failure. Codes are part of the HTTP API.
+type Code string
+
+// The codes a caller can meet. docs/API.md lists them with their HTTP status.
+const (
+	CodeBadRequest        Code = "bad_request"
+	CodeUnauthorized      Code = "unauthorized"
+	CodeNotPermitted      Code = "not_permitted"
+	CodeNotFound          Code = "not_found"
+	CodeSequenceGap       Code = "sequence_gap"
+	CodePreviousUnended   Code = "previous_call_in_progress"
+	CodeKeyConflict       Code = "idempotency_key_conflict"
+	CodeSessionEnded      Code = "session_ended"
+	CodeLimitReached      Code = "program_limit_reached"
+	CodeBudgetExhausted   Code = "budget_exhausted"
+	CodeOverloaded        Code = "overloaded"
+	CodeDeadline          Code = "deadline_exceeded"
+	CodeNoBackEnd         Code = "no_back_end"
+	CodeBackEndFailed     Code = "back_end_failed"
+	CodeOutcomeUnknown    Code = "outcome_unknown"
+	CodeUnavailable       Code = "unavailable"
+	CodeStaleConfig       Code = "configuration_behind"
+	CodeInternal          Code = "internal"
+	CodeTooLarge          Code = "too_large"
+	CodeTooManyStreams    Code = "too_many_streams"
+	CodeAnswerInProgress  Code = "answer_in_progress"
+	CodeNotLeader         Code = "not_leader"
+	CodeMethodUnsupported Code = "method_not_allowed"
+)
+
+// Error is the error struct of the product. It is immutable once returned.
+type Error struct {
+	// Verdict says whether the request may have run.
+	Verdict Verdict
+	// Code is the machine-readable reason.
+	Code Code
+	// Reason is one sentence for a person; it never names another caller.
+	Reason string
+	// RetryAfter is when asking again may help; zero means that it will not.
+	RetryAfter time.Duration
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (%s): %s", e.Code, e.Verdict, e.Reason)
+}
+
+// Refuse returns a NotRun error that asks the caller to come back after retryAfter.
+func Refuse(code Code, retryAfter time.Duration, format string, arguments ...any) *Error {
+	return &Error{Verdict: NotRun, Code: code, Reason: fmt.Sprintf(format, arguments...), RetryAfter: retryAfter}
+}
+
+// Unknown returns a MayHaveRun error.
+func Unknown(code Code, format string, arguments ...any) *Error {
+	return &Error{Verdict: MayHaveRun, Code: code, Reason: fmt.Sprintf(format, arguments...)}
+}
