Simulator on a virtual clock, with faults and a checker

Cause: nothing yet showed what the nodes do when machines, networks, clocks, the object API and operators fail.

Change: package simulate drives the same core as the live node, with modelled engines (continuous batching, prefix cache in blocks), applications, callers, network and store, sixteen kinds of fault and a checker that only sees what callers were told and what back ends ran.

A peer now passes on who founded the cell.

--- a/internal/change/change.go
+++ b/internal/change/change.go
@@ -42,8 +42,17 @@
 	return fmt.Sprintf("revision %d by %s changed %d of the same objects first; nothing was applied", c.Other.Revision, c.Other.Operator, len(c.Objects))
 }
 
+// Store is the part of the object API that change sets need. *objectapi.Client
+// is one; the simulator has another.
+type Store interface {
+	// Put writes an object if its version is the expected one.
+	Put(ctx context.Context, key string, value any, expected uint64) (objectapi.Object, error)
+	// Watch lists objects after a key and waits for one if there is none.
+	Watch(ctx context.Context, prefix, after string, limit int, wait time.Duration) ([]objectapi.Object, error)
+}
+
 // Load reads the configuration in force from the object API.
-func Load(ctx context.Context, client *objectapi.Client) (*catalogue.Catalogue, error) {
+func Load(ctx context.Context, client Store) (*catalogue.Catalogue, error) {
 	current := catalogue.New()
 	for {
 		changes, err := Read(ctx, client, current.Revision(), 0)
@@ -87,7 +96,7 @@
 // Apply writes the edits as the next change set. It returns a *Conflict when
 // another change set touched the same objects since they were read. An answer
 // that is lost after the write took effect is found again by the write id.
-func Apply(ctx context.Context, client *objectapi.Client, current *catalogue.Catalogue, edits []catalogue.Edit, operator, message string, now time.Time) (catalogue.Change, error) {
+func Apply(ctx context.Context, client Store, current *catalogue.Catalogue, edits []catalogue.Edit, operator, message string, now time.Time) (catalogue.Change, error) {
 	proposed := catalogue.Change{
 		WriteID: uuid.NewString(), Operator: operator, Message: message, At: now.UTC(), Edits: edits,
 	}
@@ -111,7 +120,7 @@
 }
 
 // write creates the revision's object and returns the change set that stands there.
-func write(ctx context.Context, client *objectapi.Client, proposed catalogue.Change) (catalogue.Change, error) {
+func write(ctx context.Context, client Store, proposed catalogue.Change) (catalogue.Change, error) {
 	key := catalogue.ChangeKey(proposed.Revision)
 	_, err := client.Put(ctx, key, proposed, 0)
 	if err == nil {
--- a/internal/change/read.go
+++ b/internal/change/read.go
@@ -7,14 +7,13 @@
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/catalogue"
-	"swiftbank.dev/swiftbank/internal/objectapi"
 )
 
 // changesPerRead bounds one read of change sets.
 const changesPerRead = 256
 
 // Read reads change sets after a revision and waits for one if there is none.
-func Read(ctx context.Context, client *objectapi.Client, after uint64, wait time.Duration) ([]catalogue.Change, error) {
+func Read(ctx context.Context, client Store, after uint64, wait time.Duration) ([]catalogue.Change, error) {
 	objects, err := client.Watch(ctx, catalogue.ChangePrefix, catalogue.ChangeKey(after), changesPerRead, wait)
 	if err != nil {
 		return nil, err
--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -40,8 +40,13 @@
 	Timeout time.Time
 }
 
-// CancelAttempt tells the owner to give up an attempt; no AttemptFinished is needed.
-type CancelAttempt struct{ Attempt shard.AttemptID }
+// CancelAttempt tells the owner to give up an attempt; no AttemptFinished is
+// needed. With Abort the back end is told to stop as well; without, another node
+// may have taken the stream over.
+type CancelAttempt struct {
+	Attempt shard.AttemptID
+	Abort   bool
+}
 
 // BindStream sends the text of an attempt, as it arrives, to a waiting caller.
 type BindStream struct {
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -163,7 +163,7 @@
 			continue
 		}
 		if running.outcome == nil && !now.Before(running.timeout) {
-			n.emit(CancelAttempt{Attempt: id})
+			n.emit(CancelAttempt{Attempt: id, Abort: true})
 			n.attemptFinished(now, AttemptFinished{
 				Attempt: id, Retryable: true,
 				Outcome: failure(verdict.MayHaveRun, verdict.CodeDeadline, "the back end did not answer in time"),
@@ -260,7 +260,7 @@
 	}
 	command := shard.Retry{
 		ID: id, Attempt: call.Attempt + 1, BudgetVersion: version, Reserve: call.Reserved,
-		PreviousVerdict: retry.failed.Verdict, BackEnd: assignment.BackEnd,
+		PreviousVerdict: retry.failed.Verdict, ConfigRevision: n.catalogue.Revision(), BackEnd: assignment.BackEnd,
 		Dispatcher: string(n.member), Explanation: assignment.Explanation, At: now,
 	}
 	accepted := n.propose(now, g, command, func(now time.Time, result any, applied bool) {
--- a/internal/core/drain.go
+++ b/internal/core/drain.go
@@ -1,9 +1,14 @@
 package core
 
 import (
+	"time"
+
 	"swiftbank.dev/swiftbank/internal/raft"
 )
 
+// balanceDelay is how long a leader leads before it hands over to the preferred one.
+const balanceDelay = 5 * time.Second
+
 // drainLeadership moves the leadership of every shard led here to a live member
 // that is caught up, while this node prepares to stop. Attempts already sent go
 // on here and report to the new leaders.
@@ -55,3 +60,35 @@
 	n.stopReadySent = true
 	n.emit(StopReady{})
 }
+
+// balanceLeadership hands one shard to the node that should lead it, so that
+// leadership spreads evenly again after losses. Leaders that are new wait, and one
+// shard moves at a time.
+func (n *Node) balanceLeadership(now time.Time) {
+	for _, number := range n.numbers {
+		g := n.groups[number]
+		if !g.leading || now.Sub(g.leadingSince) < balanceDelay || g.raft.MembershipPending() {
+			continue
+		}
+		preferred := n.preferredLeader(g)
+		if preferred != n.member && g.raft.TransferLeadership(preferred) {
+			return
+		}
+	}
+}
+
+// preferredLeader is the first live voter in the shard's order of nodes, which
+// begins at another node for each shard.
+func (n *Node) preferredLeader(g *group) raft.MemberID {
+	nodes := n.config.Topology.CellMembers(n.cell)
+	for i := range nodes {
+		node := nodes[(i+int(g.number))%len(nodes)]
+		for _, member := range g.raft.Membership().Members {
+			usable := !member.Learner && nodeOf(member.ID) == node && n.detector.Alive(member.ID)
+			if usable && !n.nodeDraining(member.ID) {
+				return member.ID
+			}
+		}
+	}
+	return n.member
+}
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -23,6 +23,8 @@
 	proposals map[uint64]proposal
 	// leading is set while this member is a leader that may decide.
 	leading bool
+	// leadingSince is when that began.
+	leadingSince time.Time
 
 	// The fields below belong to the leader and are dropped when it is deposed.
 
@@ -99,7 +101,6 @@
 		g := n.groups[message.Group]
 		if g == nil {
 			g = n.addGroup(message.Group, raft.Membership{})
-			n.formed = true
 		}
 		g.raft.Step(now, message)
 		n.drainGroup(now, g)
@@ -207,6 +208,7 @@
 func (n *Node) leadershipChanged(now time.Time, g *group) {
 	g.leading = g.raft.LeaderReady()
 	if g.leading {
+		g.leadingSince = now
 		n.emit(LogEvent{Message: "leadership taken", Shard: g.number})
 		n.takeOver(now, g)
 		return
--- a/internal/core/liveness.go
+++ b/internal/core/liveness.go
@@ -65,18 +65,37 @@
 	n.emit(FormCell{Cell: n.cell, Members: founders})
 }
 
-// form creates the cell's shards from the founding members. It is ignored when
-// this incarnation is not a founder: it is then added by the shards' leaders.
+// pullFounding asks a formed peer of the cell for its founders.
+func (n *Node) pullFounding(now time.Time, from string, heartbeat membership.Heartbeat) {
+	sameCell := n.config.Topology.CellOfNode(from) == n.cell
+	if n.formed || !heartbeat.Formed || !sameCell || now.Sub(n.foundingPulledAt) < pullInterval {
+		return
+	}
+	n.foundingPulledAt = now
+	n.send(from, FoundingPull{})
+}
+
+func (n *Node) answerFoundingPull(from string) {
+	if n.formed {
+		n.send(from, FoundingPush{Members: n.founders})
+	}
+}
+
+// form takes in who founded the cell. A founder creates its replicas; any other
+// node, as one that restarted without its state, is added by the shards' leaders.
 func (n *Node) form(founders []raft.MemberID) {
+	if n.formed {
+		return
+	}
+	n.formed = true
+	n.founders = founders
 	byNode := map[string]raft.MemberID{}
 	for _, founder := range founders {
-		node, _ := membership.SplitMemberID(founder)
-		byNode[node] = founder
+		byNode[nodeOf(founder)] = founder
 	}
-	if n.formed || byNode[n.config.Node] != n.member {
+	if byNode[n.config.Node] != n.member {
 		return
 	}
-	n.formed = true
 	for _, number := range n.config.Topology.ShardsOfCell(n.cell) {
 		var initial raft.Membership
 		for _, node := range n.config.Topology.Voters(number) {
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -120,13 +120,19 @@
 // ConfigPush carries change sets, in order.
 type ConfigPush struct{ Changes []catalogue.Change }
 
+// FoundingPull asks a peer who founded the cell.
+type FoundingPull struct{}
+
+// FoundingPush names the members that founded the cell.
+type FoundingPush struct{ Members []raft.MemberID }
+
 // RegisterGob makes the messages known to encoding/gob.
 func RegisterGob() {
 	shard.RegisterGob()
 	for _, value := range []any{
 		membership.Heartbeat{}, RaftMessages{}, Forward{}, ForwardReply{}, CallPayload{}, AnswerPayload{},
 		SessionPayload{}, EndPayload{}, GrantPayload{}, CreditPayload{}, HoldPayload{}, AttemptQuery{},
-		AttemptReport{}, ConfigPull{}, ConfigPush{},
+		AttemptReport{}, ConfigPull{}, ConfigPush{}, FoundingPull{}, FoundingPush{},
 	} {
 		gob.Register(value)
 	}
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -30,6 +30,8 @@
 	// Seed feeds the node's only random source.
 	Seed     uint64
 	Timeouts Timeouts
+	// Policy is how engine calls are placed.
+	Policy schedule.Policy
 }
 
 // Timeouts bound attempts by kind of call.
@@ -53,7 +55,12 @@
 	detector *membership.Detector
 	links    *linkTable
 
-	formed  bool
+	// formed is set once the node knows who founded its cell.
+	formed   bool
+	founders []raft.MemberID
+	// foundingPulledAt is when a peer was last asked for the founders.
+	foundingPulledAt time.Time
+
 	groups  map[uint32]*group
 	numbers []uint32 // the keys of groups, in order
 	// raftQueue collects replication messages until the end of a step.
@@ -167,6 +174,7 @@
 	case membership.Heartbeat:
 		n.detector.Receive(envelope.From, m)
 		n.noticeRevision(now, envelope.From, m.ConfigRevision)
+		n.pullFounding(now, envelope.From, m)
 	case RaftMessages:
 		n.receiveRaft(now, m)
 	case Forward:
@@ -179,6 +187,10 @@
 		n.receiveReport(now, m)
 	case ConfigPull:
 		n.answerPull(envelope.From, m)
+	case FoundingPull:
+		n.answerFoundingPull(envelope.From)
+	case FoundingPush:
+		n.form(m.Members)
 	case ConfigPush:
 		n.applyChanges(m.Changes)
 	}
@@ -216,6 +228,7 @@
 		n.maintainAllowances(now, g)
 	}
 	n.sweepEngines(now)
+	n.balanceLeadership(now)
 }
 
 func (n *Node) emit(action Action) { n.actions = append(n.actions, action) }
@@ -275,3 +288,32 @@
 	}
 	return status
 }
+
+// HealthyShards returns the shards that this node leads with all voters in place,
+// alive and caught up.
+func (n *Node) HealthyShards() []uint32 {
+	var healthy []uint32
+	for _, number := range n.numbers {
+		if g := n.groups[number]; g.raft.LeaderReady() && n.fullyReplicated(g) {
+			healthy = append(healthy, number)
+		}
+	}
+	return healthy
+}
+
+func (n *Node) fullyReplicated(g *group) bool {
+	current := g.raft.Membership()
+	for _, member := range current.Members {
+		self := member.ID == n.member
+		if member.Learner || !n.detector.Alive(member.ID) || (!self && !g.raft.CaughtUp(member.ID)) {
+			return false
+		}
+	}
+	return current.VoterCount() >= len(n.config.Topology.Voters(g.number)) && !g.raft.MembershipPending()
+}
+
+// Leads reports whether this node leads the shard and may decide for it.
+func (n *Node) Leads(number uint32) bool {
+	g := n.groups[number]
+	return g != nil && g.leading
+}
--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -57,6 +57,9 @@
 // the stream of an attempt for a while, so the stream is taken up where it is.
 func (n *Node) replaceDispatcher(now time.Time, g *group, call *shard.Call) {
 	id := shard.AttemptID{Call: call.Request.ID, Attempt: call.Attempt}
+	if n.catalogue.Revision() < g.state.ConfigFloor {
+		return // this node learns the newer configuration first
+	}
 	if call.Request.Kind == shard.EngineCall && call.Attempt < maxAttempts && n.backEndThere(call.BackEnd) {
 		n.proposeResume(now, g, call)
 		return
@@ -79,7 +82,7 @@
 	retry := &retryState{id: shard.AttemptID{Call: id, Attempt: call.Attempt}, proposed: true}
 	g.retries[id] = retry
 	command := shard.Retry{
-		ID: id, Attempt: call.Attempt + 1, Resume: true, BackEnd: call.BackEnd,
+		ID: id, Attempt: call.Attempt + 1, Resume: true, ConfigRevision: n.catalogue.Revision(), BackEnd: call.BackEnd,
 		Dispatcher: string(n.member), Explanation: "stream resumed after the loss of its node", At: now,
 	}
 	accepted := n.propose(now, g, command, func(now time.Time, result any, applied bool) {
--- a/internal/schedule/types.go
+++ b/internal/schedule/types.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/shard"
@@ -67,3 +69,30 @@
 	CachedTokens int64
 	MeasuredAt   time.Time
 }
+
+// Policy is how back ends are chosen for engine calls. All but Swiftbank are
+// baselines, kept to measure against.
+type Policy uint8
+
+// The policies.
+const (
+	Swiftbank Policy = iota
+	RoundRobin
+	LeastLoaded
+	SessionSticky
+	PrefixHash
+)
+
+var policyNames = []string{"swiftbank", "round-robin", "least-loaded", "session-sticky", "prefix-hash"}
+
+// String returns the policy's name.
+func (p Policy) String() string { return policyNames[p] }
+
+// ParsePolicy returns the policy with a name.
+func ParsePolicy(name string) (Policy, error) {
+	place := slices.Index(policyNames, name)
+	if place < 0 {
+		return 0, fmt.Errorf("unknown policy %q; known are %v", name, policyNames)
+	}
+	return Policy(place), nil
+}
--- a/internal/server/backends.go
+++ b/internal/server/backends.go
@@ -36,14 +36,21 @@
 	http   *http.Client
 
 	mu      sync.Mutex
-	running map[shard.AttemptID]context.CancelFunc
+	running map[shard.AttemptID]runningAttempt
+}
+
+// runningAttempt is an attempt that waits for its back end.
+type runningAttempt struct {
+	cancel context.CancelFunc
+	// abort is the URL that stops an engine's stream; empty for other back ends.
+	abort string
 }
 
 func newBackEndClient(server *Server) *backEndClient {
 	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections, DisableCompression: true}
 	return &backEndClient{
 		server: server, http: &http.Client{Transport: transport},
-		running: map[shard.AttemptID]context.CancelFunc{},
+		running: map[shard.AttemptID]runningAttempt{},
 	}
 }
 
@@ -53,7 +60,7 @@
 func (c *backEndClient) start(action core.StartAttempt) {
 	ctx, cancel := context.WithDeadline(c.server.context, action.Timeout)
 	c.mu.Lock()
-	c.running[action.Attempt] = cancel
+	c.running[action.Attempt] = runningAttempt{cancel: cancel, abort: abortAddress(action)}
 	c.mu.Unlock()
 	c.server.streams.open(action.Attempt, action.StreamAttempt)
 	c.server.tasks.Go(func() {
@@ -68,15 +75,47 @@
 	})
 }
 
+// abortAddress is where an engine's stream is stopped.
+func abortAddress(action core.StartAttempt) string {
+	if action.Request.Kind != shard.EngineCall {
+		return ""
+	}
+	return action.BackEnd.Address + "/v1/streams/" + url.PathEscape(streamName(action))
+}
+
 // cancel gives up an attempt.
-func (c *backEndClient) cancel(attempt shard.AttemptID) {
+func (c *backEndClient) cancel(action core.CancelAttempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if cancel := c.running[attempt]; cancel != nil {
-		cancel()
+	known, running := c.running[action.Attempt]
+	if !running {
+		return
+	}
+	known.cancel()
+	if action.Abort && known.abort != "" {
+		c.server.tasks.Go(func() { _ = c.delete(known.abort) })
 	}
 }
 
+// delete sends a DELETE request and reports whether it was taken.
+func (c *backEndClient) delete(address string) error {
+	ctx, cancel := context.WithTimeout(c.server.context, controlTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, address, nil)
+	if err != nil {
+		return fmt.Errorf("server: %w", err)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return fmt.Errorf("server: %w", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("server: status %d", response.StatusCode)
+	}
+	return nil
+}
+
 func (c *backEndClient) run(ctx context.Context, action core.StartAttempt) core.AttemptFinished {
 	if action.Request.Kind == shard.EngineCall {
 		return c.runEngine(ctx, action)
@@ -356,16 +395,8 @@
 
 // release tells an engine to drop a session's cache.
 func (c *backEndClient) release(action core.ReleaseCache) {
-	ctx, cancel := context.WithTimeout(c.server.context, controlTimeout)
-	defer cancel()
 	address := action.BackEnd.Address + "/holds?session=" + url.QueryEscape(sessionName(action.Release.Key))
-	confirmed := false
-	if request, err := http.NewRequestWithContext(ctx, http.MethodDelete, address, nil); err == nil {
-		if response, err := c.http.Do(request); err == nil {
-			confirmed = response.StatusCode < http.StatusMultipleChoices
-			_ = response.Body.Close()
-		}
-	}
+	confirmed := c.delete(address) == nil
 	c.server.push(core.ReleaseFinished{Release: action.Release, Confirmed: confirmed})
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -217,7 +217,7 @@
 		s.metrics.attempts.Inc()
 		s.backEnds.start(a)
 	case core.CancelAttempt:
-		s.backEnds.cancel(a.Attempt)
+		s.backEnds.cancel(a)
 	case core.BindStream:
 		s.streams.bind(a)
 	case core.ReleaseCache:
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -33,12 +33,14 @@
 	Resume bool
 	// PreviousVerdict is what is known of the previous attempt.
 	PreviousVerdict verdict.Verdict
-	BudgetVersion   uint64
-	Reserve         int64
-	BackEnd         string
-	Dispatcher      string
-	Explanation     string
-	At              time.Time
+	// ConfigRevision is the configuration that the decision was made with.
+	ConfigRevision uint64
+	BudgetVersion  uint64
+	Reserve        int64
+	BackEnd        string
+	Dispatcher     string
+	Explanation    string
+	At             time.Time
 }
 
 // Finish records the outcome of an attempt.
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -189,11 +189,20 @@
 	return nil
 }
 
+// raiseFloor refuses a decision made with configuration older than that of an
+// earlier decision in this shard.
+func (s *State) raiseFloor(revision uint64) *verdict.Error {
+	if revision < s.ConfigFloor {
+		return verdict.Refuse(verdict.CodeStaleConfig, time.Second, "this node's configuration is behind")
+	}
+	s.ConfigFloor = revision
+	return nil
+}
+
 func (s *State) applyBegin(c Begin) BeginResult {
-	if c.ConfigRevision < s.ConfigFloor {
-		return BeginResult{Refusal: verdict.Refuse(verdict.CodeStaleConfig, time.Second, "this node's configuration is behind")}
+	if refusal := s.raiseFloor(c.ConfigRevision); refusal != nil {
+		return BeginResult{Refusal: refusal}
 	}
-	s.ConfigFloor = c.ConfigRevision
 	disposition, _, refusal := s.Classify(&c.Request)
 	switch disposition {
 	case Refused:
@@ -246,6 +255,9 @@
 }
 
 func (s *State) applyRetry(c Retry) BeginResult {
+	if refusal := s.raiseFloor(c.ConfigRevision); refusal != nil {
+		return BeginResult{Refusal: refusal}
+	}
 	session := s.Sessions[c.ID.Key]
 	if session == nil || session.CallBySequence(c.ID.Sequence) == nil {
 		return BeginResult{Refusal: verdict.Refuse(verdict.CodeInternal, 0, "the call is not recorded")}
--- /dev/null
+++ b/internal/simulate/world.go
@@ -0,0 +1,178 @@
+package simulate
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"swiftbank.dev/swiftbank/internal/topology"
+)
+
+const (
+	// faultsBegin is when the first fault may come.
+	faultsBegin = 20 * time.Second
+	// quietTime is the time without faults at the end, in which everything heals.
+	quietTime = 90 * time.Second
+	// arrivalsEnd is how long before the end the last program begins.
+	arrivalsEnd = 60 * time.Second
+)
+
+// world is one run.
+type world struct {
+	options    Options
+	deployment deployment
+	start      time.Time
+	now        time.Time
+	end        time.Time
+	queue      eventQueue
+
+	// Each part draws from a stream of its own, so that a change in one does not
+	// shift the others.
+	networkRandom  *rand.Rand
+	faultRandom    *rand.Rand
+	workloadRandom *rand.Rand
+	callerRandom   *rand.Rand
+
+	layout    *topology.Topology
+	nodes     map[string]*simNode
+	nodeNames []string
+	network   *network
+	backEnds  *backEnds
+	store     *simStore
+	callers   *callers
+	checker   *checker
+	faults    *faultInjector
+	recovery  *recoveryWatch
+	control   controlCost
+
+	digest *xxhash.Digest
+	events uint64
+}
+
+// event is something that happens at a time.
+type event struct {
+	at    time.Time
+	order uint64
+	run   func()
+}
+
+type eventQueue struct {
+	entries []event
+	next    uint64
+}
+
+func (q *eventQueue) Len() int { return len(q.entries) }
+func (q *eventQueue) Less(i, j int) bool {
+	if q.entries[i].at.Equal(q.entries[j].at) {
+		return q.entries[i].order < q.entries[j].order
+	}
+	return q.entries[i].at.Before(q.entries[j].at)
+}
+func (q *eventQueue) Swap(i, j int) { q.entries[i], q.entries[j] = q.entries[j], q.entries[i] }
+func (q *eventQueue) Push(x any)    { q.entries = append(q.entries, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := q.entries[len(q.entries)-1]
+	q.entries = q.entries[:len(q.entries)-1]
+	return last
+}
+
+func stream(seed, part uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, part)) }
+
+func newWorld(options Options) (*world, error) {
+	shape, err := deploymentFor(options)
+	if err != nil {
+		return nil, err
+	}
+	start := time.Unix(1_800_000_000, 0)
+	w := &world{
+		options: options, deployment: shape, start: start, now: start, end: start.Add(options.Duration),
+		networkRandom: stream(options.Seed, 1), faultRandom: stream(options.Seed, 2),
+		workloadRandom: stream(options.Seed, 3), callerRandom: stream(options.Seed, 4),
+		nodes: map[string]*simNode{}, digest: xxhash.New(),
+	}
+	w.checker = newChecker(w)
+	w.network = newNetwork(w)
+	w.store = newSimStore(w)
+	w.backEnds = newBackEnds(w)
+	w.callers = newCallers(w)
+	w.recovery = newRecoveryWatch(w)
+	w.faults = newFaultInjector(w)
+	if err := w.store.applyInitial(); err != nil {
+		return nil, err
+	}
+	return w, w.addNodes()
+}
+
+func (w *world) addNodes() error {
+	var list []topology.Node
+	for i := range w.deployment.nodes {
+		list = append(list, topology.Node{
+			ID: fmt.Sprintf("node-%03d", i+1), Zone: w.deployment.zones[i%len(w.deployment.zones)], Address: "0.0.0.0:0",
+		})
+	}
+	layout, err := topology.New(list, w.deployment.shardsPerCell)
+	if err != nil {
+		return fmt.Errorf("simulate: %w", err)
+	}
+	w.layout = layout
+	for _, node := range list {
+		w.nodeNames = append(w.nodeNames, node.ID)
+		w.nodes[node.ID] = &simNode{world: w, id: node.ID, zone: node.Zone}
+	}
+	for _, name := range w.nodeNames {
+		w.nodes[name].boot()
+	}
+	return nil
+}
+
+// after schedules something.
+func (w *world) after(delay time.Duration, run func()) {
+	w.queue.next++
+	heap.Push(&w.queue, event{at: w.now.Add(delay), order: w.queue.next, run: run})
+}
+
+// every repeats something until the end.
+func (w *world) every(interval time.Duration, run func()) {
+	w.after(interval, func() {
+		run()
+		w.every(interval, run)
+	})
+}
+
+// elapsed returns the time since the start.
+func (w *world) elapsed() time.Duration { return w.now.Sub(w.start) }
+
+// note adds an event to the digest.
+func (w *world) note(kind string, detail string) {
+	w.events++
+	fmt.Fprintf(w.digest, "%d %s %s\n", w.elapsed().Nanoseconds(), kind, detail)
+}
+
+// run plays the whole time.
+func (w *world) run() {
+	w.callers.begin()
+	w.backEnds.begin()
+	w.faults.begin()
+	w.checker.begin()
+	w.recovery.begin()
+	for w.queue.Len() > 0 && !w.queue.entries[0].at.After(w.end) {
+		next := heap.Pop(&w.queue).(event)
+		w.now = next.at
+		next.run()
+	}
+	w.now = w.end
+	w.checker.finish()
+}
+
+// Run plays one run and reports.
+func Run(options Options) (*Report, error) {
+	w, err := newWorld(options)
+	if err != nil {
+		return nil, err
+	}
+	w.run()
+	return w.report(), nil
+}
