Paused dispatchers, stale reads, replies to an earlier process

Streamed text also uses the caller's own number now, where it used the routed request's, which agreed by luck.

--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -51,10 +51,7 @@
 // BindStream sends the text of an attempt, as it arrives, to a waiting caller.
 type BindStream struct {
 	Attempt shard.AttemptID
-	// Node and RequestID name the caller at its gateway.
-	Node      string
-	RequestID uint64
-	Offset    int64
+	Caller  CallerReference
 }
 
 // ReleaseCache tells an engine to drop a session's cache.
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"swiftbank.dev/swiftbank/internal/membership"
 	"swiftbank.dev/swiftbank/internal/raft"
 	"swiftbank.dev/swiftbank/internal/schedule"
 	"swiftbank.dev/swiftbank/internal/shard"
@@ -20,6 +21,12 @@
 	// retries cannot multiply the load when many calls fail.
 	maxRetryTokens  = 50
 	retryTokenShare = 0.2
+	// dispatchWindow is how long after proposing an attempt its dispatcher may send
+	// it. It is shorter than the silence after which another member takes the call
+	// over, less a heartbeat: a dispatcher that was paused wakes too late to send,
+	// and cannot begin a call after its successor has gone on with the session. Both
+	// times are measured on one machine, so clocks need not agree.
+	dispatchWindow = membership.SuspectAfter - 2*membership.HeartbeatInterval
 	// reportInterval is how often an outcome is reported until it is recorded.
 	reportInterval = 300 * time.Millisecond
 	// failedRetry is when a caller may come back after its attempts failed.
@@ -55,12 +62,28 @@
 	id := shard.AttemptID{Call: call.Request.ID, Attempt: call.Attempt}
 	current := g.state.Sessions[call.Request.ID.Key].CallBySequence(call.Request.ID.Sequence)
 	overtaken := current.Attempt != call.Attempt || current.Outcome != nil
+	proposedAt, proposed := n.proposedAt[id]
+	delete(n.proposedAt, id)
 	if overtaken || n.abandoned[id] || n.attempts[id] != nil {
 		return
 	}
+	if !proposed || now.Sub(proposedAt) > dispatchWindow {
+		n.abandon(now, g, call)
+		return
+	}
 	n.startAttempt(now, g, call)
 }
 
+// abandon gives up an attempt that was never sent, and reports so.
+func (n *Node) abandon(now time.Time, g *group, call *shard.Call) {
+	id := shard.AttemptID{Call: call.Request.ID, Attempt: call.Attempt}
+	n.abandoned[id] = true
+	outcome := failure(verdict.NotRun, verdict.CodeUnavailable, "the call was not sent in time")
+	n.attempts[id] = &attempt{id: id, shard: g.number, backEnd: call.BackEnd, kind: call.Request.Kind, outcome: &outcome, retryable: true}
+	n.scheduler.Finished(now, call.BackEnd, call.Request.ID, false)
+	n.reportAttempt(now, n.attempts[id])
+}
+
 func (n *Node) startAttempt(now time.Time, g *group, call *shard.Call) {
 	id := shard.AttemptID{Call: call.Request.ID, Attempt: call.Attempt}
 	started := &attempt{
@@ -275,6 +298,7 @@
 		PreviousVerdict: retry.failed.Verdict, ConfigRevision: n.catalogue.Revision(), BackEnd: assignment.BackEnd,
 		Dispatcher: string(n.member), Explanation: assignment.Explanation, At: now,
 	}
+	n.proposedAt[shard.AttemptID{Call: id, Attempt: command.Attempt}] = now
 	accepted := n.propose(now, g, command, func(now time.Time, result any, applied bool) {
 		delete(g.retries, id)
 		begun := applied && result.(shard.BeginResult).Begun != nil
@@ -296,7 +320,7 @@
 // rebindWaiters streams a new attempt to those who wait for the call.
 func (n *Node) rebindWaiters(g *group, call *shard.Call) {
 	for _, to := range g.waiters[call.Request.ID] {
-		n.bindStream(call, to, 0)
+		n.bindStream(call, to)
 	}
 }
 
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -24,7 +24,6 @@
 type pendingCall struct {
 	request          shard.Request
 	waiters          []waiter
-	stream           bool
 	template         declaration.Template
 	templateRevision uint64
 	limits           shard.Limits
@@ -47,16 +46,29 @@
 	disposition, call, refusal := g.state.Classify(&request)
 	switch disposition {
 	case Refused:
-		n.respond(now, from, Reply{Error: refusal})
+		n.refuseConfirmed(now, g, from, payload, refusal)
 	case Recorded:
 		n.respond(now, from, Reply{Call: call})
 	case InProgress:
-		n.attach(g, from, call, payload.Stream, 0)
+		n.attach(g, from, call)
 	case Fresh:
 		n.admit(now, g, from, payload)
 	}
 }
 
+// refuseConfirmed refuses a call that breaks a rule of its session, once it is
+// certain that the record it breaks is the newest.
+func (n *Node) refuseConfirmed(now time.Time, g *group, from waiter, payload CallPayload, refusal *verdict.Error) {
+	n.confirmLeadership(now, g, from, func(now time.Time) {
+		disposition, _, _ := g.state.Classify(&payload.Request)
+		if disposition != Refused {
+			n.serveCall(now, g, from, payload)
+			return
+		}
+		n.respond(now, from, Reply{Error: refusal})
+	})
+}
+
 // The dispositions of package shard, short.
 const (
 	Fresh      = shard.Fresh
@@ -66,22 +78,25 @@
 )
 
 // attach lets a requester wait for a call in progress.
-func (n *Node) attach(g *group, from waiter, call *shard.Call, stream bool, offset int64) {
+func (n *Node) attach(g *group, from waiter, call *shard.Call) {
 	id := call.Request.ID
 	g.waiters[id] = addWaiter(g.waiters[id], from)
-	if stream {
-		n.bindStream(call, from, offset)
-	}
+	n.bindStream(call, from)
 }
 
-// bindStream tells the dispatcher's owner to send the text as it comes. When
-// another node dispatches, the caller gets the text with the final answer.
-func (n *Node) bindStream(call *shard.Call, to waiter, offset int64) {
+// bindStream tells the call's dispatcher to send the text as it comes to a caller
+// who wants it. Whatever gets lost of it comes with the final answer.
+func (n *Node) bindStream(call *shard.Call, to waiter) {
+	if to.caller == nil {
+		return
+	}
 	attempt := shard.AttemptID{Call: call.Request.ID, Attempt: call.Attempt}
-	if n.attempts[attempt] == nil {
+	dispatcher := nodeOf(raft.MemberID(call.Dispatcher))
+	if dispatcher == n.config.Node {
+		n.emit(BindStream{Attempt: attempt, Caller: *to.caller})
 		return
 	}
-	n.emit(BindStream{Attempt: attempt, Node: to.node, RequestID: to.requestID, Offset: offset})
+	n.send(dispatcher, BindRequest{Attempt: attempt, Caller: *to.caller})
 }
 
 // admit checks a fresh call against configuration and limits, and lets it wait.
@@ -109,7 +124,6 @@
 		return
 	}
 	waiting.waiters = addWaiter(waiting.waiters, from)
-	waiting.stream = waiting.stream || payload.Stream
 }
 
 // prepare works out what a call may do and what it may cost.
@@ -138,7 +152,7 @@
 		return nil, verdict.Refuse(verdict.CodeNotPermitted, 0, "template %q is not instantiated for this tenant", request.Template)
 	}
 	pending := &pendingCall{
-		request: request, stream: payload.Stream, template: template, templateRevision: revision,
+		request: request, template: template, templateRevision: revision,
 		limits:        declaration.MergeLimits(instance.Limits, tenant.Limits, template.Limits),
 		budgetVersion: tenantRevision, priority: tenant.Priority,
 	}
@@ -285,6 +299,7 @@
 		ConfigRevision: n.catalogue.Revision(), BudgetVersion: pending.budgetVersion, Reserve: pending.reserve,
 		BackEnd: assignment.BackEnd, Dispatcher: string(n.member), Explanation: assignment.Explanation, At: now,
 	}
+	n.proposedAt[nextAttempt(g, pending.request.ID)] = now
 	accepted := n.propose(now, g, begin, func(now time.Time, result any, applied bool) {
 		n.beginDecided(now, g, pending, assignment, result, applied)
 	})
@@ -294,6 +309,17 @@
 	}
 }
 
+// nextAttempt names the attempt that a Begin entry will make.
+func nextAttempt(g *group, id shard.CallID) shard.AttemptID {
+	next := shard.AttemptID{Call: id, Attempt: 1}
+	if session := g.state.Sessions[id.Key]; session != nil {
+		if call := session.CallBySequence(id.Sequence); call != nil {
+			next.Attempt = call.Attempt + 1
+		}
+	}
+	return next
+}
+
 // beginDecided handles the fate of a Begin entry.
 func (n *Node) beginDecided(now time.Time, g *group, pending *pendingCall, assignment schedule.Assignment, result any, applied bool) {
 	if !applied {
@@ -325,7 +351,7 @@
 			n.respondNotLeader(now, to)
 			continue
 		}
-		n.attach(g, to, call, pending.stream, 0)
+		n.attach(g, to, call)
 	}
 }
 
@@ -364,11 +390,13 @@
 	}
 	switch {
 	case call == nil:
-		n.respond(now, from, Reply{Error: verdict.Refuse(verdict.CodeNotFound, 0, "no such call")})
+		n.confirmLeadership(now, g, from, func(now time.Time) {
+			n.answerConfirmed(now, g, from, payload)
+		})
 	case call.Outcome != nil:
 		n.respond(now, from, Reply{Call: call})
-	case payload.Wait || payload.Stream:
-		n.attach(g, from, call, payload.Stream, payload.Offset)
+	case payload.Wait || payload.Caller != nil:
+		n.attach(g, from, call)
 	default:
 		refusal := verdict.Unknown(verdict.CodeAnswerInProgress, "the call is in progress")
 		refusal.RetryAfter = time.Second
@@ -376,6 +404,16 @@
 	}
 }
 
+// answerConfirmed says that a call does not exist, unless it appeared meanwhile.
+func (n *Node) answerConfirmed(now time.Time, g *group, from waiter, payload AnswerPayload) {
+	session := g.state.Sessions[payload.ID.Key]
+	if session != nil && session.CallBySequence(payload.ID.Sequence) != nil {
+		n.serveAnswer(now, g, from, payload)
+		return
+	}
+	n.respond(now, from, Reply{Error: verdict.Refuse(verdict.CodeNotFound, 0, "no such call")})
+}
+
 // releaseCallers sends everybody who waits here to the next leader.
 func (n *Node) releaseCallers(g *group) {
 	now := n.now()
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -25,6 +25,8 @@
 
 // Forward carries a request to the leader of a shard.
 type Forward struct {
+	// Incarnation is that of the sender; it comes back in the reply.
+	Incarnation uint64
 	// RequestID and Copy name this copy of the request at the sender.
 	RequestID uint64
 	Copy      uint32
@@ -36,7 +38,10 @@
 
 // ForwardReply answers a Forward.
 type ForwardReply struct {
-	RequestID uint64
+	// Incarnation is that of the process that asked. A later process on the same
+	// machine must not take the reply for one to its own request.
+	Incarnation uint64
+	RequestID   uint64
 	// Copies are the copies that this reply settles: none of them will run
 	// anything after it.
 	Copies []uint32
@@ -61,18 +66,31 @@
 	Settled bool
 }
 
+// CallerReference names a caller who wants an answer's text as it is generated.
+// The incarnation keeps text meant for a caller of an earlier process from one of
+// a later process with the same number.
+type CallerReference struct {
+	Node        string
+	Incarnation uint64
+	RequestID   uint64
+	// Offset is where in the answer's text, in bytes, the stream shall begin.
+	Offset int64
+}
+
 // CallPayload asks the leader to run a call, or to attach to it.
 type CallPayload struct {
 	Request shard.Request
-	Stream  bool
+	// Caller is set when the caller wants the text as it comes.
+	Caller *CallerReference
 }
 
 // AnswerPayload asks the leader for the answer of a call.
 type AnswerPayload struct {
-	ID     shard.CallID
-	Stream bool
-	Offset int64
-	Wait   bool
+	ID shard.CallID
+	// Caller is set when the caller wants the text as it comes.
+	Caller *CallerReference
+	// Wait asks to wait for the outcome of a call in progress.
+	Wait bool
 }
 
 // SessionPayload asks the leader for a session's record.
@@ -109,6 +127,12 @@
 	Attempt shard.AttemptID
 }
 
+// BindRequest asks a dispatcher to send an attempt's text to a caller.
+type BindRequest struct {
+	Attempt shard.AttemptID
+	Caller  CallerReference
+}
+
 // AttemptReport tells a shard's leader the outcome of an attempt.
 type AttemptReport struct {
 	Shard     uint32
@@ -144,7 +168,7 @@
 	for _, value := range []any{
 		membership.Heartbeat{}, RaftMessages{}, Forward{}, ForwardReply{}, CallPayload{}, AnswerPayload{},
 		SessionPayload{}, EndPayload{}, GrantPayload{}, CreditPayload{}, HoldPayload{}, AttemptQuery{},
-		AttemptReport{}, ConfigPull{}, ConfigPush{}, FoundingPull{}, FoundingPush{}, MachinesPull{}, MachinesPush{},
+		AttemptReport{}, BindRequest{}, ConfigPull{}, ConfigPush{}, FoundingPull{}, FoundingPush{}, MachinesPull{}, MachinesPush{},
 	} {
 		gob.Register(value)
 	}
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -79,8 +79,10 @@
 	// callerRequests maps the owner's request ids to routed requests.
 	callerRequests map[uint64]uint64
 
-	attempts    map[shard.AttemptID]*attempt
-	abandoned   map[shard.AttemptID]bool
+	attempts  map[shard.AttemptID]*attempt
+	abandoned map[shard.AttemptID]bool
+	// proposedAt is when this node proposed the attempts that it is to dispatch.
+	proposedAt  map[shard.AttemptID]time.Time
 	timers      timerQueue
 	retryTokens float64
 
@@ -119,6 +121,7 @@
 		callerRequests: map[uint64]uint64{},
 		attempts:       map[shard.AttemptID]*attempt{},
 		abandoned:      map[shard.AttemptID]bool{},
+		proposedAt:     map[shard.AttemptID]time.Time{},
 		retryTokens:    maxRetryTokens,
 	}
 }
@@ -145,7 +148,8 @@
 	case CallReceived:
 		n.receiveCall(now, e)
 	case AnswerWanted:
-		n.submitCaller(now, e.RequestID, n.shardOf(e.ID.Key), AnswerPayload{ID: e.ID, Stream: e.Stream, Offset: e.Offset, Wait: e.Wait}, time.Time{})
+		payload := AnswerPayload{ID: e.ID, Caller: n.callerReference(e.RequestID, e.Stream, e.Offset), Wait: e.Wait}
+		n.submitCaller(now, e.RequestID, n.shardOf(e.ID.Key), payload, time.Time{})
 	case SessionWanted:
 		n.submitCaller(now, e.RequestID, n.shardOf(e.Key), SessionPayload{Key: e.Key}, now.Add(readPatience))
 	case EndWanted:
@@ -189,6 +193,8 @@
 		n.receiveReply(now, m)
 	case AttemptQuery:
 		n.answerQuery(envelope.From, m)
+	case BindRequest:
+		n.emit(BindStream(m))
 	case AttemptReport:
 		n.receiveReport(now, m)
 	case ConfigPull:
--- a/internal/core/release.go
+++ b/internal/core/release.go
@@ -80,13 +80,27 @@
 // serveHold releases the memory that an engine holds for a session that has
 // ended or was never recorded.
 func (n *Node) serveHold(now time.Time, g *group, from waiter, payload HoldPayload) {
-	session := g.state.Sessions[payload.Key]
-	gone := session == nil || (session.Ended && !session.InProgress())
+	if n.holdWanted(g, payload.Key) {
+		n.respond(now, from, Reply{})
+		return
+	}
+	n.confirmLeadership(now, g, from, func(now time.Time) {
+		n.releaseUnwanted(g, payload)
+		n.respond(now, from, Reply{})
+	})
+}
+
+func (n *Node) holdWanted(g *group, key shard.SessionKey) bool {
+	session := g.state.Sessions[key]
+	return session != nil && (!session.Ended || session.InProgress())
+}
+
+func (n *Node) releaseUnwanted(g *group, payload HoldPayload) {
 	backEnd, found := n.scheduler.BackEnd(payload.Engine)
 	release := shard.Release{Key: payload.Key, Engine: payload.Engine}
-	if gone && found && !g.releasing[release] {
-		g.releasing[release] = true
-		n.emit(ReleaseCache{Release: release, BackEnd: backEnd})
+	if n.holdWanted(g, payload.Key) || !found || g.releasing[release] {
+		return
 	}
-	n.respond(now, from, Reply{})
+	g.releasing[release] = true
+	n.emit(ReleaseCache{Release: release, BackEnd: backEnd})
 }
--- a/internal/core/routing.go
+++ b/internal/core/routing.go
@@ -53,19 +53,30 @@
 
 // waiter is a requester at its gateway, as the leader knows it.
 type waiter struct {
-	node      string
-	requestID uint64
-	copies    []uint32
+	node        string
+	incarnation uint64
+	requestID   uint64
+	copies      []uint32
+	// caller is set when the text is wanted as it comes.
+	caller *CallerReference
 }
 
 // receiveCall routes a caller's call.
 func (n *Node) receiveCall(now time.Time, event CallReceived) {
 	request := event.Request
 	request.Ask = fmt.Sprintf("%s/%d", n.member, event.RequestID)
-	payload := CallPayload{Request: request, Stream: event.Stream}
+	payload := CallPayload{Request: request, Caller: n.callerReference(event.RequestID, event.Stream, 0)}
 	n.submitCaller(now, event.RequestID, n.shardOf(request.ID.Key), payload, request.Deadline)
 }
 
+// callerReference names a local caller who wants the answer's text as it comes.
+func (n *Node) callerReference(requestID uint64, stream bool, offset int64) *CallerReference {
+	if !stream {
+		return nil
+	}
+	return &CallerReference{Node: n.config.Node, Incarnation: n.config.Incarnation, RequestID: requestID, Offset: offset}
+}
+
 // submitCaller routes a request of a local caller.
 func (n *Node) submitCaller(now time.Time, requestID uint64, number uint32, payload any, deadline time.Time) {
 	giveUp := now.Add(defaultPatience)
@@ -111,7 +122,7 @@
 	if g := n.groups[routed.shard]; g != nil && g.leading && !n.draining {
 		routed.copies++
 		routed.target = n.config.Node
-		self := waiter{node: n.config.Node, requestID: routed.id, copies: []uint32{routed.copies}}
+		self := waiter{node: n.config.Node, incarnation: n.config.Incarnation, requestID: routed.id, copies: []uint32{routed.copies}}
 		routed.unsettled[routed.copies] = true
 		n.serve(now, g, self, routed.payload)
 		return
@@ -126,7 +137,7 @@
 	routed.target = target
 	routed.unsettled[routed.copies] = true
 	n.send(target, Forward{
-		RequestID: routed.id, Copy: routed.copies, Shard: routed.shard,
+		Incarnation: n.config.Incarnation, RequestID: routed.id, Copy: routed.copies, Shard: routed.shard,
 		Hops: routed.hops + 1, Payload: routed.payload,
 	})
 }
@@ -171,7 +182,7 @@
 
 // receiveForward serves a request, passes it on, or says who leads.
 func (n *Node) receiveForward(now time.Time, from string, forward Forward) {
-	origin := waiter{node: from, requestID: forward.RequestID, copies: []uint32{forward.Copy}}
+	origin := waiter{node: from, incarnation: forward.Incarnation, requestID: forward.RequestID, copies: []uint32{forward.Copy}}
 	g := n.groups[forward.Shard]
 	if g != nil && g.leading && !n.draining {
 		n.serve(now, g, origin, forward.Payload)
@@ -189,7 +200,10 @@
 			}
 			return // the fate is unknown: the origin asks again
 		}
-		n.send(origin.node, ForwardReply{RequestID: origin.requestID, Copies: settledCopies(origin, settled), Reply: reply})
+		n.send(origin.node, ForwardReply{
+			Incarnation: origin.incarnation, RequestID: origin.requestID,
+			Copies: settledCopies(origin, settled), Reply: reply,
+		})
 	})
 }
 
@@ -201,12 +215,15 @@
 }
 
 func (n *Node) replyNotLeader(origin waiter, leader string) {
-	n.send(origin.node, ForwardReply{RequestID: origin.requestID, Copies: origin.copies, NotLeader: true, Leader: leader})
+	n.send(origin.node, ForwardReply{
+		Incarnation: origin.incarnation, RequestID: origin.requestID,
+		Copies: origin.copies, NotLeader: true, Leader: leader,
+	})
 }
 
 // respond answers a waiter, local or remote.
 func (n *Node) respond(now time.Time, to waiter, reply Reply) {
-	message := ForwardReply{RequestID: to.requestID, Copies: to.copies, Reply: reply}
+	message := ForwardReply{Incarnation: to.incarnation, RequestID: to.requestID, Copies: to.copies, Reply: reply}
 	if to.node == n.config.Node {
 		n.receiveReply(now, message)
 		return
@@ -217,7 +234,7 @@
 // respondNotLeader tells a waiter to ask the next leader.
 func (n *Node) respondNotLeader(now time.Time, to waiter) {
 	if to.node == n.config.Node {
-		n.receiveReply(now, ForwardReply{RequestID: to.requestID, Copies: to.copies, NotLeader: true})
+		n.receiveReply(now, ForwardReply{Incarnation: to.incarnation, RequestID: to.requestID, Copies: to.copies, NotLeader: true})
 		return
 	}
 	n.replyNotLeader(to, "")
@@ -225,7 +242,7 @@
 
 func (n *Node) receiveReply(now time.Time, message ForwardReply) {
 	routed := n.routed[message.RequestID]
-	if routed == nil {
+	if routed == nil || message.Incarnation != n.config.Incarnation {
 		return
 	}
 	for _, copyNumber := range message.Copies {
@@ -287,7 +304,7 @@
 // addWaiter adds a requester once, joining the copies of a repeated request.
 func addWaiter(list []waiter, added waiter) []waiter {
 	for i := range list {
-		if list[i].node == added.node && list[i].requestID == added.requestID {
+		if list[i].node == added.node && list[i].incarnation == added.incarnation && list[i].requestID == added.requestID {
 			list[i].copies = append(list[i].copies, added.copies...)
 			return list
 		}
@@ -299,8 +316,10 @@
 func (n *Node) serve(now time.Time, g *group, from waiter, payload any) {
 	switch p := payload.(type) {
 	case CallPayload:
+		from.caller = p.Caller
 		n.serveCall(now, g, from, p)
 	case AnswerPayload:
+		from.caller = p.Caller
 		n.serveAnswer(now, g, from, p)
 	case SessionPayload:
 		n.serveSession(now, g, from, p)
@@ -317,27 +336,45 @@
 	}
 }
 
-func (n *Node) serveSession(now time.Time, g *group, from waiter, payload SessionPayload) {
-	session := g.state.Sessions[payload.Key]
-	if session == nil {
-		n.respond(now, from, Reply{Error: verdict.Refuse(verdict.CodeNotFound, 0, "no such session")})
-		return
+// confirmLeadership calls confirmed once a quorum has shown that this leader is
+// still the newest. What a leader says does not exist must not come from the state
+// of one that was replaced without noticing; what it finds recorded stands anyway.
+func (n *Node) confirmLeadership(now time.Time, g *group, from waiter, confirmed func(now time.Time)) {
+	proposed := n.propose(now, g, shard.Barrier{}, func(now time.Time, _ any, applied bool) {
+		if !applied || !g.leading {
+			n.respondNotLeader(now, from)
+			return
+		}
+		confirmed(now)
+	})
+	if !proposed {
+		n.respondNotLeader(now, from)
 	}
-	copied := *session
-	copied.Calls = slices.Clone(session.Calls)
-	n.respond(now, from, Reply{Session: &copied})
+}
+
+func (n *Node) serveSession(now time.Time, g *group, from waiter, payload SessionPayload) {
+	n.confirmLeadership(now, g, from, func(now time.Time) {
+		session := g.state.Sessions[payload.Key]
+		if session == nil {
+			n.respond(now, from, Reply{Error: verdict.Refuse(verdict.CodeNotFound, 0, "no such session")})
+			return
+		}
+		copied := *session
+		copied.Calls = slices.Clone(session.Calls)
+		n.respond(now, from, Reply{Session: &copied})
+	})
 }
 
 func (n *Node) serveEnd(now time.Time, g *group, from waiter, payload EndPayload) {
-	if g.state.Sessions[payload.Key] == nil {
-		n.respond(now, from, Reply{Error: verdict.Refuse(verdict.CodeNotFound, 0, "no such session")})
-		return
-	}
 	proposed := n.propose(now, g, shard.EndSession{Key: payload.Key, At: now}, func(now time.Time, _ any, applied bool) {
 		if !applied {
 			n.respondNotLeader(now, from)
 			return
 		}
+		if g.state.Sessions[payload.Key] == nil {
+			n.respond(now, from, Reply{Error: verdict.Refuse(verdict.CodeNotFound, 0, "no such session")})
+			return
+		}
 		n.orderReleases(g)
 		n.respond(now, from, Reply{})
 	})
--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -85,6 +85,7 @@
 		ID: id, Attempt: call.Attempt + 1, Resume: true, ConfigRevision: n.catalogue.Revision(), BackEnd: call.BackEnd,
 		Dispatcher: string(n.member), Explanation: "stream resumed after the loss of its node", At: now,
 	}
+	n.proposedAt[shard.AttemptID{Call: id, Attempt: command.Attempt}] = now
 	accepted := n.propose(now, g, command, func(now time.Time, result any, applied bool) {
 		delete(g.retries, id)
 		if applied && result.(shard.BeginResult).Begun != nil {
--- a/internal/server/callers.go
+++ b/internal/server/callers.go
@@ -8,6 +8,9 @@
 
 // callerTable holds the requests of local callers that wait for an answer.
 type callerTable struct {
+	// incarnation is this process's; text for an earlier one is dropped.
+	incarnation uint64
+
 	mu      sync.Mutex
 	next    uint64
 	waiting map[uint64]*callerState
@@ -25,8 +28,8 @@
 	wake          chan struct{}
 }
 
-func newCallerTable() *callerTable {
-	return &callerTable{waiting: map[uint64]*callerState{}}
+func newCallerTable(incarnation uint64) *callerTable {
+	return &callerTable{incarnation: incarnation, waiting: map[uint64]*callerState{}}
 }
 
 // add registers a caller that wants the answer's text from an offset.
@@ -67,7 +70,7 @@
 // generation are left out: the final reply sorts that out.
 func (t *callerTable) chunk(chunk streamChunk) {
 	state := t.find(chunk.RequestID)
-	if state == nil {
+	if state == nil || chunk.Incarnation != t.incarnation {
 		return
 	}
 	if state.accept(chunk) {
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -32,7 +32,9 @@
 
 // streamChunk carries a piece of an answer to the caller's gateway.
 type streamChunk struct {
-	RequestID uint64
+	// Incarnation and RequestID name the caller at its gateway.
+	Incarnation uint64
+	RequestID   uint64
 	// StreamAttempt tells generations of one call apart.
 	StreamAttempt int
 	// Offset is the place of Text in the answer, in bytes.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -69,7 +69,7 @@
 			Timeouts: core.Timeouts{Engine: config.Timeouts.Engine, Application: config.Timeouts.Application, Tool: config.Timeouts.Tool},
 		}),
 	}
-	s.callers = newCallerTable()
+	s.callers = newCallerTable(incarnation)
 	s.peers = newPeerTransport(s, layout)
 	s.streams = newStreamTable(config.ID, s.callers, s.peers)
 	s.backEnds = newBackEndClient(s)
--- a/internal/server/streams.go
+++ b/internal/server/streams.go
@@ -26,9 +26,8 @@
 }
 
 type subscriber struct {
-	node      string
-	requestID uint64
-	sent      int64
+	caller core.CallerReference
+	sent   int64
 }
 
 func newStreamTable(node string, callers *callerTable, peers *peerTransport) *streamTable {
@@ -71,10 +70,10 @@
 	if stream == nil {
 		return
 	}
-	added := subscriber{node: action.Node, requestID: action.RequestID, sent: action.Offset}
+	added := subscriber{caller: action.Caller, sent: action.Caller.Offset}
 	for i := range stream.subscribers {
 		known := &stream.subscribers[i]
-		if known.node == added.node && known.requestID == added.requestID {
+		if known.caller == added.caller {
 			return
 		}
 	}
@@ -87,13 +86,13 @@
 		return
 	}
 	chunk := streamChunk{
-		RequestID: to.requestID, StreamAttempt: stream.streamAttempt,
+		Incarnation: to.caller.Incarnation, RequestID: to.caller.RequestID, StreamAttempt: stream.streamAttempt,
 		Offset: to.sent, Text: string(stream.text[to.sent:]),
 	}
 	to.sent = int64(len(stream.text))
-	if to.node == t.node {
+	if to.caller.Node == t.node {
 		t.callers.chunk(chunk)
 		return
 	}
-	t.peers.send(to.node, frame{Chunk: &chunk})
+	t.peers.send(to.caller.Node, frame{Chunk: &chunk})
 }
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -99,11 +99,14 @@
 	Number uint64
 }
 
+// Barrier changes nothing. Its commit shows that its proposer still leads.
+type Barrier struct{}
+
 // RegisterGob makes the commands and the state known to encoding/gob.
 func RegisterGob() {
 	for _, value := range []any{
 		Begin{}, Retry{}, Finish{}, EndSession{}, ReleaseDone{}, Grant{}, AddAllowance{},
-		ReturnAllowance{}, CreditReturn{}, ReturnDone{}, &State{},
+		ReturnAllowance{}, CreditReturn{}, ReturnDone{}, Barrier{}, &State{},
 	} {
 		gob.Register(value)
 	}
--- a/internal/simulate/backends.go
+++ b/internal/simulate/backends.go
@@ -136,7 +136,7 @@
 		for _, name := range b.world.nodeNames {
 			node := b.world.nodes[name]
 			own := report
-			own.MeasuredAt = measured.Add(node.skew)
+			own.MeasuredAt = node.localOf(measured)
 			node.deliver(node.epoch, core.LoadReported{Report: own})
 		}
 	})
--- a/internal/simulate/faults.go
+++ b/internal/simulate/faults.go
@@ -37,7 +37,7 @@
 	w := f.world
 	if slices.Contains(w.options.Faults, FaultClockSkew) {
 		for _, name := range w.nodeNames {
-			w.nodes[name].skew = f.drawSkew()
+			w.nodes[name].setSkew(f.drawSkew())
 		}
 	}
 	for _, fault := range w.options.Faults {
@@ -73,7 +73,7 @@
 	case FaultRestartWave:
 		injected = f.restartWave()
 	case FaultClockSkew:
-		f.jumpClock()
+		f.disturbClock()
 	case FaultOperatorRace:
 		f.raceOperators()
 	case FaultEngineRestart:
@@ -157,7 +157,7 @@
 func (f *faultInjector) killAndReboot(node *simNode, away time.Duration) {
 	node.kill()
 	if slices.Contains(f.world.options.Faults, FaultClockSkew) {
-		node.skew = f.drawSkew()
+		node.setSkew(f.drawSkew())
 	}
 	f.world.after(away, node.boot)
 }
@@ -166,10 +166,11 @@
 	return f.between(-3*time.Second, 3*time.Second)
 }
 
-// jumpClock moves one node's clock a little, forwards or backwards.
-func (f *faultInjector) jumpClock() {
+// disturbClock makes one node's clock run faster or slower, by up to a
+// thousandth; its offset is drawn anew when its process restarts.
+func (f *faultInjector) disturbClock() {
 	if node := f.pick(); node != nil {
-		node.skew += f.between(-500*time.Millisecond, 500*time.Millisecond)
+		node.setDrift((f.world.faultRandom.Float64() - 0.5) / 500)
 	}
 }
 
--- a/internal/simulate/nodes.go
+++ b/internal/simulate/nodes.go
@@ -20,8 +20,12 @@
 	frozen bool
 	// backlog holds what arrives while the process is frozen.
 	backlog []core.Event
-	// skew is the difference of the machine's clock from true time.
-	skew time.Duration
+	// skew is the difference of the machine's clock from true time at skewAt, and
+	// drift how much faster it runs. A process sees no jumps of the wall clock,
+	// since it measures with a monotonic one.
+	skew   time.Duration
+	skewAt time.Time
+	drift  float64
 	// stopping is set between a planned stop's begin and the process's end.
 	stopping      bool
 	stoppingSince time.Time
@@ -38,7 +42,26 @@
 var nodeTimeouts = core.Timeouts{Engine: 2 * time.Minute, Application: 10 * time.Second, Tool: 10 * time.Second}
 
 // localTime is the machine's clock.
-func (n *simNode) localTime() time.Time { return n.world.now.Add(n.skew) }
+func (n *simNode) localTime() time.Time { return n.localOf(n.world.now) }
+
+// localOf is what the machine's clock shows at a true time.
+func (n *simNode) localOf(at time.Time) time.Time {
+	since := at.Sub(n.skewAt)
+	return at.Add(n.skew + time.Duration(float64(since)*n.drift))
+}
+
+// setDrift changes the clock's speed without a jump.
+func (n *simNode) setDrift(drift float64) {
+	n.skew = n.localTime().Sub(n.world.now)
+	n.skewAt = n.world.now
+	n.drift = drift
+}
+
+// setSkew sets the clock of a machine on which no process runs.
+func (n *simNode) setSkew(skew time.Duration) {
+	n.skew = skew
+	n.skewAt = n.world.now
+}
 
 // boot starts a new process.
 func (n *simNode) boot() {
--- a/internal/simulate/world.go
+++ b/internal/simulate/world.go
@@ -123,7 +123,7 @@
 	w.layout = layout
 	for _, node := range list {
 		w.nodeNames = append(w.nodeNames, node.ID)
-		w.nodes[node.ID] = &simNode{world: w, id: node.ID, zone: node.Zone}
+		w.nodes[node.ID] = &simNode{world: w, id: node.ID, zone: node.Zone, skewAt: w.start}
 	}
 	for _, name := range w.nodeNames {
 		w.nodes[name].boot()
