Outdated replicas no longer misroute requests

Ruled out: lost grants (the ledger's record and the shard's agreed).

Change: a node that denied to lead is not asked again because of this node's own belief; hints of others come first; a leader tells removed members when the removal commits; a removed replica's belief is not used.

--- a/internal/core/routing.go
+++ b/internal/core/routing.go
@@ -47,7 +47,10 @@
 	// request may still run, so it must not be reported as not run.
 	unsettled map[uint32]bool
 	// hint is the node that another node believes to lead the shard.
-	hint    string
+	hint string
+	// denied is the node that last said that it does not lead the shard. What this
+	// node's own replica believes may be outdated, as after its removal.
+	denied  string
 	resolve func(now time.Time, reply Reply, settled bool)
 }
 
@@ -142,16 +145,16 @@
 	})
 }
 
-// chooseTarget prefers the leader known here, then the hint of another node,
-// then any live node of the cell.
+// chooseTarget prefers the hint of another node, then the leader known here, then
+// any live node of the cell.
 func (n *Node) chooseTarget(routed *routedRequest) string {
-	if leader := n.leaderNode(routed.shard); leader != "" && leader != n.config.Node {
-		return leader
-	}
 	if hint := routed.hint; hint != "" && hint != n.config.Node {
 		routed.hint = ""
 		return hint
 	}
+	if leader := n.leaderNode(routed.shard); leader != "" && leader != n.config.Node && leader != routed.denied {
+		return leader
+	}
 	cell := n.config.Topology.CellOfShard(routed.shard)
 	var candidates []string
 	for _, node := range n.config.Topology.CellMembers(cell) {
@@ -170,7 +173,7 @@
 // leaderNode returns the live node that leads a shard as far as this node knows.
 func (n *Node) leaderNode(number uint32) string {
 	g := n.groups[number]
-	if g == nil {
+	if g == nil || g.raft.IsRemoved() {
 		return ""
 	}
 	leader := g.raft.Leader()
@@ -250,6 +253,7 @@
 	}
 	if message.NotLeader {
 		routed.hint = message.Leader
+		routed.denied = routed.target
 		routed.recheck = firstRecheck
 		routed.retryAt = now.Add(notLeaderDelay)
 		if message.Leader != "" && message.Leader != routed.target {
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -380,6 +380,7 @@
 			}
 		}
 		if held >= membership.Quorum() {
+			r.tellRemoved(r.commit, index)
 			r.commit = index
 			r.stalledSince = time.Time{}
 			return
@@ -387,6 +388,20 @@
 	}
 }
 
+// tellRemoved tells the members that a newly committed membership leaves out. The
+// message may be lost; a member that asks for votes later is told again.
+func (r *Raft) tellRemoved(from, to uint64) {
+	if r.log.membershipIndex() <= from || r.log.membershipIndex() > to {
+		return
+	}
+	current := r.log.membership()
+	for _, member := range r.log.membershipAt(r.log.membershipIndex() - 1).Members {
+		if !current.Contains(member.ID) {
+			r.send(Message{Kind: Removed, To: member.ID, PrevIndex: r.log.membershipIndex()})
+		}
+	}
+}
+
 func (r *Raft) sendAppend(now time.Time, to MemberID) {
 	peer := r.progress[to]
 	peer.sentAt = now
