--- a/internal/program/runner.go
+++ b/internal/program/runner.go
@@ -50,6 +50,9 @@
 	Client *Client
 	// Keys maps tenants to their API keys.
 	Keys map[string]string
+	// TryTimeout is how long the runner waits at one node before it asks another;
+	// zero means as long as it takes.
+	TryTimeout time.Duration
 	// Progress is called after each program.
 	Progress func(done, total int)
 }
@@ -115,7 +118,7 @@
 func (r *Runner) end(ctx context.Context, current *Program) error {
 	var err error
 	for range maxTries {
-		if err = r.Client.End(ctx, r.Keys[current.Tenant], current.Session); err == nil {
+		if err = r.endOnce(ctx, current); err == nil {
 			return nil
 		}
 		if !pause(ctx, cutRetry) {
@@ -125,6 +128,15 @@
 	return err
 }
 
+func (r *Runner) endOnce(ctx context.Context, current *Program) error {
+	if r.TryTimeout > 0 {
+		limited, cancel := context.WithTimeout(ctx, r.TryTimeout)
+		defer cancel()
+		ctx = limited
+	}
+	return r.Client.End(ctx, r.Keys[current.Tenant], current.Session)
+}
+
 // runStep asks for one call until it has its final answer.
 func (r *Runner) runStep(ctx context.Context, current *Program, parent string, sequence int, step Step) (CallResult, error) {
 	key := fmt.Sprintf("%s-%d", current.Session, sequence)
@@ -138,7 +150,7 @@
 	started := time.Now()
 	for result.Tries < maxTries {
 		result.Tries++
-		answer, err := r.Client.Try(ctx, call)
+		answer, err := r.try(ctx, call)
 		wait := cutRetry
 		if err == nil {
 			result.Answer = answer
@@ -159,6 +171,15 @@
 	return result, nil
 }
 
+func (r *Runner) try(ctx context.Context, call Call) (*Answer, error) {
+	if r.TryTimeout > 0 {
+		limited, cancel := context.WithTimeout(ctx, r.TryTimeout)
+		defer cancel()
+		ctx = limited
+	}
+	return r.Client.Try(ctx, call)
+}
+
 // worthRetry reports whether a caller asks again: what did not run and names a
 // time to come back, or is repeatable and nobody knows.
 func worthRetry(answer *Answer, step Step) bool {
