Planned stops end, and an idle leader answers those who ask for votes

Ruled out: lost TimeoutNow messages (sent every 50 ms).

Change: a draining node asks whether its running attempts are still wanted; leaders take over an engine's stream from a draining dispatcher; a leader answers a request for a pre-vote with AppendEntries; TimeoutNow also works on a pre-candidate.

--- a/internal/command/simulate.go
+++ b/internal/command/simulate.go
@@ -1,8 +1,11 @@
 package command
 
 import (
+	"bufio"
+	"errors"
 	"fmt"
 	"io"
+	"os"
 	"runtime"
 	"strconv"
 	"strings"
@@ -28,6 +31,7 @@
 	engines    int
 	programs   int
 	tenants    int
+	events     string
 }
 
 func newSimulateCommand() *cobra.Command {
@@ -51,6 +55,7 @@
 	set.IntVar(&flags.engines, "engines", 0, "number of engines, instead of the deployment's")
 	set.IntVar(&flags.programs, "programs", 0, "begin at most so many programs")
 	set.IntVar(&flags.tenants, "tenants", 0, "number of tenants, instead of the deployment's")
+	set.StringVar(&flags.events, "events", "", "write the event log of a single seed to this file")
 	command.RunE = func(command *cobra.Command, _ []string) error {
 		if err := checkOutput(*format); err != nil {
 			return err
@@ -59,6 +64,11 @@
 		if err != nil {
 			return exitWith(ExitUsage, err)
 		}
+		closeEvents, err := flags.openEvents(&options, seeds)
+		if err != nil {
+			return exitWith(ExitUsage, err)
+		}
+		defer closeEvents()
 		reports, err := runSeeds(options, seeds)
 		if err != nil {
 			return exitWith(ExitUsage, err)
@@ -87,6 +97,26 @@
 	}, seeds, nil
 }
 
+// openEvents opens the file for the event log, if one is wanted.
+func (f *simulateFlags) openEvents(options *simulate.Options, seeds []uint64) (func(), error) {
+	if f.events == "" {
+		return func() {}, nil
+	}
+	if len(seeds) != 1 {
+		return nil, errors.New("--events: give a single seed")
+	}
+	file, err := os.Create(f.events)
+	if err != nil {
+		return nil, fmt.Errorf("--events: %w", err)
+	}
+	buffered := bufio.NewWriter(file)
+	options.Events = buffered
+	return func() {
+		_ = buffered.Flush()
+		_ = file.Close()
+	}, nil
+}
+
 // parseSeeds reads "7", "1-200" or "1,5,9".
 func parseSeeds(text string) ([]uint64, error) {
 	var seeds []uint64
@@ -166,6 +196,9 @@
 			r.Requests.MayHaveRun, r.Recovery.P99, len(r.Violations))
 		for _, violation := range r.Violations {
 			fmt.Fprintf(out, "  %8.3f s %s: %s\n", violation.AtSeconds, violation.Property, violation.What)
+			for _, event := range violation.Events {
+				fmt.Fprintf(out, "      %s\n", event)
+			}
 		}
 	}
 }
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -182,11 +182,28 @@
 	}
 }
 
+// askStillWanted asks the leader whether another member has taken over an attempt
+// that runs here. A node that is about to stop may no longer see the log that
+// says so.
+func (n *Node) askStillWanted(now time.Time, running *attempt) {
+	running.reportAt = now.Add(time.Second)
+	query := AttemptReport{Shard: running.shard, Attempt: running.id, Running: true}
+	n.submit(now, running.shard, query, 0, now.Add(time.Second), func(now time.Time, reply Reply, _ bool) {
+		if reply.Settled && n.attempts[running.id] == running {
+			delete(n.attempts, running.id)
+			n.emit(CancelAttempt{Attempt: running.id})
+			n.scheduler.Finished(now, running.backEnd, running.id.Call, false)
+		}
+	})
+}
+
 // serveReport takes in an outcome at the leader. A leader that may decide holds
 // every committed entry, so an attempt that is not the newest is settled.
 func (n *Node) serveReport(now time.Time, g *group, from waiter, report AttemptReport) {
 	settled := currentCall(g, report.Attempt) == nil
-	n.settleAttempt(now, g, report)
+	if !report.Running {
+		n.settleAttempt(now, g, report)
+	}
 	n.respond(now, from, Reply{Settled: settled})
 }
 
@@ -205,6 +222,8 @@
 			})
 		} else if running.outcome != nil && !now.Before(running.reportAt) {
 			n.reportAttempt(now, running)
+		} else if running.outcome == nil && n.draining && !now.Before(running.reportAt) {
+			n.askStillWanted(now, running)
 		}
 	}
 }
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -139,6 +139,8 @@
 	Attempt   shard.AttemptID
 	Outcome   shard.Outcome
 	Retryable bool
+	// Running asks whether an attempt that has no outcome yet is still wanted.
+	Running bool
 }
 
 // ConfigPull asks a peer for the change sets after a revision.
--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -16,7 +16,8 @@
 }
 
 // checkOpenCalls sees to the calls in progress that this member did not dispatch:
-// a live dispatcher is asked for the outcome, a dead one is replaced.
+// a live dispatcher is asked for the outcome; one that is dead, or about to stop
+// with an engine's stream in hand, is replaced.
 func (n *Node) checkOpenCalls(now time.Time, g *group) {
 	for _, key := range g.state.OpenSessions() {
 		call := g.state.Sessions[key].LastCall()
@@ -34,6 +35,8 @@
 		if n.attempts[id] == nil {
 			n.neverDispatched(now, g, id)
 		}
+	case n.memberAlive(call.Dispatcher) && call.Request.Kind == shard.EngineCall && n.nodeDraining(raft.MemberID(call.Dispatcher)):
+		n.replaceDispatcher(now, g, call) // the stream moves whole before its node stops
 	case n.memberAlive(call.Dispatcher):
 		node, _, _ := cutMember(raft.MemberID(call.Dispatcher))
 		n.send(node, AttemptQuery{Shard: g.number, Attempt: id})
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -203,3 +203,37 @@
 	two = append(two, Member{ID: "a#1"}, Member{ID: "b#1"})
 	require.False(t, leader.ProposeMembership(n.now, Membership{Members: two}))
 }
+
+func TestIdleLeaderShowsItselfToAPreCandidate(t *testing.T) {
+	n := newNetwork(3)
+	n.run(time.Second)
+	leader := n.leader()
+	lonely := n.members[n.order[0]]
+	if lonely == leader {
+		lonely = n.members[n.order[1]]
+	}
+	lonely.startPreVote(n.now)
+	lonely.TakeReady() // its requests are lost
+	require.Equal(t, PreCandidate, lonely.Role())
+	n.run(time.Second)
+	require.Equal(t, Follower, lonely.Role())
+	require.Equal(t, leader.config.ID, lonely.Leader())
+}
+
+func TestRemovedMemberStopsAskingForVotes(t *testing.T) {
+	n := newNetwork(4)
+	n.run(time.Second)
+	leader := n.leader()
+	var removed MemberID
+	var kept []Member
+	for _, member := range leader.Membership().Members {
+		if removed == "" && member.ID != leader.config.ID {
+			removed = member.ID
+			continue
+		}
+		kept = append(kept, member)
+	}
+	require.True(t, leader.ProposeMembership(n.now, Membership{Members: kept}))
+	n.run(time.Second)
+	require.True(t, n.members[removed].IsRemoved())
+}
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -9,7 +9,7 @@
 	}
 	switch message.Kind {
 	case RequestPreVote:
-		r.stepPreVote(message)
+		r.stepPreVote(now, message)
 		return
 	case RequestPreVoteReply:
 		r.stepPreVoteReply(now, message)
@@ -31,7 +31,7 @@
 	case AppendEntriesReply:
 		r.stepAppendReply(now, message)
 	case TimeoutNow:
-		if message.Term == r.term && r.Membership().Voter(r.config.ID) && r.role == Follower {
+		if message.Term == r.term && r.Membership().Voter(r.config.ID) && r.role != Leader {
 			r.startVote(now)
 		}
 	}
@@ -40,11 +40,15 @@
 // stepPreVote grants when this member would vote for the sender and knows no
 // live leader. It changes no term, so a member that was cut off cannot disturb
 // a working leader when it returns (thesis, section 9.6).
-func (r *Raft) stepPreVote(message Message) {
+func (r *Raft) stepPreVote(now time.Time, message Message) {
 	if r.LeaderReady() && !r.MembershipPending() && !r.Membership().Contains(message.From) {
 		r.send(Message{Kind: Removed, To: message.From, PrevIndex: r.log.membershipIndex()})
 		return
 	}
+	if r.role == Leader && r.progress[message.From] != nil {
+		r.sendAppend(now, message.From) // an idle leader is silent; it shows itself
+		return
+	}
 	if r.leader == message.From {
 		r.leader = "" // the leader itself says that it no longer leads
 	}
--- a/internal/simulate/checker.go
+++ b/internal/simulate/checker.go
@@ -40,8 +40,9 @@
 	configurationBound = 4 * time.Second
 	// livenessBound is how long a call may wait when nothing has failed for long.
 	livenessBound = 30 * time.Second
-	// stopBound is how long a planned stop may take while nothing else fails.
-	stopBound = time.Minute
+	// stopBound is how long a planned stop may take after the node's last caller was
+	// answered, while nothing else fails.
+	stopBound = 30 * time.Second
 	// maxViolations bounds the list in a report.
 	maxViolations = 50
 )
@@ -52,6 +53,8 @@
 	// AtSeconds is the time since the start of the run.
 	AtSeconds float64 `json:"atSeconds"`
 	What      string  `json:"what"`
+	// Events are the newest events about what it concerns.
+	Events []string `json:"events"`
 }
 
 // execution is what back ends did for one call.
@@ -104,10 +107,13 @@
 	}
 }
 
-func (c *checker) violation(property Property, what string) {
+// violation records a broken property with the newest events about its subject.
+func (c *checker) violation(property Property, subject, what string) {
 	c.world.note("violation", string(property)+" "+what)
 	if len(c.violations) < maxViolations {
-		c.violations = append(c.violations, Violation{Property: property, AtSeconds: c.world.elapsed().Seconds(), What: what})
+		c.violations = append(c.violations, Violation{
+			Property: property, AtSeconds: c.world.elapsed().Seconds(), What: what, Events: c.world.eventsAbout(subject),
+		})
 	}
 }
 
@@ -142,7 +148,7 @@
 		return
 	}
 	if action.Priority < record.configuration {
-		c.violation(PropertyConfiguration, fmt.Sprintf("%s was decided with configuration %d after %d", name(id), action.Priority, record.configuration))
+		c.violation(PropertyConfiguration, id.Key.Session, fmt.Sprintf("%s was decided with configuration %d after %d", name(id), action.Priority, record.configuration))
 	}
 	record.configuration = max(record.configuration, action.Priority)
 	if action.Resume {
@@ -151,17 +157,17 @@
 	sent := map[uint64]bool{}
 	for _, turn := range action.History {
 		if turn.Request.ID.Key != id.Key {
-			c.violation(PropertyHistory, fmt.Sprintf("%s was given history of %s", name(id), name(turn.Request.ID)))
+			c.violation(PropertyHistory, id.Key.Session, fmt.Sprintf("%s was given history of %s", name(id), name(turn.Request.ID)))
 		}
 		sequence := turn.Request.ID.Sequence
 		sent[sequence] = true
 		if known, told := record.acknowledged[sequence]; told && !bytes.Equal(known, turn.Outcome.Body) {
-			c.violation(PropertyHistory, fmt.Sprintf("%s was given another answer of call %d than the caller", name(id), sequence))
+			c.violation(PropertyHistory, id.Key.Session, fmt.Sprintf("%s was given another answer of call %d than the caller", name(id), sequence))
 		}
 	}
 	for _, sequence := range sortedIDs(record.engineCalls) {
 		if sequence < id.Sequence && !sent[sequence] {
-			c.violation(PropertyHistory, fmt.Sprintf("%s was run without the history of call %d", name(id), sequence))
+			c.violation(PropertyHistory, id.Key.Session, fmt.Sprintf("%s was run without the history of call %d", name(id), sequence))
 		}
 	}
 }
@@ -176,18 +182,18 @@
 	done.count++
 	if done.count > 1 && action.Request.Unrepeatable {
 		c.doubled++
-		c.violation(PropertyAtMostOnce, fmt.Sprintf("%s ran %d times", name(id), done.count))
+		c.violation(PropertyAtMostOnce, id.Key.Session, fmt.Sprintf("%s ran %d times", name(id), done.count))
 	}
 	if done.toldNotRun {
-		c.violation(PropertyNotRun, fmt.Sprintf("%s ran after the caller was told that it did not", name(id)))
+		c.violation(PropertyNotRun, id.Key.Session, fmt.Sprintf("%s ran after the caller was told that it did not", name(id)))
 	}
 	if id.Sequence < record.highestRun {
 		c.outOfOrder++
-		c.violation(PropertyOrder, fmt.Sprintf("%s began after call %d", name(id), record.highestRun))
+		c.violation(PropertyOrder, id.Key.Session, fmt.Sprintf("%s began after call %d", name(id), record.highestRun))
 	}
 	record.highestRun = max(record.highestRun, id.Sequence)
 	if !leftAt.IsZero() && w.now.Sub(leftAt) > leavingBound {
-		c.violation(PropertyLeaving, fmt.Sprintf("%s was sent to %s %s after it began to leave", name(id), backEnd, w.now.Sub(leftAt)))
+		c.violation(PropertyLeaving, id.Key.Session, fmt.Sprintf("%s was sent to %s %s after it began to leave", name(id), backEnd, w.now.Sub(leftAt)))
 	}
 	if action.Request.Kind == shard.EngineCall {
 		c.charge(action)
@@ -205,7 +211,7 @@
 	c.used[tenant] += tokens
 	if over := c.used[tenant] - c.limitFor(tenant); over > 0 {
 		c.overshoot = max(c.overshoot, over)
-		c.violation(PropertyBudget, fmt.Sprintf("tenant %s used %d tokens over its budget", tenant, over))
+		c.violation(PropertyBudget, tenant, fmt.Sprintf("tenant %s used %d tokens over its budget", tenant, over))
 	}
 }
 
@@ -243,13 +249,13 @@
 	record := c.session(id.Key)
 	body := answered.Outcome.Body
 	if answered.Request.ID != id || !c.bodyBelongs(call, body) {
-		c.violation(PropertyWholeAnswer, fmt.Sprintf("%s was answered with %q", name(id), body))
+		c.violation(PropertyWholeAnswer, id.Key.Session, fmt.Sprintf("%s was answered with %q", name(id), body))
 	}
 	if known, told := record.acknowledged[id.Sequence]; told && !bytes.Equal(known, body) {
-		c.violation(PropertyWholeAnswer, fmt.Sprintf("%s was answered twice with different answers", name(id)))
+		c.violation(PropertyWholeAnswer, id.Key.Session, fmt.Sprintf("%s was answered twice with different answers", name(id)))
 	}
 	if c.execution(id).count == 0 {
-		c.violation(PropertyWholeAnswer, fmt.Sprintf("%s was answered but never ran", name(id)))
+		c.violation(PropertyWholeAnswer, id.Key.Session, fmt.Sprintf("%s was answered but never ran", name(id)))
 	}
 	record.acknowledged[id.Sequence] = body
 	if call.request.Kind == shard.EngineCall {
@@ -274,7 +280,7 @@
 	}
 	if reply.Call == nil || reply.Call.Outcome == nil || !bytes.Equal(reply.Call.Outcome.Body, known) {
 		c.lost++
-		c.violation(PropertyHistory, fmt.Sprintf("the answer of %s is gone", name(id)))
+		c.violation(PropertyHistory, id.Key.Session, fmt.Sprintf("the answer of %s is gone", name(id)))
 	}
 }
 
@@ -287,7 +293,7 @@
 	}
 	done := c.execution(id)
 	if done.count > 0 && call.request.Unrepeatable {
-		c.violation(PropertyNotRun, fmt.Sprintf("the caller of %s was told that it did not run, and it ran", name(id)))
+		c.violation(PropertyNotRun, id.Key.Session, fmt.Sprintf("the caller of %s was told that it did not run, and it ran", name(id)))
 	}
 	// The caller that asks again clears the mark in asked.
 	done.toldNotRun = call.openTries == 0
@@ -326,8 +332,11 @@
 func (c *checker) checkStops() {
 	for _, nodeName := range c.world.nodeNames {
 		node := c.world.nodes[nodeName]
+		if len(node.connections) > 0 {
+			node.stoppingSince = c.world.now // its callers are still being answered
+		}
 		if node.alive && node.stopping && c.world.now.Sub(node.stoppingSince) > stopBound && c.quiet(stopBound) {
-			c.violation(PropertyPlannedStop, fmt.Sprintf("%s did not stop within %s", node.id, stopBound))
+			c.violation(PropertyPlannedStop, node.id, fmt.Sprintf("%s did not stop within %s of its last answer", node.id, stopBound))
 			node.stoppingSince = c.world.now // report each once
 		}
 	}
@@ -346,7 +355,7 @@
 			c.heldSeconds += float64(e.model.HeldTokens(held))
 			over := w.now.Sub(record.endedAt)
 			if over > memoryBound && c.quiet(memoryBound) {
-				c.violation(PropertyEngineMemory, fmt.Sprintf("%s holds %d tokens of %q %s after its end", engineName, e.model.HeldTokens(held), held, over))
+				c.violation(PropertyEngineMemory, parseEngineSession(held).Session, fmt.Sprintf("%s holds %d tokens of %q %s after its end", engineName, e.model.HeldTokens(held), held, over))
 				record.endedAt = w.now // report each once
 			}
 		}
@@ -368,7 +377,7 @@
 	for _, nodeName := range w.nodeNames {
 		node := w.nodes[nodeName]
 		if node.alive && w.now.Sub(node.bootedAt) > 2*configurationBound && node.core.Catalogue().Revision() < due {
-			c.violation(PropertyConfiguration, fmt.Sprintf("%s is at revision %d, %d was accepted over %s ago", nodeName, node.core.Catalogue().Revision(), due, configurationBound))
+			c.violation(PropertyConfiguration, nodeName, fmt.Sprintf("%s is at revision %d, %d was accepted over %s ago", nodeName, node.core.Catalogue().Revision(), due, configurationBound))
 		}
 	}
 }
@@ -384,9 +393,9 @@
 	}
 	if stuck > 0 {
 		c.lost += stuck
-		c.violation(PropertyLiveness, fmt.Sprintf("%d calls have waited for over %s although all faults have healed", stuck, livenessBound))
+		c.violation(PropertyLiveness, "fault", fmt.Sprintf("%d calls have waited for over %s although all faults have healed", stuck, livenessBound))
 	}
 	if w.callers.stats.completed == 0 {
-		c.violation(PropertyLiveness, "no call was completed")
+		c.violation(PropertyLiveness, "fault", "no call was completed")
 	}
 }
--- a/internal/simulate/nodes.go
+++ b/internal/simulate/nodes.go
@@ -206,7 +206,7 @@
 		return
 	}
 	if len(n.connections) > 0 {
-		n.world.checker.violation(PropertyPlannedStop, fmt.Sprintf("%s stopped with %d callers connected", n.id, len(n.connections)))
+		n.world.checker.violation(PropertyPlannedStop, n.id, fmt.Sprintf("%s stopped with %d callers connected", n.id, len(n.connections)))
 	}
 	n.world.note("stopped", n.id)
 	n.world.faults.stopped(n)
--- a/internal/simulate/options.go
+++ b/internal/simulate/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"slices"
 	"strings"
 	"time"
@@ -76,6 +77,8 @@
 	Tenants int
 	// Programs bounds the programs begun; zero means no bound.
 	Programs int
+	// Events gets the event log as text, one line an event, when set.
+	Events io.Writer
 
 	// wrap lets a test put a guard's replacement between world and node.
 	wrap func(node *core.Node) stepper
--- a/internal/simulate/world.go
+++ b/internal/simulate/world.go
@@ -3,8 +3,8 @@
 import (
 	"container/heap"
 	"fmt"
-	"io"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,6 +19,10 @@
 	quietTime = 90 * time.Second
 	// arrivalsEnd is how long before the end the last program begins.
 	arrivalsEnd = 60 * time.Second
+	// keptEvents is how many events are kept, and reportedEvents how many of them
+	// are given with a violation.
+	keptEvents     = 2000
+	reportedEvents = 12
 )
 
 // world is one run.
@@ -50,8 +54,8 @@
 	control   controlCost
 
 	digest *xxhash.Digest
-	// trace gets the event log as text, when set.
-	trace  io.Writer
+	// recent are the newest events, for the report of a violation.
+	recent []string
 	events uint64
 }
 
@@ -151,10 +155,26 @@
 // note adds an event to the digest.
 func (w *world) note(kind string, detail string) {
 	w.events++
-	if w.trace != nil {
-		fmt.Fprintf(w.trace, "%12.6f %s %s\n", w.elapsed().Seconds(), kind, detail)
+	line := fmt.Sprintf("%.9f %s %s", w.elapsed().Seconds(), kind, detail)
+	_, _ = w.digest.WriteString(line)
+	if len(w.recent) == 2*keptEvents {
+		w.recent = append(w.recent[:0], w.recent[keptEvents:]...)
 	}
-	fmt.Fprintf(w.digest, "%d %s %s\n", w.elapsed().Nanoseconds(), kind, detail)
+	w.recent = append(w.recent, line)
+	if w.options.Events != nil {
+		fmt.Fprintln(w.options.Events, line)
+	}
+}
+
+// eventsAbout returns the newest events that mention a subject, the oldest first.
+func (w *world) eventsAbout(subject string) []string {
+	var list []string
+	for _, line := range w.recent {
+		if strings.Contains(line, subject) {
+			list = append(list, line)
+		}
+	}
+	return list[max(0, len(list)-reportedEvents):]
 }
 
 // run plays the whole time.
