--- a/internal/simulate/deployment.go
+++ b/internal/simulate/deployment.go
@@ -1,6 +1,7 @@
 package simulate
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -25,6 +26,7 @@
 	lossTolerance int
 	profile       workload.Profile
 	tenants       int
+	budget        int64
 }
 
 // tenantBudget is the budget of a simulated tenant at the start, in tokens.
@@ -58,6 +60,7 @@
 	default:
 		return d, fmt.Errorf("unknown deployment %q; known are riga, luzon and scale", options.Deployment)
 	}
+	d.budget = cmp.Or(options.budget, tenantBudget)
 	override(&d.nodes, options.Nodes)
 	override(&d.engines, options.Engines)
 	override(&d.tenants, options.Tenants)
@@ -93,7 +96,7 @@
 	}
 	for number := range d.tenants {
 		tenant := d.tenantName(number)
-		add(d.tenantObject(tenant, tenantBudget, 0))
+		add(d.tenantObject(tenant, d.budget, 0))
 		for _, template := range d.profile.Templates {
 			add(declaration.Object{
 				Reference: declaration.Reference{Kind: declaration.KindInstance, Name: tenant + "-" + template.Template},
--- a/internal/simulate/faults.go
+++ b/internal/simulate/faults.go
@@ -316,7 +316,7 @@
 		current *catalogue.Catalogue
 	}{{"first", first}, {"second", second}} {
 		f.edits++
-		budget := tenantBudget + int64(w.faultRandom.IntN(1000))*1000
+		budget := w.deployment.budget + int64(w.faultRandom.IntN(1000))*1000
 		object := w.deployment.tenantObject(tenant, budget, f.edits)
 		edited := map[declaration.Reference]declaration.Object{object.Reference: object}
 		_ = w.store.applyTo(operator.current, edited, operator.name)
--- a/internal/simulate/nodes.go
+++ b/internal/simulate/nodes.go
@@ -77,7 +77,7 @@
 	})
 	n.step = n.core
 	if w.options.wrap != nil {
-		n.step = w.options.wrap(n.core)
+		n.step = w.options.wrap(w, n)
 	}
 	w.note("boot", n.id)
 	epoch := n.epoch
@@ -150,17 +150,6 @@
 }
 
 func (n *simNode) perform(action core.Action) {
-	w := n.world
-	if w.options.tweak != nil {
-		for _, replaced := range w.options.tweak(w, n.id, action) {
-			n.performOne(replaced)
-		}
-		return
-	}
-	n.performOne(action)
-}
-
-func (n *simNode) performOne(action core.Action) {
 	w := n.world
 	epoch := n.epoch
 	switch a := action.(type) {
--- a/internal/simulate/options.go
+++ b/internal/simulate/options.go
@@ -80,10 +80,10 @@
 	// Events gets the event log as text, one line an event, when set.
 	Events io.Writer
 
-	// wrap lets a test put a guard's replacement between world and node.
-	wrap func(node *core.Node) stepper
-	// tweak lets a test change a node's actions or messages.
-	tweak func(w *world, node string, action core.Action) []core.Action
+	// budget overrides the tenants' budget where positive.
+	budget int64
+	// wrap lets a test put something between the world and a node.
+	wrap func(w *world, node *simNode) stepper
 }
 
 // stepper is what the world drives; *core.Node is one.
