Placement by predicted cost, baselines, and the experiment tool

Cause: calls were placed by a hand-made score; no figure compared it.

Change: policies round-robin, least-loaded, session-sticky and prefix-hash stand beside swiftbank's: predicted wait, prefill of what is not cached, contention and zone distance, with order of waiting by levels of service that the whole program has had and a starvation bound. Load one is now what the engines do at the batch that slots and memory allow, not at a fixed batch of 24.

--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -72,7 +72,7 @@
 	root.AddCommand(
 		newNodeCommand(), newDemoCommand(), newVersionCommand(),
 		newValidateCommand(), newDiffCommand(), newApplyCommand(), newGetCommand(), newHistoryCommand(),
-		newStatusCommand(), newDrainCommand(), newSimulateCommand(),
+		newStatusCommand(), newDrainCommand(), newSimulateCommand(), newExperimentCommand(),
 	)
 	return root
 }
--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -34,8 +34,11 @@
 	BackEnd       schedule.BackEnd
 	Request       shard.Request
 	// History holds the session's finished engine calls, in order.
-	History  []*shard.Call
-	Priority int
+	History []*shard.Call
+	// Priority is for the engine's own queue; TenantPriority is the parameter of
+	// the tenant that is in force at the dispatcher.
+	Priority       int
+	TenantPriority int
 	// Timeout is when the attempt is given up.
 	Timeout time.Time
 }
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -100,10 +100,10 @@
 	n.scheduler.NoteDispatch(now, call.BackEnd, call.Request.ID)
 	start := StartAttempt{
 		Attempt: id, StreamAttempt: call.StreamAttempt, Resume: call.StreamAttempt != call.Attempt,
-		BackEnd: backEnd, Request: call.Request, Timeout: started.timeout,
+		BackEnd: backEnd, Request: call.Request, Timeout: started.timeout, Priority: call.EnginePriority,
 	}
 	if tenant, _, declared := n.catalogue.Tenant(id.Call.Key.Tenant); declared {
-		start.Priority = tenant.Priority
+		start.TenantPriority = tenant.Priority
 	}
 	if call.Request.Kind == shard.EngineCall {
 		start.History = finishedTurns(g.state.Sessions[id.Call.Key])
@@ -379,6 +379,14 @@
 	}
 }
 
+// noteServed tells the scheduler what an engine now holds. Every replica sees
+// this in the log, so a new leader knows where its sessions' cache is.
+func (n *Node) noteServed(now time.Time, call *shard.Call) {
+	if call.Request.Kind == shard.EngineCall && call.Outcome.Succeeded() {
+		n.scheduler.Served(now, call.BackEnd, call.Request.ID.Key, call.Outcome.PromptTokens+call.Outcome.CompletionTokens)
+	}
+}
+
 // memberAlive reports whether a dispatcher named in the log is heard from.
 func (n *Node) memberAlive(dispatcher string) bool {
 	return n.detector.Alive(raft.MemberID(dispatcher))
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -297,7 +297,8 @@
 	begin := shard.Begin{
 		Request: pending.request, TemplateRevision: pending.templateRevision, Limits: pending.limits,
 		ConfigRevision: n.catalogue.Revision(), BudgetVersion: pending.budgetVersion, Reserve: pending.reserve,
-		BackEnd: assignment.BackEnd, Dispatcher: string(n.member), Explanation: assignment.Explanation, At: now,
+		BackEnd: assignment.BackEnd, Dispatcher: string(n.member), Explanation: assignment.Explanation,
+		EnginePriority: assignment.EnginePriority, At: now,
 	}
 	n.proposedAt[nextAttempt(g, pending.request.ID)] = now
 	accepted := n.propose(now, g, begin, func(now time.Time, result any, applied bool) {
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -192,6 +192,7 @@
 		case shard.FinishResult:
 			if r.Call != nil {
 				touched = append(touched, r.Call.Request.ID)
+				n.noteServed(now, r.Call)
 			}
 		}
 	}
--- a/internal/enginemodel/estimate.go
+++ b/internal/enginemodel/estimate.go
@@ -2,10 +2,6 @@
 
 import "time"
 
-// sharedBatch is the number of sequences that share a step's fixed cost when the
-// capacity of an engine is estimated.
-const sharedBatch = 24
-
 // IdleTime is how long a generation takes on an idle engine on which everything
 // but the new tokens of its prompt is cached. It is the bound that no scheduler
 // can beat.
@@ -17,9 +13,11 @@
 	return prefill + time.Duration(outputTokens-1)*perToken
 }
 
-// SharedSeconds is the engine time that a generation takes of a well-filled
-// batch, in seconds, when everything but the new tokens is cached.
+// SharedSeconds is the engine time that a generation takes when everything but
+// the new tokens is cached and the engine runs as many such sequences side by side
+// as its slots and memory allow, in seconds. Its inverse is the engine's capacity.
 func SharedSeconds(newTokens, promptTokens, outputTokens int64) float64 {
-	perToken := stepBase/sharedBatch + time.Duration(promptTokens)*attentionPerToken
+	batch := min(DefaultSlots, max(1, DefaultCacheTokens/(promptTokens+outputTokens)))
+	perToken := stepBase/time.Duration(batch) + time.Duration(promptTokens)*attentionPerToken
 	return (time.Duration(newTokens)*prefillPerToken + time.Duration(outputTokens)*perToken).Seconds()
 }
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -1,8 +1,6 @@
 package schedule
 
 import (
-	"cmp"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -30,15 +28,33 @@
 type backEndState struct {
 	BackEnd
 	report LoadReport
-	// dispatched holds this node's calls in flight with their start time.
-	dispatched  map[shard.CallID]time.Time
+	// dispatched holds this node's calls in flight.
+	dispatched  map[shard.CallID]dispatch
 	failedUntil time.Time
+	// held is what this node knows of the engine's cache, by session.
+	held map[shard.SessionKey]heldPrefix
+}
+
+// dispatch is one call of this node in flight.
+type dispatch struct {
+	at time.Time
+	// uncached is the part of the prompt that the engine must compute.
+	uncached int64
+}
+
+// heldPrefix is what an engine was seen to have computed for a session.
+type heldPrefix struct {
+	tokens int64
+	at     time.Time
 }
 
 // Scheduler holds the waiting calls and the back ends of one node.
 type Scheduler struct {
-	zone     string
-	random   *rand.Rand
+	zone   string
+	policy Policy
+	random *rand.Rand
+	// turn counts the calls placed in turn.
+	turn     int
 	backEnds map[string]*backEndState
 	// names is the sorted list of back ends, so that decisions do not depend on map order.
 	names []string
@@ -46,8 +62,8 @@
 }
 
 // New returns a scheduler for a node in the given zone.
-func New(zone string, random *rand.Rand) *Scheduler {
-	return &Scheduler{zone: zone, random: random, backEnds: map[string]*backEndState{}}
+func New(zone string, policy Policy, random *rand.Rand) *Scheduler {
+	return &Scheduler{zone: zone, policy: policy, random: random, backEnds: map[string]*backEndState{}}
 }
 
 // SetBackEnds replaces the list of back ends; what is known of those that stay is kept.
@@ -57,7 +73,7 @@
 	for _, backEnd := range list {
 		state := s.backEnds[backEnd.Name]
 		if state == nil {
-			state = &backEndState{dispatched: map[shard.CallID]time.Time{}}
+			state = &backEndState{dispatched: map[shard.CallID]dispatch{}, held: map[shard.SessionKey]heldPrefix{}}
 		}
 		state.BackEnd = backEnd
 		kept[backEnd.Name] = state
@@ -135,7 +151,7 @@
 	if len(s.queue) == 0 {
 		return nil
 	}
-	slices.SortStableFunc(s.queue, func(a, b Work) int { return compareWork(&a, &b) })
+	slices.SortStableFunc(s.queue, func(a, b Work) int { return s.compareWork(now, &a, &b) })
 	var assignments []Assignment
 	waiting := s.queue[:0]
 	for _, work := range s.queue {
@@ -150,18 +166,6 @@
 	return assignments
 }
 
-// compareWork orders waiting calls: priority, then the program with the least
-// attained service, then first come.
-func compareWork(a, b *Work) int {
-	if order := cmp.Compare(b.Priority, a.Priority); order != 0 {
-		return order
-	}
-	if order := cmp.Compare(a.ServedTokens, b.ServedTokens); order != 0 {
-		return order
-	}
-	return a.EnqueuedAt.Compare(b.EnqueuedAt)
-}
-
 // feasible returns the back ends that could ever serve the work.
 func (s *Scheduler) feasible(work *Work) []*backEndState {
 	var list []*backEndState
@@ -178,53 +182,24 @@
 	return list
 }
 
-// place chooses a back end with a free slot.
+// place gives a call to a back end that can take it now.
 func (s *Scheduler) place(now time.Time, work Work) (Assignment, bool) {
-	candidates := s.feasible(&work)
-	s.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	var best *backEndState
-	var bestCost float64
-	for _, state := range candidates {
-		load := state.load()
-		if load >= state.Slots || now.Sub(state.report.MeasuredAt) > freshness {
-			continue
-		}
-		cost := s.cost(now, state, &work, load)
-		if best == nil || cost < bestCost {
-			best, bestCost = state, cost
-		}
-	}
-	if best == nil {
+	chosen := s.choose(now, &work)
+	if chosen.backEnd == nil {
 		return Assignment{}, false
 	}
-	best.dispatched[work.Call] = now
+	chosen.backEnd.dispatched[work.Call] = dispatch{at: now, uncached: work.PromptTokens - chosen.backEnd.cachedTokens(now, &work)}
 	return Assignment{
-		Work: work, BackEnd: best.Name, EnginePriority: work.Priority,
-		Explanation: fmt.Sprintf("lowest cost %.2f of %d feasible; load %d of %d", bestCost, len(candidates), best.load(), best.Slots),
+		Work: work, BackEnd: chosen.backEnd.Name, EnginePriority: s.enginePriority(&work), Explanation: chosen.why,
 	}, true
 }
 
-// cost is lower for better back ends.
-func (s *Scheduler) cost(now time.Time, state *backEndState, work *Work, load int) float64 {
-	cost := float64(load) / float64(max(state.Slots, 1))
-	if slices.Contains(work.CachedOn, state.Name) {
-		cost -= 0.5
-	}
-	if state.Zone != s.zone {
-		cost += 0.05
-	}
-	if now.Before(state.failedUntil) || slices.Contains(work.Avoid, state.Name) {
-		cost += 10
-	}
-	return cost
-}
-
 // load predicts the calls on a back end: its last report, corrected by this
 // node's own dispatches since.
 func (b *backEndState) load() int {
 	since := 0
-	for _, startedAt := range b.dispatched {
-		if startedAt.After(b.report.MeasuredAt) {
+	for _, sent := range b.dispatched {
+		if sent.at.After(b.report.MeasuredAt) {
 			since++
 		}
 	}
@@ -235,7 +210,9 @@
 // placed it, as after a takeover.
 func (s *Scheduler) NoteDispatch(now time.Time, backEnd string, call shard.CallID) {
 	if state := s.backEnds[backEnd]; state != nil {
-		state.dispatched[call] = now
+		if _, known := state.dispatched[call]; !known {
+			state.dispatched[call] = dispatch{at: now}
+		}
 	}
 }
 
@@ -253,6 +230,21 @@
 	}
 }
 
+// Served takes in what an engine counted for a finished call: it now holds the
+// session's prompt and answer.
+func (s *Scheduler) Served(now time.Time, backEnd string, session shard.SessionKey, tokens int64) {
+	if state := s.backEnds[backEnd]; state != nil {
+		state.held[session] = heldPrefix{tokens: tokens, at: now}
+	}
+}
+
+// Forget drops what is known of a session's cache.
+func (s *Scheduler) Forget(backEnd string, session shard.SessionKey) {
+	if state := s.backEnds[backEnd]; state != nil {
+		delete(state.held, session)
+	}
+}
+
 // Report takes in a back end's own load report.
 func (s *Scheduler) Report(report LoadReport) {
 	if state := s.backEnds[report.BackEnd]; state != nil && report.MeasuredAt.After(state.report.MeasuredAt) {
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -19,6 +19,8 @@
 	BudgetVersion  uint64
 	Reserve        int64
 	BackEnd        string
+	// EnginePriority is what the engine is told; it serves higher values first.
+	EnginePriority int
 	Dispatcher     string
 	Explanation    string
 	At             time.Time
@@ -38,6 +40,8 @@
 	BudgetVersion  uint64
 	Reserve        int64
 	BackEnd        string
+	// EnginePriority is what the engine is told; it serves higher values first.
+	EnginePriority int
 	Dispatcher     string
 	Explanation    string
 	At             time.Time
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -217,7 +217,7 @@
 	session := s.openSession(c)
 	call := &Call{
 		Request: c.Request, Attempt: 1, BackEnd: c.BackEnd, Dispatcher: c.Dispatcher,
-		Reserved: c.Reserve, BudgetVersion: c.BudgetVersion, Explanation: c.Explanation, BegunAt: c.At,
+		Reserved: c.Reserve, BudgetVersion: c.BudgetVersion, Explanation: c.Explanation, EnginePriority: c.EnginePriority, BegunAt: c.At,
 	}
 	if previous := session.CallBySequence(c.Request.ID.Sequence); previous != nil {
 		call.Attempt = previous.Attempt + 1
--- a/internal/shard/types.go
+++ b/internal/shard/types.go
@@ -102,6 +102,8 @@
 	Reserved int64
 	// BudgetVersion is the tenant's budget version that Reserved came from.
 	BudgetVersion uint64
+	// EnginePriority is what the engine is told; it serves higher values first.
+	EnginePriority int
 	// Explanation says why the newest attempt went to BackEnd.
 	Explanation string
 	BegunAt     time.Time
--- a/internal/simulate/callers.go
+++ b/internal/simulate/callers.go
@@ -97,7 +97,10 @@
 
 func (c *callers) arrive() {
 	w := c.world
-	lastArrival := w.end.Add(-arrivalsEnd)
+	lastArrival := w.start.Add(w.options.Duration)
+	if !w.options.RunOut {
+		lastArrival = lastArrival.Add(-arrivalsEnd)
+	}
 	if w.now.After(lastArrival) || (w.options.Programs > 0 && c.names >= w.options.Programs) {
 		return
 	}
--- a/internal/simulate/checker.go
+++ b/internal/simulate/checker.go
@@ -147,10 +147,10 @@
 	if action.Request.Kind != shard.EngineCall {
 		return
 	}
-	if action.Priority < record.configuration {
-		c.violation(PropertyConfiguration, id.Key.Session, fmt.Sprintf("%s was decided with configuration %d after %d", name(id), action.Priority, record.configuration))
+	if action.TenantPriority < record.configuration {
+		c.violation(PropertyConfiguration, id.Key.Session, fmt.Sprintf("%s was decided with configuration %d after %d", name(id), action.TenantPriority, record.configuration))
 	}
-	record.configuration = max(record.configuration, action.Priority)
+	record.configuration = max(record.configuration, action.TenantPriority)
 	if action.Resume {
 		return
 	}
--- a/internal/simulate/options.go
+++ b/internal/simulate/options.go
@@ -77,6 +77,9 @@
 	Tenants int
 	// Programs bounds the programs begun; zero means no bound.
 	Programs int
+	// RunOut lets programs begin during the whole duration, and goes on until all
+	// have ended, so that every program counts.
+	RunOut bool
 	// Events gets the event log as text, one line an event, when set.
 	Events io.Writer
 
--- a/internal/simulate/report.go
+++ b/internal/simulate/report.go
@@ -28,8 +28,12 @@
 	// Slowdown is each program's latency over its bound.
 	Slowdown   LatencySeconds `json:"slowdown"`
 	FirstToken LatencySeconds `json:"first_token_seconds"`
-	Wasted     float64        `json:"wasted_cache_share"`
-	Control    ControlReport  `json:"control"`
+	// BoundMean is the mean of the programs' bounds.
+	BoundMean float64 `json:"bound_mean_seconds"`
+	// Fairness is Jain's index over the tenants' mean slowdowns: one is even.
+	Fairness float64       `json:"fairness"`
+	Wasted   float64       `json:"wasted_cache_share"`
+	Control  ControlReport `json:"control"`
 }
 
 // ProgramCounts count programs.
@@ -105,11 +109,40 @@
 		latencies = append(latencies, measured.latency.Seconds())
 		slowdowns = append(slowdowns, measured.latency.Seconds()/measured.bound.Seconds())
 	}
+	report.BoundMean = boundMean(stats.latencies)
+	report.Fairness = fairness(stats.latencies)
 	report.Latency = distribution(latencies)
 	report.Slowdown = distribution(slowdowns)
 	return report
 }
 
+func boundMean(measured []programLatency) float64 {
+	total := 0.0
+	for _, m := range measured {
+		total += m.bound.Seconds()
+	}
+	return total / float64(max(1, len(measured)))
+}
+
+// fairness is Jain's index over the tenants' mean slowdowns.
+func fairness(measured []programLatency) float64 {
+	sums, counts := map[string]float64{}, map[string]float64{}
+	for _, m := range measured {
+		sums[m.tenant] += m.latency.Seconds() / m.bound.Seconds()
+		counts[m.tenant]++
+	}
+	total, squares := 0.0, 0.0
+	for _, tenant := range sortedIDs(sums) {
+		mean := sums[tenant] / counts[tenant]
+		total += mean
+		squares += mean * mean
+	}
+	if squares == 0 {
+		return 1
+	}
+	return total * total / (squares * float64(len(sums)))
+}
+
 func seconds(durations []time.Duration) []float64 {
 	list := make([]float64, len(durations))
 	for i, d := range durations {
--- a/internal/simulate/world.go
+++ b/internal/simulate/world.go
@@ -19,6 +19,8 @@
 	quietTime = 90 * time.Second
 	// arrivalsEnd is how long before the end the last program begins.
 	arrivalsEnd = 60 * time.Second
+	// runOutTime bounds the wait for the last programs.
+	runOutTime = time.Hour
 	// keptEvents is how many events are kept, and reportedEvents how many of them
 	// are given with a violation.
 	keptEvents     = 2000
@@ -100,6 +102,9 @@
 		workloadRandom: stream(options.Seed, 3), callerRandom: stream(options.Seed, 4),
 		nodes: map[string]*simNode{}, digest: xxhash.New(),
 	}
+	if options.RunOut {
+		w.end = w.end.Add(runOutTime)
+	}
 	w.checker = newChecker(w)
 	w.network = newNetwork(w)
 	w.store = newSimStore(w)
@@ -184,15 +189,22 @@
 	w.faults.begin()
 	w.checker.begin()
 	w.recovery.begin()
-	for w.queue.Len() > 0 && !w.queue.entries[0].at.After(w.end) {
+	for w.queue.Len() > 0 && !w.queue.entries[0].at.After(w.end) && !w.ranOut() {
 		next := heap.Pop(&w.queue).(event)
 		w.now = next.at
 		next.run()
 	}
-	w.now = w.end
+	if !w.ranOut() {
+		w.now = w.end
+	}
 	w.checker.finish()
 }
 
+// ranOut reports whether all programs of a run that waits for them have ended.
+func (w *world) ranOut() bool {
+	return w.options.RunOut && w.elapsed() > w.options.Duration && w.callers.running == 0
+}
+
 // Run plays one run and reports.
 func Run(options Options) (*Report, error) {
 	w, err := newWorld(options)
