Placement prices the memory that a prompt takes

Cause: sessions moved between engines for a small difference in calls, and new ones went where calls were few, not where memory was free.

Change: contention is priced by the context that a call adds to each step; tokens beyond an engine's memory cost what the evicted prefixes cost to compute again; new prompts are spread by memory in use.

--- a/internal/schedule/cost.go
+++ b/internal/schedule/cost.go
@@ -13,14 +13,20 @@
 const (
 	// prefillSecondsPerToken is the time to compute one uncached prompt token.
 	prefillSecondsPerToken = 100e-6
-	// decodeSecondsPerCall is what one more running call adds to each step.
-	decodeSecondsPerCall = 0.4e-3
+	// attentionSecondsPerToken is what each token of context of each running call
+	// adds to a step.
+	attentionSecondsPerToken = 65e-9
 	// expectedOutput is the length of an answer when nothing is known.
 	expectedOutput = 120
 	// waitingSeconds is what each call that waits at an engine adds.
 	waitingSeconds = 0.15
 	// zoneSeconds is the cost of a call to another zone.
 	zoneSeconds = 3e-3
+	// returnShare is how much of what an engine must evict is wanted again.
+	returnShare = 0.8
+	// pressureSeconds spreads new sessions by the memory in use, so that engines
+	// fill evenly before any must evict.
+	pressureSeconds = 0.3
 )
 
 // leastCost takes the engine with the lowest predicted cost.
@@ -38,13 +44,26 @@
 		lowest, len(candidates), cached, work.PromptTokens, best.load())}
 }
 
-// cost predicts the wait, the prefill of what is not cached, and the slowdown
-// that the call suffers and causes while it decodes.
+// cost predicts, in seconds, the wait, the prefill of what is not cached, the
+// slowdown that the call suffers and causes while it decodes, and what programs
+// lose whose prefixes it pushes out of the engine's memory.
 func (s *Scheduler) cost(state *backEndState, work *Work, cached int64) float64 {
 	uncached := float64(work.PromptTokens - cached)
 	output := float64(min(work.MaxTokens, expectedOutput))
 	running := float64(state.load())
-	return uncached*prefillSecondsPerToken + state.pendingPrefill()*prefillSecondsPerToken +
-		running*output*decodeSecondsPerCall + float64(state.report.Waiting)*waitingSeconds +
-		float64(s.distance(state))*zoneSeconds
+	prefill := (uncached + state.pendingPrefill()) * prefillSecondsPerToken
+	decode := output * running * float64(work.PromptTokens) * attentionSecondsPerToken
+	wait := float64(state.report.Waiting) * waitingSeconds
+	return prefill + decode + wait + s.memoryCost(state, uncached) + float64(s.distance(state))*zoneSeconds
+}
+
+// memoryCost is the price of the memory that uncached tokens will take.
+func (s *Scheduler) memoryCost(state *backEndState, uncached float64) float64 {
+	if state.CacheTokens == 0 {
+		return 0
+	}
+	capacity := float64(state.CacheTokens)
+	used := float64(state.report.CachedTokens) + state.pendingPrefill()
+	evicted := max(0, used+uncached-capacity)
+	return min(evicted, uncached)*prefillSecondsPerToken*returnShare + min(1, uncached/1000)*pressureSeconds*used/capacity
 }
