Recorded runs with stated outcomes

Change: a fault is drawn with all its particulars and then brought, so that `record` can write a run's programs and faults as JSON lines and `replay` plays them again and prints each difference from stated outcomes.

--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -72,7 +72,7 @@
 	root.AddCommand(
 		newNodeCommand(), newDemoCommand(), newVersionCommand(),
 		newValidateCommand(), newDiffCommand(), newApplyCommand(), newGetCommand(), newHistoryCommand(),
-		newStatusCommand(), newDrainCommand(), newSimulateCommand(), newExperimentCommand(),
+		newStatusCommand(), newDrainCommand(), newSimulateCommand(), newExperimentCommand(), newRecordCommand(), newReplayCommand(),
 	)
 	return root
 }
--- a/internal/command/simulate.go
+++ b/internal/command/simulate.go
@@ -44,18 +44,8 @@
 		Args: cobra.NoArgs,
 	}
 	format := outputFlag(command)
-	set := command.Flags()
-	set.StringVar(&flags.deployment, "deployment", "riga", "riga, luzon or scale")
-	set.StringVar(&flags.seeds, "seed", "1", "seed, or a range of seeds such as 1-200")
-	set.DurationVar(&flags.duration, "duration", 10*time.Minute, "virtual time of each run")
-	set.StringVar(&flags.faults, "faults", "all", "comma-separated faults, all or none")
-	set.StringVar(&flags.policy, "policy", "swiftbank", "placement policy")
-	set.Float64Var(&flags.load, "load", 0.2, "offered work as a share of the engines' capacity")
-	set.IntVar(&flags.nodes, "nodes", 0, "number of nodes, instead of the deployment's")
-	set.IntVar(&flags.engines, "engines", 0, "number of engines, instead of the deployment's")
-	set.IntVar(&flags.programs, "programs", 0, "begin at most so many programs")
-	set.IntVar(&flags.tenants, "tenants", 0, "number of tenants, instead of the deployment's")
-	set.StringVar(&flags.events, "events", "", "write the event log of a single seed to this file")
+	flags.add(command)
+	command.Flags().StringVar(&flags.events, "events", "", "write the event log of a single seed to this file")
 	command.RunE = func(command *cobra.Command, _ []string) error {
 		if err := checkOutput(*format); err != nil {
 			return err
@@ -78,6 +68,21 @@
 	return command
 }
 
+// add adds the flags that describe a run.
+func (f *simulateFlags) add(command *cobra.Command) {
+	set := command.Flags()
+	set.StringVar(&f.deployment, "deployment", "riga", "riga, luzon or scale")
+	set.StringVar(&f.seeds, "seed", "1", "seed, or a range of seeds such as 1-200")
+	set.DurationVar(&f.duration, "duration", 10*time.Minute, "virtual time of each run")
+	set.StringVar(&f.faults, "faults", "all", "comma-separated faults, all or none")
+	set.StringVar(&f.policy, "policy", "swiftbank", "placement policy")
+	set.Float64Var(&f.load, "load", 0.2, "offered work as a share of the engines' capacity")
+	set.IntVar(&f.nodes, "nodes", 0, "number of nodes, instead of the deployment's")
+	set.IntVar(&f.engines, "engines", 0, "number of engines, instead of the deployment's")
+	set.IntVar(&f.programs, "programs", 0, "begin at most so many programs")
+	set.IntVar(&f.tenants, "tenants", 0, "number of tenants, instead of the deployment's")
+}
+
 func (f *simulateFlags) parse() (simulate.Options, []uint64, error) {
 	faults, err := simulate.ParseFaults(f.faults)
 	if err != nil {
--- a/internal/simulate/callers.go
+++ b/internal/simulate/callers.go
@@ -80,7 +80,7 @@
 func newCallers(w *world) *callers {
 	return &callers{
 		world: w, specs: map[shard.CallID]callSpec{}, active: map[shard.CallID]*callRun{},
-		held: map[shard.SessionKey]int64{},
+		held: map[shard.SessionKey]int64{}, stats: callerStats{outcomes: map[string]string{}},
 	}
 }
 
@@ -88,6 +88,12 @@
 
 // begin starts the arrivals of programs.
 func (c *callers) begin() {
+	if trace := c.world.options.Trace; trace != nil {
+		for _, recorded := range trace.Programs {
+			c.world.after(recorded.At, func() { c.startProgram(recorded.Shape, recorded.Tenant, "", func(bool) {}) })
+		}
+		return
+	}
 	c.rate = c.world.options.Load * float64(c.world.deployment.engines) / meanEngineSeconds(&c.world.deployment.profile)
 	c.world.after(settleTime, c.arrive)
 }
@@ -106,6 +112,7 @@
 	}
 	drawn := w.deployment.profile.Draw(w.workloadRandom)
 	tenant := w.deployment.tenantName(w.workloadRandom.IntN(w.deployment.tenants))
+	w.recorded.Programs = append(w.recorded.Programs, TimedProgram{At: w.elapsed(), Tenant: tenant, Shape: drawn})
 	c.startProgram(drawn, tenant, "", func(bool) {})
 	w.after(time.Duration(w.workloadRandom.ExpFloat64()/c.rate*float64(time.Second)), c.arrive)
 }
--- a/internal/simulate/options.go
+++ b/internal/simulate/options.go
@@ -80,6 +80,8 @@
 	// RunOut lets programs begin during the whole duration, and goes on until all
 	// have ended, so that every program counts.
 	RunOut bool
+	// Trace is a recorded run to play instead of drawing programs and faults.
+	Trace *Trace
 	// Events gets the event log as text, one line an event, when set.
 	Events io.Writer
 
--- a/internal/simulate/report.go
+++ b/internal/simulate/report.go
@@ -34,6 +34,8 @@
 	Fairness float64       `json:"fairness"`
 	Wasted   float64       `json:"wasted_cache_share"`
 	Control  ControlReport `json:"control"`
+	// Calls is the outcome of each call, as the caller saw it last.
+	Calls map[string]string `json:"-"`
 }
 
 // ProgramCounts count programs.
@@ -92,6 +94,7 @@
 			Lost: w.checker.lost, Doubled: w.checker.doubled, OutOfOrder: w.checker.outOfOrder,
 		},
 		Overshoot: w.checker.overshoot, Held: w.checker.heldSeconds,
+		Calls:    stats.outcomes,
 		Recovery: recoverySeconds(w.recovery.times), FirstToken: distribution(seconds(stats.firstTokens)),
 		Control: ControlReport{
 			BytesPerSecond:    float64(w.control.bytes) / nodeSeconds,
--- a/internal/simulate/tries.go
+++ b/internal/simulate/tries.go
@@ -1,6 +1,7 @@
 package simulate
 
 import (
+	"fmt"
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/core"
@@ -80,6 +81,7 @@
 func (c *callRun) replied(t *try, reply core.Reply) {
 	w := c.run.callers.world
 	stats := &c.run.callers.stats
+	stats.outcomes[outcomeName(c.request.ID)] = verdictOf(reply).String()
 	if reply.Error != nil {
 		w.checker.refused(c, reply.Error)
 		c.refused(reply.Error.Verdict, reply.Error.RetryAfter, reply.Error.Code)
@@ -107,6 +109,18 @@
 	c.run.nextStep()
 }
 
+// outcomeName names a call in stated outcomes.
+func outcomeName(id shard.CallID) string {
+	return fmt.Sprintf("%s/%s#%d", id.Key.Tenant, id.Key.Session, id.Sequence)
+}
+
+func verdictOf(reply core.Reply) verdict.Verdict {
+	if reply.Error != nil {
+		return reply.Error.Verdict
+	}
+	return reply.Call.Outcome.Verdict
+}
+
 // refused decides what the caller does about a refusal.
 func (c *callRun) refused(v verdict.Verdict, retryAfter time.Duration, code verdict.Code) {
 	stats := &c.run.callers.stats
@@ -165,5 +179,6 @@
 	mayHaveRun, retried, givenUp    int
 	promptTokens, wastedTokens      int64
 	latencies                       []programLatency
+	outcomes                        map[string]string
 	firstTokens                     []time.Duration
 }
--- a/internal/simulate/world.go
+++ b/internal/simulate/world.go
@@ -55,6 +55,9 @@
 	recovery  *recoveryWatch
 	control   controlCost
 
+	// recorded collects the programs and faults of the run.
+	recorded Trace
+
 	digest *xxhash.Digest
 	// recent are the newest events, for the report of a violation.
 	recent []string
@@ -115,7 +118,13 @@
 	if err := w.store.applyInitial(); err != nil {
 		return nil, err
 	}
-	return w, w.addNodes()
+	if err := w.addNodes(); err != nil {
+		return nil, err
+	}
+	if options.Trace != nil {
+		return w, options.Trace.check(w)
+	}
+	return w, nil
 }
 
 func (w *world) addNodes() error {
