Open-loop load against live nodes, one summary for load and demo

Cause: nothing drove live nodes at a rate, and the demo had a report of its own.

Conclusion: live nodes can be loaded and measured from the command line.

--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -72,7 +72,7 @@
 	root.AddCommand(
 		newNodeCommand(), newDemoCommand(), newVersionCommand(),
 		newValidateCommand(), newDiffCommand(), newApplyCommand(), newGetCommand(), newHistoryCommand(),
-		newStatusCommand(), newDrainCommand(), newSimulateCommand(), newExperimentCommand(), newRecordCommand(), newReplayCommand(),
+		newStatusCommand(), newDrainCommand(), newSimulateCommand(), newExperimentCommand(), newRecordCommand(), newReplayCommand(), newLoadCommand(),
 	)
 	return root
 }
--- /dev/null
+++ b/internal/program/summary.go
@@ -0,0 +1,130 @@
+package program
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// longestProgram bounds the latencies that are told apart.
+const longestProgram = 24 * time.Hour
+
+// Summary is what callers saw of a number of programs.
+type Summary struct {
+	Programs int `json:"programs"`
+	// Failed programs ended without an answer to one of their calls.
+	Failed int `json:"failed"`
+	Calls  int `json:"calls"`
+	// The latencies are from the first call to the last byte of the last answer.
+	ProgramSeconds Quantiles `json:"programLatencySeconds"`
+	// FirstByteSeconds is over engine calls.
+	FirstByteSeconds Quantiles `json:"firstByteSeconds"`
+	// WastedCacheShare is the part of the prompt tokens that was computed again
+	// although an engine had held it for the session.
+	WastedCacheShare float64          `json:"wastedCacheShare"`
+	Refused          int              `json:"refused"`
+	Retried          int              `json:"retried"`
+	TokensUsed       map[string]int64 `json:"tokensUsed"`
+}
+
+// Quantiles of a distribution, in seconds.
+type Quantiles struct {
+	Mean float64 `json:"mean"`
+	P50  float64 `json:"p50"`
+	P95  float64 `json:"p95"`
+	P99  float64 `json:"p99"`
+}
+
+// Summarise sums results up.
+func Summarise(results []Result) (Summary, error) {
+	summary := Summary{Programs: len(results), TokensUsed: map[string]int64{}}
+	latencies := hdrhistogram.New(1, longestProgram.Milliseconds(), 3)
+	firstBytes := hdrhistogram.New(1, longestProgram.Milliseconds(), 3)
+	var prompt, wasted int64
+	for _, result := range results {
+		if result.Err != nil {
+			summary.Failed++
+		}
+		if err := latencies.RecordValue(result.Latency.Milliseconds()); err != nil {
+			return summary, fmt.Errorf("summary: %w", err)
+		}
+		held := map[string]int64{}
+		for _, call := range result.Calls {
+			summary.addCall(call)
+			if call.Answer == nil || call.Step.Kind != StepEngine {
+				continue
+			}
+			if err := firstBytes.RecordValue(call.Answer.FirstByte.Milliseconds()); err != nil {
+				return summary, fmt.Errorf("summary: %w", err)
+			}
+			prompt += call.Answer.PromptTokens
+			wasted += max(0, min(held[call.Session], call.Answer.PromptTokens)-call.Answer.CachedTokens)
+			held[call.Session] = call.Answer.PromptTokens + call.Answer.CompletionTokens
+		}
+	}
+	if prompt > 0 {
+		summary.WastedCacheShare = float64(wasted) / float64(prompt)
+	}
+	summary.ProgramSeconds = quantilesOf(latencies)
+	summary.FirstByteSeconds = quantilesOf(firstBytes)
+	return summary, nil
+}
+
+func (s *Summary) addCall(call CallResult) {
+	s.Calls++
+	s.Refused += call.Refusals
+	s.Retried += max(0, call.Tries-1)
+	if call.Answer != nil {
+		s.TokensUsed[call.Tenant] += call.Answer.PromptTokens + call.Answer.CompletionTokens
+	}
+}
+
+func quantilesOf(histogram *hdrhistogram.Histogram) Quantiles {
+	seconds := func(quantile float64) float64 {
+		return float64(histogram.ValueAtQuantile(quantile)) / 1000
+	}
+	return Quantiles{Mean: histogram.Mean() / 1000, P50: seconds(50), P95: seconds(95), P99: seconds(99)}
+}
+
+// Row is one line of a printed table.
+type Row struct {
+	Name  string
+	Value any
+}
+
+// Rows returns the summary's lines.
+func (s *Summary) Rows() []Row {
+	rows := []Row{
+		{"programs", s.Programs},
+		{"programs failed", s.Failed},
+		{"calls", s.Calls},
+		{"program latency p50 / p95 / p99", s.ProgramSeconds.String()},
+		{"first byte p50 / p95 / p99", s.FirstByteSeconds.String()},
+		{"wasted cache", fmt.Sprintf("%.1f %% of prompt tokens", 100*s.WastedCacheShare)},
+		{"refused", s.Refused},
+		{"retried", s.Retried},
+	}
+	for _, tenant := range slices.Sorted(maps.Keys(s.TokensUsed)) {
+		rows = append(rows, Row{"tokens used by " + tenant, s.TokensUsed[tenant]})
+	}
+	return rows
+}
+
+// String returns the quantiles as text.
+func (q Quantiles) String() string {
+	return fmt.Sprintf("%.2f s / %.2f s / %.2f s", q.P50, q.P95, q.P99)
+}
+
+// PrintRows writes a table.
+func PrintRows(out io.Writer, rows []Row) {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		fmt.Fprintf(table, "%s\t%v\n", row.Name, row.Value)
+	}
+	_ = table.Flush()
+}
