--- a/internal/server/http.go
+++ b/internal/server/http.go
@@ -104,6 +104,19 @@
 	if refusal != nil {
 		return shard.Request{}, refusal
 	}
+	request, refusal := s.readFields(r, tenant)
+	if refusal != nil {
+		return request, refusal
+	}
+	var err error
+	if request.Body, err = s.readBody(w, r); err != nil {
+		return request, s.bodyError(err)
+	}
+	return request, nil
+}
+
+// readFields reads the headers of a call.
+func (s *Server) readFields(r *http.Request, tenant string) (shard.Request, *verdict.Error) {
 	request := shard.Request{
 		ID:             shard.CallID{Key: shard.SessionKey{Tenant: tenant, Session: r.Header.Get(HeaderSession)}},
 		Program:        r.Header.Get(HeaderProgram),
@@ -128,10 +141,6 @@
 		}
 		request.Deadline = time.Now().Add(time.Duration(milliseconds) * time.Millisecond)
 	}
-	request.Body, err = s.readBody(w, r)
-	if err != nil {
-		return request, s.bodyError(err)
-	}
 	return request, nil
 }
 
