--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -366,8 +366,13 @@
 		call := g.state.Sessions[id.Key].CallBySequence(id.Sequence)
 		for number := 1; number <= call.Attempt; number++ {
 			attemptID := shard.AttemptID{Call: id, Attempt: number}
+			if number == call.Attempt && call.Outcome == nil {
+				continue
+			}
+			delete(n.abandoned, attemptID)
+			delete(n.proposedAt, attemptID)
 			known := n.attempts[attemptID]
-			if known == nil || (number == call.Attempt && call.Outcome == nil) {
+			if known == nil {
 				continue
 			}
 			delete(n.attempts, attemptID)
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -25,6 +25,8 @@
 	leading bool
 	// leadingSince is when that began.
 	leadingSince time.Time
+	// purgedAt is when this leader last looked for sessions to forget.
+	purgedAt time.Time
 
 	// The fields below belong to the leader and are dropped when it is deposed.
 
@@ -179,6 +181,9 @@
 		if entry.Command != nil {
 			result = g.state.Apply(entry.Command)
 		}
+		if done, released := entry.Command.(shard.ReleaseDone); released {
+			n.scheduler.Forget(done.Release.Engine, done.Release.Key)
+		}
 		if waiting, found := g.proposals[entry.Index]; found {
 			delete(g.proposals, entry.Index)
 			decisions = append(decisions, decision{waiting, result, waiting.term == entry.Term})
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -243,6 +243,7 @@
 		n.checkOpenCalls(now, g)
 		n.orderReleases(g)
 		n.maintainAllowances(now, g)
+		n.purgeEnded(now, g)
 	}
 	n.sweepEngines(now)
 	n.balanceLeadership(now)
--- a/internal/core/release.go
+++ b/internal/core/release.go
@@ -37,7 +37,6 @@
 		return
 	}
 	delete(g.releasing, event.Release)
-	n.scheduler.Forget(event.Release.Engine, event.Release.Key)
 	if event.Confirmed {
 		n.propose(now, g, shard.ReleaseDone{Release: event.Release}, nil)
 	}
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -103,6 +103,13 @@
 	Number uint64
 }
 
+// Purge forgets sessions that ended before a time, and the tombstones of those
+// that were forgotten before another.
+type Purge struct {
+	EndedBefore      time.Time
+	TombstonesBefore time.Time
+}
+
 // Barrier changes nothing. Its commit shows that its proposer still leads.
 type Barrier struct{}
 
@@ -110,7 +117,7 @@
 func RegisterGob() {
 	for _, value := range []any{
 		Begin{}, Retry{}, Finish{}, EndSession{}, ReleaseDone{}, Grant{}, AddAllowance{},
-		ReturnAllowance{}, CreditReturn{}, ReturnDone{}, Barrier{}, &State{},
+		ReturnAllowance{}, CreditReturn{}, ReturnDone{}, Barrier{}, Purge{}, &State{},
 	} {
 		gob.Register(value)
 	}
--- a/internal/shard/state.go
+++ b/internal/shard/state.go
@@ -24,6 +24,9 @@
 	Releases   map[Release]bool
 	Allowances map[string]*Allowance
 	Ledgers    map[string]*Ledger
+	// Tombstones are the sessions that were forgotten and when they ended. A late
+	// copy of a call must not open such a session again.
+	Tombstones map[SessionKey]time.Time
 	// ConfigFloor is the newest configuration that a decision here was made
 	// with. A leader with an older one may not decide, so configuration never
 	// goes back for this shard's sessions.
@@ -39,6 +42,7 @@
 		Releases:   map[Release]bool{},
 		Allowances: map[string]*Allowance{},
 		Ledgers:    map[string]*Ledger{},
+		Tombstones: map[SessionKey]time.Time{},
 	}
 }
 
@@ -54,6 +58,7 @@
 	}
 	maps.Copy(clone.Open, s.Open)
 	maps.Copy(clone.Releases, s.Releases)
+	maps.Copy(clone.Tombstones, s.Tombstones)
 	for tenant, allowance := range s.Allowances {
 		clone.Allowances[tenant] = allowance.clone()
 	}
@@ -83,6 +88,9 @@
 func (s *State) Classify(request *Request) (Disposition, *Call, *verdict.Error) {
 	session := s.Sessions[request.ID.Key]
 	if session == nil {
+		if _, forgotten := s.Tombstones[request.ID.Key]; forgotten {
+			return Refused, nil, verdict.Refuse(verdict.CodeSessionEnded, 0, "the session has ended")
+		}
 		if request.ID.Sequence != 1 {
 			return Refused, nil, verdict.Refuse(verdict.CodeSequenceGap, 0, "the session's next call is 1, not %d", request.ID.Sequence)
 		}
@@ -184,6 +192,8 @@
 		s.allowance(c.Tenant).giveBack(c.Version)
 	case CreditReturn:
 		s.applyCreditReturn(c)
+	case Purge:
+		s.applyPurge(c)
 	case ReturnDone:
 		s.applyReturnDone(c)
 	}
@@ -360,6 +370,45 @@
 	session.Engines = nil
 }
 
+// Purgeable reports whether any session ended before the given time and is held
+// by no engine any more.
+func (s *State) Purgeable(endedBefore time.Time) bool {
+	held := s.heldByEngines()
+	for _, session := range s.Sessions {
+		if session.purgeable(endedBefore, held) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *State) heldByEngines() map[SessionKey]bool {
+	held := map[SessionKey]bool{}
+	for release := range s.Releases {
+		held[release.Key] = true
+	}
+	return held
+}
+
+func (s *Session) purgeable(endedBefore time.Time, held map[SessionKey]bool) bool {
+	return s.Ended && !s.InProgress() && s.LastActiveAt.Before(endedBefore) && !held[s.Key]
+}
+
+func (s *State) applyPurge(c Purge) {
+	held := s.heldByEngines()
+	for key, session := range s.Sessions {
+		if session.purgeable(c.EndedBefore, held) {
+			delete(s.Sessions, key)
+			s.Tombstones[key] = session.LastActiveAt
+		}
+	}
+	for key, endedAt := range s.Tombstones {
+		if endedAt.Before(c.TombstonesBefore) {
+			delete(s.Tombstones, key)
+		}
+	}
+}
+
 // OpenSessions returns the keys of sessions with a call in progress, in order.
 func (s *State) OpenSessions() []SessionKey {
 	return slices.SortedFunc(maps.Keys(s.Open), CompareKeys)
