--- a/internal/declaration/parse.go
+++ b/internal/declaration/parse.go
@@ -182,7 +182,8 @@
 	strict := yaml.NewDecoder(bytes.NewReader(encoded))
 	strict.KnownFields(true)
 	if strict.Decode(into) == nil {
-		return true
+		// Decoded from the original once more, nodes inside keep their true lines.
+		return node.Decode(into) == nil
 	}
 	// Decode the original node for correct lines, then name the unknown keys.
 	var typeError *yaml.TypeError
