A session that ends during a call stops its generation

Ruled out: lost releases: none was ordered before the call's outcome.

Change: when the end of a session is applied, the call's dispatcher aborts the generation, so that the outcome is recorded and the memory released at once.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -231,3 +231,15 @@
 	require.Empty(t, take[StartAttempt](s))
 	require.True(t, s.node.abandoned[start.Attempt])
 }
+
+func TestEndingASessionStopsItsGeneration(t *testing.T) {
+	s := newSingle(t)
+	s.call(1, 1, "k1", nil)
+	start := take[StartAttempt](s)[0]
+	s.step(EndWanted{RequestID: 2, Key: start.Request.ID.Key})
+	s.advance(2 * time.Second)
+	cancelled := take[CancelAttempt](s)
+	require.NotEmpty(t, cancelled)
+	require.True(t, cancelled[0].Abort)
+	require.NotEmpty(t, take[ReleaseCache](s), "its memory is released soon")
+}
--- a/internal/core/groups.go
+++ b/internal/core/groups.go
@@ -202,6 +202,11 @@
 		}
 	}
 	n.forgetSettledAttempts(g, touched)
+	for _, entry := range ready.Committed {
+		if end, ended := entry.Command.(shard.EndSession); ended {
+			n.abortEnded(now, g, end.Key)
+		}
+	}
 	for _, call := range begun {
 		n.dispatchBegun(now, g, call)
 	}
--- a/internal/core/release.go
+++ b/internal/core/release.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"swiftbank.dev/swiftbank/internal/shard"
+	"swiftbank.dev/swiftbank/internal/verdict"
 )
 
 const (
@@ -31,6 +32,25 @@
 	}
 }
 
+// abortEnded stops the generation that this node has under way for a session that
+// was ended in the middle of a call: nobody will read it, and it holds memory.
+func (n *Node) abortEnded(now time.Time, g *group, key shard.SessionKey) {
+	session := g.state.Sessions[key]
+	if session == nil || !session.InProgress() {
+		return
+	}
+	call := session.LastCall()
+	id := shard.AttemptID{Call: call.Request.ID, Attempt: call.Attempt}
+	running := n.attempts[id]
+	if running == nil || running.outcome != nil || call.Request.Kind != shard.EngineCall {
+		return
+	}
+	n.emit(CancelAttempt{Attempt: id, Abort: true})
+	n.attemptFinished(now, AttemptFinished{
+		Attempt: id, Outcome: failure(verdict.MayHaveRun, verdict.CodeSessionEnded, "the session was ended during the call"),
+	})
+}
+
 func (n *Node) releaseFinished(now time.Time, event ReleaseFinished) {
 	g := n.groups[n.shardOf(event.Release.Key)]
 	if g == nil {
