--- a/internal/simulate/network.go
+++ b/internal/simulate/network.go
@@ -18,11 +18,11 @@
 	bytes    uint64
 }
 
-// heartbeatBytes and envelopeBytes are the sizes of a heartbeat and of the frame
-// around a message as measured on the wire with encoding/gob.
+// heartbeatBytes and envelopeBytes are the sizes of a heartbeat with its frame, and of
+// the frame around another message, on the wire (BenchmarkHeartbeatBytes in package core).
 const (
-	heartbeatBytes = 48
-	envelopeBytes  = 40
+	heartbeatBytes = 114
+	envelopeBytes  = 60
 )
 
 // network carries messages between nodes.
--- a/internal/simulate/report.go
+++ b/internal/simulate/report.go
@@ -16,15 +16,17 @@
 	Duration   time.Duration `json:"durationNanoseconds"`
 	Faults     []Fault       `json:"faults"`
 	// Digest is of the whole event log; equal runs have equal digests.
-	Digest     string         `json:"digest"`
-	Events     uint64         `json:"events"`
-	Violations []Violation    `json:"violations"`
-	Programs   ProgramCounts  `json:"programs"`
-	Requests   RequestCounts  `json:"requests"`
-	Overshoot  int64          `json:"budget_overshoot_tokens"`
-	Held       float64        `json:"memory_held_after_end_token_seconds"`
-	Recovery   RecoverySecs   `json:"recovery_seconds"`
-	Latency    LatencySeconds `json:"program_latency_seconds"`
+	Digest     string        `json:"digest"`
+	Events     uint64        `json:"events"`
+	Violations []Violation   `json:"violations"`
+	Programs   ProgramCounts `json:"programs"`
+	Requests   RequestCounts `json:"requests"`
+	Overshoot  int64         `json:"budget_overshoot_tokens"`
+	Held       float64       `json:"memory_held_after_end_token_seconds"`
+	Recovery   WaitSeconds   `json:"recovery_seconds"`
+	// Spread is the time until an accepted change is in force on every node.
+	Spread  WaitSeconds    `json:"configuration_spread_seconds"`
+	Latency LatencySeconds `json:"program_latency_seconds"`
 	// Slowdown is each program's latency over its bound.
 	Slowdown   LatencySeconds `json:"slowdown"`
 	FirstToken LatencySeconds `json:"first_token_seconds"`
@@ -57,8 +59,9 @@
 	OutOfOrder    int `json:"out_of_order"`
 }
 
-// RecoverySecs is the time without a leader after the loss of an owner.
-type RecoverySecs struct {
+// WaitSeconds is a distribution of times, such as those without a leader after
+// the loss of an owner.
+type WaitSeconds struct {
 	Count int     `json:"count"`
 	P50   float64 `json:"p50"`
 	P99   float64 `json:"p99"`
@@ -95,7 +98,7 @@
 		},
 		Overshoot: w.checker.overshoot, Held: w.checker.heldSeconds,
 		Calls:    stats.outcomes,
-		Recovery: recoverySeconds(w.recovery.times), FirstToken: distribution(seconds(stats.firstTokens)),
+		Recovery: recoverySeconds(w.recovery.times), Spread: recoverySeconds(w.spread.times), FirstToken: distribution(seconds(stats.firstTokens)),
 		Control: ControlReport{
 			BytesPerSecond:    float64(w.control.bytes) / nodeSeconds,
 			MessagesPerSecond: float64(w.control.messages) / nodeSeconds,
@@ -154,9 +157,9 @@
 	return list
 }
 
-func recoverySeconds(times []time.Duration) RecoverySecs {
+func recoverySeconds(times []time.Duration) WaitSeconds {
 	sorted := slices.Sorted(slices.Values(seconds(times)))
-	return RecoverySecs{Count: len(sorted), P50: quantile(sorted, 0.5), P99: quantile(sorted, 0.99), Max: quantile(sorted, 1)}
+	return WaitSeconds{Count: len(sorted), P50: quantile(sorted, 0.5), P99: quantile(sorted, 0.99), Max: quantile(sorted, 1)}
 }
 
 func distribution(values []float64) LatencySeconds {
--- a/internal/simulate/world.go
+++ b/internal/simulate/world.go
@@ -53,6 +53,7 @@
 	checker   *checker
 	faults    *faultInjector
 	recovery  *recoveryWatch
+	spread    *spreadWatch
 	control   controlCost
 
 	// recorded collects the programs and faults of the run.
@@ -114,6 +115,7 @@
 	w.backEnds = newBackEnds(w)
 	w.callers = newCallers(w)
 	w.recovery = newRecoveryWatch(w)
+	w.spread = newSpreadWatch(w)
 	w.faults = newFaultInjector(w)
 	if err := w.store.applyInitial(); err != nil {
 		return nil, err
@@ -198,6 +200,7 @@
 	w.faults.begin()
 	w.checker.begin()
 	w.recovery.begin()
+	w.spread.begin()
 	for w.queue.Len() > 0 && !w.queue.entries[0].at.After(w.end) && !w.ranOut() {
 		next := heap.Pop(&w.queue).(event)
 		w.now = next.at
