--- a/internal/command/record.go
+++ b/internal/command/record.go
@@ -39,7 +39,7 @@
 		if outcomesFile == "" {
 			return nil
 		}
-		if err := writeOutcomes(outcomesFile, simulate.StateOutcomes(report)); err != nil {
+		if err := writeOutcomes(outcomesFile, simulate.StateOutcomes(trace, report)); err != nil {
 			return exitWith(ExitFailure, err)
 		}
 		return nil
--- a/internal/simulate/report.go
+++ b/internal/simulate/report.go
@@ -38,6 +38,8 @@
 	Control  ControlReport `json:"control"`
 	// Calls is the outcome of each call, as the caller saw it last.
 	Calls map[string]string `json:"-"`
+	// Unrepeatable marks the calls that may run only once.
+	Unrepeatable map[string]bool `json:"-"`
 }
 
 // ProgramCounts count programs.
@@ -97,7 +99,7 @@
 			Lost: w.checker.lost, Doubled: w.checker.doubled, OutOfOrder: w.checker.outOfOrder,
 		},
 		Overshoot: w.checker.overshoot, Held: w.checker.heldSeconds,
-		Calls:    stats.outcomes,
+		Calls: stats.outcomes, Unrepeatable: stats.unrepeatable,
 		Recovery: recoverySeconds(w.recovery.times), Spread: recoverySeconds(w.spread.times), FirstToken: distribution(seconds(stats.firstTokens)),
 		Control: ControlReport{
 			BytesPerSecond:    float64(w.control.bytes) / nodeSeconds,
--- a/internal/simulate/tries.go
+++ b/internal/simulate/tries.go
@@ -81,7 +81,11 @@
 func (c *callRun) replied(t *try, reply core.Reply) {
 	w := c.run.callers.world
 	stats := &c.run.callers.stats
-	stats.outcomes[outcomeName(c.request.ID)] = verdictOf(reply).String()
+	name := outcomeName(c.request.ID)
+	stats.outcomes[name] = verdictOf(reply).String()
+	if c.request.Unrepeatable {
+		stats.unrepeatable[name] = true
+	}
 	if reply.Error != nil {
 		w.checker.refused(c, reply.Error)
 		c.refused(reply.Error.Verdict, reply.Error.RetryAfter, reply.Error.Code)
@@ -180,5 +184,6 @@
 	promptTokens, wastedTokens      int64
 	latencies                       []programLatency
 	outcomes                        map[string]string
+	unrepeatable                    map[string]bool
 	firstTokens                     []time.Duration
 }
--- a/internal/simulate/world.go
+++ b/internal/simulate/world.go
@@ -212,6 +212,9 @@
 	w.checker.finish()
 }
 
+// faultsOver reports whether no new fault may come, so that all can heal.
+func (w *world) faultsOver() bool { return w.elapsed() > w.options.Duration-quietTime }
+
 // ranOut reports whether all programs of a run that waits for them have ended.
 func (w *world) ranOut() bool {
 	return w.options.RunOut && w.elapsed() > w.options.Duration && w.callers.running == 0
