Calls that would begin after their deadline are refused at once

Cause: such a call waited until its deadline and was refused then.

Change: the wait is predicted from the calls ahead and the pace at which calls leave their back ends, the prefill from what is not cached; a call whose first token is predicted after its deadline is refused with Retry-After.

Conclusion: refusal comes when it is known, not when time has run out.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -289,7 +289,7 @@
 		PromptTokens: session.HistoryTokens + call.Request.BodyTokens, ServedTokens: session.ServedTokens,
 		CachedOn: session.Engines, Avoid: []string{call.BackEnd}, EnqueuedAt: now, Deadline: call.Request.Deadline,
 	}
-	if refusal := n.scheduler.Enqueue(work); refusal != nil {
+	if refusal := n.scheduler.Enqueue(now, work); refusal != nil {
 		n.finishRetry(now, g, call.Request.ID, retry)
 	}
 }
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -232,7 +232,7 @@
 		}
 	}
 	work := n.workFor(now, g, pending)
-	if refusal := n.scheduler.Enqueue(work); refusal != nil {
+	if refusal := n.scheduler.Enqueue(now, work); refusal != nil {
 		n.refusePending(now, g, pending, refusal)
 	}
 }
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -43,7 +43,7 @@
 
 func placed(t *testing.T, s *Scheduler, work Work) Assignment {
 	t.Helper()
-	require.Nil(t, s.Enqueue(work))
+	require.Nil(t, s.Enqueue(start, work))
 	assignments := s.Assign(start)
 	require.Len(t, assignments, 1)
 	return assignments[0]
@@ -78,7 +78,7 @@
 		s := newTestScheduler(Swiftbank, 1)
 		work := testWork(1, nil)
 		change(s, &work)
-		refusal := s.Enqueue(work)
+		refusal := s.Enqueue(start, work)
 		require.NotNil(t, refusal, name)
 		require.Equal(t, verdict.NotRun, refusal.Verdict, name)
 		require.Positive(t, refusal.RetryAfter, name)
@@ -87,7 +87,7 @@
 
 func TestOldReportsAreNotUsed(t *testing.T) {
 	s := newTestScheduler(Swiftbank, 3)
-	require.Nil(t, s.Enqueue(testWork(1, nil)))
+	require.Nil(t, s.Enqueue(start, testWork(1, nil)))
 	require.Empty(t, s.Assign(start.Add(freshness+time.Second)), "as after a pause of the node")
 	s.Report(LoadReport{BackEnd: "engine-0001", MeasuredAt: start.Add(freshness + time.Second)})
 	require.Len(t, s.Assign(start.Add(freshness+time.Second)), 1)
@@ -97,7 +97,7 @@
 	s := newTestScheduler(Swiftbank, 1)
 	served := map[uint64]int64{1: 50_000, 2: 0, 3: 2_000}
 	for number, tokens := range served {
-		require.Nil(t, s.Enqueue(testWork(number, func(w *Work) { w.ServedTokens = tokens })))
+		require.Nil(t, s.Enqueue(start, testWork(number, func(w *Work) { w.ServedTokens = tokens })))
 	}
 	var order []string
 	for _, assignment := range s.Assign(start) {
@@ -108,9 +108,9 @@
 
 func TestNoCallStarves(t *testing.T) {
 	s := newTestScheduler(Swiftbank, 1)
-	require.Nil(t, s.Enqueue(testWork(1, func(w *Work) { w.ServedTokens = 1 << 30 })))
+	require.Nil(t, s.Enqueue(start, testWork(1, func(w *Work) { w.ServedTokens = 1 << 30 })))
 	later := start.Add(starvationBound + time.Second)
-	require.Nil(t, s.Enqueue(testWork(2, func(w *Work) { w.EnqueuedAt = later; w.Priority = 9 })))
+	require.Nil(t, s.Enqueue(later, testWork(2, func(w *Work) { w.EnqueuedAt = later; w.Priority = 9 })))
 	s.Report(LoadReport{BackEnd: "engine-0000", MeasuredAt: later})
 	require.Equal(t, "1", s.Assign(later)[0].Work.Call.Key.Session)
 }
@@ -118,7 +118,7 @@
 func TestSlotsBoundTheCallsAtABackEnd(t *testing.T) {
 	s := newTestScheduler(Swiftbank, 1)
 	for number := range uint64(10) {
-		require.Nil(t, s.Enqueue(testWork(number, nil)))
+		require.Nil(t, s.Enqueue(start, testWork(number, nil)))
 	}
 	require.Len(t, s.Assign(start), 4)
 	require.Equal(t, 6, s.QueueLength())
@@ -132,6 +132,32 @@
 	}
 }
 
+func TestCallThatWouldBeLateIsRefusedAtOnce(t *testing.T) {
+	s := newTestScheduler(Swiftbank, 1)
+	now := start
+	for number := range uint64(4) { // fill the engine, one call finishing each second
+		placed(t, s, testWork(number, nil))
+	}
+	for number := range uint64(3) {
+		now = now.Add(time.Second)
+		s.Finished(now, "engine-0000", testWork(number, nil).Call, false)
+		require.Nil(t, s.Enqueue(now, testWork(10+number, nil)))
+		s.Report(LoadReport{BackEnd: "engine-0000", MeasuredAt: now})
+		require.Len(t, s.Assign(now), 1)
+	}
+	for number := range uint64(20) {
+		require.Nil(t, s.Enqueue(now, testWork(100+number, nil)))
+	}
+	late := testWork(200, func(w *Work) { w.Deadline = now.Add(500 * time.Millisecond); w.EnqueuedAt = now.Add(time.Second) })
+	refusal := s.Enqueue(now, late)
+	require.NotNil(t, refusal)
+	require.Equal(t, verdict.CodeDeadline, refusal.Code)
+	require.Equal(t, verdict.NotRun, refusal.Verdict)
+	require.Greater(t, refusal.RetryAfter, time.Second, "come back when the queue is shorter")
+	patient := testWork(201, func(w *Work) { w.Deadline = now.Add(time.Hour) })
+	require.Nil(t, s.Enqueue(now, patient))
+}
+
 func TestBaselines(t *testing.T) {
 	sticky := newTestScheduler(SessionSticky, 5)
 	require.Equal(t, "engine-0003", placed(t, sticky, testWork(1, func(w *Work) { w.CachedOn = []string{"engine-0001", "engine-0003"} })).BackEnd)
@@ -153,7 +179,7 @@
 	work := testWork(1, nil)
 	b.ReportAllocs()
 	for b.Loop() {
-		if s.Enqueue(work) != nil {
+		if s.Enqueue(start, work) != nil {
 			b.Fatal("refused")
 		}
 		assignment := s.Assign(start)[0]
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -40,6 +40,8 @@
 	at time.Time
 	// uncached is the part of the prompt that the engine must compute.
 	uncached int64
+	// pool is where the call came from.
+	pool poolKey
 }
 
 // heldPrefix is what an engine was seen to have computed for a session.
@@ -62,11 +64,13 @@
 	// pools are the back ends that this node uses, by what they can serve.
 	pools map[poolKey][]*backEndState
 	queue []Work
+	// finishes are the paces at which calls leave each pool.
+	finishes map[poolKey]*finishRate
 }
 
 // New returns a scheduler for a node and its zone.
 func New(node, zone string, policy Policy, random *rand.Rand) *Scheduler {
-	return &Scheduler{node: node, zone: zone, policy: policy, random: random, backEnds: map[string]*backEndState{}}
+	return &Scheduler{node: node, zone: zone, policy: policy, random: random, backEnds: map[string]*backEndState{}, finishes: map[poolKey]*finishRate{}}
 }
 
 // SetBackEnds replaces the list of back ends; what is known of those that stay is kept.
@@ -116,13 +120,16 @@
 func (s *Scheduler) QueueLength() int { return len(s.queue) }
 
 // Enqueue admits a call to the queue or refuses it at once.
-func (s *Scheduler) Enqueue(work Work) *verdict.Error {
+func (s *Scheduler) Enqueue(now time.Time, work Work) *verdict.Error {
 	if len(s.queue) >= maxQueued {
 		return verdict.Refuse(verdict.CodeOverloaded, overloadRetry, "too many calls wait on this node")
 	}
 	if !s.servable(&work) {
 		return verdict.Refuse(verdict.CodeNoBackEnd, noBackEndRetry, "no instance of %s can serve the call now", work.Service)
 	}
+	if refusal := s.refuseLate(now, &work); refusal != nil {
+		return refusal
+	}
 	s.queue = append(s.queue, work)
 	return nil
 }
@@ -176,7 +183,9 @@
 	if chosen.backEnd == nil {
 		return Assignment{}, false
 	}
-	chosen.backEnd.dispatched[work.Call] = dispatch{at: now, uncached: work.PromptTokens - chosen.backEnd.cachedTokens(now, &work)}
+	chosen.backEnd.dispatched[work.Call] = dispatch{
+		at: now, uncached: work.PromptTokens - chosen.backEnd.cachedTokens(now, &work), pool: keyOf(&work),
+	}
 	return Assignment{
 		Work: work, BackEnd: chosen.backEnd.Name, EnginePriority: s.enginePriority(&work), Explanation: chosen.why,
 	}, true
@@ -210,6 +219,9 @@
 	if state == nil {
 		return
 	}
+	if sent, known := state.dispatched[call]; known {
+		s.noteFinish(now, sent.pool)
+	}
 	delete(state.dispatched, call)
 	if failed {
 		state.failedUntil = now.Add(failurePenalty)
--- a/internal/simulate/callers.go
+++ b/internal/simulate/callers.go
@@ -19,6 +19,9 @@
 	leastRetry = 100 * time.Millisecond
 	// callerPatience is how long a caller goes on asking for one call.
 	callerPatience = 3 * time.Minute
+	// hurriedShare is the chance that a call has a deadline, of hurriedDeadline.
+	hurriedShare    = 0.05
+	hurriedDeadline = 15 * time.Second
 	// questionShare is the chance that a caller asks for an old answer again.
 	questionShare = 0.3
 )
@@ -54,6 +57,8 @@
 	firstAt   time.Time
 	finished  bool
 	openTries int
+	// hurried calls come with a deadline.
+	hurried bool
 }
 
 // try is one connection with a call.
@@ -188,12 +193,17 @@
 	if step.Kind == shard.EngineCall {
 		r.priceEngineStep(step, &request)
 	}
-	call := &callRun{run: r, request: request, began: r.callers.world.now}
+	call := &callRun{run: r, request: request, began: r.callers.world.now, hurried: r.callers.drawHurry()}
 	r.callers.active[request.ID] = call
 	r.callers.stats.issued++
 	call.ask()
 }
 
+// drawHurry decides whether a call has a deadline; only runs with faults have such.
+func (c *callers) drawHurry() bool {
+	return len(c.world.options.Faults) > 0 && c.world.callerRandom.Float64() < hurriedShare
+}
+
 func (r *programRun) priceEngineStep(step *workload.Step, request *shard.Request) {
 	spec := callSpec{output: step.OutputTokens}
 	if r.context == 0 {
--- a/internal/simulate/tries.go
+++ b/internal/simulate/tries.go
@@ -39,7 +39,11 @@
 		return
 	}
 	t.request = t.node.connect(t)
-	t.node.deliver(t.node.epoch, core.CallReceived{RequestID: t.request, Request: t.call.request})
+	request := t.call.request
+	if t.call.hurried {
+		request.Deadline = t.node.localTime().Add(hurriedDeadline)
+	}
+	t.node.deliver(t.node.epoch, core.CallReceived{RequestID: t.request, Request: request})
 	epoch := t.node.epoch
 	w.after(tryTimeout, func() { t.timeout(epoch) })
 }
