--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -13,8 +12,9 @@
 )
 
 const (
-	// limitRetry is zero: a program that reached its limit is not helped by waiting.
-	limitRetry = 0
+	// overloadedRetry is when a caller may come back after its deadline passed in
+	// the queue.
+	overloadedRetry = 2 * time.Second
 	// maxBeginTries bounds how often a call asks for an allowance before it is refused.
 	maxBeginTries = 3
 )
@@ -35,23 +35,18 @@
 	proposed         bool
 }
 
-func nodeOf(id raft.MemberID) string {
-	node, _, _ := cutMember(id)
-	return node
-}
-
 // serveCall handles a call at the leader: attach, answer, refuse or begin.
 func (n *Node) serveCall(now time.Time, g *group, from waiter, payload CallPayload) {
 	request := payload.Request
 	disposition, call, refusal := g.state.Classify(&request)
 	switch disposition {
-	case Refused:
+	case shard.Refused:
 		n.refuseConfirmed(now, g, from, payload, refusal)
-	case Recorded:
+	case shard.Recorded:
 		n.respond(now, from, Reply{Call: call})
-	case InProgress:
+	case shard.InProgress:
 		n.attach(g, from, call)
-	case Fresh:
+	case shard.Fresh:
 		n.admit(now, g, from, payload)
 	}
 }
@@ -61,7 +56,7 @@
 func (n *Node) refuseConfirmed(now time.Time, g *group, from waiter, payload CallPayload, refusal *verdict.Error) {
 	n.confirmLeadership(now, g, from, func(now time.Time) {
 		disposition, _, _ := g.state.Classify(&payload.Request)
-		if disposition != Refused {
+		if disposition != shard.Refused {
 			n.serveCall(now, g, from, payload)
 			return
 		}
@@ -69,14 +64,6 @@
 	})
 }
 
-// The dispositions of package shard, short.
-const (
-	Fresh      = shard.Fresh
-	InProgress = shard.InProgress
-	Recorded   = shard.Recorded
-	Refused    = shard.Refused
-)
-
 // attach lets a requester wait for a call in progress.
 func (n *Node) attach(g *group, from waiter, call *shard.Call) {
 	id := call.Request.ID
@@ -126,101 +113,6 @@
 	waiting.waiters = addWaiter(waiting.waiters, from)
 }
 
-// prepare works out what a call may do and what it may cost.
-func (n *Node) prepare(now time.Time, g *group, payload CallPayload) (*pendingCall, *verdict.Error) {
-	request := payload.Request
-	if n.catalogue.Revision() < g.state.ConfigFloor {
-		return nil, verdict.Refuse(verdict.CodeStaleConfig, time.Second, "this node's configuration is behind")
-	}
-	tenant, tenantRevision, found := n.catalogue.Tenant(request.ID.Key.Tenant)
-	if !found {
-		return nil, verdict.Refuse(verdict.CodeUnauthorized, 0, "the tenant is not declared")
-	}
-	session := g.state.Sessions[request.ID.Key]
-	if session != nil && request.Template != "" && request.Template != session.Template {
-		return nil, verdict.Refuse(verdict.CodeBadRequest, 0, "the session was opened with another template")
-	}
-	if session != nil {
-		request.Template = session.Template
-	}
-	template, revision, found := n.catalogue.Template(request.Template)
-	if !found {
-		return nil, verdict.Refuse(verdict.CodeNotFound, 0, "template %q is not declared", request.Template)
-	}
-	instance, found := n.catalogue.InstanceFor(request.ID.Key.Tenant, request.Template)
-	if !found {
-		return nil, verdict.Refuse(verdict.CodeNotPermitted, 0, "template %q is not instantiated for this tenant", request.Template)
-	}
-	pending := &pendingCall{
-		request: request, template: template, templateRevision: revision,
-		limits:        declaration.MergeLimits(instance.Limits, tenant.Limits, template.Limits),
-		budgetVersion: tenantRevision, priority: tenant.Priority,
-	}
-	if session != nil {
-		pending.limits = session.Limits
-	}
-	if refusal := pending.checkPermitted(&tenant); refusal != nil {
-		return nil, refusal
-	}
-	if refusal := checkLimits(now, session, pending.limits); refusal != nil {
-		return nil, refusal
-	}
-	pending.price(session)
-	return pending, nil
-}
-
-// checkPermitted refuses services and models that the tenant or template does not allow.
-func (p *pendingCall) checkPermitted(tenant *declaration.Tenant) *verdict.Error {
-	switch p.request.Kind {
-	case shard.EngineCall:
-		p.request.Service = p.template.Service
-		p.request.Model = cmp.Or(p.request.Model, p.template.Model)
-		if p.request.Model != p.template.Model && !slices.Contains(tenant.PermittedModels, p.request.Model) {
-			return verdict.Refuse(verdict.CodeNotPermitted, 0, "model %q is not permitted", p.request.Model)
-		}
-	case shard.ToolCall:
-		if !slices.Contains(p.template.Tools, p.request.Service) || !slices.Contains(tenant.PermittedTools, p.request.Service) {
-			return verdict.Refuse(verdict.CodeNotPermitted, 0, "tool %q is not permitted", p.request.Service)
-		}
-	case shard.ApplicationCall:
-		if !slices.Contains(p.template.Applications, p.request.Service) {
-			return verdict.Refuse(verdict.CodeNotPermitted, 0, "application %q is not permitted", p.request.Service)
-		}
-	}
-	return nil
-}
-
-// checkLimits refuses a call of a program that has used up its turns, tokens or time.
-func checkLimits(now time.Time, session *shard.Session, limits shard.Limits) *verdict.Error {
-	if session == nil {
-		return nil
-	}
-	switch {
-	case limits.Turns > 0 && int64(len(session.Calls)) >= limits.Turns:
-		return verdict.Refuse(verdict.CodeLimitReached, limitRetry, "the session has had its %d calls", limits.Turns)
-	case limits.Tokens > 0 && session.ServedTokens >= limits.Tokens:
-		return verdict.Refuse(verdict.CodeLimitReached, limitRetry, "the session has used its %d tokens", limits.Tokens)
-	case limits.WallTime > 0 && now.Sub(session.StartedAt) >= limits.WallTime:
-		return verdict.Refuse(verdict.CodeLimitReached, limitRetry, "the session has run for its %s", limits.WallTime)
-	}
-	return nil
-}
-
-// price works out the prompt and the worst case of an engine call, in tokens.
-func (p *pendingCall) price(session *shard.Session) {
-	if p.request.Kind != shard.EngineCall {
-		return
-	}
-	if p.request.MaxTokens <= 0 || p.request.MaxTokens > p.template.MaxCompletionTokens {
-		p.request.MaxTokens = p.template.MaxCompletionTokens
-	}
-	p.promptTokens = p.request.BodyTokens
-	if session != nil {
-		p.promptTokens += session.HistoryTokens
-	}
-	p.reserve = p.promptTokens + p.request.MaxTokens
-}
-
 // advance moves a pending call to the queue for a back end, once the allowance covers it.
 func (n *Node) advance(now time.Time, g *group, pending *pendingCall) {
 	tenant := pending.request.ID.Key.Tenant
@@ -274,9 +166,6 @@
 	}
 }
 
-// overloadedRetry is when a caller may come back after its deadline passed in the queue.
-const overloadedRetry = 2 * time.Second
-
 // assignWork proposes the start of the calls for which a back end is free.
 func (n *Node) assignWork(now time.Time) {
 	for _, assignment := range n.scheduler.Assign(now) {
@@ -382,39 +271,6 @@
 	}
 }
 
-// serveAnswer returns the recorded answer of a call, or attaches to it.
-func (n *Node) serveAnswer(now time.Time, g *group, from waiter, payload AnswerPayload) {
-	session := g.state.Sessions[payload.ID.Key]
-	var call *shard.Call
-	if session != nil {
-		call = session.CallBySequence(payload.ID.Sequence)
-	}
-	switch {
-	case call == nil:
-		n.confirmLeadership(now, g, from, func(now time.Time) {
-			n.answerConfirmed(now, g, from, payload)
-		})
-	case call.Outcome != nil:
-		n.respond(now, from, Reply{Call: call})
-	case payload.Wait || payload.Caller != nil:
-		n.attach(g, from, call)
-	default:
-		refusal := verdict.Unknown(verdict.CodeAnswerInProgress, "the call is in progress")
-		refusal.RetryAfter = time.Second
-		n.respond(now, from, Reply{Error: refusal})
-	}
-}
-
-// answerConfirmed says that a call does not exist, unless it appeared meanwhile.
-func (n *Node) answerConfirmed(now time.Time, g *group, from waiter, payload AnswerPayload) {
-	session := g.state.Sessions[payload.ID.Key]
-	if session != nil && session.CallBySequence(payload.ID.Sequence) != nil {
-		n.serveAnswer(now, g, from, payload)
-		return
-	}
-	n.respond(now, from, Reply{Error: verdict.Refuse(verdict.CodeNotFound, 0, "no such call")})
-}
-
 // releaseCallers sends everybody who waits here to the next leader.
 func (n *Node) releaseCallers(g *group) {
 	now := n.now()
--- a/internal/core/order.go
+++ b/internal/core/order.go
@@ -14,6 +14,12 @@
 // now returns the time of the step in progress.
 func (n *Node) now() time.Time { return n.stepTime }
 
+// nodeOf returns the node of a member.
+func nodeOf(id raft.MemberID) string {
+	node, _, _ := cutMember(id)
+	return node
+}
+
 // cutMember splits a member id without parsing the incarnation.
 func cutMember(id raft.MemberID) (node, incarnation string, found bool) {
 	return strings.Cut(string(id), "#")
--- a/internal/core/routing.go
+++ b/internal/core/routing.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"swiftbank.dev/swiftbank/internal/shard"
 	"swiftbank.dev/swiftbank/internal/verdict"
 )
 
@@ -339,50 +338,3 @@
 		n.serveHold(now, g, from, p)
 	}
 }
-
-// confirmLeadership calls confirmed once a quorum has shown that this leader is
-// still the newest. What a leader says does not exist must not come from the state
-// of one that was replaced without noticing; what it finds recorded stands anyway.
-func (n *Node) confirmLeadership(now time.Time, g *group, from waiter, confirmed func(now time.Time)) {
-	proposed := n.propose(now, g, shard.Barrier{}, func(now time.Time, _ any, applied bool) {
-		if !applied || !g.leading {
-			n.respondNotLeader(now, from)
-			return
-		}
-		confirmed(now)
-	})
-	if !proposed {
-		n.respondNotLeader(now, from)
-	}
-}
-
-func (n *Node) serveSession(now time.Time, g *group, from waiter, payload SessionPayload) {
-	n.confirmLeadership(now, g, from, func(now time.Time) {
-		session := g.state.Sessions[payload.Key]
-		if session == nil {
-			n.respond(now, from, Reply{Error: verdict.Refuse(verdict.CodeNotFound, 0, "no such session")})
-			return
-		}
-		copied := *session
-		copied.Calls = slices.Clone(session.Calls)
-		n.respond(now, from, Reply{Session: &copied})
-	})
-}
-
-func (n *Node) serveEnd(now time.Time, g *group, from waiter, payload EndPayload) {
-	proposed := n.propose(now, g, shard.EndSession{Key: payload.Key, At: now}, func(now time.Time, _ any, applied bool) {
-		if !applied {
-			n.respondNotLeader(now, from)
-			return
-		}
-		if g.state.Sessions[payload.Key] == nil {
-			n.respond(now, from, Reply{Error: verdict.Refuse(verdict.CodeNotFound, 0, "no such session")})
-			return
-		}
-		n.orderReleases(g)
-		n.respond(now, from, Reply{})
-	})
-	if !proposed {
-		n.respondNotLeader(now, from)
-	}
-}
--- a/internal/schedule/cache.go
+++ b/internal/schedule/cache.go
@@ -1,25 +1,21 @@
 package schedule
 
-import (
-	"time"
-)
+import "time"
+
+// prefixRetention is how long an unused prefix is taken to stay in an engine.
+const prefixRetention = 10 * time.Minute
 
 // cachedTokens estimates how much of a call's prompt the engine still holds. An
 // engine evicts the least recently used, so a prefix that this node saw computed
-// is taken to be there unless it is too old for the engine's turnover.
+// is taken to be there unless it has not been used for prefixRetention.
 func (b *backEndState) cachedTokens(now time.Time, work *Work) int64 {
 	held, known := b.held[work.Call.Key]
-	if !known || now.Sub(held.at) > b.retention() {
+	if !known || now.Sub(held.at) > prefixRetention {
 		return 0
 	}
 	return min(held.tokens, work.PromptTokens)
 }
 
-// retention estimates how long an unused prefix stays.
-func (b *backEndState) retention() time.Duration {
-	return 10 * time.Minute
-}
-
 // pendingPrefill is how many prompt tokens this node's calls in flight still have
 // to compute on the engine, those since its last report.
 func (b *backEndState) pendingPrefill() float64 {
--- a/internal/server/backends.go
+++ b/internal/server/backends.go
@@ -16,7 +16,6 @@
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/core"
-	"swiftbank.dev/swiftbank/internal/schedule"
 	"swiftbank.dev/swiftbank/internal/shard"
 	"swiftbank.dev/swiftbank/internal/verdict"
 )
@@ -24,8 +23,6 @@
 const (
 	// maxAnswerBytes bounds what is read of one back end's answer.
 	maxAnswerBytes = 16 << 20
-	// controlTimeout bounds load, hold and release requests.
-	controlTimeout = 2 * time.Second
 	// idleConnections is how many idle connections to one back end are kept.
 	idleConnections = 64
 )
@@ -93,29 +90,10 @@
 	}
 	known.cancel()
 	if action.Abort && known.abort != "" {
-		c.server.tasks.Go(func() { _ = c.delete(known.abort) })
+		c.server.tasks.Go(func() { _ = c.control(http.MethodDelete, known.abort, nil) })
 	}
 }
 
-// delete sends a DELETE request and reports whether it was taken.
-func (c *backEndClient) delete(address string) error {
-	ctx, cancel := context.WithTimeout(c.server.context, controlTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, address, nil)
-	if err != nil {
-		return fmt.Errorf("server: %w", err)
-	}
-	response, err := c.http.Do(request)
-	if err != nil {
-		return fmt.Errorf("server: %w", err)
-	}
-	defer response.Body.Close()
-	if response.StatusCode >= http.StatusMultipleChoices {
-		return fmt.Errorf("server: status %d", response.StatusCode)
-	}
-	return nil
-}
-
 func (c *backEndClient) run(ctx context.Context, action core.StartAttempt) core.AttemptFinished {
 	if action.Request.Kind == shard.EngineCall {
 		return c.runEngine(ctx, action)
@@ -357,64 +335,3 @@
 		CachedTokens: last.Usage.Details.CachedTokens,
 	}}
 }
-
-// loadAnswer is what a back end reports of its load.
-type loadAnswer struct {
-	Running      int   `json:"running"`
-	Waiting      int   `json:"waiting"`
-	CachedTokens int64 `json:"cachedTokens"`
-	Leaving      bool  `json:"leaving"`
-}
-
-// pollLoad asks a back end for its load.
-func (c *backEndClient) pollLoad(backEnd schedule.BackEnd) {
-	var answer loadAnswer
-	measured := time.Now()
-	if c.getJSON(backEnd.Address+"/load", &answer) != nil {
-		return
-	}
-	c.server.push(core.LoadReported{Report: schedule.LoadReport{
-		BackEnd: backEnd.Name, Running: answer.Running, Waiting: answer.Waiting,
-		CachedTokens: answer.CachedTokens, Leaving: answer.Leaving, MeasuredAt: measured,
-	}})
-}
-
-// listHolds asks an engine for which sessions it holds memory.
-func (c *backEndClient) listHolds(backEnd schedule.BackEnd) {
-	var names []string
-	if c.getJSON(backEnd.Address+"/holds", &names) != nil {
-		return
-	}
-	event := core.HoldsReported{Engine: backEnd.Name}
-	for _, name := range names {
-		if key, valid := parseSessionName(name); valid {
-			event.Keys = append(event.Keys, key)
-		}
-	}
-	c.server.push(event)
-}
-
-// release tells an engine to drop a session's cache.
-func (c *backEndClient) release(action core.ReleaseCache) {
-	address := action.BackEnd.Address + "/holds?session=" + url.QueryEscape(sessionName(action.Release.Key))
-	confirmed := c.delete(address) == nil
-	c.server.push(core.ReleaseFinished{Release: action.Release, Confirmed: confirmed})
-}
-
-func (c *backEndClient) getJSON(address string, into any) error {
-	ctx, cancel := context.WithTimeout(c.server.context, controlTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
-	if err != nil {
-		return fmt.Errorf("server: %w", err)
-	}
-	response, err := c.http.Do(request)
-	if err != nil {
-		return fmt.Errorf("server: %w", err)
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("server: status %d", response.StatusCode)
-	}
-	return json.NewDecoder(response.Body).Decode(into)
-}
--- a/internal/server/http.go
+++ b/internal/server/http.go
@@ -303,18 +303,20 @@
 }
 
 func (s *Server) serveSession(w http.ResponseWriter, r *http.Request, parameters httprouter.Params) {
-	key, refusal := s.sessionKey(r, parameters)
-	if refusal != nil {
-		s.writeError(w, refusal)
-		return
-	}
-	requestID, state := s.callers.add(0)
-	defer s.callers.remove(requestID)
-	s.push(core.SessionWanted{RequestID: requestID, Key: key})
-	s.answer(w, r, requestID, state, false)
+	s.askAboutSession(w, r, parameters, func(requestID uint64, key shard.SessionKey) core.Event {
+		return core.SessionWanted{RequestID: requestID, Key: key}
+	})
 }
 
 func (s *Server) serveEnd(w http.ResponseWriter, r *http.Request, parameters httprouter.Params) {
+	s.askAboutSession(w, r, parameters, func(requestID uint64, key shard.SessionKey) core.Event {
+		return core.EndWanted{RequestID: requestID, Key: key}
+	})
+}
+
+// askAboutSession hands the core an event about the session in the path and
+// answers with its reply.
+func (s *Server) askAboutSession(w http.ResponseWriter, r *http.Request, parameters httprouter.Params, event func(uint64, shard.SessionKey) core.Event) {
 	key, refusal := s.sessionKey(r, parameters)
 	if refusal != nil {
 		s.writeError(w, refusal)
@@ -322,7 +324,7 @@
 	}
 	requestID, state := s.callers.add(0)
 	defer s.callers.remove(requestID)
-	s.push(core.EndWanted{RequestID: requestID, Key: key})
+	s.push(event(requestID, key))
 	s.answer(w, r, requestID, state, false)
 }
 
--- a/internal/simulate/checker.go
+++ b/internal/simulate/checker.go
@@ -83,15 +83,14 @@
 	executions map[shard.CallID]*execution
 	sessions   map[shard.SessionKey]*sessionRecord
 	// used is what engines were asked to do for each tenant, in tokens.
-	used         map[string]int64
-	budgets      map[string][]budgetRecord
-	lost         int
-	doubled      int
-	outOfOrder   int
-	overshoot    int64
-	heldSeconds  float64
-	quietSince   time.Time
-	spreadPassed int
+	used        map[string]int64
+	budgets     map[string][]budgetRecord
+	lost        int
+	doubled     int
+	outOfOrder  int
+	overshoot   int64
+	heldSeconds float64
+	quietSince  time.Time
 }
 
 // budgetRecord is a budget and when it was accepted.
