Load reports come with answers; only back ends in demand are asked

Cause: each node asked every back end of its pools for its load once a second: at the target that is up to 1,000 questions a second and node, far beyond 5 KB/s of control. The simulator hid it by giving all nodes all reports for nothing.

Ruled out: sharing reports in heartbeats (12 B for each of 1,000 engines a second is 12 KB/s).

Change: a back end may report its load in a header of its answers; a node asks at most 16 back ends a second, only of pools with calls in the last 30 s and only those whose report is over a second old, the oldest first, and at once when it knows nothing recent. The simulator does the same and counts the bytes.

Conclusion: control no longer grows with the number of engines.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -124,6 +124,9 @@
 		}
 	}
 	work := n.workFor(now, g, pending)
+	if n.scheduler.Uninformed(now, &work) {
+		n.nextLoadPoll = now // nothing recent is known of any instance: ask at the next tick
+	}
 	if refusal := n.scheduler.Enqueue(now, work); refusal != nil {
 		n.refusePending(now, g, pending, refusal)
 	}
--- a/internal/core/configuration.go
+++ b/internal/core/configuration.go
@@ -13,8 +13,11 @@
 	configReaders = 2
 	// configReadInterval is how often a reader asks for news.
 	configReadInterval = 500 * time.Millisecond
-	// loadPollInterval is how often each back end is asked for its load.
-	loadPollInterval = time.Second
+	// loadPollInterval is how often back ends may be asked for their load, maxPolls
+	// how many then, and reportAge how old the last report must be.
+	loadPollInterval = 250 * time.Millisecond
+	maxPolls         = 4
+	reportAge        = time.Second
 	// pullInterval is the least time between two pulls from peers.
 	pullInterval = 200 * time.Millisecond
 	// maxChangesPerPush bounds one push.
@@ -123,7 +126,7 @@
 		return
 	}
 	n.nextLoadPoll = now.Add(loadPollInterval)
-	for _, backEnd := range n.scheduler.Polled() {
+	for _, backEnd := range n.scheduler.DuePolls(now, reportAge, maxPolls) {
 		n.emit(PollLoad{BackEnd: backEnd})
 	}
 }
--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -19,6 +19,8 @@
 	// at random keeps nodes with the same old reports from choosing the same one
 	// (Mitzenmacher, "The Power of Two Choices", 2001).
 	sampleSize = 12
+	// demandMemory is how long after its last call a pool's load is followed.
+	demandMemory = 30 * time.Second
 )
 
 // poolKey names the back ends that can serve the same calls.
@@ -69,27 +71,47 @@
 	return pool[:poolSize]
 }
 
-// Polled returns the back ends whose load this node must know: those of its pools
-// and those where it has calls, ordered by name.
-func (s *Scheduler) Polled() []BackEnd {
-	wanted := map[string]bool{}
-	for _, pool := range s.pools {
+// DuePolls returns the back ends to ask for their load now, at most most of them:
+// those in use whose last report is older than age, the oldest first. Answers to
+// calls bring reports too, so a busy back end need not be asked.
+func (s *Scheduler) DuePolls(now time.Time, age time.Duration, most int) []BackEnd {
+	due := map[*backEndState]bool{}
+	for key, pool := range s.pools {
+		if now.Sub(s.demandAt[key]) > demandMemory {
+			continue
+		}
 		for _, state := range pool {
-			wanted[state.Name] = true
+			due[state] = now.Sub(state.report.MeasuredAt) >= age
 		}
 	}
-	var list []BackEnd
+	var list []*backEndState
 	for _, name := range s.names {
-		if state := s.backEnds[name]; wanted[name] || len(state.dispatched) > 0 {
-			list = append(list, state.BackEnd)
+		state := s.backEnds[name]
+		inFlight := len(state.dispatched) > 0 && now.Sub(state.report.MeasuredAt) >= age
+		if due[state] || inFlight {
+			list = append(list, state)
 		}
 	}
-	return list
+	slices.SortStableFunc(list, func(a, b *backEndState) int { return a.askedAt.Compare(b.askedAt) })
+	list = list[:min(most, len(list))]
+	asked := make([]BackEnd, 0, len(list))
+	for _, state := range list {
+		state.askedAt = now
+		asked = append(asked, state.BackEnd)
+	}
+	return asked
 }
 
 // usable reports whether a back end may get new calls, as far as is known.
 func (b *backEndState) usable() bool { return !b.Leaving && !b.report.Leaving }
 
+// Uninformed reports whether all that is known of the load of the call's pool is old.
+func (s *Scheduler) Uninformed(now time.Time, work *Work) bool {
+	return !slices.ContainsFunc(s.pools[keyOf(work)], func(state *backEndState) bool {
+		return now.Sub(state.report.MeasuredAt) <= freshness
+	})
+}
+
 // servable reports whether any instance could serve the call.
 func (s *Scheduler) servable(work *Work) bool {
 	return slices.ContainsFunc(s.pools[keyOf(work)], (*backEndState).usable)
--- a/internal/schedule/schedule_test.go
+++ b/internal/schedule/schedule_test.go
@@ -158,6 +158,21 @@
 	require.Nil(t, s.Enqueue(now, patient))
 }
 
+func TestOnlyBackEndsInDemandAreAskedTheOldestFirst(t *testing.T) {
+	s := newTestScheduler(Swiftbank, 6)
+	later := start.Add(time.Second)
+	require.Empty(t, s.DuePolls(later, time.Second, 4), "nobody calls the pool")
+	require.Nil(t, s.Enqueue(later, testWork(1, nil)))
+	first := s.DuePolls(later, time.Second, 4)
+	require.Len(t, first, 4)
+	second := s.DuePolls(later.Add(time.Millisecond), time.Second, 4)
+	require.Equal(t, []string{"engine-0004", "engine-0005"}, []string{second[0].Name, second[1].Name}, "those not asked yet go first")
+	for _, backEnd := range s.BackEnds() {
+		s.Report(LoadReport{BackEnd: backEnd.Name, MeasuredAt: later})
+	}
+	require.Empty(t, s.DuePolls(later.Add(time.Millisecond), time.Second, 4), "answers to calls brought fresh reports")
+}
+
 func TestBaselines(t *testing.T) {
 	sticky := newTestScheduler(SessionSticky, 5)
 	require.Equal(t, "engine-0003", placed(t, sticky, testWork(1, func(w *Work) { w.CachedOn = []string{"engine-0001", "engine-0003"} })).BackEnd)
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -31,6 +31,8 @@
 	// dispatched holds this node's calls in flight.
 	dispatched  map[shard.CallID]dispatch
 	failedUntil time.Time
+	// askedAt is when the back end was last asked for its load.
+	askedAt time.Time
 	// held is what this node knows of the engine's cache, by session.
 	held map[shard.SessionKey]heldPrefix
 }
@@ -64,13 +66,15 @@
 	// pools are the back ends that this node uses, by what they can serve.
 	pools map[poolKey][]*backEndState
 	queue []Work
+	// demandAt is when a call for a pool last came.
+	demandAt map[poolKey]time.Time
 	// finishes are the paces at which calls leave each pool.
 	finishes map[poolKey]*finishRate
 }
 
 // New returns a scheduler for a node and its zone.
 func New(node, zone string, policy Policy, random *rand.Rand) *Scheduler {
-	return &Scheduler{node: node, zone: zone, policy: policy, random: random, backEnds: map[string]*backEndState{}, finishes: map[poolKey]*finishRate{}}
+	return &Scheduler{node: node, zone: zone, policy: policy, random: random, backEnds: map[string]*backEndState{}, finishes: map[poolKey]*finishRate{}, demandAt: map[poolKey]time.Time{}}
 }
 
 // SetBackEnds replaces the list of back ends; what is known of those that stay is kept.
@@ -127,6 +131,7 @@
 	if !s.servable(&work) {
 		return verdict.Refuse(verdict.CodeNoBackEnd, noBackEndRetry, "no instance of %s can serve the call now", work.Service)
 	}
+	s.demandAt[keyOf(&work)] = now
 	if refusal := s.refuseLate(now, &work); refusal != nil {
 		return refusal
 	}
--- a/internal/server/backends.go
+++ b/internal/server/backends.go
@@ -150,6 +150,7 @@
 		return mark.failed(err)
 	}
 	defer response.Body.Close()
+	c.noteLoad(action.BackEnd.Name, response.Header)
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
 		return mark.failed(err)
@@ -216,6 +217,7 @@
 		return mark.failed(err)
 	}
 	defer response.Body.Close()
+	c.noteLoad(action.BackEnd.Name, response.Header)
 	if response.StatusCode == http.StatusNotFound && action.Resume {
 		return core.AttemptFinished{Retryable: true, Outcome: shard.Outcome{
 			Verdict: verdict.MayHaveRun, Code: verdict.CodeBackEndFailed, Reason: "the engine no longer has the stream",
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -30,10 +30,29 @@
 	if c.control(http.MethodGet, backEnd.Address+"/load", &answer) != nil {
 		return
 	}
-	c.server.push(core.LoadReported{Report: schedule.LoadReport{
-		BackEnd: backEnd.Name, Running: answer.Running, Waiting: answer.Waiting,
-		CachedTokens: answer.CachedTokens, Leaving: answer.Leaving, MeasuredAt: measured,
-	}})
+	c.server.push(core.LoadReported{Report: answer.report(backEnd.Name, measured)})
+}
+
+func (a *loadAnswer) report(backEnd string, measured time.Time) schedule.LoadReport {
+	return schedule.LoadReport{
+		BackEnd: backEnd, Running: a.Running, Waiting: a.Waiting,
+		CachedTokens: a.CachedTokens, Leaving: a.Leaving, MeasuredAt: measured,
+	}
+}
+
+// headerLoad is the header in which a back end may report its load with an answer,
+// as JSON of the shape of GET /load.
+const headerLoad = "X-Load"
+
+// noteLoad takes in the load that came with an answer, so that busy back ends need
+// not be asked.
+func (c *backEndClient) noteLoad(backEnd string, header http.Header) {
+	text := header.Get(headerLoad)
+	var answer loadAnswer
+	if text == "" || c.server == nil || json.Unmarshal([]byte(text), &answer) != nil {
+		return
+	}
+	c.server.push(core.LoadReported{Report: answer.report(backEnd, time.Now())})
 }
 
 // listHolds asks an engine for which sessions it holds memory.
--- a/internal/simulate/network.go
+++ b/internal/simulate/network.go
@@ -23,6 +23,8 @@
 const (
 	heartbeatBytes = 114
 	envelopeBytes  = 60
+	// pollBytes is a GET /load and its answer with headers, as net/http writes them.
+	pollBytes = 290
 )
 
 // network carries messages between nodes.
@@ -83,6 +85,12 @@
 	})
 }
 
+// countPoll counts a question for a back end's load, with its answer.
+func (n *network) countPoll() {
+	n.world.control.messages++
+	n.world.control.bytes += pollBytes
+}
+
 func (n *network) count(envelope core.Envelope) {
 	switch m := envelope.Message.(type) {
 	case membership.Heartbeat:
--- a/internal/simulate/nodes.go
+++ b/internal/simulate/nodes.go
@@ -167,6 +167,9 @@
 		w.backEnds.listHolds(n, a.BackEnd.Name)
 	case core.ReadChanges:
 		w.store.readChanges(n, a.After)
+	case core.PollLoad:
+		w.network.countPoll()
+		w.backEnds.poll(n, a.BackEnd.Name)
 	case core.ReadMachines:
 		n.readMachines()
 	case core.FormCell:
--- a/internal/simulate/tries.go
+++ b/internal/simulate/tries.go
@@ -132,6 +132,9 @@
 // refused decides what the caller does about a refusal.
 func (c *callRun) refused(v verdict.Verdict, retryAfter time.Duration, code verdict.Code) {
 	stats := &c.run.callers.stats
+	if code == verdict.CodeDeadline {
+		c.hurried = false // told that it takes longer, the caller waits longer
+	}
 	if v == verdict.NotRun {
 		stats.refused++
 		if retryAfter == 0 || code == verdict.CodeBudgetExhausted {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -265,6 +265,9 @@
 // writeStream sends a generation as server-sent events from a byte offset.
 func (e *Engine) writeStream(w http.ResponseWriter, r *http.Request, stream *engineStream, offset int) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	if encoded, err := json.Marshal(e.load()); err == nil {
+		w.Header().Set("X-Load", string(encoded))
+	}
 	flusher, _ := w.(http.Flusher)
 	for {
 		stream.mu.Lock()
@@ -291,14 +294,18 @@
 }
 
 func (e *Engine) serveLoad(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	writeJSON(w, http.StatusOK, e.load())
+}
+
+// load is what the engine reports of itself.
+func (e *Engine) load() map[string]int64 {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	total := int64(0)
 	for _, held := range e.cache {
 		total += held
 	}
-	report := map[string]int64{"running": int64(e.running), "waiting": int64(e.waiting), "cachedTokens": total}
-	e.mu.Unlock()
-	writeJSON(w, http.StatusOK, report)
+	return map[string]int64{"running": int64(e.running), "waiting": int64(e.waiting), "cachedTokens": total}
 }
 
 func (e *Engine) serveHolds(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
