Test addresses that nothing else can take

Suspected: addresses were taken one after the other and let go before the processes bound them, so two could be equal (about one start in 150 with 20 addresses) or be taken by another test's connection.

Ruled out so far: a fault that comes with load alone: ten runs of the test, four and six at a time, passed before this change.

Change: the addresses of a test are asked for together, on a loopback address of that test process alone; logs of the nodes are printed when a node is not ready; the counter is atomic. The demo asks for its addresses together too.

Conclusion: if it comes again, the log will say why.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -163,13 +163,13 @@
 }
 
 func (d *Deployment) startNodes() error {
+	addresses, err := freeAddresses(len(zones))
+	if err != nil {
+		return err
+	}
 	var nodes []topology.Node
 	for i, zone := range zones {
-		address, err := freeAddress()
-		if err != nil {
-			return err
-		}
-		nodes = append(nodes, topology.Node{ID: "node-" + strconv.Itoa(i+1), Zone: zone, Address: address})
+		nodes = append(nodes, topology.Node{ID: "node-" + strconv.Itoa(i+1), Zone: zone, Address: addresses[i]})
 	}
 	for _, node := range nodes {
 		config := settings.Default()
@@ -190,15 +190,19 @@
 	return nil
 }
 
-// freeAddress asks the kernel for a port that the node then listens on: peers
-// must know it before the node starts.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", anyPort)
-	if err != nil {
-		return "", fmt.Errorf("demo: %w", err)
+// freeAddresses asks the kernel for ports that the nodes then listen on: peers must
+// know them before the nodes start.
+func freeAddresses(count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", anyPort)
+		if err != nil {
+			return nil, fmt.Errorf("demo: %w", err)
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return addresses, nil
 }
 
 func (d *Deployment) waitReady() error {
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -66,12 +66,20 @@
 	return folder
 }
 
-func freeAddress(t *testing.T) string {
+// reserve asks the kernel for addresses that processes then listen on. They are on
+// a loopback address of this test process alone, so that no connection of another
+// process takes a port in between, and are asked for together, so that they differ.
+func reserve(t *testing.T, count int) []string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	host := fmt.Sprintf("127.%d.%d.1", 1+(os.Getpid()>>8)%250, os.Getpid()%250)
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", host+":0")
+		require.NoError(t, err)
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
 }
 
 func (s *system) start(binary string, arguments ...string) *exec.Cmd {
@@ -91,7 +99,8 @@
 
 func startSystem(t *testing.T, nodes int) *system {
 	s := &system{t: t, folder: build(t)}
-	platformAddress := freeAddress(t)
+	addresses := reserve(t, 5)
+	platformAddress := addresses[0]
 	s.platform = "http://" + platformAddress
 	s.start("swiftbank-standin", "platform", "--address", platformAddress)
 	for i := range 2 {
@@ -99,7 +108,7 @@
 			"--zone", zones[i], "--models", "assistant-8b,planner-30b", "--token-interval", "4ms")
 	}
 	for i, backEnd := range [][2]string{{"application", "hire-billing"}, {"application", "settlement-notices"}, {"tool", "dock-lookup"}, {"tool", "offer-history"}} {
-		address := freeAddress(t)
+		address := addresses[1+i]
 		s.applications = append(s.applications, address)
 		s.start("swiftbank-standin", backEnd[0], "--platform", s.platform, "--name", backEnd[1]+"-1",
 			"--service", backEnd[1], "--zone", zones[i%len(zones)], "--address", address)
@@ -132,11 +141,12 @@
 
 func (s *system) startNodes(count int) {
 	var list strings.Builder
+	addresses := reserve(s.t, 3*count)
 	for i := range count {
-		fmt.Fprintf(&list, "  - {id: node-%d, zone: %s, address: %q}\n", i+1, zones[i%len(zones)], freeAddress(s.t))
+		fmt.Fprintf(&list, "  - {id: node-%d, zone: %s, address: %q}\n", i+1, zones[i%len(zones)], addresses[3*i])
 	}
 	for i := range count {
-		caller, status := freeAddress(s.t), freeAddress(s.t)
+		caller, status := addresses[3*i+1], addresses[3*i+2]
 		s.callers = append(s.callers, caller)
 		s.status = append(s.status, status)
 		settings := fmt.Sprintf("id: node-%d\ncallerAddress: %s\noperatorAddress: %s\nplatformAddress: %s\nnodes:\n%s",
@@ -151,6 +161,11 @@
 }
 
 func (s *system) awaitReady(node int) {
+	s.t.Cleanup(func() {
+		if s.t.Failed() {
+			s.t.Logf("node %d: %s", node+1, s.logs[len(s.logs)-len(s.nodes)+node])
+		}
+	})
 	require.Eventually(s.t, func() bool {
 		response, err := http.Get("http://" + s.status[node] + "/readyz")
 		if err != nil {
--- a/internal/server/http_test.go
+++ b/internal/server/http_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -181,9 +182,9 @@
 
 // TestCutAfterSendingMayHaveRun checks both sides of the first byte.
 func TestCutAfterSendingMayHaveRun(t *testing.T) {
-	hits := 0
+	var hits atomic.Int32
 	cutting := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		hits++
+		hits.Add(1)
 		connection, _, err := http.NewResponseController(w).Hijack()
 		if err == nil {
 			_ = connection.Close()
@@ -196,7 +197,7 @@
 		Request: shard.Request{Kind: shard.ApplicationCall, IdempotencyKey: "charge", Path: "/x", Body: []byte("{}")},
 	}
 	require.Equal(t, verdict.MayHaveRun, client.runApplication(context.Background(), action).Outcome.Verdict)
-	require.Equal(t, 1, hits, "the HTTP library must not send it again by itself")
+	require.Equal(t, int32(1), hits.Load(), "the HTTP library must not send it again by itself")
 	cutting.Close()
 	require.Equal(t, verdict.NotRun, client.runApplication(context.Background(), action).Outcome.Verdict)
 }
