--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -48,9 +48,8 @@
 
 // retryState is a call in progress that waits for another attempt.
 type retryState struct {
-	id       shard.AttemptID // the attempt that failed
-	failed   shard.Outcome
-	proposed bool
+	id     shard.AttemptID // the attempt that failed
+	failed shard.Outcome
 }
 
 // dispatchBegun starts an attempt whose entry was just applied, when this member
@@ -303,7 +302,6 @@
 }
 
 func (n *Node) proposeRetry(now time.Time, g *group, retry *retryState, assignment schedule.Assignment) {
-	retry.proposed = true
 	id := assignment.Work.Call
 	call := currentCall(g, retry.id)
 	_, version, _ := n.catalogue.Tenant(id.Key.Tenant)
--- a/internal/core/order.go
+++ b/internal/core/order.go
@@ -16,15 +16,10 @@
 
 // nodeOf returns the node of a member.
 func nodeOf(id raft.MemberID) string {
-	node, _, _ := cutMember(id)
+	node, _, _ := strings.Cut(string(id), "#")
 	return node
 }
 
-// cutMember splits a member id without parsing the incarnation.
-func cutMember(id raft.MemberID) (node, incarnation string, found bool) {
-	return strings.Cut(string(id), "#")
-}
-
 // sortedKeys returns the session keys of a map in order, so that what follows
 // does not depend on map order.
 func sortedKeys[V any](m map[shard.SessionKey]V) []shard.SessionKey {
--- a/internal/core/takeover.go
+++ b/internal/core/takeover.go
@@ -38,8 +38,7 @@
 	case n.memberAlive(call.Dispatcher) && call.Request.Kind == shard.EngineCall && n.nodeDraining(raft.MemberID(call.Dispatcher)):
 		n.replaceDispatcher(now, g, call) // the stream moves whole before its node stops
 	case n.memberAlive(call.Dispatcher):
-		node, _, _ := cutMember(raft.MemberID(call.Dispatcher))
-		n.send(node, AttemptQuery{Shard: g.number, Attempt: id})
+		n.send(nodeOf(raft.MemberID(call.Dispatcher)), AttemptQuery{Shard: g.number, Attempt: id})
 	default:
 		n.replaceDispatcher(now, g, call)
 	}
@@ -82,7 +81,7 @@
 // another member began. The reservation goes over unchanged.
 func (n *Node) proposeResume(now time.Time, g *group, call *shard.Call) {
 	id := call.Request.ID
-	retry := &retryState{id: shard.AttemptID{Call: id, Attempt: call.Attempt}, proposed: true}
+	retry := &retryState{id: shard.AttemptID{Call: id, Attempt: call.Attempt}}
 	g.retries[id] = retry
 	command := shard.Retry{
 		ID: id, Attempt: call.Attempt + 1, Resume: true, ConfigRevision: n.catalogue.Revision(), BackEnd: call.BackEnd,
