--- a/internal/simulate/network.go
+++ b/internal/simulate/network.go
@@ -18,12 +18,13 @@
 	bytes    uint64
 }
 
-// heartbeatBytes and envelopeBytes are the sizes of a heartbeat with its frame, and of
-// the frame around another message, on the wire (BenchmarkHeartbeatBytes in package core).
+// heartbeatBytes is the size of a heartbeat with its frame on the wire
+// (BenchmarkHeartbeatBytes in package core); envelopeBytes estimates the frame around
+// another message.
 const (
 	heartbeatBytes = 114
 	envelopeBytes  = 60
-	// pollBytes is a GET /load and its answer with headers, as net/http writes them.
+	// pollBytes estimates a GET /load and its answer with their headers.
 	pollBytes = 290
 )
 
