One way to wait for a time or a context's end

Cause: the same pause stood in the stand-ins, the program runner and the peer transport; a comment on the dispatch window said one heartbeat where the constant takes two.

Change: package wait; the comment says two.

Ruled out as doubles: lists of constants and imports of like shape, and commands that share only their frame.

Conclusion: no behaviour changed.

--- a/cmd/swiftbank-standin/main.go
+++ b/cmd/swiftbank-standin/main.go
@@ -17,6 +17,7 @@
 
 	"swiftbank.dev/swiftbank/internal/objectapi"
 	"swiftbank.dev/swiftbank/internal/standin"
+	"swiftbank.dev/swiftbank/internal/wait"
 )
 
 // registerInterval is how often a stand-in tries to register with the platform.
@@ -113,7 +114,7 @@
 	f.machine.Address = "http://" + address
 	fmt.Println(address)
 	for register(ctx, f.platform, f.machine) != nil {
-		if !pause(ctx, registerInterval) {
+		if !wait.For(ctx, registerInterval) {
 			return nil
 		}
 	}
@@ -153,14 +154,3 @@
 	}
 	return nil
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -23,7 +23,7 @@
 	retryTokenShare = 0.2
 	// dispatchWindow is how long after proposing an attempt its dispatcher may send
 	// it. It is shorter than the silence after which another member takes the call
-	// over, less a heartbeat: a dispatcher that was paused wakes too late to send,
+	// over, less two heartbeats: a dispatcher that was paused wakes too late to send,
 	// and cannot begin a call after its successor has gone on with the session. Both
 	// times are measured on one machine, so clocks need not agree.
 	dispatchWindow = membership.SuspectAfter - 2*membership.HeartbeatInterval
--- a/internal/program/runner.go
+++ b/internal/program/runner.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"swiftbank.dev/swiftbank/internal/verdict"
+	"swiftbank.dev/swiftbank/internal/wait"
 )
 
 const (
@@ -67,7 +68,7 @@
 	for place := range programs {
 		tasks.Go(func() {
 			current := &programs[place]
-			if !pause(ctx, time.Until(started.Add(time.Duration(current.StartMs)*time.Millisecond))) {
+			if !wait.For(ctx, time.Until(started.Add(time.Duration(current.StartMs)*time.Millisecond))) {
 				results[place] = Result{Program: current.Name, Tenant: current.Tenant, Err: ctx.Err()}
 				return
 			}
@@ -89,7 +90,7 @@
 	result := Result{Program: current.Name, Tenant: current.Tenant}
 	sequence := 0
 	for _, step := range current.Steps {
-		if !pause(ctx, time.Duration(step.PauseMs)*time.Millisecond) {
+		if !wait.For(ctx, time.Duration(step.PauseMs)*time.Millisecond) {
 			result.Err = ctx.Err()
 			break
 		}
@@ -121,7 +122,7 @@
 		if err = r.endOnce(ctx, current); err == nil {
 			return nil
 		}
-		if !pause(ctx, cutRetry) {
+		if !wait.For(ctx, cutRetry) {
 			break
 		}
 	}
@@ -151,16 +152,16 @@
 	for result.Tries < maxTries {
 		result.Tries++
 		answer, err := r.try(ctx, call)
-		wait := cutRetry
+		delay := cutRetry
 		if err == nil {
 			result.Answer = answer
 			if answer.Succeeded() || !worthRetry(answer, step) {
 				break
 			}
 			result.Refusals++
-			wait = max(answer.RetryAfter, defaultRetry)
+			delay = max(answer.RetryAfter, defaultRetry)
 		}
-		if !pause(ctx, wait) {
+		if !wait.For(ctx, delay) {
 			break
 		}
 	}
@@ -217,18 +218,3 @@
 	}
 	return body
 }
-
-// pause waits and reports false when the context ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -11,6 +11,7 @@
 
 	"swiftbank.dev/swiftbank/internal/core"
 	"swiftbank.dev/swiftbank/internal/topology"
+	"swiftbank.dev/swiftbank/internal/wait"
 )
 
 const (
@@ -177,7 +178,7 @@
 		if connection == nil {
 			connection = t.dial(address)
 			if connection == nil {
-				t.pause()
+				wait.For(t.server.context, peerRedialDelay)
 				continue
 			}
 			encoder = gob.NewEncoder(connection)
@@ -197,12 +198,3 @@
 	}
 	return connection
 }
-
-func (t *peerTransport) pause() {
-	timer := time.NewTimer(peerRedialDelay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-t.server.context.Done():
-	}
-}
