--- /dev/null
+++ b/internal/backend/directory.go
@@ -0,0 +1,169 @@
+// Package backend knows the instances that run requests: which there are, how
+// loaded they are believed to be, and how a request is exchanged with one of them
+// over kept connections.
+package backend
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Instance is one running back end.
+type Instance struct {
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	Slots   int
+	// Leaving instances finish what they have and get nothing new.
+	Leaving bool
+}
+
+const (
+	// suspicionFirst and suspicionMost bound how long an instance is avoided after
+	// it could not be reached; the time doubles with each failure in a row.
+	suspicionFirst = 250 * time.Millisecond
+	suspicionMost  = 2 * time.Second
+	// remoteLoadLimit is how long another gateway's load report counts.
+	remoteLoadLimit = 1500 * time.Millisecond
+)
+
+// member is an instance with what this gateway believes of it.
+type member struct {
+	instance Instance
+	// inFlight are this gateway's own requests.
+	inFlight int
+	// remote are the requests of other gateways, by their name.
+	remote map[string]remoteLoad
+	// failures counts failures to reach it in a row; avoidUntil is set by them.
+	failures   int
+	avoidUntil time.Time
+	cache      promptCache
+}
+
+type remoteLoad struct {
+	requests int
+	at       time.Time
+}
+
+func (m *member) load(now time.Time) int {
+	load := m.inFlight
+	for _, remote := range m.remote {
+		if now.Sub(remote.at) < remoteLoadLimit {
+			load += remote.requests
+		}
+	}
+	return load
+}
+
+// Directory holds the instances of all services. It is safe for concurrent use.
+type Directory struct {
+	zone string
+
+	mu      sync.Mutex
+	members map[string]*member
+	// byService lists the members of each service in the order of their ids.
+	byService map[string][]*member
+	turn      int
+}
+
+// NewDirectory returns an empty directory of a gateway in the zone.
+func NewDirectory(zone string) *Directory {
+	return &Directory{zone: zone, members: map[string]*member{}, byService: map[string][]*member{}}
+}
+
+// Update replaces the list of instances and returns the ids that are gone.
+func (d *Directory) Update(instances []Instance) (gone []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	listed := map[string]bool{}
+	for _, instance := range instances {
+		listed[instance.ID] = true
+		known := d.members[instance.ID]
+		if known == nil {
+			known = &member{remote: map[string]remoteLoad{}, cache: newPromptCache()}
+			d.members[instance.ID] = known
+		}
+		known.instance = instance
+	}
+	for id := range d.members {
+		if !listed[id] {
+			delete(d.members, id)
+			gone = append(gone, id)
+		}
+	}
+	d.byService = map[string][]*member{}
+	for _, id := range slices.Sorted(maps.Keys(d.members)) {
+		known := d.members[id]
+		d.byService[known.instance.Service] = append(d.byService[known.instance.Service], known)
+	}
+	return gone
+}
+
+// Size returns the number of instances.
+func (d *Directory) Size() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.members)
+}
+
+// Loads returns this gateway's requests in flight by instance, without zeros.
+func (d *Directory) Loads() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	loads := map[string]int{}
+	for id, known := range d.members {
+		if known.inFlight > 0 {
+			loads[id] = known.inFlight
+		}
+	}
+	return loads
+}
+
+// RemoteLoads takes in another gateway's requests in flight.
+func (d *Directory) RemoteLoads(now time.Time, gateway string, loads map[string]int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, known := range d.members {
+		if requests := loads[id]; requests > 0 {
+			known.remote[gateway] = remoteLoad{requests: requests, at: now}
+		} else {
+			delete(known.remote, gateway)
+		}
+	}
+}
+
+// Ended is what is learned from the end of an exchange.
+type Ended uint8
+
+const (
+	// Answered means that the instance spoke the protocol.
+	Answered Ended = iota + 1
+	// Unreachable means that no connection came up, or it went silent.
+	Unreachable
+	// Full means that the instance had no room.
+	Full
+)
+
+// End takes a request off an instance.
+func (d *Directory) End(now time.Time, id string, ended Ended) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known := d.members[id]
+	if known == nil {
+		return
+	}
+	known.inFlight--
+	switch ended {
+	case Answered:
+		known.failures = 0
+	case Unreachable:
+		known.failures++
+		avoid := min(suspicionMost, suspicionFirst<<min(known.failures-1, 4))
+		known.avoidUntil = now.Add(avoid)
+	case Full:
+		known.avoidUntil = now.Add(fullPause)
+	}
+}
--- /dev/null
+++ b/internal/backend/placement.go
@@ -0,0 +1,157 @@
+package backend
+
+import (
+	"slices"
+	"time"
+)
+
+// The predicted cost of a placement, in milliseconds. The figures come from the
+// engines' data sheet: 64.8 prompt tokens are read in a millisecond, between the
+// steps of the other requests.
+const (
+	// promptTokensPerMS is how fast an engine reads a prompt.
+	promptTokensPerMS = 64.8
+	// neighbourCost is what each running request adds to another's time, mostly by
+	// the reading of its prompt.
+	neighbourCost = 10.0
+	// queuedCost is what each request beyond the slots adds, divided by the slots.
+	queuedCost = 280.0
+	// zoneCost is the way to another zone and back.
+	zoneCost = 3.0
+	// plainQueuedCost is the wait behind one request of a plain service.
+	plainQueuedCost = 60.0
+	// fullPause is how long an instance that refused for lack of room is avoided.
+	fullPause = 40 * time.Millisecond
+	// cacheLife is how long a prompt part is believed to stay in an engine's memory.
+	cacheLife = 8 * time.Second
+)
+
+// Part is one part of a prompt, which requests may share.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Demand is what a request needs.
+type Demand struct {
+	Service string
+	// Generates is true for model engines.
+	Generates bool
+	// Parts are the parts of the prompt, in order.
+	Parts []Part
+	// Preferred is the instance that ran the previous turn, or "".
+	Preferred string
+	// Exclude lists instances that were tried.
+	Exclude []string
+}
+
+// Choice is where a request goes and why.
+type Choice struct {
+	Instance Instance
+	// Load is the requests believed to be there, Cost the predicted cost in ms.
+	Load int
+	Cost float64
+	// Candidates is how many instances were compared.
+	Candidates int
+}
+
+// Pick chooses the instance with the least predicted cost and counts the request
+// there. The caller must call End. It reports false when there is no instance that
+// may get new work.
+func (d *Directory) Pick(now time.Time, demand Demand) (Choice, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	candidates := d.candidates(now, demand)
+	if len(candidates) == 0 {
+		return Choice{}, false
+	}
+	d.turn++
+	var best *member
+	choice := Choice{Candidates: len(candidates)}
+	for i := range candidates {
+		// Ties go to another instance each time, or all gateways would choose alike.
+		candidate := candidates[(i+d.turn)%len(candidates)]
+		load := candidate.load(now)
+		cost := d.cost(now, candidate, load, demand)
+		if best == nil || cost < choice.Cost {
+			best = candidate
+			choice.Load, choice.Cost = load, cost
+		}
+	}
+	best.inFlight++
+	best.cache.add(now, demand.Parts)
+	choice.Instance = best.instance
+	return choice, true
+}
+
+// candidates leaves out leaving, excluded and suspected instances; the suspected
+// come back in when there are no others.
+func (d *Directory) candidates(now time.Time, demand Demand) []*member {
+	var sound, suspected []*member
+	for _, known := range d.byService[demand.Service] {
+		if known.instance.Leaving || slices.Contains(demand.Exclude, known.instance.ID) {
+			continue
+		}
+		if now.Before(known.avoidUntil) {
+			suspected = append(suspected, known)
+			continue
+		}
+		sound = append(sound, known)
+	}
+	if len(sound) == 0 {
+		return suspected
+	}
+	return sound
+}
+
+func (d *Directory) cost(now time.Time, candidate *member, load int, demand Demand) float64 {
+	cost := 0.0
+	if candidate.instance.Zone != d.zone {
+		cost += zoneCost
+	}
+	slots := max(1, candidate.instance.Slots)
+	if !demand.Generates {
+		return cost + float64(load) + plainQueuedCost*float64(max(0, load-slots+1))
+	}
+	cost += neighbourCost*float64(load) + queuedCost*float64(max(0, load-slots+1))/float64(slots)
+	missing := candidate.cache.missing(now, demand.Parts)
+	if candidate.instance.ID == demand.Preferred && len(demand.Parts) > 0 {
+		missing = min(missing, demand.Parts[len(demand.Parts)-1].Tokens)
+	}
+	return cost + float64(missing)/promptTokensPerMS
+}
+
+// promptCache is what this gateway believes an engine's memory to hold.
+type promptCache map[string]time.Time
+
+func newPromptCache() promptCache { return promptCache{} }
+
+// missing returns the tokens that the engine would have to read: a part counts as
+// held only if all before it are.
+func (c promptCache) missing(now time.Time, parts []Part) int {
+	missing, intact := 0, true
+	for _, part := range parts {
+		usedAt, known := c[part.ID]
+		intact = intact && known && now.Sub(usedAt) < cacheLife
+		if !intact {
+			missing += part.Tokens
+		}
+	}
+	return missing
+}
+
+// add notes the parts of a request that goes to the engine.
+func (c promptCache) add(now time.Time, parts []Part) {
+	const sweepSize = 2048
+	for _, part := range parts {
+		c[part.ID] = now
+	}
+	if len(c) < sweepSize {
+		return
+	}
+	for id, usedAt := range c {
+		if now.Sub(usedAt) >= cacheLife {
+			delete(c, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/backend/pool.go
@@ -0,0 +1,119 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"swiftbank.dev/swiftbank/internal/peer"
+)
+
+const (
+	// connectTimeout bounds the wait for a connection to an instance.
+	connectTimeout = 300 * time.Millisecond
+	// idleDefault is how long a kept connection may rest when the instance does not
+	// say; idleMargin is kept away from what it says.
+	idleDefault = 4 * time.Second
+	idleMargin  = 600 * time.Millisecond
+	// readBuffer is the size of a connection's read buffer.
+	readBuffer = 4 << 10
+)
+
+// connection is one connection to an instance. It carries one request at a time.
+type connection struct {
+	net.Conn
+	reader *bufio.Reader
+	// reused is true from the second request on.
+	reused bool
+	// idleUntil is when the instance may close it.
+	idleUntil time.Time
+}
+
+// Pool keeps connections to instances. It is safe for concurrent use.
+type Pool struct {
+	// Opened counts new connections, for the metrics.
+	Opened func()
+
+	mu   sync.Mutex
+	idle map[string][]*connection
+}
+
+// NewPool returns an empty pool.
+func NewPool(opened func()) *Pool {
+	return &Pool{Opened: opened, idle: map[string][]*connection{}}
+}
+
+// take returns a kept connection that is still sound, or a new one.
+func (p *Pool) take(ctx context.Context, instance Instance) (*connection, error) {
+	now := time.Now()
+	for {
+		kept := p.pop(instance.ID)
+		if kept == nil {
+			break
+		}
+		if now.Before(kept.idleUntil) && quiet(kept.Conn) {
+			kept.reused = true
+			return kept, nil
+		}
+		_ = kept.Close()
+	}
+	p.Opened()
+	opened, err := peer.Dialer(connectTimeout).DialContext(ctx, "tcp", instance.Address)
+	if err != nil {
+		return nil, err
+	}
+	return &connection{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer)}, nil
+}
+
+// pop takes the connection that was used last.
+func (p *Pool) pop(id string) *connection {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[id]
+	if len(kept) == 0 {
+		return nil
+	}
+	last := kept[len(kept)-1]
+	p.idle[id] = kept[:len(kept)-1]
+	return last
+}
+
+// put keeps a connection for the next request.
+func (p *Pool) put(id string, kept *connection, idle time.Duration) {
+	kept.idleUntil = time.Now().Add(idle)
+	_ = kept.SetDeadline(time.Time{})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[id] = append(p.idle[id], kept)
+}
+
+// Forget closes the kept connections of an instance that is gone.
+func (p *Pool) Forget(id string) {
+	p.mu.Lock()
+	kept := p.idle[id]
+	delete(p.idle, id)
+	p.mu.Unlock()
+	for _, connection := range kept {
+		_ = connection.Close()
+	}
+}
+
+// quiet reports whether a resting connection is open and has nothing to read. Bytes
+// that came unasked belong to no request.
+func quiet(connection net.Conn) bool {
+	raw, err := connection.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	silent := false
+	var one [1]byte
+	err = raw.Read(func(descriptor uintptr) bool {
+		_, _, receiveErr := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		silent = receiveErr == syscall.EAGAIN
+		return true
+	})
+	return err == nil && silent
+}
--- /dev/null
+++ b/internal/command/gateway.go
@@ -0,0 +1,106 @@
+package command
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/spf13/cobra"
+
+	"swiftbank.dev/swiftbank/internal/backend"
+	"swiftbank.dev/swiftbank/internal/gateway"
+	"swiftbank.dev/swiftbank/internal/quorum"
+	"swiftbank.dev/swiftbank/internal/registry"
+	"swiftbank.dev/swiftbank/internal/replicaset"
+	"swiftbank.dev/swiftbank/internal/settings"
+	"swiftbank.dev/swiftbank/platform"
+)
+
+// stopReserve is kept of the grace of a planned stop for the end of the process.
+const stopReserve = 600 * time.Millisecond
+
+func newGatewayCommand() *cobra.Command {
+	var flags fleetFlags
+	command := &cobra.Command{
+		Use:     "gateway",
+		Short:   "Run a gateway on the operators' platform until SIGTERM, then drain and exit",
+		Example: "  swiftbank gateway --settings gateway.yaml",
+		Args:    cobra.NoArgs,
+	}
+	flags.add(command)
+	command.RunE = func(command *cobra.Command, _ []string) error {
+		config, err := settings.LoadGateway(flags.settingsFile, flags.overrides)
+		if err != nil {
+			return exitWith(ExitUsage, err)
+		}
+		ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGTERM, syscall.SIGINT)
+		defer stop()
+		if err := runGateway(ctx, config, flags); err != nil {
+			return exitWith(ExitFailure, err)
+		}
+		return nil
+	}
+	return command
+}
+
+// runGateway runs until ctx ends and the requests in progress have.
+func runGateway(ctx context.Context, config settings.Gateway, flags fleetFlags) error {
+	process := newProcess(config.Member)
+	defer process.close()
+	// The sources, the replicas and the readiness answer live until the last request ended.
+	life, end := context.WithCancel(context.Background())
+	defer end()
+	metrics := gateway.NewMetrics(config.Node)
+	directory := backend.NewDirectory(config.Zone)
+	replicas := quorum.NewClient(life, config.Zone, process.log)
+	server := gateway.New(gateway.Options{
+		Node: config.Node, Zone: config.Zone, Dialect: platform.Dialect(), Directory: directory, Replicas: replicas,
+		Log: process.log, Metrics: metrics, Copies: config.TolerateMachines + 1,
+	})
+	gossip := gateway.NewGossip(config.Node, directory)
+	store := platform.NewStore(config.StoreAddress, metrics.StoreCall)
+	sources := &platform.Sources{
+		Store: store, Node: config.Node,
+		Contact: func(source string, err error) {
+			process.contact(source, err)
+			if source == platform.ConfigurationSource {
+				server.ConfigurationContact(err != nil)
+			}
+		},
+		Configuration: server.ConfigurationChanged,
+		BackEnds:      server.BackEndsChanged,
+		Registry:      func(objects []registry.Object) { server.RegistryChanged(objects, gossip) },
+	}
+	process.log.Info().Str("event", "start").Str("role", "gateway").Str("zone", config.Zone).
+		Str("callers", config.CallerAddress).Str("store", config.StoreAddress).Msg("")
+	var running conc.WaitGroup
+	running.Go(func() { sources.Run(life) })
+	running.Go(func() { process.failing("gossip", gossip.Run(life, config.PeerAddress)) })
+	running.Go(func() { process.failing("metrics", serveMetrics(life, config.MetricsAddress, metrics.Registry)) })
+	running.Go(func() {
+		process.failing("readiness", serveReady(life, config.ReadyAddress, platform.Dialect().ReadyPath, server.Ready))
+	})
+	running.Go(func() {
+		process.watchReload(life, func() (settings.Member, error) {
+			fresh, err := settings.LoadGateway(flags.settingsFile, flags.overrides)
+			return fresh.Member, err
+		})
+	})
+	running.Go(func() {
+		node := replicaset.Node{Name: config.Node, Role: replicaset.RoleGateway, Address: config.PeerAddress, Zone: config.Zone}
+		replicaset.Register(life, store, node, func(err error) { process.contact("registry", err) })
+	})
+	err := server.Serve(ctx, config.CallerAddress, config.Grace-stopReserve)
+	end()
+	process.log.Info().Str("event", "stop").Str("role", "gateway").AnErr("error", err).Msg("")
+	return err
+}
+
+// failing logs the end of a part that should run on.
+func (p *process) failing(part string, err error) {
+	if err != nil {
+		p.log.Error().Str("event", "part_failed").Str("part", part).Err(err).Msg("")
+	}
+}
--- /dev/null
+++ b/internal/gateway/events.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+)
+
+// event is one event of a stream.
+type event struct {
+	// raw is the event as it came, with the empty line that ends it.
+	raw []byte
+	id  string
+	// data is the content of its data lines.
+	data []byte
+}
+
+// eventReader cuts a stream of events at empty lines. An event that is not whole
+// is never returned.
+type eventReader struct {
+	source *bufio.Reader
+}
+
+func newEventReader(source *bufio.Reader) *eventReader { return &eventReader{source: source} }
+
+// errPartial says that the stream ended within an event.
+var errPartial = errors.New("the stream ended within an event")
+
+// next returns the next whole event, or io.EOF at the stream's end.
+func (r *eventReader) next() (event, error) {
+	var read event
+	for {
+		line, err := r.source.ReadBytes('\n')
+		if err == io.EOF && len(line)+len(read.raw) > 0 {
+			return event{}, errPartial
+		}
+		if err != nil {
+			return event{}, err
+		}
+		read.raw = append(read.raw, line...)
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 {
+			return read, nil
+		}
+		read.takeLine(line)
+	}
+}
+
+func (e *event) takeLine(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "id":
+		e.id = string(value)
+	case "data":
+		if e.data != nil {
+			e.data = append(e.data, '\n')
+		}
+		e.data = append(e.data, value...)
+	}
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics are a gateway's counters in the Prometheus format.
+type Metrics struct {
+	Registry    *prometheus.Registry
+	requests    *prometheus.CounterVec
+	latency     *prometheus.HistogramVec
+	reserve     prometheus.Histogram
+	commit      prometheus.Histogram
+	connections prometheus.Counter
+	sends       prometheus.Counter
+	store       *prometheus.CounterVec
+}
+
+// NewMetrics registers a gateway's metrics.
+func NewMetrics(node string) *Metrics {
+	labels := prometheus.Labels{"node": node}
+	histogram := func(name, help string) prometheus.HistogramOpts {
+		return prometheus.HistogramOpts{
+			Name: name, Help: help, ConstLabels: labels, Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
+		}
+	}
+	m := &Metrics{
+		Registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "swiftbank_requests_total", Help: "Requests by status and result.", ConstLabels: labels,
+		}, []string{"status", "result"}),
+		latency: prometheus.NewHistogramVec(histogram("swiftbank_request_seconds", "Time from a request's header to the end of its answer."), []string{"result"}),
+		reserve: prometheus.NewHistogram(histogram("swiftbank_reserve_seconds", "Time to reserve tokens and read a history.")),
+		commit:  prometheus.NewHistogram(histogram("swiftbank_commit_seconds", "Time to make a finished turn durable.")),
+		connections: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "swiftbank_backend_connections_total", Help: "Connections opened to instances.", ConstLabels: labels,
+		}),
+		sends: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "swiftbank_backend_sends_total", Help: "Requests sent to instances.", ConstLabels: labels,
+		}),
+		store: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "swiftbank_store_calls_total", Help: "Calls to the shared store by method and status.", ConstLabels: labels,
+		}, []string{"method", "status"}),
+	}
+	m.Registry.MustRegister(m.requests, m.latency, m.reserve, m.commit, m.connections, m.sends, m.store)
+	return m
+}
+
+// StoreCall counts a call to the shared store; status 0 is a call without an answer.
+func (m *Metrics) StoreCall(method string, status int) {
+	m.store.WithLabelValues(method, strconv.Itoa(status)).Inc()
+}
+
+func (m *Metrics) request(o *outcome, took time.Duration) {
+	m.requests.WithLabelValues(strconv.Itoa(o.status), o.result).Inc()
+	m.latency.WithLabelValues(o.result).Observe(took.Seconds())
+}
--- /dev/null
+++ b/internal/gateway/plain.go
@@ -0,0 +1,177 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"swiftbank.dev/swiftbank/internal/backend"
+	"swiftbank.dev/swiftbank/internal/route"
+	"swiftbank.dev/swiftbank/internal/verdict"
+	"swiftbank.dev/swiftbank/internal/wait"
+)
+
+const (
+	// maxRefusals is how many instances that refuse a request are asked in a row
+	// before the gateway pauses.
+	maxRefusals = 3
+	// refusalPause is the pause before instances that had no room are asked again.
+	refusalPause = 25 * time.Millisecond
+	// waitShare is the part of a request's time that may pass without an instance
+	// that takes it; the rest is left for a new attempt.
+	waitShare = 2
+	// largestAnswer bounds what is kept of an answer before it is passed on.
+	largestAnswer = 64 << 20
+)
+
+// attempt is one send to an instance.
+type attempt struct {
+	choice backend.Choice
+	answer *backend.Answer
+}
+
+// sendUntilTaken sends the request to one instance after another until one does
+// not refuse it. tried grows by each instance that was asked. A failure's verdict
+// says whether the request may have run.
+func (s *Server) sendUntilTaken(ctx context.Context, r *request, demand backend.Demand) (*attempt, *backend.Failure) {
+	giveUp := r.arrived.Add(r.deadline.Sub(r.arrived) / waitShare)
+	refused := 0
+	excluded := len(demand.Exclude)
+	last := &backend.Failure{Verdict: verdict.NotRun, Reason: "no instance is known to be sound"}
+	for {
+		choice, found := s.directory.Pick(time.Now(), demand)
+		if !found || refused >= maxRefusals {
+			if found {
+				s.directory.End(time.Now(), choice.Instance.ID, backend.Answered)
+			}
+			if time.Now().After(giveUp) || !wait.For(ctx, refusalPause) {
+				return nil, last
+			}
+			refused = 0
+			demand.Exclude = demand.Exclude[:excluded]
+			continue
+		}
+		sent, failure := s.send(ctx, r, choice)
+		if failure == nil {
+			return sent, nil
+		}
+		if failure.Verdict != verdict.NotRun || ctx.Err() != nil {
+			return nil, failure
+		}
+		last = failure
+		refused++
+		demand.Exclude = append(demand.Exclude, choice.Instance.ID)
+	}
+}
+
+// send makes one attempt. On success the caller must end it with done.
+func (s *Server) send(ctx context.Context, r *request, choice backend.Choice) (*attempt, *backend.Failure) {
+	r.outcome.sends++
+	r.outcome.instance = choice.Instance.ID
+	r.outcome.load, r.outcome.cost, r.outcome.candidates = choice.Load, choice.Cost, choice.Candidates
+	s.metrics.sends.Inc()
+	answer, failure := s.pool.Do(ctx, choice.Instance, s.call(r, choice.Instance))
+	if failure != nil {
+		ended := backend.Answered
+		if failure.Unreachable || ctx.Err() == nil {
+			ended = backend.Unreachable
+		}
+		s.directory.End(time.Now(), choice.Instance.ID, ended)
+		s.logSend(r, choice, failure)
+		return nil, failure
+	}
+	status := answer.Response.StatusCode
+	if answer.Response.Header.Get(s.dialect.NotExecuted) != "" || status == http.StatusMisdirectedRequest {
+		_, _ = io.Copy(io.Discard, answer.Body())
+		answer.Finish()
+		s.directory.End(time.Now(), choice.Instance.ID, backend.Full)
+		failure := &backend.Failure{Verdict: verdict.NotRun, Reason: "the instance refused with status " + strconv.Itoa(status)}
+		s.logSend(r, choice, failure)
+		return nil, failure
+	}
+	return &attempt{choice: choice, answer: answer}, nil
+}
+
+// logSend writes a send without a usable answer.
+func (s *Server) logSend(r *request, choice backend.Choice, failure *backend.Failure) {
+	s.log.Warn().Str("event", "send_failed").Str("id", r.id).Str("instance", choice.Instance.ID).
+		Str("verdict", failure.Verdict.String()).Str("reason", failure.Reason).Int("load", choice.Load).
+		Int64("since_ms", time.Since(r.arrived).Milliseconds()).Msg("")
+}
+
+// plain serves a request with one answer.
+func (s *Server) plain(ctx context.Context, w http.ResponseWriter, r *request) {
+	demand := backend.Demand{Service: r.service.Name}
+	for runs := 0; ; {
+		sent, failure := s.sendUntilTaken(ctx, r, demand)
+		if failure == nil {
+			failure = s.passAnswer(w, r, sent)
+			if failure == nil {
+				return
+			}
+		}
+		if failure.Verdict != verdict.NotRun {
+			runs++
+		}
+		if r.route.Kind == route.Safe && failure.Verdict != verdict.NotRun && runs < r.route.Attempts && ctx.Err() == nil {
+			demand.Exclude = append(demand.Exclude, r.outcome.instance)
+			continue
+		}
+		s.refuse(w, r, s.failed(ctx, r, failure, runs > 0))
+		return
+	}
+}
+
+// failed returns the truthful answer for a request without one of an instance.
+func (s *Server) failed(ctx context.Context, r *request, failure *backend.Failure, ran bool) *refusal {
+	late := ctx.Err() != nil || !time.Now().Before(r.deadline)
+	switch {
+	case !ran && failure.Verdict == verdict.NotRun:
+		return refuseFor(verdict.CodeOverloaded, fullRetry, failure.Reason)
+	case late:
+		return uncertain(http.StatusGatewayTimeout, failure.Reason)
+	default:
+		return uncertain(http.StatusBadGateway, failure.Reason)
+	}
+}
+
+// passAnswer reads a whole answer and hands it to the caller. An answer that is
+// not whole, or no answer of an instance, is a failure.
+func (s *Server) passAnswer(w http.ResponseWriter, r *request, sent *attempt) *backend.Failure {
+	answer := sent.answer
+	body, err := io.ReadAll(io.LimitReader(answer.Body(), largestAnswer))
+	if err != nil {
+		answer.Discard()
+		s.directory.End(time.Now(), sent.choice.Instance.ID, backend.Answered)
+		failure := &backend.Failure{Verdict: verdict.MayHaveRun, Reason: "the answer broke off: " + err.Error()}
+		s.logSend(r, sent.choice, failure)
+		return failure
+	}
+	answer.Finish()
+	s.directory.End(time.Now(), sent.choice.Instance.ID, backend.Answered)
+	response := answer.Response
+	if response.StatusCode/100 == 2 && response.Header.Get(s.dialect.Signature) == "" {
+		failure := &backend.Failure{Verdict: verdict.MayHaveRun, Reason: "the answer has no signature"}
+		s.logSend(r, sent.choice, failure)
+		return failure
+	}
+	copyHeader(w.Header(), response.Header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	r.outcome.status = response.StatusCode
+	r.outcome.result = "answered"
+	w.WriteHeader(response.StatusCode)
+	_, _ = w.Write(body)
+	return nil
+}
+
+// copyHeader passes an answer's headers on. The absence of a content type is kept.
+func copyHeader(to, from http.Header) {
+	for name, values := range passable(from) {
+		to[name] = values
+	}
+	if _, named := to["Content-Type"]; !named {
+		to["Content-Type"] = nil
+	}
+}
--- /dev/null
+++ b/internal/gateway/request.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"swiftbank.dev/swiftbank/internal/backend"
+	"swiftbank.dev/swiftbank/internal/route"
+)
+
+// request is one caller's attempt on its way through the gateway.
+type request struct {
+	id       string
+	arrived  time.Time
+	deadline time.Time
+	route    *route.Route
+	table    *route.Table
+	service  route.Service
+	host     string
+	method   string
+	target   string
+	header   http.Header
+	body     []byte
+	// outcome is filled in for the log line at the end.
+	outcome outcome
+}
+
+// outcome is what the log tells of a request.
+type outcome struct {
+	status     int
+	result     string
+	reason     string
+	instance   string
+	sends      int
+	load       int
+	cost       float64
+	candidates int
+	reserveMS  float64
+	firstMS    float64
+	commitMS   float64
+	events     int
+	others     int64
+}
+
+// hopHeaders concern one connection only and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// passable returns the headers that go on to the next hop.
+func passable(header http.Header) http.Header {
+	passed := make(http.Header, len(header))
+	for name, values := range header {
+		passed[name] = values
+	}
+	for value := range strings.SplitSeq(header.Get("Connection"), ",") {
+		if name := strings.TrimSpace(value); name != "" {
+			passed.Del(name)
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(passed, name)
+	}
+	return passed
+}
+
+// milliseconds reads a header of that unit; ok is false when it is absent or bad.
+func milliseconds(header http.Header, name string) (time.Duration, bool) {
+	value, err := strconv.ParseFloat(strings.TrimSpace(header.Get(name)), 64)
+	if err != nil || value < 0 {
+		return 0, false
+	}
+	return time.Duration(value * float64(time.Millisecond)), true
+}
+
+// mostTokens returns the most that the request may generate.
+func mostTokens(header http.Header, name string) int64 {
+	_, most, _ := strings.Cut(header.Get(name), ",")
+	value, _ := strconv.ParseInt(strings.TrimSpace(most), 10, 64)
+	return value
+}
+
+// promptParts reads ID:TOKENS pairs parted by commas.
+func promptParts(value string) []backend.Part {
+	if value == "" {
+		return nil
+	}
+	var parts []backend.Part
+	for field := range strings.SplitSeq(value, ",") {
+		id, tokens, _ := strings.Cut(strings.TrimSpace(field), ":")
+		count, err := strconv.Atoi(tokens)
+		if err == nil {
+			parts = append(parts, backend.Part{ID: id, Tokens: count})
+		}
+	}
+	return parts
+}
+
+// call returns the request as it goes to an instance, with the time that remains.
+func (s *Server) call(r *request, instance backend.Instance) backend.Call {
+	header := passable(r.header)
+	remaining := max(1, time.Until(r.deadline).Milliseconds())
+	header[s.dialect.Deadline] = []string{strconv.FormatInt(remaining, 10)}
+	header[s.dialect.ExpectedInstance] = []string{instance.ID}
+	if r.service.Generates {
+		header[s.dialect.Priority] = []string{strconv.Itoa(min(9, max(0, r.route.Priority)))}
+	}
+	return backend.Call{
+		Method: r.method, Target: r.target, Host: r.host, Header: header, Body: r.body, IDHeader: s.dialect.RequestID,
+	}
+}
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,261 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"swiftbank.dev/swiftbank/internal/backend"
+	"swiftbank.dev/swiftbank/internal/ledger"
+	"swiftbank.dev/swiftbank/internal/quorum"
+	"swiftbank.dev/swiftbank/internal/verdict"
+)
+
+// replicaPatience is how long a turn waits for the replicas before it is refused.
+const replicaPatience = 900 * time.Millisecond
+
+// turn is a streamed request on its way.
+type turn struct {
+	*request
+	program string
+	most    int64
+	// previous is the turn whose history goes before the caller's input.
+	previous    string
+	input       []byte
+	reservation *quorum.Reservation
+	durable     bool
+	// output is what later prompts hold of the answer.
+	output    []byte
+	events    int
+	lastEvent string
+	// begun is set once bytes went to the caller.
+	begun bool
+	ran   bool
+}
+
+// stream serves a request that is answered by events.
+func (s *Server) stream(ctx context.Context, w http.ResponseWriter, r *request) {
+	t := &turn{request: r, input: r.body, lastEvent: r.header.Get(s.dialect.LastEvent)}
+	if r.header.Get(s.dialect.TokenBudget) != "" {
+		t.program = r.header.Get(s.dialect.Program)
+	}
+	t.most = mostTokens(r.header, s.dialect.TokenCount)
+	if r.route.Retained {
+		t.previous = r.header.Get(s.dialect.PreviousTurn)
+	}
+	if failure := s.reserve(ctx, t); failure != nil {
+		s.refuse(w, r, failure)
+		return
+	}
+	if t.reservation != nil {
+		defer t.reservation.End()
+	}
+	failure := s.relay(ctx, w, t)
+	r.outcome.events = t.events
+	switch {
+	case failure == nil:
+	case t.begun:
+		s.settle(t)
+		r.outcome.status, r.outcome.result, r.outcome.reason = http.StatusOK, "broken_off", failure.Reason
+		panic(http.ErrAbortHandler) // the connection ends without the stream's end
+	default:
+		s.settle(t)
+		s.refuse(w, r, s.failed(ctx, r, failure, t.ran))
+	}
+}
+
+// reserve counts the turn against its program's budget and reads its history.
+func (s *Server) reserve(ctx context.Context, t *turn) *refusal {
+	if t.program == "" && t.previous == "" {
+		return nil
+	}
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, replicaPatience)
+	defer cancel()
+	charge := ledger.Charge{Turn: t.id, Tokens: t.most}
+	reservation, err := s.replicas.Reserve(ctx, t.program, charge, t.previous)
+	t.outcome.reserveMS = sinceMS(began)
+	s.metrics.reserve.Observe(time.Since(began).Seconds())
+	if err != nil {
+		s.settle(t)
+		return refuseFor(verdict.CodeUnavailable, replicaRetry, "too few replicas answered")
+	}
+	t.reservation = reservation
+	t.outcome.others = reservation.Others
+	if t.previous != "" && !reservation.Found {
+		s.settle(t)
+		return refuseFor(verdict.CodeUnavailable, replicaRetry, "the previous turn is not to be found now")
+	}
+	budget, _ := strconv.ParseInt(t.header.Get(s.dialect.TokenBudget), 10, 64)
+	if t.program != "" && reservation.Others+t.most > budget {
+		s.settle(t)
+		return &refusal{status: http.StatusPaymentRequired, code: verdict.CodeBudgetExhausted, reason: "the program's budget holds no further turn"}
+	}
+	if len(reservation.History) > 0 {
+		t.body = append(reservation.History, t.input...)
+	}
+	return nil
+}
+
+// settle replaces the reservation by what went to the caller.
+func (s *Server) settle(t *turn) {
+	if t.program == "" {
+		return
+	}
+	s.replicas.Settle(t.program, t.finalCharge())
+}
+
+func (t *turn) finalCharge() ledger.Charge {
+	return ledger.Charge{Turn: t.id, Tokens: int64(t.events * t.service.TokensPerEvent), Final: true}
+}
+
+// relay sends the turn to an instance and passes its events on, going on at
+// another send where the route allows that.
+func (s *Server) relay(ctx context.Context, w http.ResponseWriter, t *turn) *backend.Failure {
+	demand := backend.Demand{
+		Service: t.service.Name, Generates: t.service.Generates, Parts: promptParts(t.header.Get(s.dialect.PromptPrefix)),
+	}
+	if t.reservation != nil {
+		demand.Preferred = t.reservation.Instance
+	}
+	for runs := 0; ; {
+		sent, failure := s.sendUntilTaken(ctx, t.request, demand)
+		if failure == nil {
+			failure = s.pass(ctx, w, t, sent)
+			if failure == nil {
+				return nil
+			}
+		}
+		if failure.Verdict != verdict.NotRun {
+			t.ran = true
+			runs++
+		}
+		if failure.Verdict == verdict.Ran || !t.route.Resumable || runs > maxResumes || ctx.Err() != nil {
+			return failure
+		}
+		// The same instance goes on if it can: another one would be one more that runs
+		// the request.
+		demand.Preferred = t.outcome.instance
+		s.log.Info().Str("event", "stream_resumed").Str("id", t.id).Str("instance", t.outcome.instance).
+			Str("last_event", t.lastEvent).Int("events", t.events).Str("reason", failure.Reason).Msg("")
+	}
+}
+
+// maxResumes is how often one answer is taken up again.
+const maxResumes = 3
+
+// pass hands an instance's answer to the caller.
+func (s *Server) pass(ctx context.Context, w http.ResponseWriter, t *turn, sent *attempt) *backend.Failure {
+	response := sent.answer.Response
+	if response.StatusCode != http.StatusOK || response.Header.Get(s.dialect.Signature) == "" {
+		return s.passOther(w, t, sent)
+	}
+	failure := s.passEvents(ctx, w, t, sent)
+	s.directory.End(time.Now(), sent.choice.Instance.ID, backend.Answered)
+	if failure != nil {
+		sent.answer.Discard()
+		s.logSend(t.request, sent.choice, failure)
+		return failure
+	}
+	sent.answer.Finish()
+	return s.complete(ctx, t)
+}
+
+// passOther hands on an answer that is no stream.
+func (s *Server) passOther(w http.ResponseWriter, t *turn, sent *attempt) *backend.Failure {
+	if t.begun {
+		sent.answer.Discard()
+		s.directory.End(time.Now(), sent.choice.Instance.ID, backend.Answered)
+		return &backend.Failure{Verdict: verdict.MayHaveRun, Reason: "the stream was not taken up again"}
+	}
+	t.ran = true
+	failure := s.passAnswer(w, t.request, sent)
+	if failure == nil {
+		s.settle(t)
+	}
+	return failure
+}
+
+// passEvents passes each event on as it comes.
+func (s *Server) passEvents(ctx context.Context, w http.ResponseWriter, t *turn, sent *attempt) *backend.Failure {
+	events := newEventReader(sent.answer.Buffered())
+	flusher := http.NewResponseController(w)
+	for {
+		event, err := events.next()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return &backend.Failure{Verdict: verdict.MayHaveRun, Reason: "the stream broke off: " + err.Error()}
+		}
+		t.ran = true
+		if err := s.awaitReservation(ctx, t); err != nil {
+			return &backend.Failure{Verdict: verdict.Ran, Reason: "the reservation is not durable: " + err.Error()}
+		}
+		if !t.begun {
+			t.begun = true
+			t.outcome.firstMS = sinceMS(t.arrived)
+			copyHeader(w.Header(), sent.answer.Response.Header)
+			w.WriteHeader(http.StatusOK)
+		}
+		if _, err := w.Write(event.raw); err != nil {
+			return &backend.Failure{Verdict: verdict.Ran, Reason: "the caller left"}
+		}
+		if err := flusher.Flush(); err != nil {
+			return &backend.Failure{Verdict: verdict.Ran, Reason: "the caller left"}
+		}
+		t.take(event, s.dialect.LastEvent)
+	}
+}
+
+// take notes an event that went to the caller.
+func (t *turn) take(event event, lastEventHeader string) {
+	t.events++
+	if event.id != "" {
+		t.lastEvent = event.id
+		t.header = t.header.Clone()
+		t.header.Set(lastEventHeader, event.id)
+	}
+	t.output = append(t.output, event.data...)
+	t.output = append(t.output, '\n')
+}
+
+// awaitReservation holds the first event back until a quorum has synced the
+// reservation: tokens that reach a caller must be counted whatever is lost.
+func (s *Server) awaitReservation(ctx context.Context, t *turn) error {
+	if t.durable || t.program == "" {
+		return nil
+	}
+	if err := t.reservation.Durable(ctx); err != nil {
+		return err
+	}
+	t.durable = true
+	return nil
+}
+
+// complete makes the finished turn durable before the stream's end is passed on.
+func (s *Server) complete(ctx context.Context, t *turn) *backend.Failure {
+	t.outcome.status, t.outcome.result = http.StatusOK, "answered"
+	if !t.route.Retained {
+		s.settle(t)
+		return nil
+	}
+	began := time.Now()
+	commit := ledger.Commit{Program: t.program, Charge: t.finalCharge(), Turn: &ledger.Turn{
+		ID: t.id, Previous: t.previous, Input: t.input, Output: t.output,
+		Instance: t.outcome.instance, Retention: t.route.Retention,
+	}}
+	err := s.replicas.Commit(ctx, commit, s.options.Copies)
+	t.outcome.commitMS = sinceMS(began)
+	s.metrics.commit.Observe(time.Since(began).Seconds())
+	if err != nil {
+		return &backend.Failure{Verdict: verdict.Ran, Reason: "the turn is not durable: " + err.Error()}
+	}
+	return nil
+}
+
+func sinceMS(began time.Time) float64 {
+	return float64(time.Since(began).Microseconds()) / 1000
+}
--- /dev/null
+++ b/internal/ledger/messages.go
@@ -0,0 +1,153 @@
+// Package ledger is the state of one replica: finished turns as a tree of
+// immutable records, and the token charges of programs.
+//
+// Turns need no order and no leader. A turn is written once, under its own id, and
+// never changes; it is kept when enough disks have synced it, and any replica that
+// has it may answer a read.
+//
+// Charges need quorums but no leader either. Each charge belongs to one turn and
+// goes from reserved (the most the turn may generate) to final (what it did).
+// A gateway adds its reservation at a quorum of voters and gets back, in the same
+// answer, all charges known there. Two quorums share a voter, and that voter saw
+// one of two reservations first, so of two concurrent ones at least one sees the
+// other: together they never exceed a budget unnoticed. Merging is a union in
+// which a final charge replaces the reservation, so answers may come in any order.
+//
+// State is a pure state machine: Step takes the time and a request and returns the
+// replies to send now, the records to sync, and the replies to send after that.
+package ledger
+
+import (
+	"time"
+
+	"swiftbank.dev/swiftbank/internal/replicaset"
+)
+
+// Turn is one finished turn of a line of turns. It never changes.
+type Turn struct {
+	ID string
+	// Previous is the turn it goes on from, or "".
+	Previous string
+	// Input is what the caller sent; Output what the engine answered, in the form in
+	// which later prompts hold it.
+	Input  []byte
+	Output []byte
+	// Instance is the engine that ran the turn, a hint for placement.
+	Instance string
+	// Retention is how long the turn and its chain are kept after it was used last.
+	Retention time.Duration
+}
+
+// Charge is what one turn counts against its program's budget, in tokens.
+type Charge struct {
+	Turn   string
+	Tokens int64
+	// Final is false for a reservation.
+	Final bool
+}
+
+// ProgramCharge is a charge with its program.
+type ProgramCharge struct {
+	Program string
+	Charge  Charge
+}
+
+// Request is one message to a replica. Exactly one of the pointers is set.
+type Request struct {
+	// Number pairs replies with requests of one connection.
+	Number uint64
+	// Epoch is the replica set's epoch the sender acts under; used by Reserve.
+	Epoch     uint64
+	Reserve   *Reserve
+	Commit    *Commit
+	Adopt     *Adopt
+	Inventory *Inventory
+	Fetch     *Fetch
+	Hello     *replicaset.Node
+}
+
+// Reserve asks for a reservation, for a turn's history, or for both.
+type Reserve struct {
+	// Program is "" when there is no budget to count against.
+	Program string
+	Charge  Charge
+	// History names the turn whose chain is asked for, or "".
+	History string
+}
+
+// Commit stores a finished turn, a final charge, or both.
+type Commit struct {
+	Turn    *Turn
+	Program string
+	Charge  Charge
+}
+
+// Adopt tells a replica of a newer membership. The durable reply means that it
+// refuses reservations under older epochs from now on, and carries all charges if
+// asked for.
+type Adopt struct {
+	Set         replicaset.Set
+	WithCharges bool
+}
+
+// Inventory asks which turns a replica has stored since a position.
+type Inventory struct {
+	// Boot is the replica's Boot the position belongs to; another value reads from
+	// the beginning.
+	Boot  string
+	After int
+	// From is the asking replica's disk: all up to After is durable there.
+	From string
+}
+
+// Fetch asks for turns by id.
+type Fetch struct {
+	IDs []string
+}
+
+// Reply is one message from a replica. A Reserve has two replies, first the
+// accepted one with the charges, then the durable one; the others have one.
+type Reply struct {
+	Number  uint64
+	Disk    string
+	Epoch   uint64
+	Durable bool
+	// Stale is set when the request's epoch is older than the replica's; the request
+	// had no effect.
+	Stale *replicaset.Set
+	// Reserve answers a Reserve at its first reply.
+	Reserve *ReserveReply
+	// Charges answers an Adopt with charges.
+	Charges   []ProgramCharge
+	Inventory *InventoryReply
+	Turns     []Turn
+}
+
+// ReserveReply is what a replica knows when it accepts a reservation.
+type ReserveReply struct {
+	// Recorded says that the reservation is part of this replica's state.
+	Recorded bool
+	// Charges are those of the program, this one included.
+	Charges []Charge
+	// Found says that the whole chain is here; History is its text, oldest first.
+	Found    bool
+	History  []byte
+	Instance string
+}
+
+// InventoryReply lists turn ids in the order in which they were stored.
+type InventoryReply struct {
+	Boot     string
+	IDs      []string
+	Position int
+	// More is set when there are further ids behind Position.
+	More bool
+}
+
+// Record is one entry of a replica's log. Exactly one of the fields is set.
+type Record struct {
+	Disk   string
+	Turn   *Turn
+	Charge *ProgramCharge
+	Set    *replicaset.Set
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,173 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"encoding/gob"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"swiftbank.dev/swiftbank/internal/wait"
+)
+
+const (
+	// queueMessages is how many messages may wait for a connection's writer.
+	queueMessages = 8192
+	// bufferBytes is the size of the buffers before encoder and decoder.
+	bufferBytes = 32 << 10
+	// redialDelay is the pause before the next try to reach a peer.
+	redialDelay = 100 * time.Millisecond
+)
+
+// Handler receives what happens on a link. Its methods are called from the link's
+// own goroutine, one at a time.
+type Handler[Receive any] interface {
+	// LinkUp says that a new connection stands; earlier messages may be lost.
+	LinkUp()
+	// LinkDown says that the connection ended.
+	LinkDown(err error)
+	// Received hands over one message.
+	Received(message Receive)
+}
+
+// Link keeps a connection to one peer and dials again when it ends.
+type Link[Send, Receive any] struct {
+	address string
+	handler Handler[Receive]
+	cancel  context.CancelFunc
+	running conc.WaitGroup
+
+	mu     sync.Mutex
+	sender *sender[Send]
+}
+
+// NewLink starts a link that lives until Close or until the context ends.
+func NewLink[Send, Receive any](ctx context.Context, address string, handler Handler[Receive]) *Link[Send, Receive] {
+	ctx, cancel := context.WithCancel(ctx)
+	link := &Link[Send, Receive]{address: address, handler: handler, cancel: cancel}
+	link.running.Go(func() { link.run(ctx) })
+	return link
+}
+
+// Send queues a message. It reports false when there is no connection or its
+// queue is full; a true result does not mean that the peer received it.
+func (l *Link[Send, Receive]) Send(message Send) bool {
+	l.mu.Lock()
+	sender := l.sender
+	l.mu.Unlock()
+	return sender != nil && sender.send(message)
+}
+
+// Close ends the link and waits for its goroutines. It must not be called from
+// the handler.
+func (l *Link[Send, Receive]) Close() {
+	l.cancel()
+	l.running.Wait()
+}
+
+// Abandon ends the link without waiting.
+func (l *Link[Send, Receive]) Abandon() { l.cancel() }
+
+func (l *Link[Send, Receive]) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		connection, err := Dialer(dialTimeout).DialContext(ctx, "tcp", l.address)
+		if err == nil {
+			err = l.serve(ctx, connection)
+			l.handler.LinkDown(err)
+		}
+		wait.For(ctx, redialDelay)
+	}
+}
+
+// serve reads the connection until it ends.
+func (l *Link[Send, Receive]) serve(ctx context.Context, connection net.Conn) error {
+	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
+	defer stop()
+	sender := newSender[Send](connection)
+	l.setSender(sender)
+	defer l.setSender(nil)
+	defer sender.close()
+	l.handler.LinkUp()
+	decoder := gob.NewDecoder(bufio.NewReaderSize(connection, bufferBytes))
+	for {
+		var message Receive
+		if err := decoder.Decode(&message); err != nil {
+			return err
+		}
+		l.handler.Received(message)
+	}
+}
+
+func (l *Link[Send, Receive]) setSender(sender *sender[Send]) {
+	l.mu.Lock()
+	l.sender = sender
+	l.mu.Unlock()
+}
+
+// sender encodes queued messages and writes all that wait in one call.
+type sender[Send any] struct {
+	connection net.Conn
+	queue      chan Send
+	closed     chan struct{}
+	once       sync.Once
+}
+
+func newSender[Send any](connection net.Conn) *sender[Send] {
+	s := &sender[Send]{connection: connection, queue: make(chan Send, queueMessages), closed: make(chan struct{})}
+	go s.run()
+	return s
+}
+
+func (s *sender[Send]) send(message Send) bool {
+	select {
+	case <-s.closed:
+		return false
+	default:
+	}
+	select {
+	case s.queue <- message:
+		return true
+	default:
+		return false
+	}
+}
+
+func (s *sender[Send]) close() {
+	s.once.Do(func() {
+		close(s.closed)
+		_ = s.connection.Close()
+	})
+}
+
+func (s *sender[Send]) run() {
+	defer s.close()
+	buffer := bufio.NewWriterSize(s.connection, bufferBytes)
+	encoder := gob.NewEncoder(buffer)
+	for {
+		select {
+		case <-s.closed:
+			return
+		case message := <-s.queue:
+			if encoder.Encode(message) != nil || s.drain(encoder) != nil || buffer.Flush() != nil {
+				return
+			}
+		}
+	}
+}
+
+// drain encodes what else waits, so that it travels in the same write.
+func (s *sender[Send]) drain(encoder *gob.Encoder) error {
+	for {
+		select {
+		case message := <-s.queue:
+			if err := encoder.Encode(message); err != nil {
+				return err
+			}
+		default:
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/quorum/client.go
@@ -0,0 +1,415 @@
+package quorum
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"swiftbank.dev/swiftbank/internal/ledger"
+	"swiftbank.dev/swiftbank/internal/peer"
+	"swiftbank.dev/swiftbank/internal/replicaset"
+)
+
+const (
+	// historyPatience is how long the nearest replica may take to hand over a
+	// history before the others are asked as well.
+	historyPatience = 25 * time.Millisecond
+	// settleLimit is how long a final charge without a waiting caller is repeated.
+	settleLimit = 5 * time.Second
+)
+
+// ErrNoQuorum says that too few replicas answered in time. What was asked for may
+// or may not be recorded.
+var ErrNoQuorum = errors.New("quorum: too few replicas answered in time")
+
+// Client sends requests to the replicas. It is safe for concurrent use.
+type Client struct {
+	context context.Context
+	zone    string
+	log     *log.Logger
+
+	mu         sync.Mutex
+	set        replicaset.Set
+	replicas   []*replicaLink
+	number     uint64
+	operations map[uint64]*operation
+}
+
+// operation is a request that waits for replies.
+type operation struct {
+	request ledger.Request
+	tally   *Tally
+	// changed is signalled after each reply.
+	changed chan struct{}
+	// votersOnly requests are of no use to other replicas.
+	votersOnly bool
+	// nearest is the replica that is asked for the history, or nil.
+	nearest *replicaLink
+	// everywhere is set once all replicas are asked for the history.
+	everywhere bool
+}
+
+// replicaLink is the connection to one replica.
+type replicaLink struct {
+	client *Client
+	node   replicaset.Node
+	link   *peer.Link[ledger.Request, ledger.Reply]
+	up     bool
+}
+
+// NewClient returns a client that knows no replicas yet.
+func NewClient(ctx context.Context, zone string, logger *log.Logger) *Client {
+	return &Client{context: ctx, zone: zone, log: logger, operations: map[uint64]*operation{}}
+}
+
+// SetReplicas takes in the replicas that the registry lists, and the replica set.
+func (c *Client) SetReplicas(nodes []replicaset.Node, set replicaset.Set) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var kept []*replicaLink
+	for _, node := range nodes {
+		if node.Leaving {
+			continue
+		}
+		kept = append(kept, c.linkTo(node))
+	}
+	for _, old := range c.replicas {
+		if !slices.Contains(kept, old) {
+			old.link.Abandon()
+		}
+	}
+	slices.SortStableFunc(kept, func(a, b *replicaLink) int {
+		if near := cmp.Compare(c.distance(a), c.distance(b)); near != 0 {
+			return near
+		}
+		return cmp.Compare(a.node.Name, b.node.Name)
+	})
+	c.replicas = kept
+	c.adopt(set)
+}
+
+func (c *Client) distance(replica *replicaLink) int {
+	if replica.node.Zone == c.zone {
+		return 0
+	}
+	return 1
+}
+
+// linkTo returns the present link to the node, or a new one.
+func (c *Client) linkTo(node replicaset.Node) *replicaLink {
+	for _, present := range c.replicas {
+		if present.node.Name == node.Name && present.node.Address == node.Address {
+			present.node = node
+			return present
+		}
+	}
+	fresh := &replicaLink{client: c, node: node}
+	fresh.link = peer.NewLink[ledger.Request, ledger.Reply](c.context, node.Address, fresh)
+	return fresh
+}
+
+// adopt takes in a newer set, tells the replicas, and sends again what was
+// accepted under older ones only. The caller holds the lock.
+func (c *Client) adopt(set replicaset.Set) {
+	if set.Epoch <= c.set.Epoch {
+		return
+	}
+	c.log.Info().Str("event", "set_changed").Uint64("from", c.set.Epoch).Uint64("epoch", set.Epoch).
+		Int("voters", len(set.Voters)).Msg("")
+	c.set = set
+	for _, replica := range c.replicas {
+		replica.link.Send(ledger.Request{Adopt: &ledger.Adopt{Set: set}})
+	}
+	for _, pending := range c.operations {
+		for _, replica := range c.replicas {
+			c.send(replica, pending)
+		}
+		pending.signal()
+	}
+}
+
+// Ready reports whether a quorum of the replica set is connected.
+func (c *Client) Ready() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	up := 0
+	for _, replica := range c.replicas {
+		if replica.up && c.set.Has(replica.node.Disk) {
+			up++
+		}
+	}
+	return len(c.set.Voters) > 0 && up >= c.set.Quorum()
+}
+
+// Epoch returns the epoch of the newest known replica set.
+func (c *Client) Epoch() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.set.Epoch
+}
+
+// Reservation is an accepted reservation.
+type Reservation struct {
+	client    *Client
+	number    uint64
+	operation *operation
+	// Others is what the program's other turns are charged, in tokens.
+	Others int64
+	// History is the text of the turn asked for; Instance ran it last.
+	History  []byte
+	Instance string
+	// Found is false when every replica that answered lacks the history.
+	Found bool
+}
+
+// Reserve adds a reservation at a quorum and reads a history. program "" reserves
+// nothing; history "" reads nothing. It returns once a quorum has accepted, though
+// not yet synced, and the history is there or found nowhere.
+func (c *Client) Reserve(ctx context.Context, program string, charge ledger.Charge, history string) (*Reservation, error) {
+	pending := &operation{
+		request:    ledger.Request{Reserve: &ledger.Reserve{Program: program, Charge: charge, History: history}},
+		votersOnly: true,
+	}
+	number := c.begin(pending)
+	reservation := &Reservation{client: c, number: number, operation: pending}
+	patience := time.NewTimer(historyPatience)
+	defer patience.Stop()
+	for {
+		if c.settled(reservation, program, charge.Turn, history) {
+			return reservation, nil
+		}
+		select {
+		case <-pending.changed:
+		case <-patience.C:
+			c.askEverywhere(pending)
+		case <-ctx.Done():
+			c.end(number)
+			return nil, ErrNoQuorum
+		}
+	}
+}
+
+// settled reports whether the reservation is complete, and fills it in.
+func (c *Client) settled(reservation *Reservation, program, turn, history string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	pending := reservation.operation
+	if program != "" && !pending.tally.Accepted(c.set) {
+		return false
+	}
+	if history != "" && !pending.tally.Found {
+		if !pending.everywhere && pending.tally.missing[c.diskOf(pending.nearest)] {
+			c.askEverywhereLocked(pending)
+		}
+		if !pending.everywhere || !c.allMissing(pending) {
+			return false
+		}
+	}
+	reservation.Others = pending.tally.Others(turn)
+	reservation.Found = pending.tally.Found
+	reservation.History = pending.tally.History
+	reservation.Instance = pending.tally.Instance
+	return true
+}
+
+func (c *Client) diskOf(replica *replicaLink) string {
+	if replica == nil {
+		return ""
+	}
+	return replica.node.Disk
+}
+
+// allMissing reports whether all connected replicas said that they lack the
+// history.
+func (c *Client) allMissing(pending *operation) bool {
+	asked := 0
+	for _, replica := range c.replicas {
+		if !replica.up {
+			continue
+		}
+		asked++
+		if !pending.tally.missing[replica.node.Disk] {
+			return false
+		}
+	}
+	return asked > 0
+}
+
+func (c *Client) askEverywhere(pending *operation) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.askEverywhereLocked(pending)
+}
+
+func (c *Client) askEverywhereLocked(pending *operation) {
+	if pending.everywhere || pending.request.Reserve.History == "" || pending.tally.Found {
+		return
+	}
+	pending.everywhere = true
+	pending.tally.missing = map[string]bool{}
+	for _, replica := range c.replicas {
+		c.send(replica, pending)
+	}
+}
+
+// Durable waits until the reservation is on the disks of a quorum.
+func (r *Reservation) Durable(ctx context.Context) error {
+	return r.client.await(ctx, r.operation, func() bool { return r.operation.tally.Durable(r.client.set) })
+}
+
+// End stops repeating the reservation to replicas that were out of reach.
+func (r *Reservation) End() { r.client.end(r.number) }
+
+// Commit stores a finished turn with its final charge and waits until so many disks
+// hold it.
+func (c *Client) Commit(ctx context.Context, commit ledger.Commit, copies int) error {
+	pending := &operation{request: ledger.Request{Commit: &commit}}
+	number := c.begin(pending)
+	err := c.await(ctx, pending, func() bool { return pending.tally.Copies() >= copies })
+	if err != nil {
+		c.end(number)
+		return err
+	}
+	// The other replicas get it too; those out of reach catch up later.
+	c.end(number)
+	return nil
+}
+
+// Settle records a final charge without a caller that waits for it.
+func (c *Client) Settle(program string, charge ledger.Charge) {
+	pending := &operation{
+		request:    ledger.Request{Commit: &ledger.Commit{Program: program, Charge: charge}},
+		votersOnly: true,
+	}
+	number := c.begin(pending)
+	go func() {
+		ctx, cancel := context.WithTimeout(c.context, settleLimit)
+		defer cancel()
+		_ = c.await(ctx, pending, func() bool { return pending.tally.Durable(c.set) })
+		c.end(number)
+	}()
+}
+
+// await waits for a condition, which is checked under the lock after each reply.
+func (c *Client) await(ctx context.Context, pending *operation, met func() bool) error {
+	for {
+		c.mu.Lock()
+		done := met()
+		c.mu.Unlock()
+		if done {
+			return nil
+		}
+		select {
+		case <-pending.changed:
+		case <-ctx.Done():
+			return ErrNoQuorum
+		}
+	}
+}
+
+func (c *Client) begin(pending *operation) uint64 {
+	pending.tally = NewTally()
+	pending.changed = make(chan struct{}, 1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.number++
+	pending.request.Number = c.number
+	c.operations[c.number] = pending
+	for _, replica := range c.replicas {
+		if replica.up {
+			pending.nearest = replica
+			break
+		}
+	}
+	for _, replica := range c.replicas {
+		c.send(replica, pending)
+	}
+	return c.number
+}
+
+func (c *Client) end(number uint64) {
+	c.mu.Lock()
+	delete(c.operations, number)
+	c.mu.Unlock()
+}
+
+// send sends an operation to one replica, as far as it concerns it.
+func (c *Client) send(replica *replicaLink, pending *operation) {
+	request := pending.request
+	request.Epoch = c.set.Epoch
+	voter := c.set.Has(replica.node.Disk)
+	if request.Reserve != nil {
+		reserve := *request.Reserve
+		if reserve.History != "" && !pending.everywhere && replica != pending.nearest {
+			reserve.History = ""
+		}
+		if !voter {
+			reserve.Program = ""
+		}
+		if reserve.History == "" && reserve.Program == "" {
+			return
+		}
+		request.Reserve = &reserve
+	} else if pending.votersOnly && !voter {
+		return
+	}
+	replica.link.Send(request)
+}
+
+// LinkUp implements peer.Handler: it repeats what this replica has not answered.
+func (r *replicaLink) LinkUp() {
+	c := r.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r.up = true
+	c.log.Info().Str("event", "dependency_regained").Str("dependency", "replica").Str("peer", r.node.Name).Msg("")
+	if c.set.Epoch > 0 {
+		r.link.Send(ledger.Request{Adopt: &ledger.Adopt{Set: c.set}})
+	}
+	for _, pending := range c.operations {
+		c.send(r, pending)
+		pending.signal()
+	}
+}
+
+// LinkDown implements peer.Handler.
+func (r *replicaLink) LinkDown(err error) {
+	c := r.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r.up = false
+	c.log.Warn().Str("event", "dependency_lost").Str("dependency", "replica").Str("peer", r.node.Name).AnErr("error", err).Msg("")
+	for _, pending := range c.operations {
+		pending.signal()
+	}
+}
+
+// Received implements peer.Handler.
+func (r *replicaLink) Received(reply ledger.Reply) {
+	c := r.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r.node.Disk = reply.Disk
+	if reply.Stale != nil {
+		c.adopt(*reply.Stale)
+		return
+	}
+	pending := c.operations[reply.Number]
+	if pending == nil {
+		return
+	}
+	pending.tally.Add(reply)
+	pending.signal()
+}
+
+func (o *operation) signal() {
+	select {
+	case o.changed <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/replica/metrics.go
@@ -0,0 +1,87 @@
+package replica
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"swiftbank.dev/swiftbank/internal/ledger"
+)
+
+// Metrics are a replica's counters in the Prometheus format.
+type Metrics struct {
+	Registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	syncs    prometheus.Histogram
+	batch    prometheus.Histogram
+	epoch    prometheus.Gauge
+	turns    prometheus.Gauge
+	programs prometheus.Gauge
+	bytes    prometheus.Gauge
+	store    *prometheus.CounterVec
+}
+
+// NewMetrics registers a replica's metrics.
+func NewMetrics(node string) *Metrics {
+	labels := prometheus.Labels{"node": node}
+	gauge := func(name, help string) prometheus.Gauge {
+		return prometheus.NewGauge(prometheus.GaugeOpts{Name: name, Help: help, ConstLabels: labels})
+	}
+	m := &Metrics{
+		Registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "swiftbank_replica_requests_total", Help: "Requests by kind.", ConstLabels: labels,
+		}, []string{"kind"}),
+		syncs: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "swiftbank_replica_sync_seconds", Help: "Time of one write and sync.", ConstLabels: labels,
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 14),
+		}),
+		batch: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "swiftbank_replica_sync_records", Help: "Records made durable by one sync.", ConstLabels: labels,
+			Buckets: prometheus.ExponentialBuckets(1, 2, 12),
+		}),
+		epoch:    gauge("swiftbank_replica_epoch", "Epoch of the adopted replica set."),
+		turns:    gauge("swiftbank_replica_turns", "Turns kept."),
+		programs: gauge("swiftbank_replica_programs", "Programs with charges."),
+		bytes:    gauge("swiftbank_replica_turn_bytes", "Bytes of input and output kept."),
+	}
+	m.store = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "swiftbank_store_calls_total", Help: "Calls to the shared store by method and status.", ConstLabels: labels,
+	}, []string{"method", "status"})
+	m.Registry.MustRegister(m.store, m.requests, m.syncs, m.batch, m.epoch, m.turns, m.programs, m.bytes)
+	return m
+}
+
+// StoreCall counts a call to the shared store; status 0 is a call without an answer.
+func (m *Metrics) StoreCall(method string, status int) {
+	m.store.WithLabelValues(method, strconv.Itoa(status)).Inc()
+}
+
+func (m *Metrics) observeSync(took time.Duration, records int) {
+	m.syncs.Observe(took.Seconds())
+	m.batch.Observe(float64(records))
+}
+
+func (m *Metrics) observeState(state *ledger.State) {
+	turns, programs, bytes := state.Size()
+	m.epoch.Set(float64(state.Set().Epoch))
+	m.turns.Set(float64(turns))
+	m.programs.Set(float64(programs))
+	m.bytes.Set(float64(bytes))
+}
+
+func (m *Metrics) count(request ledger.Request) {
+	switch {
+	case request.Reserve != nil:
+		m.requests.WithLabelValues("reserve").Inc()
+	case request.Commit != nil:
+		m.requests.WithLabelValues("commit").Inc()
+	case request.Adopt != nil:
+		m.requests.WithLabelValues("adopt").Inc()
+	case request.Inventory != nil:
+		m.requests.WithLabelValues("inventory").Inc()
+	case request.Fetch != nil:
+		m.requests.WithLabelValues("fetch").Inc()
+	}
+}
--- /dev/null
+++ b/internal/replicaset/plan.go
@@ -0,0 +1,122 @@
+package replicaset
+
+import "time"
+
+// unreachableLimit is how long a voter must be out of reach before a joining
+// replica may take it out of the set. Its disk stays a source of records, and it
+// joins again when it returns.
+const unreachableLimit = 3 * time.Second
+
+// View is what a replica knows when it decides on the membership.
+type View struct {
+	// Own is this replica.
+	Own Voter
+	// Set is the newest membership read from the registry; HasSet is false while
+	// none was ever written.
+	Set    Set
+	HasSet bool
+	// Disks maps each node to the disk it last registered.
+	Disks map[string]string
+	// Adopted holds the disks that confirmed the set's epoch and whose charges this
+	// replica has read since.
+	Adopted map[string]bool
+	// Silence is how long each disk has been out of reach; zero for those in reach.
+	Silence map[string]time.Duration
+	// Leaving is set once this machine is to be emptied.
+	Leaving bool
+}
+
+// ChangeKind is what a Change does.
+type ChangeKind uint8
+
+// The changes of a membership.
+const (
+	// None means that there is nothing to do.
+	None ChangeKind = iota
+	// Wait means that a change is due but may not be made yet.
+	Wait
+	// Found writes the first set.
+	Found
+	// Remove takes one voter out.
+	Remove
+	// Add makes this replica a voter.
+	Add
+)
+
+// Change is the next step of the membership.
+type Change struct {
+	Kind ChangeKind
+	Next Set
+	// Reason is for the log.
+	Reason string
+}
+
+// Plan returns the next step that this replica may make.
+func Plan(view View) Change {
+	if !view.HasSet {
+		if view.Leaving {
+			return Change{Kind: None}
+		}
+		return Change{Kind: Found, Next: Set{Epoch: 1, Voters: []Voter{view.Own}}, Reason: "no set exists"}
+	}
+	if view.Set.Has(view.Own.Disk) {
+		return planMember(view)
+	}
+	if view.Leaving {
+		return Change{Kind: None}
+	}
+	return planJoin(view)
+}
+
+// planMember lets a leaving voter take itself out.
+func planMember(view View) Change {
+	if !view.Leaving {
+		return Change{Kind: None}
+	}
+	if len(view.Set.Voters) == 1 || !adoptedByQuorum(view) {
+		return Change{Kind: Wait, Reason: "the epoch is not adopted by a quorum"}
+	}
+	return Change{Kind: Remove, Next: view.Set.Without(view.Own.Disk), Reason: "this machine is to be emptied"}
+}
+
+func planJoin(view View) Change {
+	if !adoptedByQuorum(view) {
+		return Change{Kind: Wait, Reason: "the epoch is not adopted by a quorum"}
+	}
+	for _, voter := range view.Set.Voters {
+		if len(view.Set.Voters) == 1 {
+			break
+		}
+		if lost(view, voter) {
+			return Change{Kind: Remove, Next: view.Set.Without(voter.Disk), Reason: "its machine returned with another disk"}
+		}
+		if !view.Adopted[voter.Disk] && view.Silence[voter.Disk] >= unreachableLimit {
+			return Change{Kind: Remove, Next: view.Set.Without(voter.Disk), Reason: "out of reach while another replica joins"}
+		}
+	}
+	return Change{Kind: Add, Next: view.Set.With(view.Own), Reason: "caught up"}
+}
+
+// lost reports whether a voter's disk is known to be gone for good: its machine
+// registered another one.
+func lost(view View, voter Voter) bool {
+	disk, known := view.Disks[voter.Node]
+	return known && disk != voter.Disk
+}
+
+// adoptedByQuorum reports whether enough voters adopted the present epoch and
+// handed over their charges. Disks that are lost for good cannot answer; when the
+// rest is smaller than a quorum, all of the rest must have answered.
+func adoptedByQuorum(view View) bool {
+	adopted, remaining := 0, 0
+	for _, voter := range view.Set.Voters {
+		if lost(view, voter) {
+			continue
+		}
+		remaining++
+		if view.Adopted[voter.Disk] {
+			adopted++
+		}
+	}
+	return adopted >= min(view.Set.Quorum(), remaining)
+}
--- /dev/null
+++ b/internal/replicaset/set.go
@@ -0,0 +1,86 @@
+// Package replicaset is the membership of the replicas that count charges: which
+// disks are voters, under a rising epoch, and the rules by which it changes.
+//
+// The membership lies in the registry and is replaced under its revision, so one
+// chain of epochs exists. Neighbouring epochs differ by one voter, therefore their
+// quorums intersect (Ongaro's thesis, section 4.1). A replica refuses reservations
+// of an older epoch than it has adopted, and whoever changes the membership first
+// makes sure that a quorum has adopted the present one: so quorums that are two
+// epochs apart cannot both act.
+//
+// A voter is a disk, not a machine. A machine that returns with an empty disk is a
+// new voter and never answers as if it remembered.
+package replicaset
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+)
+
+// Voter is one disk whose answers count.
+type Voter struct {
+	// Node is the name of the machine.
+	Node string `json:"node"`
+	// Disk is drawn anew whenever a replica starts on an empty disk.
+	Disk string `json:"disk"`
+}
+
+// Set is one version of the membership.
+type Set struct {
+	Epoch  uint64  `json:"epoch"`
+	Voters []Voter `json:"voters"`
+}
+
+// Quorum returns how many voters must agree.
+func (s Set) Quorum() int { return len(s.Voters)/2 + 1 }
+
+// Has reports whether the disk is a voter.
+func (s Set) Has(disk string) bool {
+	return slices.ContainsFunc(s.Voters, func(v Voter) bool { return v.Disk == disk })
+}
+
+// With returns the next epoch's set with one more voter.
+func (s Set) With(voter Voter) Set {
+	return Set{Epoch: s.Epoch + 1, Voters: append(slices.Clone(s.Voters), voter)}
+}
+
+// Without returns the next epoch's set without one voter.
+func (s Set) Without(disk string) Set {
+	rest := slices.DeleteFunc(slices.Clone(s.Voters), func(v Voter) bool { return v.Disk == disk })
+	return Set{Epoch: s.Epoch + 1, Voters: rest}
+}
+
+// Encode returns the form kept in the registry.
+func (s Set) Encode() []byte {
+	content, _ := json.Marshal(s) // plain strings and numbers always encode
+	return content
+}
+
+// Decode reads the form kept in the registry.
+func Decode(content []byte) (Set, error) {
+	var set Set
+	if err := json.Unmarshal(content, &set); err != nil {
+		return Set{}, fmt.Errorf("replica set: %w", err)
+	}
+	return set, nil
+}
+
+// Node is what a process tells the others of itself in the registry.
+type Node struct {
+	Name string `json:"name"`
+	// Role is "replica" or "gateway".
+	Role    string `json:"role"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	// Disk is set for replicas.
+	Disk string `json:"disk,omitempty"`
+	// Leaving replicas get no new records.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// The roles of a Node.
+const (
+	RoleReplica = "replica"
+	RoleGateway = "gateway"
+)
--- /dev/null
+++ b/internal/settings/fleet.go
@@ -0,0 +1,72 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"time"
+)
+
+// Member holds what gateways and replicas both need. docs/OPERATIONS.md explains
+// each key.
+type Member struct {
+	Node string `koanf:"node" validate:"required"`
+	Zone string `koanf:"zone" validate:"required"`
+	// PeerAddress is where the product's own processes reach this one.
+	PeerAddress string `koanf:"peerAddress" validate:"required,hostname_port"`
+	// MetricsAddress serves the metrics.
+	MetricsAddress string `koanf:"metricsAddress" validate:"required,hostname_port"`
+	// StoreAddress is the platform's store.
+	StoreAddress string `koanf:"storeAddress" validate:"required,hostname_port"`
+	// MemoryMB is what the machine has; the process aims for well below it.
+	MemoryMB int `koanf:"memoryMB" validate:"gt=0"`
+	// Grace is how long a planned stop may take.
+	Grace time.Duration `koanf:"grace" validate:"gt=0"`
+	// TolerateMachines is how many machines with disks may be lost at once.
+	TolerateMachines int    `koanf:"tolerateMachines" validate:"gte=0,lte=3"`
+	LogLevel         string `koanf:"logLevel" validate:"oneof=debug info warn error"`
+}
+
+// Gateway holds the settings of a gateway.
+type Gateway struct {
+	Member `koanf:",squash"`
+	// CallerAddress is where callers reach it; ReadyAddress says whether new ones may come.
+	CallerAddress string `koanf:"callerAddress" validate:"required,hostname_port"`
+	ReadyAddress  string `koanf:"readyAddress" validate:"required,hostname_port"`
+}
+
+// Replica holds the settings of a replica.
+type Replica struct {
+	Member `koanf:",squash"`
+	// DataFolder is the only place that lasts.
+	DataFolder string `koanf:"dataFolder" validate:"required"`
+	DiskMB     int    `koanf:"diskMB" validate:"gt=0"`
+}
+
+func defaultMember() Member {
+	return Member{MemoryMB: 256, Grace: 8 * time.Second, TolerateMachines: 1, LogLevel: "info"}
+}
+
+// LoadGateway reads the settings of a gateway.
+func LoadGateway(path string, overrides []string) (Gateway, error) {
+	return loadFile(path, overrides, Gateway{Member: defaultMember()})
+}
+
+// LoadReplica reads the settings of a replica.
+func LoadReplica(path string, overrides []string) (Replica, error) {
+	return loadFile(path, overrides, Replica{Member: defaultMember()})
+}
+
+// Check reports the first thing that is wrong with the settings.
+func (g Gateway) Check() error { return checkFields(g) }
+
+// Check reports the first thing that is wrong with the settings.
+func (r Replica) Check() error {
+	if err := checkFields(r); err != nil {
+		return err
+	}
+	info, err := os.Stat(r.DataFolder)
+	if err != nil || !info.IsDir() {
+		return fmt.Errorf("dataFolder: %q is no folder; write the folder of the machine's disk", r.DataFolder)
+	}
+	return nil
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -74,56 +74,74 @@
 
 // Load reads the file and puts the overrides, given as "key=value", over it.
 func Load(path string, overrides []string) (Node, error) {
+	return loadFile(path, overrides, Default())
+}
+
+// checked are settings that can be wrong.
+type checked interface{ Check() error }
+
+// loadFile reads a file of settings over their defaults.
+func loadFile[T checked](path string, overrides []string, settings T) (T, error) {
+	var none T
 	content, err := os.ReadFile(path)
 	if err != nil {
-		return Node{}, fmt.Errorf("settings: %w", err)
+		return none, fmt.Errorf("settings: %w", err)
 	}
 	var values map[string]any
 	if err := yaml.Unmarshal(content, &values); err != nil {
-		return Node{}, fmt.Errorf("settings: %s: %w", path, err)
+		return none, fmt.Errorf("settings: %s: %w", path, err)
 	}
 	tree := koanf.New(".")
 	if err := tree.Load(confmap.Provider(values, "."), nil); err != nil {
-		return Node{}, fmt.Errorf("settings: %s: %w", path, err)
+		return none, fmt.Errorf("settings: %s: %w", path, err)
 	}
 	for _, override := range overrides {
 		key, value, found := strings.Cut(override, "=")
 		if !found {
-			return Node{}, fmt.Errorf("settings: --set %q: write it as key=value", override)
+			return none, fmt.Errorf("settings: --set %q: write it as key=value", override)
 		}
 		if err := tree.Set(key, value); err != nil {
-			return Node{}, fmt.Errorf("settings: --set %q: %w", override, err)
+			return none, fmt.Errorf("settings: --set %q: %w", override, err)
 		}
 	}
-	return decode(path, tree)
+	return decode(path, tree, settings)
 }
 
-func decode(path string, tree *koanf.Koanf) (Node, error) {
-	if unknown := unknownKeys(tree); len(unknown) > 0 {
-		return Node{}, fmt.Errorf("settings: %s: unknown key %s; known keys are %s",
-			path, strings.Join(unknown, ", "), strings.Join(knownKeys(reflect.TypeFor[Node](), ""), ", "))
+func decode[T checked](path string, tree *koanf.Koanf, settings T) (T, error) {
+	var none T
+	known := knownKeys(reflect.TypeFor[T](), "")
+	if unknown := unknownKeys(tree, known); len(unknown) > 0 {
+		return none, fmt.Errorf("settings: %s: unknown key %s; known keys are %s",
+			path, strings.Join(unknown, ", "), strings.Join(known, ", "))
 	}
-	node := Default()
-	if err := tree.Unmarshal("", &node); err != nil {
-		return Node{}, fmt.Errorf("settings: %s: %w", path, err)
+	if err := tree.Unmarshal("", &settings); err != nil {
+		return none, fmt.Errorf("settings: %s: %w", path, err)
 	}
-	if err := node.Check(); err != nil {
-		return Node{}, fmt.Errorf("settings: %s: %w", path, err)
+	if err := settings.Check(); err != nil {
+		return none, fmt.Errorf("settings: %s: %w", path, err)
 	}
-	return node, nil
+	return settings, nil
 }
 
 // Check reports the first thing that is wrong with the settings.
 func (n Node) Check() error {
+	if err := checkFields(n); err != nil {
+		return err
+	}
+	if !slices.ContainsFunc(n.Nodes, func(node topology.Node) bool { return node.ID == n.ID }) {
+		return fmt.Errorf("id: %q is not in the list of nodes; add it there with its zone and address", n.ID)
+	}
+	return nil
+}
+
+// checkFields reports the first field that breaks its validation tag.
+func checkFields(settings any) error {
 	check := validator.New(validator.WithRequiredStructEnabled())
 	check.RegisterTagNameFunc(func(field reflect.StructField) string { return field.Tag.Get("koanf") })
 	var failures validator.ValidationErrors
-	if errors.As(check.Struct(n), &failures) {
+	if errors.As(check.Struct(settings), &failures) {
 		return explain(failures[0])
 	}
-	if !slices.ContainsFunc(n.Nodes, func(node topology.Node) bool { return node.ID == n.ID }) {
-		return fmt.Errorf("id: %q is not in the list of nodes; add it there with its zone and address", n.ID)
-	}
 	return nil
 }
 
@@ -143,8 +161,7 @@
 	}
 }
 
-func unknownKeys(tree *koanf.Koanf) []string {
-	known := knownKeys(reflect.TypeFor[Node](), "")
+func unknownKeys(tree *koanf.Koanf, known []string) []string {
 	var unknown []string
 	for _, key := range tree.Keys() {
 		if !slices.Contains(known, key) {
@@ -159,6 +176,10 @@
 	var keys []string
 	for i := range structure.NumField() {
 		field := structure.Field(i)
+		if field.Anonymous {
+			keys = append(keys, knownKeys(field.Type, prefix)...)
+			continue
+		}
 		name := prefix + field.Tag.Get("koanf")
 		if field.Type.Kind() == reflect.Struct {
 			keys = append(keys, knownKeys(field.Type, name+".")...)
