--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -97,6 +97,11 @@
 	p.log.Info().Str("event", "dependency_regained").Str("dependency", source).Msg("")
 }
 
+// storeCallFailed logs a call to the shared store that failed, or a wrong document.
+func (p *process) storeCallFailed(kind string, err error) {
+	p.log.Warn().Str("event", "store_call_failed").Str("kind", kind).Err(err).Msg("")
+}
+
 // serveMetrics serves the metrics until the context ends.
 func serveMetrics(ctx context.Context, address string, registry *prometheus.Registry) error {
 	router := httprouter.New()
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -63,12 +63,11 @@
 	store := platform.NewStore(config.StoreAddress, metrics.StoreCall)
 	sources := &platform.Sources{
 		Store: store, Node: config.Node,
-		Contact: func(source string, err error) {
-			process.contact(source, err)
-			if source == platform.ConfigurationSource {
-				server.ConfigurationContact(err != nil)
-			}
+		Contact: func(err error) {
+			process.contact("store", err)
+			server.ConfigurationContact(err != nil)
 		},
+		Failed:        process.storeCallFailed,
 		Configuration: server.ConfigurationChanged,
 		BackEnds:      server.BackEndsChanged,
 		Registry:      func(objects []registry.Object) { server.RegistryChanged(objects, gossip) },
@@ -90,7 +89,7 @@
 	})
 	running.Go(func() {
 		node := replicaset.Node{Name: config.Node, Role: replicaset.RoleGateway, Address: config.PeerAddress, Zone: config.Zone}
-		replicaset.Register(life, store, node, func(err error) { process.contact("registry", err) })
+		replicaset.Register(life, store, node, func(err error) { process.storeCallFailed("register", err) })
 	})
 	err := server.Serve(ctx, config.CallerAddress, config.Grace-stopReserve)
 	end()
--- a/internal/command/replica.go
+++ b/internal/command/replica.go
@@ -45,14 +45,15 @@
 	store := platform.NewStore(config.StoreAddress, metrics.StoreCall)
 	server, err := replica.New(replica.Options{
 		Node: config.Node, Zone: config.Zone, Address: config.PeerAddress, DataFolder: config.DataFolder,
-		DiskMB: config.DiskMB, Registry: store, Log: process.log, Metrics: metrics,
+		DiskMB: config.DiskMB, Tolerate: config.TolerateMachines, Registry: store, Log: process.log, Metrics: metrics,
 	})
 	if err != nil {
 		process.log.Error().Str("event", "start_failed").Err(err).Msg("")
 		return err
 	}
 	sources := &platform.Sources{
-		Store: store, Node: config.Node, Contact: process.contact,
+		Store: store, Node: config.Node, Failed: process.storeCallFailed,
+		Contact:  func(err error) { process.contact("store", err) },
 		Registry: server.RegistryChanged, Emptied: server.Leave,
 	}
 	var running conc.WaitGroup
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -116,7 +116,7 @@
 func (s *Server) view(now time.Time) replicaset.View {
 	view := replicaset.View{
 		Own: replicaset.Voter{Node: s.options.Node, Disk: s.state.Disk()},
-		Set: s.members.set, HasSet: s.members.hasSet, Leaving: s.members.leaving,
+		Set: s.members.set, HasSet: s.members.hasSet, Leaving: s.members.leaving, Tolerate: s.options.Tolerate,
 		Disks: map[string]string{s.options.Node: s.state.Disk()}, Adopted: map[string]bool{}, Silence: map[string]time.Duration{},
 	}
 	view.Adopted[s.state.Disk()] = s.state.Set().Epoch >= s.members.set.Epoch
@@ -128,6 +128,7 @@
 	for _, voter := range s.members.set.Voters {
 		peer := s.peers[voter.Node]
 		if peer == nil {
+			view.Silence[voter.Disk] = now.Sub(s.started)
 			continue
 		}
 		if peer.disk == voter.Disk && peer.adopted >= s.members.set.Epoch {
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -38,6 +38,8 @@
 	Address    string
 	DataFolder string
 	DiskMB     int
+	// Tolerate is how many machines with disks may be lost at once.
+	Tolerate int
 	Registry   registry.Registry
 	Log        *log.Logger
 	Metrics    *Metrics
@@ -195,7 +197,7 @@
 	case request.Reserve != nil && request.Reserve.History != "" && !output.Now[0].Reserve.Found:
 		s.log.Warn().Str("event", "history_missing").Str("id", request.Reserve.Charge.Turn).
 			Str("previous", request.Reserve.History).Int("position", s.state.Position()).Msg("")
-	case request.Adopt != nil:
+	case request.Adopt != nil && len(output.Records) > 0:
 		s.log.Info().Str("event", "set_adopted").Uint64("epoch", s.state.Set().Epoch).
 			Uint64("asked", request.Adopt.Set.Epoch).Int("voters", len(s.state.Set().Voters)).Msg("")
 	}
--- a/internal/replicaset/plan.go
+++ b/internal/replicaset/plan.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// unreachableLimit is how long a voter must be out of reach before a joining
-// replica may take it out of the set. Its disk stays a source of records, and it
-// joins again when it returns.
-const unreachableLimit = 3 * time.Second
+// unreachableLimit is how long a voter must be out of reach before it may be taken
+// out of the set. Its disk stays a source of records, and it joins again when it
+// returns.
+const unreachableLimit = 2 * time.Second
 
 // View is what a replica knows when it decides on the membership.
 type View struct {
@@ -22,6 +22,8 @@
 	Adopted map[string]bool
 	// Silence is how long each disk has been out of reach; zero for those in reach.
 	Silence map[string]time.Duration
+	// Tolerate is how many voters may be lost at once.
+	Tolerate int
 	// Leaving is set once this machine is to be emptied.
 	Leaving bool
 }
@@ -68,15 +70,42 @@
 	return planJoin(view)
 }
 
-// planMember lets a leaving voter take itself out.
+// planMember lets a leaving voter take itself out, and any voter take out another
+// one that weighs the quorum down.
 func planMember(view View) Change {
-	if !view.Leaving {
+	if view.Leaving {
+		if len(view.Set.Voters) == 1 || !adoptedByQuorum(view) {
+			return Change{Kind: Wait, Reason: "the epoch is not adopted by a quorum"}
+		}
+		return Change{Kind: Remove, Next: view.Set.Without(view.Own.Disk), Reason: "this machine is to be emptied"}
+	}
+	silent, due := silentVoter(view)
+	if !due {
 		return Change{Kind: None}
 	}
-	if len(view.Set.Voters) == 1 || !adoptedByQuorum(view) {
+	if !adoptedByQuorum(view) {
 		return Change{Kind: Wait, Reason: "the epoch is not adopted by a quorum"}
 	}
-	return Change{Kind: Remove, Next: view.Set.Without(view.Own.Disk), Reason: "this machine is to be emptied"}
+	return Change{Kind: Remove, Next: view.Set.Without(silent.Disk), Reason: "out of reach, and the rest tolerates a loss without it"}
+}
+
+// silentVoter returns a voter out of reach that should leave the set: with the
+// silent voters in it, the rest could not lose another one; without them, it could.
+// Where that gains nothing, a silent voter stays, for it may return before others go.
+func silentVoter(view View) (Voter, bool) {
+	var silent []Voter
+	for _, voter := range view.Set.Voters {
+		if voter != view.Own && view.Silence[voter.Disk] >= unreachableLimit {
+			silent = append(silent, voter)
+		}
+	}
+	if len(silent) == 0 {
+		return Voter{}, false
+	}
+	present := len(view.Set.Voters) - len(silent)
+	rest := Set{Voters: make([]Voter, present)}
+	spare := present - view.Tolerate
+	return silent[0], spare < view.Set.Quorum() && spare >= rest.Quorum()
 }
 
 func planJoin(view View) Change {
@@ -84,15 +113,9 @@
 		return Change{Kind: Wait, Reason: "the epoch is not adopted by a quorum"}
 	}
 	for _, voter := range view.Set.Voters {
-		if len(view.Set.Voters) == 1 {
-			break
-		}
-		if lost(view, voter) {
+		if len(view.Set.Voters) > 1 && lost(view, voter) {
 			return Change{Kind: Remove, Next: view.Set.Without(voter.Disk), Reason: "its machine returned with another disk"}
 		}
-		if !view.Adopted[voter.Disk] && view.Silence[voter.Disk] >= unreachableLimit {
-			return Change{Kind: Remove, Next: view.Set.Without(voter.Disk), Reason: "out of reach while another replica joins"}
-		}
 	}
 	return Change{Kind: Add, Next: view.Set.With(view.Own), Reason: "caught up"}
 }
