--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -40,9 +40,9 @@
 	DiskMB     int
 	// Tolerate is how many machines with disks may be lost at once.
 	Tolerate int
-	Registry   registry.Registry
-	Log        *log.Logger
-	Metrics    *Metrics
+	Registry registry.Registry
+	Log      *log.Logger
+	Metrics  *Metrics
 }
 
 // Server is one replica. Its state belongs to the goroutine of Run.
