--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -160,7 +160,22 @@
 		return failure
 	}
 	sent.answer.Finish()
-	return s.complete(ctx, t)
+	if failure := s.complete(ctx, t); failure != nil {
+		return failure
+	}
+	t.begin(w, sent) // a stream resumed at its end has no events
+	return nil
+}
+
+// begin passes on the head of the first instance's answer.
+func (t *turn) begin(w http.ResponseWriter, sent *attempt) {
+	if t.begun {
+		return
+	}
+	t.begun = true
+	t.outcome.firstMS = sinceMS(t.arrived)
+	copyHeader(w.Header(), sent.answer.Response.Header)
+	w.WriteHeader(http.StatusOK)
 }
 
 // passOther hands on an answer that is no stream.
@@ -194,19 +209,14 @@
 		if err := s.awaitReservation(ctx, t); err != nil {
 			return &backend.Failure{Verdict: verdict.Ran, Reason: "the reservation is not durable: " + err.Error()}
 		}
-		if !t.begun {
-			t.begun = true
-			t.outcome.firstMS = sinceMS(t.arrived)
-			copyHeader(w.Header(), sent.answer.Response.Header)
-			w.WriteHeader(http.StatusOK)
-		}
+		t.begin(w, sent)
+		t.take(event, s.dialect.LastEvent)
 		if _, err := w.Write(event.raw); err != nil {
 			return &backend.Failure{Verdict: verdict.Ran, Reason: "the caller left"}
 		}
 		if err := flusher.Flush(); err != nil {
 			return &backend.Failure{Verdict: verdict.Ran, Reason: "the caller left"}
 		}
-		t.take(event, s.dialect.LastEvent)
 	}
 }
 
