--- /dev/null
+++ b/internal/e2e/fleet_test.go
@@ -0,0 +1,547 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"swiftbank.dev/swiftbank/platform/platformtest"
+)
+
+const (
+	agentHost = "agents.test"
+	appsHost  = "apps.test"
+)
+
+// fleet is gateways and replicas as processes before the platform's stand-ins.
+type fleet struct {
+	t        *testing.T
+	folder   string
+	store    *platformtest.Store
+	engines  []*platformtest.Engine
+	apps     []*platformtest.Engine
+	config   platformtest.Configuration
+	gateways []*member
+	replicas []*member
+	number   int
+}
+
+// member is one process with what is needed to start it again.
+type member struct {
+	name      string
+	verb      string
+	settings  string
+	address   string
+	ready     string
+	metrics   string
+	data      string
+	command   *exec.Cmd
+	log       *lockedBuffer
+	exited    chan error
+	startedOn time.Time
+}
+
+func baseConfiguration() platformtest.Configuration {
+	streaming := func(name, prefix string, retained, resumable bool) map[string]any {
+		return map[string]any{
+			"name": name, "host": agentHost, "path_prefix": prefix, "kind": "streaming", "timeout_ms": 8000,
+			"target_latency_ms": 500, "priority": 1, "service": "llm", "attempts": 1, "is_retained": retained,
+			"retention_s": 60, "sticky": true, "resumable": resumable, "target_gap_ms": 500,
+		}
+	}
+	plain := func(name, prefix, kind string) map[string]any {
+		return map[string]any{
+			"name": name, "host": appsHost, "path_prefix": prefix, "kind": kind, "timeout_ms": 5000,
+			"target_latency_ms": 500, "priority": 2, "service": "apps", "attempts": 2,
+		}
+	}
+	return platformtest.Configuration{
+		Version: 1,
+		Routes: []map[string]any{
+			streaming("chat", "/chat/", true, false), streaming("plan", "/plan/", false, true),
+			plain("start", "/start/", "safe"), plain("charge", "/charge/", "unsafe"),
+		},
+		Services: []map[string]any{
+			{"name": "llm", "connection_limit": 100, "engine": map[string]any{"slots": 12, "kv_cache_tokens": 100000, "tokens_per_event": 10}},
+			{"name": "apps", "connection_limit": 100},
+		},
+		Limits: map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	}
+}
+
+func startFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, folder: build(t), store: platformtest.NewStore(), config: baseConfiguration()}
+	t.Cleanup(f.store.Close)
+	t.Cleanup(f.printLogs)
+	for i := range 2 {
+		engine := platformtest.NewEngine(fmt.Sprintf("i-engine-%d", i+1))
+		app := platformtest.NewEngine(fmt.Sprintf("i-app-%d", i+1))
+		t.Cleanup(engine.Close)
+		t.Cleanup(app.Close)
+		f.engines, f.apps = append(f.engines, engine), append(f.apps, app)
+		f.store.Put("servers", engine.ID, engine.Entry("llm", zones[i], "ready"))
+		f.store.Put("servers", app.ID, app.Entry("apps", zones[i], "ready"))
+	}
+	f.store.Put("config", "main", f.config)
+	addresses := reserve(t, 3*2+2*4)
+	for i := range 3 {
+		f.replicas = append(f.replicas, f.newReplica(fmt.Sprintf("replica-%d", i+1), zones[i], addresses[2*i], addresses[2*i+1]))
+	}
+	for i := range 2 {
+		own := addresses[6+4*i:]
+		f.gateways = append(f.gateways, f.newGateway(fmt.Sprintf("gateway-%d", i+1), zones[i], own))
+	}
+	for _, member := range append(append([]*member{}, f.replicas...), f.gateways...) {
+		f.start(member)
+	}
+	for _, gateway := range f.gateways {
+		f.awaitReady(gateway)
+	}
+	f.awaitTurn()
+	return f
+}
+
+func (f *fleet) newReplica(name, zone, peer, metrics string) *member {
+	data := f.t.TempDir()
+	settings := fmt.Sprintf("node: %s\nzone: %s\npeerAddress: %s\nmetricsAddress: %s\nstoreAddress: %s\nmemoryMB: 256\ngrace: 5s\ntolerateMachines: 1\ndataFolder: %s\ndiskMB: 64\n",
+		name, zone, peer, metrics, f.store.Address(), data)
+	return &member{name: name, verb: "replica", settings: f.write(name, settings), address: peer, metrics: metrics, data: data}
+}
+
+func (f *fleet) newGateway(name, zone string, addresses []string) *member {
+	settings := fmt.Sprintf("node: %s\nzone: %s\ncallerAddress: %s\nreadyAddress: %s\npeerAddress: %s\nmetricsAddress: %s\nstoreAddress: %s\nmemoryMB: 256\ngrace: 8s\ntolerateMachines: 1\n",
+		name, zone, addresses[0], addresses[1], addresses[2], addresses[3], f.store.Address())
+	return &member{name: name, verb: "gateway", settings: f.write(name, settings), address: addresses[0], ready: addresses[1], metrics: addresses[3]}
+}
+
+func (f *fleet) write(name, content string) string {
+	path := filepath.Join(f.t.TempDir(), name+".yaml")
+	require.NoError(f.t, os.WriteFile(path, []byte(content), 0o600))
+	return path
+}
+
+func (f *fleet) start(m *member) {
+	f.t.Helper()
+	m.command = exec.Command(filepath.Join(f.folder, "swiftbank"), m.verb, "--settings", m.settings)
+	if m.log == nil {
+		m.log = &lockedBuffer{}
+	}
+	m.command.Stdout, m.command.Stderr = m.log, m.log
+	require.NoError(f.t, m.command.Start())
+	m.exited = make(chan error, 1)
+	command, exited := m.command, m.exited
+	go func() { exited <- command.Wait() }()
+	f.t.Cleanup(func() { _ = command.Process.Kill() })
+}
+
+// kill ends a process without warning and waits for its end.
+func (f *fleet) kill(m *member) {
+	require.NoError(f.t, m.command.Process.Kill())
+	<-m.exited
+}
+
+func (f *fleet) printLogs() {
+	if !f.t.Failed() {
+		return
+	}
+	for _, m := range append(append([]*member{}, f.replicas...), f.gateways...) {
+		f.t.Logf("log of %s:\n%s", m.name, m.log.String())
+	}
+}
+
+func (f *fleet) awaitReady(gateway *member) {
+	f.t.Helper()
+	require.Eventually(f.t, func() bool { return status("http://"+gateway.ready+"/readiness") == http.StatusOK },
+		time.Minute, 20*time.Millisecond, "%s is never ready", gateway.name)
+}
+
+func status(url string) int {
+	response, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// awaitTurn waits until a turn is served, which takes a quorum of replicas.
+func (f *fleet) awaitTurn() {
+	f.t.Helper()
+	require.Eventually(f.t, func() bool {
+		return f.turn(f.gateways[0], turnRequest{path: "/chat/x", program: f.newID(), budget: 1000, most: 50, body: "warm"}).status == http.StatusOK
+	}, time.Minute, 50*time.Millisecond)
+}
+
+func (f *fleet) newID() string {
+	f.number++
+	return fmt.Sprintf("%016x", f.number)
+}
+
+// answered is what a caller got.
+type answered struct {
+	id     string
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+type turnRequest struct {
+	path, program, previous, body string
+	budget, most                  int
+}
+
+func (f *fleet) turn(gateway *member, turn turnRequest) answered {
+	header := http.Header{
+		"X-Program-Id": {turn.program}, "X-Session-Id": {"s-" + turn.program}, "X-Program-Deadline-Ms": {"8000"},
+		"X-Token-Budget": {fmt.Sprint(turn.budget)}, "X-Token-Count": {fmt.Sprintf("100,%d", turn.most)},
+	}
+	if turn.previous != "" {
+		header.Set("X-Previous-Turn", turn.previous)
+	}
+	return f.post(gateway, agentHost, turn.path, header, turn.body)
+}
+
+func (f *fleet) post(gateway *member, host, path string, header http.Header, body string) answered {
+	return exchange(gateway, f.newID(), host, path, header, body)
+}
+
+func exchange(gateway *member, id, host, path string, header http.Header, body string) answered {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	result := answered{id: id}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+gateway.address+path, strings.NewReader(body))
+	if err != nil {
+		result.err = err
+		return result
+	}
+	request.Host = host
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	request.Header.Set("X-Request-Id", result.id)
+	request.Header.Set("X-Deadline-Ms", "8000")
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		result.err = err
+		return result
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	result.status, result.header, result.body, result.err = response.StatusCode, response.Header, string(content), err
+	return result
+}
+
+// runsOf returns the runs of a request on the given instances.
+func runsOf(id string, instances []*platformtest.Engine) []platformtest.Run {
+	var runs []platformtest.Run
+	for _, instance := range instances {
+		for _, run := range instance.Runs() {
+			if run.ID == id {
+				runs = append(runs, run)
+			}
+		}
+	}
+	return runs
+}
+
+func TestFleet(t *testing.T) {
+	f := startFleet(t)
+	t.Run("a chain of turns forks and moves between gateways", f.testChain)
+	t.Run("a stream that breaks off is resumed within one answer", f.testResume)
+	t.Run("a spent budget ends in 402 and the turn does not run", f.testBudget)
+	t.Run("an unsafe call whose answer is lost runs once", f.testLostAnswer)
+	t.Run("a refused call goes to another instance", f.testRefused)
+	t.Run("a caller that leaves ends the work of the engine", f.testCallerLeaves)
+	t.Run("a route moves under load", f.testRouteMoves)
+	t.Run("turns outlive a lost disk", f.testLostDisk)
+	t.Run("turns outlive the loss of all processes", f.testAllKilled)
+	t.Run("a planned stop cuts nothing off", f.testPlannedStop)
+	t.Run("a store that is down at start", f.testStoreDownAtStart)
+}
+
+func (f *fleet) testChain(t *testing.T) {
+	program := f.newID()
+	turn := func(gateway *member, previous, body string) answered {
+		got := f.turn(gateway, turnRequest{path: "/chat/t", program: program, previous: previous, budget: 5000, most: 50, body: body})
+		require.NoError(t, got.err)
+		require.Equal(t, http.StatusOK, got.status, got.body)
+		return got
+	}
+	data := f.engines[0].EventData
+	first := turn(f.gateways[0], "", "one|")
+	second := turn(f.gateways[1], first.id, "two|")
+	left := turn(f.gateways[0], second.id, "left|")
+	right := turn(f.gateways[1], second.id, "right|")
+	history := "one|" + data(first.id) + "two|" + data(second.id)
+	require.Equal(t, history+"left|", runsOf(left.id, f.engines)[0].Body)
+	require.Equal(t, history+"right|", runsOf(right.id, f.engines)[0].Body)
+	require.NotEmpty(t, right.header.Get("X-Server-Signature"))
+
+	unknown := f.turn(f.gateways[0], turnRequest{path: "/chat/t", program: program, previous: "00000000deadbeef", budget: 5000, most: 50, body: "x"})
+	require.Equal(t, http.StatusServiceUnavailable, unknown.status)
+	require.NotEmpty(t, unknown.header.Get("Retry-After"))
+	require.Empty(t, runsOf(unknown.id, f.engines))
+}
+
+func (f *fleet) testResume(t *testing.T) {
+	var once sync.Once
+	cut := func(*http.Request) platformtest.Behaviour {
+		var behaviour platformtest.Behaviour
+		once.Do(func() { behaviour.CutAfter = 2 })
+		return behaviour
+	}
+	for _, engine := range f.engines {
+		engine.SetBehaviour(cut)
+		defer engine.SetBehaviour(nil)
+	}
+	got := f.turn(f.gateways[0], turnRequest{path: "/plan/t", program: f.newID(), budget: 5000, most: 50, body: "plan"})
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusOK, got.status)
+	for number := 1; number <= f.engines[0].Events; number++ {
+		require.Equal(t, 1, strings.Count(got.body, fmt.Sprintf("id: %d\ndata: %s-%d\n\n", number, got.id, number)), got.body)
+	}
+	runs := runsOf(got.id, f.engines)
+	require.Len(t, runs, 2)
+	require.Equal(t, 2, max(runs[0].LastEvent, runs[1].LastEvent), "the second run goes on behind the last whole event")
+
+	// A stream that is resumed behind its last event has a head and no events.
+	header := http.Header{"Last-Event-Id": {fmt.Sprint(f.engines[0].Events)}, "X-Token-Count": {"10,50"}}
+	end := f.post(f.gateways[0], agentHost, "/plan/t", header, "plan")
+	require.Equal(t, http.StatusOK, end.status)
+	require.NotEmpty(t, end.header.Get("X-Server-Signature"))
+	require.Empty(t, end.body)
+}
+
+func (f *fleet) testBudget(t *testing.T) {
+	program := f.newID()
+	const spent = 40 // four events of ten tokens
+	previous := ""
+	for turn := range 3 {
+		gateway := f.gateways[turn%len(f.gateways)]
+		got := f.turn(gateway, turnRequest{path: "/chat/t", program: program, previous: previous, budget: 3*spent + 20, most: 50, body: "x"})
+		require.Equal(t, http.StatusOK, got.status, got.body)
+		previous = got.id
+	}
+	refused := f.turn(f.gateways[1], turnRequest{path: "/chat/t", program: program, previous: previous, budget: 3*spent + 20, most: 50, body: "x"})
+	require.Equal(t, http.StatusPaymentRequired, refused.status)
+	require.Empty(t, runsOf(refused.id, f.engines))
+}
+
+func (f *fleet) testLostAnswer(t *testing.T) {
+	for _, app := range f.apps {
+		app.SetBehaviour(func(*http.Request) platformtest.Behaviour { return platformtest.Behaviour{LoseAnswer: true} })
+		defer app.SetBehaviour(nil)
+	}
+	unsafe := f.post(f.gateways[0], appsHost, "/charge/a", nil, "charge")
+	require.Equal(t, http.StatusBadGateway, unsafe.status)
+	require.Len(t, runsOf(unsafe.id, f.apps), 1)
+
+	var once sync.Once
+	for _, app := range f.apps {
+		app.SetBehaviour(func(*http.Request) platformtest.Behaviour {
+			var behaviour platformtest.Behaviour
+			once.Do(func() { behaviour.LoseAnswer = true })
+			return behaviour
+		})
+	}
+	safe := f.post(f.gateways[0], appsHost, "/start/a", nil, "")
+	require.Equal(t, http.StatusOK, safe.status)
+	require.Len(t, runsOf(safe.id, f.apps), 2)
+
+	unsigned := func(*http.Request) platformtest.Behaviour { return platformtest.Behaviour{Unsigned: true} }
+	for _, app := range f.apps {
+		app.SetBehaviour(unsigned)
+	}
+	forged := f.post(f.gateways[0], appsHost, "/charge/a", nil, "charge")
+	require.Equal(t, http.StatusBadGateway, forged.status)
+}
+
+func (f *fleet) testRefused(t *testing.T) {
+	f.apps[0].SetBehaviour(func(*http.Request) platformtest.Behaviour { return platformtest.Behaviour{Refuse: true} })
+	defer f.apps[0].SetBehaviour(nil)
+	for range 4 {
+		got := f.post(f.gateways[0], appsHost, "/charge/a", nil, "charge")
+		require.Equal(t, http.StatusOK, got.status, got.body)
+		require.Len(t, runsOf(got.id, f.apps), 1)
+	}
+}
+
+func (f *fleet) testCallerLeaves(t *testing.T) {
+	hold := make(chan struct{})
+	defer close(hold)
+	for _, engine := range f.engines {
+		engine.SetBehaviour(func(*http.Request) platformtest.Behaviour { return platformtest.Behaviour{Hold: hold} })
+		defer engine.SetBehaviour(nil)
+	}
+	before := f.engines[0].Left() + f.engines[1].Left()
+	ctx, cancel := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+f.gateways[0].address+"/plan/t", strings.NewReader("x"))
+	require.NoError(t, err)
+	id := f.newID()
+	request.Host = agentHost
+	request.Header.Set("X-Request-Id", id)
+	request.Header.Set("X-Token-Count", "10,50")
+	go func() { _, _ = http.DefaultClient.Do(request) }()
+	require.Eventually(t, func() bool { return len(runsOf(id, f.engines)) == 1 }, 10*time.Second, 10*time.Millisecond)
+	cancel()
+	require.Eventually(t, func() bool { return f.engines[0].Left()+f.engines[1].Left() == before+1 }, 10*time.Second, 10*time.Millisecond)
+}
+
+// load sends calls until stop is closed and returns those that did not succeed.
+func (f *fleet) load(host, path string, header http.Header, stop <-chan struct{}) (failed func() []answered) {
+	const callers = 4
+	var mu sync.Mutex
+	var all []answered
+	var running sync.WaitGroup
+	for caller := range callers {
+		running.Go(func() {
+			for number := 0; ; number++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id := fmt.Sprintf("%08x%08x", caller+1, number+1)
+				got := exchange(f.gateways[number%len(f.gateways)], id, host, path, header, "x")
+				if got.err != nil || got.status != http.StatusOK {
+					mu.Lock()
+					all = append(all, got)
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	return func() []answered { running.Wait(); return all }
+}
+
+func (f *fleet) testRouteMoves(t *testing.T) {
+	moved := platformtest.NewEngine("i-moved-1")
+	t.Cleanup(moved.Close)
+	f.store.Put("servers", moved.ID, moved.Entry("apps-2", zones[0], "ready"))
+	next := f.config.Clone(5)
+	next.Services = append(next.Services, map[string]any{"name": "apps-2", "connection_limit": 100})
+	next.Routes[3]["service"] = "apps-2"
+	stop := make(chan struct{})
+	failed := f.load(appsHost, "/charge/m", nil, stop)
+	require.Eventually(t, func() bool { return len(f.apps[0].Runs()) > 20 }, 20*time.Second, 5*time.Millisecond)
+	f.store.Put("config", "main", next)
+	require.Eventually(t, func() bool { return len(moved.Runs()) > 40 }, 20*time.Second, 5*time.Millisecond)
+	// An older version that turns up late changes nothing.
+	f.store.Put("config", "main", f.config)
+	before := len(f.apps[0].Runs()) + len(f.apps[1].Runs())
+	count := len(moved.Runs())
+	require.Eventually(t, func() bool { return len(moved.Runs()) > count+40 }, 20*time.Second, 5*time.Millisecond)
+	require.Equal(t, before, len(f.apps[0].Runs())+len(f.apps[1].Runs()))
+	close(stop)
+	require.Empty(t, failed())
+	f.config = next
+}
+
+func (f *fleet) testLostDisk(t *testing.T) {
+	program := f.newID()
+	first := f.turn(f.gateways[0], turnRequest{path: "/chat/t", program: program, budget: 9000, most: 50, body: "kept|"})
+	require.Equal(t, http.StatusOK, first.status)
+	for _, lost := range f.replicas {
+		f.kill(lost)
+		require.NoError(t, os.RemoveAll(filepath.Join(lost.data, "ledger")))
+		f.start(lost)
+		// The machine votes again once it is a voter under its new disk.
+		require.Eventually(t, func() bool { return f.voterOnNewDisk(lost) }, time.Minute, 50*time.Millisecond)
+		require.Eventually(t, func() bool { return f.holds(lost, first.id) }, time.Minute, 50*time.Millisecond)
+	}
+	next := f.turn(f.gateways[1], turnRequest{path: "/chat/t", program: program, previous: first.id, budget: 9000, most: 50, body: "on|"})
+	require.Equal(t, http.StatusOK, next.status, next.body)
+	require.Equal(t, "kept|"+f.engines[0].EventData(first.id)+"on|", runsOf(next.id, f.engines)[0].Body)
+}
+
+// voterOnNewDisk reports whether the replica's last start ended in the replica set.
+func (f *fleet) voterOnNewDisk(m *member) bool {
+	log := m.log.String()
+	last := log[strings.LastIndex(log, `"event":"start"`):]
+	return strings.Contains(last, `"voter":true`)
+}
+
+// holds reports whether the replica's log on disk names the turn.
+func (f *fleet) holds(m *member, id string) bool {
+	files, _ := filepath.Glob(filepath.Join(m.data, "ledger", "*.log"))
+	for _, file := range files {
+		content, err := os.ReadFile(file)
+		if err == nil && strings.Contains(string(content), id) {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fleet) testAllKilled(t *testing.T) {
+	program := f.newID()
+	first := f.turn(f.gateways[0], turnRequest{path: "/chat/t", program: program, budget: 100, most: 50, body: "kept|"})
+	require.Equal(t, http.StatusOK, first.status)
+	all := append(append([]*member{}, f.replicas...), f.gateways...)
+	for _, m := range all {
+		f.kill(m)
+	}
+	for _, m := range all {
+		f.start(m)
+	}
+	for _, gateway := range f.gateways {
+		f.awaitReady(gateway)
+	}
+	f.awaitTurn()
+	next := f.turn(f.gateways[1], turnRequest{path: "/chat/t", program: program, previous: first.id, budget: 100, most: 50, body: "on|"})
+	require.Equal(t, http.StatusOK, next.status, next.body)
+	require.Equal(t, "kept|"+f.engines[0].EventData(first.id)+"on|", runsOf(next.id, f.engines)[0].Body)
+	// 40 + 40 of 100 are spent: what was counted before the loss still counts.
+	refused := f.turn(f.gateways[0], turnRequest{path: "/chat/t", program: program, previous: next.id, budget: 100, most: 50, body: "x"})
+	require.Equal(t, http.StatusPaymentRequired, refused.status)
+}
+
+func (f *fleet) testPlannedStop(t *testing.T) {
+	for _, engine := range f.engines {
+		engine.Gap = 200 * time.Millisecond
+		defer func() { engine.Gap = 0 }()
+	}
+	results := make(chan answered, 1)
+	id := f.newID()
+	go func() {
+		results <- exchange(f.gateways[0], id, agentHost, "/plan/t", http.Header{"X-Token-Count": {"10,50"}}, "x")
+	}()
+	require.Eventually(t, func() bool { return len(runsOf(id, f.engines)) == 1 }, 10*time.Second, 5*time.Millisecond)
+	require.NoError(t, f.gateways[0].command.Process.Signal(syscall.SIGTERM))
+	require.Eventually(t, func() bool { return status("http://"+f.gateways[0].ready+"/readiness") != http.StatusOK }, 10*time.Second, 5*time.Millisecond)
+	got := <-results
+	require.NoError(t, got.err)
+	require.Contains(t, got.body, fmt.Sprintf("id: %d\n", f.engines[0].Events))
+	require.NoError(t, <-f.gateways[0].exited)
+	f.start(f.gateways[0])
+	f.awaitReady(f.gateways[0])
+}
+
+func (f *fleet) testStoreDownAtStart(t *testing.T) {
+	f.store.SetFault(func(*http.Request) platformtest.Fault { return platformtest.Fault{Status: http.StatusServiceUnavailable} })
+	f.kill(f.gateways[0])
+	f.start(f.gateways[0])
+	require.Eventually(t, func() bool {
+		got := f.post(f.gateways[0], appsHost, "/charge/a", nil, "x")
+		return got.status == http.StatusServiceUnavailable && got.header.Get("Retry-After") != ""
+	}, 20*time.Second, 20*time.Millisecond)
+	require.NotEqual(t, http.StatusOK, status("http://"+f.gateways[0].ready+"/readiness"))
+	// The gateway that was there before goes on.
+	other := f.turn(f.gateways[1], turnRequest{path: "/chat/t", program: f.newID(), budget: 500, most: 50, body: "x"})
+	require.Equal(t, http.StatusOK, other.status, other.body)
+	f.store.SetFault(nil)
+	f.awaitReady(f.gateways[0])
+}
