--- /dev/null
+++ b/internal/replicaset/plan_test.go
@@ -0,0 +1,104 @@
+package replicaset
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func voters(names ...string) []Voter {
+	var all []Voter
+	for _, name := range names {
+		all = append(all, Voter{Node: name, Disk: "disk-" + name})
+	}
+	return all
+}
+
+func adopted(names ...string) map[string]bool {
+	disks := map[string]bool{}
+	for _, name := range names {
+		disks["disk-"+name] = true
+	}
+	return disks
+}
+
+func silence(silent time.Duration, names ...string) map[string]time.Duration {
+	disks := map[string]time.Duration{}
+	for _, name := range names {
+		disks["disk-"+name] = silent
+	}
+	return disks
+}
+
+func TestPlan(t *testing.T) {
+	own := Voter{Node: "own", Disk: "disk-own"}
+	const long = 5 * time.Second
+	cases := map[string]struct {
+		view View
+		want ChangeKind
+		// gone is the voter that the next set lacks.
+		gone string
+	}{
+		"without a set the first one is founded": {View{Own: own}, Found, ""},
+		"a leaving machine founds nothing":       {View{Own: own, Leaving: true}, None, ""},
+		"a newcomer waits for a quorum to adopt the epoch": {
+			View{Own: own, HasSet: true, Set: Set{3, voters("a", "b", "c")}, Adopted: adopted("a")}, Wait, ""},
+		"a newcomer joins once a quorum has": {
+			View{Own: own, HasSet: true, Set: Set{3, voters("a", "b", "c")}, Adopted: adopted("a", "b")}, Add, ""},
+		"a machine that lost its disk first takes out the old one": {
+			View{Own: Voter{"a", "new"}, HasSet: true, Set: Set{3, voters("a", "b", "c")}, Adopted: adopted("b", "c"), Disks: map[string]string{"a": "new"}}, Remove, "disk-a"},
+		"a quorum that has lost a disk needs all that remain": {
+			View{Own: Voter{"a", "new"}, HasSet: true, Set: Set{3, voters("a", "b", "c")}, Adopted: adopted("b"), Disks: map[string]string{"a": "new"}}, Wait, ""},
+		"lost disks cannot be waited for": {
+			View{Own: Voter{"a", "new"}, HasSet: true, Set: Set{3, voters("a", "b", "c")}, Adopted: adopted("c"), Disks: map[string]string{"a": "new", "b": "newer"}}, Remove, "disk-a"},
+		"a silent one of three stays, for two could not lose another": {
+			View{Own: own, Tolerate: 1, HasSet: true, Set: Set{3, voters("own", "b", "c")}, Adopted: adopted("own", "b"), Silence: silence(long, "c")}, None, ""},
+		"a silent one of four leaves, for three can lose another": {
+			View{Own: own, Tolerate: 1, HasSet: true, Set: Set{3, voters("own", "b", "c", "d")}, Adopted: adopted("own", "b", "c"), Silence: silence(long, "d")}, Remove, "disk-d"},
+		"not without a quorum that adopted the epoch": {
+			View{Own: own, Tolerate: 1, HasSet: true, Set: Set{3, voters("own", "b", "c", "d")}, Adopted: adopted("own", "b"), Silence: silence(long, "d")}, Wait, ""},
+		"a short silence is nothing": {
+			View{Own: own, Tolerate: 1, HasSet: true, Set: Set{3, voters("own", "b", "c", "d")}, Adopted: adopted("own", "b", "c"), Silence: silence(time.Second, "d")}, None, ""},
+		"of six with two dead, one leaves": {
+			View{Own: own, Tolerate: 1, HasSet: true, Set: Set{3, voters("own", "b", "c", "d", "e", "f")}, Adopted: adopted("own", "b", "c", "d"), Silence: silence(long, "e", "f")}, Remove, "disk-e"},
+		"in a half no one is taken out": {
+			View{Own: own, Tolerate: 1, HasSet: true, Set: Set{3, voters("own", "b", "c", "d")}, Adopted: adopted("own", "b"), Silence: silence(long, "c", "d")}, None, ""},
+		"a leaving voter takes itself out": {
+			View{Own: own, Leaving: true, HasSet: true, Set: Set{3, voters("own", "b", "c")}, Adopted: adopted("own", "b")}, Remove, "disk-own"},
+		"the last voter cannot leave": {
+			View{Own: own, Leaving: true, HasSet: true, Set: Set{3, voters("own")}, Adopted: adopted("own")}, Wait, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			change := Plan(c.view)
+			require.Equal(t, c.want, change.Kind, change.Reason)
+			if change.Next.Epoch > 0 && c.want != Found {
+				require.Equal(t, c.view.Set.Epoch+1, change.Next.Epoch)
+				difference := len(change.Next.Voters) - len(c.view.Set.Voters)
+				require.Contains(t, []int{-1, 1}, difference, "neighbouring epochs differ by one voter")
+			}
+			if c.gone != "" {
+				require.True(t, c.view.Set.Has(c.gone))
+				require.False(t, change.Next.Has(c.gone))
+			}
+		})
+	}
+}
+
+func TestNeighbouringQuorumsIntersect(t *testing.T) {
+	for size := 1; size <= 9; size++ {
+		present := Set{Voters: make([]Voter, size)}
+		grown := Set{Voters: make([]Voter, size+1)}
+		require.Greater(t, present.Quorum()+grown.Quorum(), size+1)
+	}
+}
+
+func TestSetSurvivesTheRegistry(t *testing.T) {
+	set := Set{Epoch: 7, Voters: voters("a", "b")}
+	decoded, err := Decode(set.Encode())
+	require.NoError(t, err)
+	require.Equal(t, set, decoded)
+	_, err = Decode([]byte("no set"))
+	require.Error(t, err)
+}
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,29 @@
+package route
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestTheLongestPrefixOfTheHostMatches(t *testing.T) {
+	table := NewTable(1, []*Route{
+		{Name: "short", Host: "a.test", Prefix: "/x/"}, {Name: "long", Host: "A.test", Prefix: "/x/y/"}, {Name: "other", Host: "b.test", Prefix: "/"},
+	}, nil, Limits{})
+	require.Equal(t, "short", table.Match("a.test", "/x/z").Name)
+	require.Equal(t, "long", table.Match("a.TEST:80", "/x/y/z").Name)
+	require.Nil(t, table.Match("a.test", "/x"))
+	require.Equal(t, "other", table.Match("b.test", "/x/y/").Name)
+	require.Nil(t, table.Match("c.test", "/"))
+}
+
+func TestASplitRouteDealsByWeight(t *testing.T) {
+	split := &Route{Name: "r", Targets: []Target{{"a", 90}, {"b", 10}, {"none", 0}}}
+	splitter := NewSplitter()
+	counts := map[string]int{}
+	for range 1000 {
+		counts[splitter.Next(split)]++
+	}
+	require.Equal(t, map[string]int{"a": 900, "b": 100}, counts)
+	require.Equal(t, "", splitter.Next(&Route{Name: "empty", Targets: []Target{{"a", 0}, {"b", 0}}}))
+}
--- /dev/null
+++ b/internal/wal/wal_test.go
@@ -0,0 +1,127 @@
+package wal
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+type record struct {
+	Text string
+	List []int
+}
+
+func open(t require.TestingT, folder string) (*Log[record], []record, bool) {
+	var read []record
+	log, existed, err := Open(folder, func(r record) { read = append(read, r) })
+	require.NoError(t, err)
+	return log, read, existed
+}
+
+func begin(t require.TestingT, folder string, snapshot ...record) *Log[record] {
+	log, _, _ := open(t, folder)
+	require.NoError(t, log.Rotate(snapshot))
+	return log
+}
+
+func TestWhatWasAppendedIsReadInOrder(t *testing.T) {
+	folder := t.TempDir()
+	log := begin(t, folder, record{Text: "snapshot"})
+	require.NoError(t, log.Append([]record{{Text: "a"}, {Text: "b", List: []int{1}}}))
+	require.NoError(t, log.Append([]record{{Text: "c"}}))
+	require.NoError(t, log.Close())
+	_, read, existed := open(t, folder)
+	require.True(t, existed)
+	require.Equal(t, []record{{Text: "snapshot"}, {Text: "a"}, {Text: "b", List: []int{1}}, {Text: "c"}}, read)
+}
+
+func TestRotateKeepsOnlyTheNewSegment(t *testing.T) {
+	folder := t.TempDir()
+	log := begin(t, folder, record{Text: "first"})
+	require.NoError(t, log.Append([]record{{Text: "dropped"}}))
+	require.NoError(t, log.Rotate([]record{{Text: "second"}}))
+	require.NoError(t, log.Append([]record{{Text: "kept"}}))
+	_, read, _ := open(t, folder)
+	require.Equal(t, []record{{Text: "second"}, {Text: "kept"}}, read)
+	files, err := filepath.Glob(filepath.Join(folder, "*"))
+	require.NoError(t, err)
+	require.Len(t, files, 1)
+}
+
+// A loss of power may leave any part of what was not synced. All that was synced
+// before must be read, and nothing that was not written.
+func TestATornTailLosesNothingThatWasSynced(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		folder, err := os.MkdirTemp("", "wal")
+		require.NoError(t, err)
+		defer os.RemoveAll(folder)
+		log := begin(t, folder, record{Text: "snapshot"})
+		synced := rapid.IntRange(0, 4).Draw(t, "synced batches")
+		for batch := range synced {
+			require.NoError(t, log.Append([]record{{Text: fmt.Sprint("synced ", batch)}}))
+		}
+		size := log.Size()
+		for batch := range rapid.IntRange(0, 3).Draw(t, "unsynced batches") {
+			require.NoError(t, log.Append([]record{{Text: fmt.Sprint("unsynced ", batch)}}))
+		}
+		path := log.path(log.number, segmentSuffix)
+		content, err := os.ReadFile(path)
+		require.NoError(t, err)
+		tear(t, content[size:])
+		content = content[:rapid.IntRange(int(size), len(content)).Draw(t, "length")]
+		require.NoError(t, os.WriteFile(path, content, 0o600))
+		_, read, existed := open(t, folder)
+		require.True(t, existed)
+		require.GreaterOrEqual(t, len(read), synced+1)
+		for place, r := range read[1:] {
+			want := fmt.Sprint("synced ", place)
+			if place >= synced {
+				want = fmt.Sprint("unsynced ", place-synced)
+			}
+			require.Equal(t, want, r.Text)
+		}
+	})
+}
+
+// tear overwrites some bytes.
+func tear(t *rapid.T, content []byte) {
+	if len(content) == 0 {
+		return
+	}
+	for range rapid.IntRange(0, 3).Draw(t, "torn bytes") {
+		content[rapid.IntRange(0, len(content)-1).Draw(t, "place")] ^= 0x5a
+	}
+}
+
+func TestAFailedAppendStaysPending(t *testing.T) {
+	folder := t.TempDir()
+	log := begin(t, folder, record{Text: "snapshot"})
+	require.NoError(t, log.Append([]record{{Text: "a"}}))
+	sound := log.file
+	readOnly, err := os.Open(log.path(log.number, segmentSuffix))
+	require.NoError(t, err)
+	log.file = readOnly // every write fails
+	require.Error(t, log.Append([]record{{Text: "b"}}))
+	require.Error(t, log.Append([]record{{Text: "c"}}))
+	log.file = sound
+	require.NoError(t, log.Append(nil))
+	_, read, _ := open(t, folder)
+	require.Equal(t, []record{{Text: "snapshot"}, {Text: "a"}, {Text: "b"}, {Text: "c"}}, read)
+}
+
+func TestAnUnfinishedSegmentDoesNotReplaceTheOld(t *testing.T) {
+	folder := t.TempDir()
+	log := begin(t, folder, record{Text: "snapshot"})
+	require.NoError(t, os.WriteFile(log.path(log.number+1, partialSuffix), []byte("torn"), 0o600))
+	require.NoError(t, os.WriteFile(log.path(log.number+2, segmentSuffix), []byte("torn"), 0o600))
+	fresh, read, existed := open(t, folder)
+	require.True(t, existed)
+	require.Equal(t, []record{{Text: "snapshot"}}, read)
+	require.NoError(t, fresh.Rotate(read))
+	_, read, _ = open(t, folder)
+	require.Equal(t, []record{{Text: "snapshot"}}, read)
+}
