A leaving replica hands over what it has; a planned stop closes no kept connection

Change: a leaving replica asks for nothing more. At a stop each answer asks its caller to close, the listener ends after the notice, and the process ends after its last request; what is read in the last moment is refused.

--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -35,6 +35,8 @@
 	gateways []*member
 	replicas []*member
 	number   int
+	// moved runs the calls of the route that was moved.
+	moved *platformtest.Engine
 }
 
 // member is one process with what is needed to start it again.
@@ -269,7 +271,9 @@
 	t.Run("turns outlive a lost disk", f.testLostDisk)
 	t.Run("turns outlive the loss of all processes", f.testAllKilled)
 	t.Run("a planned stop cuts nothing off", f.testPlannedStop)
+	t.Run("a planned stop under load leaves no request without an answer", f.testStopUnderLoad)
 	t.Run("a store that is down at start", f.testStoreDownAtStart)
+	t.Run("a machine is emptied under load", f.testRetirement)
 }
 
 func (f *fleet) testChain(t *testing.T) {
@@ -429,7 +433,8 @@
 
 func (f *fleet) testRouteMoves(t *testing.T) {
 	moved := platformtest.NewEngine("i-moved-1")
-	t.Cleanup(moved.Close)
+	f.t.Cleanup(moved.Close)
+	f.moved = moved
 	f.store.Put("servers", moved.ID, moved.Entry("apps-2", zones[0], "ready"))
 	next := f.config.Clone(5)
 	next.Services = append(next.Services, map[string]any{"name": "apps-2", "connection_limit": 100})
@@ -531,7 +536,9 @@
 }
 
 func (f *fleet) testStoreDownAtStart(t *testing.T) {
-	f.store.SetFault(func(*http.Request) platformtest.Fault { return platformtest.Fault{Status: http.StatusServiceUnavailable} })
+	f.store.SetFault(func(*http.Request) platformtest.Fault {
+		return platformtest.Fault{Status: http.StatusServiceUnavailable}
+	})
 	f.kill(f.gateways[0])
 	f.start(f.gateways[0])
 	require.Eventually(t, func() bool {
@@ -545,3 +552,96 @@
 	f.store.SetFault(nil)
 	f.awaitReady(f.gateways[0])
 }
+
+// testStopUnderLoad keeps connections busy while the gateway stops: whatever an
+// instance ran has an answer.
+func (f *fleet) testStopUnderLoad(t *testing.T) {
+	const callers = 8
+	var mu sync.Mutex
+	var failed []string
+	stop := make(chan struct{})
+	var running sync.WaitGroup
+	for caller := range callers {
+		running.Go(func() {
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+			for number := 0; ; number++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id := fmt.Sprintf("%08x%08x", 0xabc0+caller, number)
+				if !f.kept(client, id) {
+					mu.Lock()
+					failed = append(failed, id)
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	require.Eventually(t, func() bool { return f.appRuns() > 100 }, 20*time.Second, 5*time.Millisecond)
+	require.NoError(t, f.gateways[0].command.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, <-f.gateways[0].exited)
+	close(stop)
+	running.Wait()
+	for _, id := range failed {
+		require.Empty(t, f.runsOfApps(id), "request %s ran and got no answer", id)
+	}
+	f.start(f.gateways[0])
+	f.awaitReady(f.gateways[0])
+}
+
+// kept sends a call over the client's kept connection.
+func (f *fleet) kept(client *http.Client, id string) bool {
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.gateways[0].address+"/charge/k", strings.NewReader("x"))
+	if err != nil {
+		return false
+	}
+	request.Host = appsHost
+	request.Header.Set("X-Request-Id", id)
+	request.Header.Set("X-Deadline-Ms", "5000")
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err == nil && response.StatusCode == http.StatusOK
+}
+
+// calledApps are the instances that calls may have gone to, moved routes included.
+func (f *fleet) calledApps() []*platformtest.Engine {
+	if f.moved == nil {
+		return f.apps
+	}
+	return append([]*platformtest.Engine{f.moved}, f.apps...)
+}
+
+func (f *fleet) appRuns() int {
+	total := 0
+	for _, app := range f.calledApps() {
+		total += len(app.Runs())
+	}
+	return total
+}
+
+func (f *fleet) runsOfApps(id string) []platformtest.Run { return runsOf(id, f.calledApps()) }
+
+func (f *fleet) testRetirement(t *testing.T) {
+	program := f.newID()
+	first := f.turn(f.gateways[0], turnRequest{path: "/chat/t", program: program, budget: 9000, most: 50, body: "kept|"})
+	require.Equal(t, http.StatusOK, first.status, first.body)
+	stop := make(chan struct{})
+	failed := f.load(agentHost, "/chat/load", http.Header{"X-Token-Count": {"10,50"}}, stop)
+	leaving := f.replicas[2]
+	f.store.Put("retirements", leaving.name, map[string]any{"duration_s": 10})
+	require.Eventually(t, func() bool {
+		object, _ := f.store.Get("retirements", leaving.name)
+		return strings.Contains(string(object.Status), "completed")
+	}, time.Minute, 20*time.Millisecond)
+	f.kill(leaving)
+	close(stop)
+	require.Empty(t, failed())
+	next := f.turn(f.gateways[1], turnRequest{path: "/chat/t", program: program, previous: first.id, budget: 9000, most: 50, body: "on|"})
+	require.Equal(t, http.StatusOK, next.status, next.body)
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -34,6 +34,8 @@
 	headerLimit = 10 * time.Second
 	// leaveNotice is how long new callers may still come after readiness ended.
 	leaveNotice = 2500 * time.Millisecond
+	// endPoll is how often a stop looks whether the last request ended.
+	endPoll = 25 * time.Millisecond
 	// configurationDoubt is how long the configuration's source may be lost before an
 	// unknown route is no longer believed not to exist.
 	configurationDoubt = 1500 * time.Millisecond
@@ -62,9 +64,11 @@
 	replicas  *quorum.Client
 	metrics   *Metrics
 
-	table    atomic.Pointer[route.Table]
-	known    atomic.Bool
+	table atomic.Pointer[route.Table]
+	known atomic.Bool
+	// stopping ends readiness; ending refuses what is not yet passed on.
 	stopping atomic.Bool
+	ending   atomic.Bool
 	// lostSince is when the source of the configuration was lost, in Unix
 	// nanoseconds of the process's clock; zero while it is in reach.
 	lostSince atomic.Int64
@@ -157,22 +161,26 @@
 	return s.stop(server, listener, patience)
 }
 
-// stop ends the gateway: no new callers, kept connections end with their next
-// answer, and requests in progress run to their end.
+// stop ends the gateway: no new callers, each answer asks its caller to close the
+// connection, and requests in progress run to their end. Kept connections are not
+// closed under their callers: a request may be on its way on any of them, and the
+// library's own shutdown has closed one whose request was being read.
 func (s *Server) stop(server *http.Server, listener net.Listener, patience time.Duration) error {
 	s.stopping.Store(true)
 	s.log.Info().Str("event", "stopping").Int64("in_flight", s.inFlight.Load()).Msg("")
-	server.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	wait.For(ctx, leaveNotice)
-	err := server.Shutdown(ctx)
 	_ = listener.Close()
-	if err != nil && !errors.Is(err, http.ErrServerClosed) {
-		s.log.Warn().Str("event", "stop_cut").Int64("in_flight", s.inFlight.Load()).Err(err).Msg("")
-		return server.Close()
+	for s.inFlight.Load() > 0 && wait.For(ctx, endPoll) {
 	}
-	return nil
+	s.ending.Store(true)
+	// Requests read at this moment are refused; they get their answers first.
+	wait.For(context.Background(), endPoll)
+	if left := s.inFlight.Load(); left > 0 {
+		s.log.Warn().Str("event", "stop_cut").Int64("in_flight", left).Msg("")
+	}
+	return server.Close()
 }
 
 // handle serves one request of a caller.
@@ -184,6 +192,9 @@
 		host: incoming.Host, method: incoming.Method, target: incoming.RequestURI, header: incoming.Header,
 	}
 	defer s.finish(r)
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	if failure := s.admit(w, r, incoming); failure != nil {
 		s.refuse(w, r, failure)
 		return
@@ -199,6 +210,9 @@
 
 // admit matches the request with its route and reads its body.
 func (s *Server) admit(w http.ResponseWriter, r *request, incoming *http.Request) *refusal {
+	if s.ending.Load() {
+		return refuseFor(verdict.CodeUnavailable, configurationRetry, "the gateway is about to end")
+	}
 	r.table = s.table.Load()
 	if r.table == nil || !s.known.Load() {
 		return refuseFor(verdict.CodeUnavailable, configurationRetry, "no configuration is known yet")
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -8,14 +8,14 @@
 	"swiftbank.dev/swiftbank/internal/ledger"
 	"swiftbank.dev/swiftbank/internal/registry"
 	"swiftbank.dev/swiftbank/internal/replicaset"
-	"swiftbank.dev/swiftbank/internal/wait"
 )
 
 const (
 	// registryTimeout bounds one call to the registry.
 	registryTimeout = 2 * time.Second
-	// registryRetry is the pause after a failed call.
-	registryRetry = 50 * time.Millisecond
+	// changePauseFirst and changePauseMost bound the pause after a change that failed.
+	changePauseFirst = 50 * time.Millisecond
+	changePauseMost  = time.Second
 	// leaveGrace is how long gateways may still write to a replica after it said
 	// that it leaves.
 	leaveGrace = 400 * time.Millisecond
@@ -29,12 +29,15 @@
 	// fresh is false until the registry was read once.
 	fresh bool
 	nodes map[string]replicaset.Node
-	// changing is set while a change is under way at the registry.
-	changing bool
-	leaving  bool
-	leftAt   time.Time
-	left     func()
-	reason   string
+	// changing is set while a change is under way at the registry; after a failure
+	// the next try waits until notBefore, a pause that doubles.
+	changing  bool
+	notBefore time.Time
+	pause     time.Duration
+	leaving   bool
+	leftAt    time.Time
+	left      func()
+	reason    string
 }
 
 // RegistryChanged takes in the registry's objects.
@@ -88,7 +91,7 @@
 
 // tickMembership takes the next step of joining or leaving, if one is due.
 func (s *Server) tickMembership(now time.Time) {
-	if !s.members.fresh || s.members.changing {
+	if !s.members.fresh || s.members.changing || now.Before(s.members.notBefore) {
 		return
 	}
 	change := replicaset.Plan(s.view(now))
@@ -161,12 +164,13 @@
 			err = s.options.Registry.Replace(ctx, replicaset.SetName, change.Next.Encode(), revision)
 		}
 		object, readErr := s.options.Registry.Get(ctx, replicaset.SetName)
-		if err != nil {
-			wait.For(s.context, registryRetry)
-		}
 		s.post(func() {
 			s.members.changing = false
-			if err != nil {
+			s.members.pause = min(2*s.members.pause, changePauseMost)
+			if err == nil {
+				s.members.pause = changePauseFirst
+			} else {
+				s.members.notBefore = time.Now().Add(s.members.pause)
 				s.log.Warn().Str("event", "set_change_failed").Uint64("epoch", change.Next.Epoch).Err(err).Msg("")
 			}
 			if readErr == nil {
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -118,9 +118,10 @@
 	})
 }
 
-// tick asks for what is new.
+// tick asks for what is new. A replica that leaves asks for nothing more, or what
+// it has to hand over would never end.
 func (p *peerState) tick(now time.Time) {
-	if !p.up {
+	if !p.up || p.server.members.leaving {
 		return
 	}
 	if p.asking && now.Sub(p.askedAt) < replyLimit {
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -84,6 +84,7 @@
 	if err := rotateAtStart(disk, s.state.Snapshot()); err != nil {
 		return nil, err
 	}
+	s.members.pause = changePauseFirst
 	s.syncer = newSyncer(disk, s.reportDisk, s.options.Metrics.observeSync)
 	turns, programs, bytes := s.state.Size()
 	s.log.Info().Str("event", "start").Str("role", "replica").Str("disk", s.state.Disk()).Bool("disk_is_new", !existed).
