Cells of replicas, and bounded gossip and placement

Change: replicas are dealt to cells of four or more, over the zones, when the first ones found them; a program's turns and charges are kept in the cell it hashes to, and a turn of another program is looked for in the other cells and copied. Founding writes the whole first membership at once. A load report goes to eight gateways in turn and is counted by its sum; a placement compares at most 24 instances, those that ran the turn before among them.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -35,27 +35,20 @@
 	instance Instance
 	// inFlight are this gateway's own requests.
 	inFlight int
-	// remote are the requests of other gateways, by their name.
-	remote map[string]remoteLoad
+	// remote are the requests of all other gateways by their last reports.
+	remote int
 	// failures counts failures to reach it in a row; avoidUntil is set by them.
 	failures   int
 	avoidUntil time.Time
 	cache      promptCache
 }
 
-type remoteLoad struct {
-	requests int
-	at       time.Time
-}
+func (m *member) load() int { return m.inFlight + m.remote }
 
-func (m *member) load(now time.Time) int {
-	load := m.inFlight
-	for _, remote := range m.remote {
-		if now.Sub(remote.at) < remoteLoadLimit {
-			load += remote.requests
-		}
-	}
-	return load
+// remoteReport is what another gateway last said of its requests in flight.
+type remoteReport struct {
+	loads map[string]int
+	at    time.Time
 }
 
 // Directory holds the instances of all services. It is safe for concurrent use.
@@ -66,12 +59,19 @@
 	members map[string]*member
 	// byService lists the members of each service in the order of their ids.
 	byService map[string][]*member
-	turn      int
+	reports   map[string]remoteReport
+	// ranLast is the instance that had a prompt part last, for the parts of this
+	// gateway's own requests.
+	ranLast map[string]string
+	turn    int
 }
 
 // NewDirectory returns an empty directory of a gateway in the zone.
 func NewDirectory(zone string) *Directory {
-	return &Directory{zone: zone, members: map[string]*member{}, byService: map[string][]*member{}}
+	return &Directory{
+		zone: zone, members: map[string]*member{}, byService: map[string][]*member{},
+		reports: map[string]remoteReport{}, ranLast: map[string]string{},
+	}
 }
 
 // Update replaces the list of instances and returns the ids that are gone.
@@ -83,7 +83,7 @@
 		listed[instance.ID] = true
 		known := d.members[instance.ID]
 		if known == nil {
-			known = &member{remote: map[string]remoteLoad{}, cache: newPromptCache()}
+			known = &member{cache: newPromptCache()}
 			d.members[instance.ID] = known
 		}
 		known.instance = instance
@@ -122,15 +122,33 @@
 	return loads
 }
 
-// RemoteLoads takes in another gateway's requests in flight.
+// RemoteLoads takes in another gateway's requests in flight, in place of what it
+// said before. Reports that are too old are dropped.
 func (d *Directory) RemoteLoads(now time.Time, gateway string, loads map[string]int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for id, known := range d.members {
-		if requests := loads[id]; requests > 0 {
-			known.remote[gateway] = remoteLoad{requests: requests, at: now}
-		} else {
-			delete(known.remote, gateway)
+	d.addRemote(d.reports[gateway].loads, -1)
+	d.addRemote(loads, 1)
+	d.reports[gateway] = remoteReport{loads: loads, at: now}
+	for name, report := range d.reports {
+		if now.Sub(report.at) > d.remoteLimit() {
+			d.addRemote(report.loads, -1)
+			delete(d.reports, name)
+		}
+	}
+}
+
+// remoteLimit is how long a report counts: the more gateways there are, the more
+// seldom each one reports here.
+func (d *Directory) remoteLimit() time.Duration {
+	const gatewaysAtOnce = 8
+	return remoteLoadLimit * time.Duration(1+len(d.reports)/gatewaysAtOnce)
+}
+
+func (d *Directory) addRemote(loads map[string]int, sign int) {
+	for id, requests := range loads {
+		if known := d.members[id]; known != nil {
+			known.remote = max(0, known.remote+sign*requests)
 		}
 	}
 }
--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -20,6 +20,10 @@
 	zoneCost = 3.0
 	// plainQueuedCost is the wait behind one request of a plain service.
 	plainQueuedCost = 60.0
+	// sampleSize bounds the instances that one placement compares; sampleStride moves
+	// the sample on, in steps that share no factor with most sizes.
+	sampleSize   = 24
+	sampleStride = 17
 	// fullPause is how long an instance that refused for lack of room is avoided.
 	fullPause = 40 * time.Millisecond
 	// cacheLife is how long a prompt part is believed to stay in an engine's memory.
@@ -71,7 +75,7 @@
 	for i := range candidates {
 		// Ties go to another instance each time, or all gateways would choose alike.
 		candidate := candidates[(i+d.turn)%len(candidates)]
-		load := candidate.load(now)
+		load := candidate.load()
 		cost := d.cost(now, candidate, load, demand)
 		if best == nil || cost < choice.Cost {
 			best = candidate
@@ -80,23 +84,38 @@
 	}
 	best.inFlight++
 	best.cache.add(now, demand.Parts)
+	d.remember(best.instance.ID, demand.Parts)
 	choice.Instance = best.instance
 	return choice, true
 }
 
-// candidates leaves out leaving, excluded and suspected instances; the suspected
-// come back in when there are no others.
+// candidates returns a bounded sample of the instances that may get the request:
+// those that ran the turn before, and others in turn. Leaving and excluded ones are
+// left out, suspected ones too unless there are no others.
 func (d *Directory) candidates(now time.Time, demand Demand) []*member {
+	all := d.byService[demand.Service]
 	var sound, suspected []*member
-	for _, known := range d.byService[demand.Service] {
-		if known.instance.Leaving || slices.Contains(demand.Exclude, known.instance.ID) {
-			continue
-		}
-		if now.Before(known.avoidUntil) {
+	add := func(known *member) {
+		switch {
+		case known.instance.Leaving || slices.Contains(demand.Exclude, known.instance.ID):
+		case now.Before(known.avoidUntil):
 			suspected = append(suspected, known)
-			continue
+		default:
+			sound = append(sound, known)
+		}
+	}
+	if len(all) > sampleSize {
+		for _, id := range []string{demand.Preferred, d.lastRun(demand.Parts)} {
+			if known := d.members[id]; known != nil && known.instance.Service == demand.Service {
+				add(known)
+			}
 		}
-		sound = append(sound, known)
+	}
+	for step := range all {
+		if len(sound) >= sampleSize {
+			break
+		}
+		add(all[(d.turn*sampleStride+step)%len(all)])
 	}
 	if len(sound) == 0 {
 		return suspected
@@ -104,6 +123,27 @@
 	return sound
 }
 
+// remember notes where the parts of a prompt were used last.
+func (d *Directory) remember(id string, parts []Part) {
+	const most = 16384
+	if len(d.ranLast) > most {
+		clear(d.ranLast)
+	}
+	for _, part := range parts {
+		d.ranLast[part.ID] = id
+	}
+}
+
+// lastRun returns the instance that had the newest known part of the prompt.
+func (d *Directory) lastRun(parts []Part) string {
+	for _, part := range slices.Backward(parts) {
+		if id, known := d.ranLast[part.ID]; known {
+			return id
+		}
+	}
+	return ""
+}
+
 func (d *Directory) cost(now time.Time, candidate *member, load int, demand Demand) float64 {
 	cost := 0.0
 	if candidate.instance.Zone != d.zone {
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -54,7 +54,7 @@
 	defer end()
 	metrics := gateway.NewMetrics(config.Node)
 	directory := backend.NewDirectory(config.Zone)
-	replicas := quorum.NewClient(life, config.Zone, process.log)
+	replicas := quorum.NewCells(life, config.Zone, process.log)
 	server := gateway.New(gateway.Options{
 		Node: config.Node, Zone: config.Zone, Dialect: platform.Dialect(), Directory: directory, Replicas: replicas,
 		Log: process.log, Metrics: metrics, Copies: config.TolerateMachines + 1,
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -7,6 +7,7 @@
 	"errors"
 	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,9 @@
 	// when that has changed; gossipRefresh is when it does so anyway.
 	gossipInterval = 50 * time.Millisecond
 	gossipRefresh  = 500 * time.Millisecond
+	// gossipFanout bounds the gateways that one report goes to; the others get the
+	// next ones.
+	gossipFanout = 8
 	// datagramBytes bounds one datagram.
 	datagramBytes = 60 << 10
 )
@@ -38,21 +42,22 @@
 	directory *backend.Directory
 
 	mu    sync.Mutex
-	peers map[string]net.Addr
+	peers []net.Addr
+	next  int
 }
 
 // NewGossip returns the gossip of a gateway.
 func NewGossip(node string, directory *backend.Directory) *Gossip {
-	return &Gossip{node: node, directory: directory, peers: map[string]net.Addr{}}
+	return &Gossip{node: node, directory: directory}
 }
 
 // SetGateways takes in the gateways that the registry lists.
-func (g *Gossip) SetGateways(nodes []replicaset.Node) {
-	peers := map[string]net.Addr{}
-	for _, node := range nodes {
-		address, err := net.ResolveUDPAddr("udp", node.Address)
-		if err == nil && node.Name != g.node {
-			peers[node.Name] = address
+func (g *Gossip) SetGateways(nodes map[string]replicaset.Node) {
+	var peers []net.Addr
+	for _, name := range slices.Sorted(maps.Keys(nodes)) {
+		address, err := net.ResolveUDPAddr("udp", nodes[name].Address)
+		if err == nil && name != g.node {
+			peers = append(peers, address)
 		}
 	}
 	g.mu.Lock()
@@ -100,14 +105,24 @@
 	if gob.NewEncoder(&message).Encode(report) != nil {
 		return
 	}
-	g.mu.Lock()
-	peers := g.peers
-	g.mu.Unlock()
-	for _, peer := range peers {
+	for _, peer := range g.round() {
 		_, _ = socket.WriteTo(message.Bytes(), peer)
 	}
 }
 
+// round returns the gateways that the next report goes to, each in its turn.
+func (g *Gossip) round() []net.Addr {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	count := min(gossipFanout, len(g.peers))
+	round := make([]net.Addr, 0, count)
+	for range count {
+		round = append(round, g.peers[g.next%len(g.peers)])
+		g.next++
+	}
+	return round
+}
+
 func (g *Gossip) receive(socket net.PacketConn) {
 	buffer := make([]byte, datagramBytes)
 	for {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -47,7 +47,7 @@
 	Zone      string
 	Dialect   Dialect
 	Directory *backend.Directory
-	Replicas  *quorum.Client
+	Replicas  *quorum.Cells
 	Log       *log.Logger
 	Metrics   *Metrics
 	// Copies is how many disks must hold a turn before it counts.
@@ -61,7 +61,7 @@
 	log       *log.Logger
 	directory *backend.Directory
 	pool      *backend.Pool
-	replicas  *quorum.Client
+	replicas  *quorum.Cells
 	metrics   *Metrics
 
 	table atomic.Pointer[route.Table]
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -25,7 +26,11 @@
 	previous    string
 	input       []byte
 	reservation *quorum.Reservation
-	durable     bool
+	// cell keeps the program's turns and charges.
+	cell *quorum.Client
+	// ancestors are the turns before this one, where another cell keeps them.
+	ancestors []ledger.Turn
+	durable   bool
 	// output is what later prompts hold of the answer.
 	output    []byte
 	events    int
@@ -71,11 +76,15 @@
 	if t.program == "" && t.previous == "" {
 		return nil
 	}
+	t.cell = s.replicas.Of(t.header.Get(s.dialect.Program))
+	if t.cell == nil {
+		return refuseFor(verdict.CodeUnavailable, replicaRetry, "no replicas are known yet")
+	}
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, replicaPatience)
 	defer cancel()
 	charge := ledger.Charge{Turn: t.id, Tokens: t.most}
-	reservation, err := s.replicas.Reserve(ctx, t.program, charge, t.previous)
+	reservation, err := t.cell.Reserve(ctx, t.program, charge, t.previous)
 	t.outcome.reserveMS = sinceMS(began)
 	s.metrics.reserve.Observe(time.Since(began).Seconds())
 	if err != nil {
@@ -85,6 +94,9 @@
 	t.reservation = reservation
 	t.outcome.others = reservation.Others
 	if t.previous != "" && !reservation.Found {
+		t.ancestors = s.replicas.ChainElsewhere(ctx, t.header.Get(s.dialect.Program), t.previous)
+	}
+	if t.previous != "" && !reservation.Found && len(t.ancestors) == 0 {
 		s.settle(t)
 		return refuseFor(verdict.CodeUnavailable, replicaRetry, "the previous turn is not to be found now")
 	}
@@ -93,18 +105,29 @@
 		s.settle(t)
 		return &refusal{status: http.StatusPaymentRequired, code: verdict.CodeBudgetExhausted, reason: "the program's budget holds no further turn"}
 	}
-	if len(reservation.History) > 0 {
-		t.body = append(reservation.History, t.input...)
-	}
+	t.body = append(t.history(), t.input...)
 	return nil
 }
 
+// history returns the text before the turn's own input.
+func (t *turn) history() []byte {
+	if t.reservation.Found {
+		return t.reservation.History
+	}
+	var text []byte
+	for _, ancestor := range slices.Backward(t.ancestors) {
+		text = append(text, ancestor.Input...)
+		text = append(text, ancestor.Output...)
+	}
+	return text
+}
+
 // settle replaces the reservation by what went to the caller.
 func (s *Server) settle(t *turn) {
 	if t.program == "" {
 		return
 	}
-	s.replicas.Settle(t.program, t.finalCharge())
+	t.cell.Settle(t.program, t.finalCharge())
 }
 
 func (t *turn) finalCharge() ledger.Charge {
@@ -253,11 +276,18 @@
 		return nil
 	}
 	began := time.Now()
-	commit := ledger.Commit{Program: t.program, Charge: t.finalCharge(), Turn: &ledger.Turn{
+	commit := ledger.Commit{Program: t.program, Charge: t.finalCharge(), Ancestors: t.ancestors, Turn: &ledger.Turn{
 		ID: t.id, Previous: t.previous, Input: t.input, Output: t.output,
 		Instance: t.outcome.instance, Retention: t.route.Retention,
 	}}
-	err := s.replicas.Commit(ctx, commit, s.options.Copies)
+	cell := t.cell
+	if cell == nil {
+		cell = s.replicas.Of(t.header.Get(s.dialect.Program))
+	}
+	if cell == nil {
+		return &backend.Failure{Verdict: verdict.Ran, Reason: "no replicas are known"}
+	}
+	err := cell.Commit(ctx, commit, s.options.Copies)
 	t.outcome.commitMS = sinceMS(began)
 	s.metrics.commit.Observe(time.Since(began).Seconds())
 	if err != nil {
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -63,6 +63,7 @@
 	Adopt     *Adopt
 	Inventory *Inventory
 	Fetch     *Fetch
+	Chain     *Chain
 	Hello     *replicaset.Node
 }
 
@@ -77,9 +78,11 @@
 
 // Commit stores a finished turn, a final charge, or both.
 type Commit struct {
-	Turn    *Turn
-	Program string
-	Charge  Charge
+	Turn *Turn
+	// Ancestors are the turns before it, where they were kept in another cell.
+	Ancestors []Turn
+	Program   string
+	Charge    Charge
 }
 
 // Adopt tells a replica of a newer membership. The durable reply means that it
@@ -105,6 +108,11 @@
 	IDs []string
 }
 
+// Chain asks for a turn and all turns before it.
+type Chain struct {
+	ID string
+}
+
 // Reply is one message from a replica. A Reserve has two replies, first the
 // accepted one with the charges, then the durable one; the others have one.
 type Reply struct {
@@ -120,7 +128,11 @@
 	// Charges answers an Adopt with charges.
 	Charges   []ProgramCharge
 	Inventory *InventoryReply
-	Turns     []Turn
+	// Turns answers a Fetch, or a Chain with the newest turn first; a chain with a gap
+	// is answered with none.
+	Turns []Turn
+	// Chain is set in the answer to a Chain.
+	Chain bool
 }
 
 // ReserveReply is what a replica knows when it accepts a reservation.
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -96,6 +96,8 @@
 		return s.inventory(request)
 	case request.Fetch != nil:
 		return s.fetch(request)
+	case request.Chain != nil:
+		return s.wholeChain(now, request)
 	default:
 		return Output{}
 	}
@@ -211,8 +213,11 @@
 
 func (s *State) commit(now time.Time, request Request) Output {
 	var output Output
+	for _, ancestor := range request.Commit.Ancestors {
+		output.Records = append(output.Records, s.store(now, ancestor)...)
+	}
 	if turn := request.Commit.Turn; turn != nil {
-		output.Records = s.store(now, *turn)
+		output.Records = append(output.Records, s.store(now, *turn)...)
 	}
 	if request.Commit.Program != "" {
 		output.Records = append(output.Records, s.charge(now, request.Commit.Program, request.Commit.Charge)...)
@@ -321,6 +326,19 @@
 	return Output{Now: []Reply{reply}}
 }
 
+func (s *State) wholeChain(now time.Time, request Request) Output {
+	reply := s.reply(request.Number)
+	reply.Chain = true
+	chain, complete := s.chain(request.Chain.ID)
+	if complete {
+		for _, stored := range chain {
+			stored.until = maxTime(stored.until, now.Add(stored.turn.Retention+retentionMargin))
+			reply.Turns = append(reply.Turns, stored.turn)
+		}
+	}
+	return Output{Now: []Reply{reply}}
+}
+
 // Purge drops turns and programs whose retention is over.
 func (s *State) Purge(now time.Time) {
 	maps.DeleteFunc(s.turns, func(_ string, stored *storedTurn) bool {
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -27,7 +27,7 @@
 // or may not be recorded.
 var ErrNoQuorum = errors.New("quorum: too few replicas answered in time")
 
-// Client sends requests to the replicas. It is safe for concurrent use.
+// Client sends requests to the replicas of one cell. It is safe for concurrent use.
 type Client struct {
 	context context.Context
 	zone    string
@@ -44,6 +44,8 @@
 type operation struct {
 	request ledger.Request
 	tally   *Tally
+	// chains holds the answers to a Chain, by disk.
+	chains map[string][]ledger.Turn
 	// changed is signalled after each reply.
 	changed chan struct{}
 	// votersOnly requests are of no use to other replicas.
@@ -295,6 +297,30 @@
 	}()
 }
 
+// Chain returns a turn and all before it, newest first, or none when every replica
+// in reach lacks it or too little time is left.
+func (c *Client) Chain(ctx context.Context, id string) []ledger.Turn {
+	pending := &operation{request: ledger.Request{Chain: &ledger.Chain{ID: id}}}
+	number := c.begin(pending)
+	defer c.end(number)
+	var found []ledger.Turn
+	_ = c.await(ctx, pending, func() bool {
+		answered := 0
+		for _, replica := range c.replicas {
+			turns, said := pending.chains[replica.node.Disk]
+			if len(turns) > 0 {
+				found = turns
+				return true
+			}
+			if said || !replica.up {
+				answered++
+			}
+		}
+		return answered == len(c.replicas)
+	})
+	return found
+}
+
 // await waits for a condition, which is checked under the lock after each reply.
 func (c *Client) await(ctx context.Context, pending *operation, met func() bool) error {
 	for {
@@ -314,6 +340,7 @@
 
 func (c *Client) begin(pending *operation) uint64 {
 	pending.tally = NewTally()
+	pending.chains = map[string][]ledger.Turn{}
 	pending.changed = make(chan struct{}, 1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -403,6 +430,9 @@
 	if pending == nil {
 		return
 	}
+	if reply.Chain {
+		pending.chains[reply.Disk] = reply.Turns
+	}
 	pending.tally.Add(reply)
 	pending.signal()
 }
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/ledger"
@@ -16,60 +15,89 @@
 	// changePauseFirst and changePauseMost bound the pause after a change that failed.
 	changePauseFirst = 50 * time.Millisecond
 	changePauseMost  = time.Second
+	// foundingQuiet is how long no further replica may have registered before the
+	// cells are founded: their number stays for good.
+	foundingQuiet = 900 * time.Millisecond
 	// leaveGrace is how long gateways may still write to a replica after it said
 	// that it leaves.
 	leaveGrace = 400 * time.Millisecond
 )
 
-// membership is what a replica knows of the replica set. It belongs to the loop.
+// membership is what a replica knows of its cell. It belongs to the loop.
 type membership struct {
+	// read is the registry's content; fresh is false until it was read once.
+	read  replicaset.Membership
+	fresh bool
+	// newcomerAt is when a further replica was last seen.
+	newcomerAt time.Time
+	// cell is the own cell, or NoCell; set its newest set, at a revision.
+	cell     int
 	set      replicaset.Set
-	hasSet   bool
 	revision uint64
-	// fresh is false until the registry was read once.
-	fresh bool
-	nodes map[string]replicaset.Node
 	// changing is set while a change is under way at the registry; after a failure
 	// the next try waits until notBefore, a pause that doubles.
 	changing  bool
 	notBefore time.Time
 	pause     time.Duration
-	leaving   bool
-	leftAt    time.Time
-	left      func()
-	reason    string
+	// registration is cancelled when the node describes itself anew.
+	registration context.CancelFunc
+	leaving      bool
+	leftAt       time.Time
+	left         func()
+	reason       string
 }
 
 // RegistryChanged takes in the registry's objects.
 func (s *Server) RegistryChanged(objects []registry.Object) {
-	s.post(func() { s.readRegistry(objects) })
+	s.post(func() { s.readRegistry(replicaset.Read(objects)) })
 }
 
-func (s *Server) readRegistry(objects []registry.Object) {
+func (s *Server) readRegistry(read replicaset.Membership) {
+	if len(read.Replicas) > len(s.members.read.Replicas) {
+		s.members.newcomerAt = time.Now()
+	}
+	s.members.read = read
 	s.members.fresh = true
-	nodes := map[string]replicaset.Node{}
-	for _, object := range objects {
-		if object.Name == replicaset.SetName {
-			s.readSet(object)
-			continue
-		}
-		var node replicaset.Node
-		if json.Unmarshal(object.Value, &node) == nil && node.Role == replicaset.RoleReplica {
-			nodes[node.Name] = node
+	if !read.HasLayout {
+		return
+	}
+	s.findCell()
+	s.readSet(read.Sets[s.members.cell], read.Revisions[s.members.cell])
+	for _, node := range read.Replicas {
+		if read.CellOfNode(node) == s.members.cell {
 			s.meet(node)
 		}
 	}
-	s.members.nodes = nodes
 }
 
-func (s *Server) readSet(object registry.Object) {
-	set, err := replicaset.Decode(object.Value)
-	if err != nil || s.members.hasSet && set.Epoch <= s.members.set.Epoch {
+// findCell decides on the own cell once, and registers it.
+func (s *Server) findCell() {
+	if s.members.cell != replicaset.NoCell {
+		return
+	}
+	own := s.own()
+	own.Cell = s.members.read.Replicas[s.options.Node].Cell
+	zones := map[string]string{}
+	for name, node := range s.members.read.Replicas {
+		zones[name] = node.Zone
+	}
+	s.members.cell = replicaset.ChooseCell(own, s.members.read.Sets, zones)
+	s.log.Info().Str("event", "cell_found").Int("cell", s.members.cell).Int("cells", len(s.members.read.Sets)).Msg("")
+	if !own.HasCell() || *own.Cell != s.members.cell {
+		s.register()
+	}
+}
+
+func (s *Server) readSet(set replicaset.Set, revision uint64) {
+	if revision > s.members.revision {
+		s.members.revision = revision
+	}
+	if set.Epoch <= s.members.set.Epoch {
 		return
 	}
-	s.members.set, s.members.hasSet, s.members.revision = set, true, object.Revision
-	s.log.Info().Str("event", "set_changed").Uint64("epoch", set.Epoch).Int("voters", len(set.Voters)).
-		Bool("voter", set.Has(s.state.Disk())).Msg("")
+	s.members.set = set
+	s.log.Info().Str("event", "set_changed").Int("cell", s.members.cell).Uint64("epoch", set.Epoch).
+		Int("voters", len(set.Voters)).Bool("voter", set.Has(s.state.Disk())).Msg("")
 	output := s.state.Step(time.Now(), ledger.Request{Adopt: &ledger.Adopt{Set: set}})
 	s.persist(output.Records, nil)
 }
@@ -85,15 +113,19 @@
 		s.members.left = done
 		s.members.leftAt = time.Now()
 		s.log.Info().Str("event", "leave_begun").Msg("")
-		go s.register(s.context)
+		s.register()
 	})
 }
 
-// tickMembership takes the next step of joining or leaving, if one is due.
+// tickMembership takes the next step of founding, joining or leaving, if one is due.
 func (s *Server) tickMembership(now time.Time) {
 	if !s.members.fresh || s.members.changing || now.Before(s.members.notBefore) {
 		return
 	}
+	if !s.members.read.HasLayout {
+		s.found(now)
+		return
+	}
 	change := replicaset.Plan(s.view(now))
 	switch change.Kind {
 	case replicaset.None:
@@ -105,6 +137,23 @@
 	}
 }
 
+// found writes the layout once no further replica registers.
+func (s *Server) found(now time.Time) {
+	_, registered := s.members.read.Replicas[s.options.Node]
+	if s.members.leaving || !registered || now.Sub(s.members.newcomerAt) < foundingQuiet {
+		return
+	}
+	var nodes []replicaset.Node
+	for _, node := range s.members.read.Replicas {
+		nodes = append(nodes, node)
+	}
+	layout := replicaset.NewLayout(nodes, s.options.Tolerate)
+	s.log.Info().Str("event", "layout_founded").Int("replicas", len(nodes)).Int("cells", layout.Cells).Msg("")
+	s.write("layout", func(ctx context.Context) error {
+		return s.options.Registry.Create(ctx, replicaset.LayoutName, layout.Encode())
+	})
+}
+
 // askAdoption asks the voters to adopt the present epoch.
 func (s *Server) askAdoption(now time.Time, reason string) {
 	if reason != s.members.reason {
@@ -119,76 +168,98 @@
 func (s *Server) view(now time.Time) replicaset.View {
 	view := replicaset.View{
 		Own: replicaset.Voter{Node: s.options.Node, Disk: s.state.Disk()},
-		Set: s.members.set, HasSet: s.members.hasSet, Leaving: s.members.leaving, Tolerate: s.options.Tolerate,
+		Set: s.members.set, Leaving: s.members.leaving, Tolerate: s.options.Tolerate,
 		Disks: map[string]string{s.options.Node: s.state.Disk()}, Adopted: map[string]bool{}, Silence: map[string]time.Duration{},
 	}
 	view.Adopted[s.state.Disk()] = s.state.Set().Epoch >= s.members.set.Epoch
-	for name, node := range s.members.nodes {
+	for name, node := range s.members.read.Replicas {
 		if name != s.options.Node {
 			view.Disks[name] = node.Disk
 		}
 	}
 	for _, voter := range s.members.set.Voters {
-		peer := s.peers[voter.Node]
-		if peer == nil {
-			view.Silence[voter.Disk] = now.Sub(s.started)
-			continue
-		}
-		if peer.disk == voter.Disk && peer.adopted >= s.members.set.Epoch {
-			view.Adopted[voter.Disk] = true
-		}
-		if !peer.up || now.Sub(peer.heardAt) > replyLimit {
-			since := peer.heardAt
-			if since.IsZero() {
-				since = s.started
-			}
-			view.Silence[voter.Disk] = now.Sub(since)
-		}
+		s.viewPeer(now, &view, voter)
 	}
 	return view
 }
 
-// change writes the next set in the background; the loop goes on serving.
+// viewPeer adds what is known of another voter.
+func (s *Server) viewPeer(now time.Time, view *replicaset.View, voter replicaset.Voter) {
+	peer := s.peers[voter.Node]
+	if peer == nil {
+		view.Silence[voter.Disk] = now.Sub(s.started)
+		return
+	}
+	if peer.disk == voter.Disk && peer.adopted >= s.members.set.Epoch {
+		view.Adopted[voter.Disk] = true
+	}
+	if peer.up && now.Sub(peer.heardAt) <= replyLimit {
+		return
+	}
+	since := peer.heardAt
+	if since.IsZero() {
+		since = s.started
+	}
+	view.Silence[voter.Disk] = now.Sub(since)
+}
+
+// change writes the next set of the own cell.
 func (s *Server) change(change replicaset.Change) {
-	s.members.changing = true
 	revision := s.members.revision
-	s.log.Info().Str("event", "set_change").Uint64("epoch", change.Next.Epoch).Str("reason", change.Reason).
-		Int("voters", len(change.Next.Voters)).Msg("")
+	name := replicaset.SetName(s.members.cell)
+	s.log.Info().Str("event", "set_change").Int("cell", s.members.cell).Uint64("epoch", change.Next.Epoch).
+		Str("reason", change.Reason).Int("voters", len(change.Next.Voters)).Msg("")
+	s.write("set", func(ctx context.Context) error {
+		if revision == 0 {
+			return s.options.Registry.Create(ctx, name, change.Next.Encode())
+		}
+		return s.options.Registry.Replace(ctx, name, change.Next.Encode(), revision)
+	})
+}
+
+// write makes one conditional write in the background and reads the cell's set
+// again; the loop goes on serving.
+func (s *Server) write(what string, write func(context.Context) error) {
+	s.members.changing = true
+	name := replicaset.SetName(max(0, s.members.cell))
 	go func() {
 		ctx, cancel := context.WithTimeout(s.context, registryTimeout)
 		defer cancel()
-		var err error
-		if change.Kind == replicaset.Found {
-			err = s.options.Registry.Create(ctx, replicaset.SetName, change.Next.Encode())
-		} else {
-			err = s.options.Registry.Replace(ctx, replicaset.SetName, change.Next.Encode(), revision)
-		}
-		object, readErr := s.options.Registry.Get(ctx, replicaset.SetName)
+		err := write(ctx)
+		object, readErr := s.options.Registry.Get(ctx, name)
 		s.post(func() {
-			s.members.changing = false
-			s.members.pause = min(2*s.members.pause, changePauseMost)
-			if err == nil {
-				s.members.pause = changePauseFirst
-			} else {
-				s.members.notBefore = time.Now().Add(s.members.pause)
-				s.log.Warn().Str("event", "set_change_failed").Uint64("epoch", change.Next.Epoch).Err(err).Msg("")
+			s.written(what, err)
+			if readErr != nil || s.members.cell == replicaset.NoCell {
+				return
 			}
-			if readErr == nil {
-				s.readSet(object)
+			if set, err := replicaset.Decode(object.Value); err == nil {
+				s.readSet(set, object.Revision)
 			}
 		})
 	}()
 }
 
-// tickLeaving reports this machine empty once every reachable replica holds all
-// its turns and none is written to it any more.
+// written notes the end of a write and when the next one may be tried.
+func (s *Server) written(what string, err error) {
+	s.members.changing = false
+	if err == nil {
+		s.members.pause = changePauseFirst
+		return
+	}
+	s.log.Warn().Str("event", "set_change_failed").Str("what", what).Err(err).Msg("")
+	s.members.pause = min(2*s.members.pause, changePauseMost)
+	s.members.notBefore = time.Now().Add(s.members.pause)
+}
+
+// tickLeaving reports this machine empty once every reachable replica of the cell
+// holds all its turns and none is written to it any more.
 func (s *Server) tickLeaving(now time.Time) {
 	if !s.members.leaving || s.members.left == nil || now.Sub(s.members.leftAt) < leaveGrace {
 		return
 	}
 	holders := 0
 	for _, peer := range s.peers {
-		registered, known := s.members.nodes[peer.node.Name]
+		registered, known := s.members.read.Replicas[peer.node.Name]
 		if !known || registered.Leaving || !peer.up {
 			continue
 		}
@@ -205,15 +276,16 @@
 	s.members.left = nil
 }
 
-// register describes this node in the registry and tries until that is done.
-func (s *Server) register(ctx context.Context) {
-	own := make(chan replicaset.Node, 1)
-	s.post(func() { own <- s.own() })
-	select {
-	case node := <-own:
-		replicaset.Register(ctx, s.options.Registry, node, func(err error) {
-			s.log.Warn().Str("event", "register_failed").Err(err).Msg("")
-		})
-	case <-ctx.Done():
+// register describes this node in the registry, in the background, until that is
+// done or there is something newer to say.
+func (s *Server) register() {
+	if s.members.registration != nil {
+		s.members.registration()
 	}
+	ctx, cancel := context.WithCancel(s.context)
+	s.members.registration = cancel
+	own := s.own()
+	go replicaset.Register(ctx, s.options.Registry, own, func(err error) {
+		s.log.Warn().Str("event", "register_failed").Err(err).Msg("")
+	})
 }
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -85,6 +85,7 @@
 		return nil, err
 	}
 	s.members.pause = changePauseFirst
+	s.members.cell = replicaset.NoCell
 	s.syncer = newSyncer(disk, s.reportDisk, s.options.Metrics.observeSync)
 	turns, programs, bytes := s.state.Size()
 	s.log.Info().Str("event", "start").Str("role", "replica").Str("disk", s.state.Disk()).Bool("disk_is_new", !existed).
@@ -107,10 +108,14 @@
 }
 
 func (s *Server) own() replicaset.Node {
-	return replicaset.Node{
+	node := replicaset.Node{
 		Name: s.options.Node, Role: replicaset.RoleReplica, Address: s.options.Address,
 		Zone: s.options.Zone, Disk: s.state.Disk(), Leaving: s.members.leaving,
 	}
+	if cell := s.members.cell; cell != replicaset.NoCell {
+		node.Cell = &cell
+	}
+	return node
 }
 
 // post hands work to the loop.
@@ -134,7 +139,7 @@
 	server := s.serve(listener)
 	running.Go(server.Run)
 	running.Go(func() { s.syncer.run(ctx) })
-	running.Go(func() { s.register(ctx) })
+	s.register()
 	s.loop(ctx)
 	cancel()
 	server.Close()
--- /dev/null
+++ b/internal/replicaset/layout.go
@@ -0,0 +1,144 @@
+package replicaset
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// A cell is a replica set of its own: a few machines in different zones that keep
+// the turns and charges of the programs that hash to it. The number of cells is
+// fixed when the first replicas found them; machines that come later join cells.
+
+const (
+	// LayoutName is the registry object that holds the layout.
+	LayoutName = "replica-layout"
+	// setPrefix begins the names of the registry objects that hold the cells' sets.
+	setPrefix = "replica-set-"
+	// smallestCell is how many machines a cell has at least, where there are as many.
+	smallestCell = 4
+)
+
+// NoCell is the cell of a node that has none yet.
+const NoCell = -1
+
+// Layout is written once, by the first replica that finds none.
+type Layout struct {
+	// Cells is the number of cells.
+	Cells int `json:"cells"`
+	// Founding holds the first set of each cell.
+	Founding []Set `json:"founding"`
+}
+
+// SetName returns the name of the object that holds a cell's set.
+func SetName(cell int) string { return setPrefix + strconv.Itoa(cell) }
+
+// CellOfSet returns the cell whose set the object holds.
+func CellOfSet(name string) (cell int, isSet bool) {
+	number, isSet := strings.CutPrefix(name, setPrefix)
+	cell, err := strconv.Atoi(number)
+	return cell, isSet && err == nil
+}
+
+// NewLayout deals the machines to cells so that each cell has machines of as many
+// zones as possible, and enough of them to lose the tolerated number.
+func NewLayout(nodes []Node, tolerate int) Layout {
+	nodes = slices.Clone(nodes)
+	slices.SortFunc(nodes, func(a, b Node) int {
+		if zone := cmp.Compare(a.Zone, b.Zone); zone != 0 {
+			return zone
+		}
+		return cmp.Compare(a.Name, b.Name)
+	})
+	size := max(smallestCell, 2*tolerate+2)
+	layout := Layout{Cells: max(1, len(nodes)/size)}
+	layout.Founding = make([]Set, layout.Cells)
+	for place, node := range nodes {
+		set := &layout.Founding[place%layout.Cells]
+		set.Epoch = 1
+		set.Voters = append(set.Voters, Voter{Node: node.Name, Disk: node.Disk})
+	}
+	return layout
+}
+
+// Encode returns the form kept in the registry.
+func (l Layout) Encode() []byte {
+	content, _ := json.Marshal(l) // plain strings and numbers always encode
+	return content
+}
+
+// DecodeLayout reads the form kept in the registry.
+func DecodeLayout(content []byte) (Layout, error) {
+	var layout Layout
+	if err := json.Unmarshal(content, &layout); err != nil {
+		return Layout{}, fmt.Errorf("replica layout: %w", err)
+	}
+	if layout.Cells < 1 || len(layout.Founding) != layout.Cells {
+		return Layout{}, fmt.Errorf("replica layout: %d cells with %d founding sets", layout.Cells, len(layout.Founding))
+	}
+	return layout, nil
+}
+
+// CellOf returns the cell that keeps a program.
+func CellOf(program string, cells int) int {
+	return int(xxhash.Sum64String(program) % uint64(cells))
+}
+
+// ChooseCell returns the cell that a replica belongs to: the one whose set names
+// its disk or its machine, else the one it registered for before, else the one with
+// the fewest voters, preferring one without a machine of its zone.
+func ChooseCell(own Node, sets []Set, zones map[string]string) int {
+	for cell, set := range sets {
+		if slices.ContainsFunc(set.Voters, func(v Voter) bool { return v.Disk == own.Disk || v.Node == own.Name }) {
+			return cell
+		}
+	}
+	if own.HasCell() && *own.Cell < len(sets) {
+		return *own.Cell
+	}
+	best, bestRank := 0, [2]int{}
+	for cell, set := range sets {
+		neighbours := 0
+		for _, voter := range set.Voters {
+			if zones[voter.Node] == own.Zone {
+				neighbours++
+			}
+		}
+		rank := [2]int{len(set.Voters), neighbours}
+		if cell == 0 || slices.Compare(rank[:], bestRank[:]) < 0 {
+			best, bestRank = cell, rank
+		}
+	}
+	return best
+}
+
+// Membership is the registry's content in the product's terms.
+type Membership struct {
+	// HasLayout is false while no cells were founded.
+	HasLayout bool
+	Layout    Layout
+	// Sets holds the newest set of each cell, with Revisions of their objects; a cell
+	// whose object is not written yet has its founding set and revision 0.
+	Sets      []Set
+	Revisions []uint64
+	Replicas  map[string]Node
+	Gateways  map[string]Node
+}
+
+// CellOfNode returns the cell of a registered replica, or NoCell.
+func (m Membership) CellOfNode(node Node) int {
+	for cell, set := range m.Sets {
+		if slices.ContainsFunc(set.Voters, func(v Voter) bool { return v.Node == node.Name }) {
+			return cell
+		}
+	}
+	if node.HasCell() && *node.Cell < len(m.Sets) {
+		return *node.Cell
+	}
+	return NoCell
+}
--- a/internal/replicaset/plan.go
+++ b/internal/replicaset/plan.go
@@ -11,10 +11,8 @@
 type View struct {
 	// Own is this replica.
 	Own Voter
-	// Set is the newest membership read from the registry; HasSet is false while
-	// none was ever written.
-	Set    Set
-	HasSet bool
+	// Set is the newest set of the own cell.
+	Set Set
 	// Disks maps each node to the disk it last registered.
 	Disks map[string]string
 	// Adopted holds the disks that confirmed the set's epoch and whose charges this
@@ -37,8 +35,6 @@
 	None ChangeKind = iota
 	// Wait means that a change is due but may not be made yet.
 	Wait
-	// Found writes the first set.
-	Found
 	// Remove takes one voter out.
 	Remove
 	// Add makes this replica a voter.
@@ -55,12 +51,6 @@
 
 // Plan returns the next step that this replica may make.
 func Plan(view View) Change {
-	if !view.HasSet {
-		if view.Leaving {
-			return Change{Kind: None}
-		}
-		return Change{Kind: Found, Next: Set{Epoch: 1, Voters: []Voter{view.Own}}, Reason: "no set exists"}
-	}
 	if view.Set.Has(view.Own.Disk) {
 		return planMember(view)
 	}
--- a/internal/replicaset/register.go
+++ b/internal/replicaset/register.go
@@ -11,8 +11,6 @@
 )
 
 const (
-	// SetName is the registry object that holds the replica set.
-	SetName = "replica-set"
 	// nodePrefix begins the names of the objects in which nodes describe themselves.
 	nodePrefix = "node-"
 	// registryTimeout bounds one try to register.
--- a/internal/replicaset/set.go
+++ b/internal/replicaset/set.go
@@ -1,8 +1,9 @@
 // Package replicaset is the membership of the replicas that count charges: which
-// disks are voters, under a rising epoch, and the rules by which it changes.
+// cells there are, which disks are voters of each, under a rising epoch, and the
+// rules by which that changes.
 //
-// The membership lies in the registry and is replaced under its revision, so one
-// chain of epochs exists. Neighbouring epochs differ by one voter, therefore their
+// A cell's set lies in the registry and is replaced under its revision, so one chain
+// of epochs exists. Neighbouring epochs differ by one voter, therefore their
 // quorums intersect (Ongaro's thesis, section 4.1). A replica refuses reservations
 // of an older epoch than it has adopted, and whoever changes the membership first
 // makes sure that a quorum has adopted the present one: so quorums that are two
@@ -75,10 +76,15 @@
 	Zone    string `json:"zone"`
 	// Disk is set for replicas.
 	Disk string `json:"disk,omitempty"`
+	// Cell is the cell a replica belongs to, nil while it has none.
+	Cell *int `json:"cell,omitempty"`
 	// Leaving replicas get no new records.
 	Leaving bool `json:"leaving,omitempty"`
 }
 
+// HasCell reports whether the node registered for a cell.
+func (n Node) HasCell() bool { return n.Cell != nil && *n.Cell >= 0 }
+
 // The roles of a Node.
 const (
 	RoleReplica = "replica"
