--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -233,7 +233,9 @@
 		request.Header[name] = values
 	}
 	request.Header.Set("X-Request-Id", result.id)
-	request.Header.Set("X-Deadline-Ms", "8000")
+	if request.Header.Get("X-Deadline-Ms") == "" {
+		request.Header.Set("X-Deadline-Ms", "8000")
+	}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
@@ -270,6 +272,7 @@
 	t.Run("a route moves under load", f.testRouteMoves)
 	t.Run("turns outlive a lost disk", f.testLostDisk)
 	t.Run("turns outlive the loss of all processes", f.testAllKilled)
+	t.Run("without an instance a stream is refused once, in time", f.testNoInstance)
 	t.Run("a planned stop cuts nothing off", f.testPlannedStop)
 	t.Run("a planned stop under load leaves no request without an answer", f.testStopUnderLoad)
 	t.Run("a store that is down at start", f.testStoreDownAtStart)
@@ -645,3 +648,25 @@
 	next := f.turn(f.gateways[1], turnRequest{path: "/chat/t", program: program, previous: first.id, budget: 9000, most: 50, body: "on|"})
 	require.Equal(t, http.StatusOK, next.status, next.body)
 }
+
+// testNoInstance has every engine refuse: the turn ends in one refusal that says
+// when to come back, after a bounded number of sends.
+func (f *fleet) testNoInstance(t *testing.T) {
+	var mu sync.Mutex
+	sends := 0
+	for _, engine := range f.engines {
+		engine.SetBehaviour(func(*http.Request) platformtest.Behaviour {
+			mu.Lock()
+			defer mu.Unlock()
+			sends++
+			return platformtest.Behaviour{Refuse: true}
+		})
+		defer engine.SetBehaviour(nil)
+	}
+	got := f.post(f.gateways[0], agentHost, "/plan/t", http.Header{"X-Token-Count": {"10,50"}, "X-Deadline-Ms": {"1000"}}, "x")
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+	mu.Lock()
+	defer mu.Unlock()
+	require.Less(t, sends, 500)
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -98,6 +98,11 @@
 	return parts
 }
 
+// equalPriority is given to all requests at an engine. An engine pushes running
+// requests out for more urgent ones and reads them again from the start, which
+// costs all of them more than the urgent ones gain (docs/EXPERIMENTS.md).
+const equalPriority = "5"
+
 // call returns the request as it goes to an instance, with the time that remains.
 func (s *Server) call(r *request, instance backend.Instance) backend.Call {
 	header := passable(r.header)
@@ -105,7 +110,7 @@
 	header[s.dialect.Deadline] = []string{strconv.FormatInt(remaining, 10)}
 	header[s.dialect.ExpectedInstance] = []string{instance.ID}
 	if r.service.Generates {
-		header[s.dialect.Priority] = []string{strconv.Itoa(min(9, max(0, r.route.Priority)))}
+		header[s.dialect.Priority] = []string{equalPriority}
 	}
 	return backend.Call{
 		Method: r.method, Target: r.target, Host: r.host, Header: header, Body: r.body, IDHeader: s.dialect.RequestID,
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -151,10 +151,11 @@
 				return nil
 			}
 		}
-		if failure.Verdict != verdict.NotRun {
-			t.ran = true
-			runs++
+		if failure.Verdict == verdict.NotRun {
+			return failure // every instance was asked until the time for that was over
 		}
+		t.ran = true
+		runs++
 		if failure.Verdict == verdict.Ran || !t.route.Resumable || runs > maxResumes || ctx.Err() != nil {
 			return failure
 		}
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -19,8 +19,9 @@
 	// historyPatience is how long the nearest replica may take to hand over a
 	// history before the others are asked as well.
 	historyPatience = 25 * time.Millisecond
-	// settleLimit is how long a final charge without a waiting caller is repeated.
-	settleLimit = 5 * time.Second
+	// settleLimit is how long a final charge without a waiting caller is repeated. It
+	// outlasts a recovery: a reservation that nobody settles counts at its most.
+	settleLimit = time.Minute
 )
 
 // ErrNoQuorum says that too few replicas answered in time. What was asked for may
