swiftbank explain: a request's path through the logs of several nodes

Reads logs with or without a collector's prefix, takes clock differences off by what all nodes learn at once (versions of the configuration, epochs), says which lines were dropped and which clocks went back. The log itself tells of dropped lines, and a request's line names the epoch, the previous turn and the age of the list of instances.

--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -61,12 +61,7 @@
 }
 
 // close writes the rest of the log.
-func (p *process) close() {
-	if dropped := p.writer.Dropped(); dropped > 0 {
-		p.log.Warn().Str("event", "log_dropped").Uint64("lines", dropped).Msg("")
-	}
-	p.writer.Close(logPatience)
-}
+func (p *process) close() { p.writer.Close(logPatience) }
 
 // watchReload logs each SIGHUP after reading the settings again; what may change
 // in a running process is the level of the log.
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -70,7 +70,7 @@
 	}
 	root.CompletionOptions.DisableDefaultCmd = true
 	root.AddCommand(
-		newNodeCommand(), newGatewayCommand(), newReplicaCommand(), newDemoCommand(), newVersionCommand(),
+		newNodeCommand(), newGatewayCommand(), newReplicaCommand(), newExplainCommand(), newDemoCommand(), newVersionCommand(),
 		newValidateCommand(), newDiffCommand(), newApplyCommand(), newGetCommand(), newHistoryCommand(),
 		newStatusCommand(), newDrainCommand(), newSimulateCommand(), newExperimentCommand(), newRecordCommand(), newReplayCommand(), newLoadCommand(),
 	)
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -4,6 +4,7 @@
 package eventlog
 
 import (
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -26,8 +27,11 @@
 	output  io.Writer
 	lines   chan []byte
 	dropped atomic.Uint64
-	stop    chan struct{}
-	done    sync.WaitGroup
+	// told is how many dropped lines the log itself has told of.
+	told uint64
+	node string
+	stop chan struct{}
+	done sync.WaitGroup
 }
 
 // NewWriter starts a writer over the output.
@@ -40,6 +44,7 @@
 
 // New returns a logger whose lines go through the writer.
 func New(w *Writer, node string) *log.Logger {
+	w.node = node
 	return &log.Logger{
 		Level: log.InfoLevel, TimeField: "time", TimeFormat: log.TimeFormatUnixMs,
 		Context: log.NewContext(nil).Str("node", node).Value(), Writer: w,
@@ -110,7 +115,17 @@
 }
 
 func (w *Writer) write(batch []byte) {
+	if dropped := w.dropped.Load(); dropped > w.told {
+		batch = append(batch, w.droppedLine(dropped-w.told)...)
+		w.told = dropped
+	}
 	if len(batch) > 0 {
 		_, _ = w.output.Write(batch)
 	}
 }
+
+// droppedLine tells how many lines were dropped since the last such line.
+func (w *Writer) droppedLine(lines uint64) []byte {
+	return fmt.Appendf(nil, `{"time":%d,"level":"warn","node":%q,"event":"log_dropped","lines":%d}`+"\n",
+		time.Now().UnixMilli(), w.node, lines)
+}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,50 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The gateway's clock is two seconds ahead of the replica's; the anchors show it.
+const recorded = `
+  12.100 gateway-1 {"time":102000,"node":"gateway-1","event":"configuration_changed","version":4}
+{"time":100000,"node":"replica-1","event":"set_changed","cell":0,"epoch":2,"voters":3}
+{"time":102000,"node":"gateway-1","event":"set_changed","cell":0,"epoch":2,"voters":3}
+{"time":103000,"node":"gateway-1","event":"dependency_lost","dependency":"store","error":"status 503"}
+{"time":101205,"node":"replica-1","event":"history_missing","id":"r1","previous":"r0"}
+not json at all
+{"broken
+{"time":103300,"node":"gateway-1","event":"request","id":"r1","status":503,"result":"unavailable","reason":"the previous turn is not to be found now","took_ms":110,"sends":0,"load":0,"config":4,"route":"chat","instance":""}
+{"time":103400,"node":"gateway-1","event":"request","id":"r2","status":200,"result":"answered","took_ms":5}
+{"time":90000,"node":"gateway-1","event":"log_dropped","lines":7}
+`
+
+func TestTheStepsOfARequestComeInOrder(t *testing.T) {
+	var log Log
+	require.NoError(t, log.Read(strings.NewReader(recorded)))
+	report := log.Explain("r1")
+	require.True(t, report.Found)
+	var events []string
+	for _, step := range report.Steps {
+		events = append(events, step.Node+" "+step.Event)
+	}
+	require.Equal(t, []string{
+		"gateway-1 configuration_changed", "replica-1 set_changed", "gateway-1 set_changed", "gateway-1 dependency_lost",
+		"replica-1 history_missing", "gateway-1 request",
+	}, events)
+	require.Equal(t, int64(1205), report.Steps[4].AtMS, "the replica's clock is corrected")
+	require.Contains(t, report.Steps[5].About, "answered 503 (unavailable) after 110 ms")
+	require.Equal(t, []string{
+		"gateway-1 dropped 7 lines", "the clock of gateway-1 went back 1 times: its lines keep their own order", "1 lines could not be read",
+	}, report.Doubts)
+}
+
+func TestAnUnknownIDIsSaidSo(t *testing.T) {
+	var log Log
+	require.NoError(t, log.Read(strings.NewReader(recorded)))
+	report := log.Explain("nobody")
+	require.False(t, report.Found)
+	require.Contains(t, report.Doubts[len(report.Doubts)-1], "no line names this id")
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -41,7 +41,9 @@
 	firstMS    float64
 	commitMS   float64
 	events     int
-	others     int64
+	// others is what the program's other turns were charged, epoch the replica set's.
+	others int64
+	epoch  uint64
 }
 
 // hopHeaders concern one connection only and are not passed on.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -72,7 +72,9 @@
 	// lostSince is when the source of the configuration was lost, in Unix
 	// nanoseconds of the process's clock; zero while it is in reach.
 	lostSince atomic.Int64
-	started   time.Time
+	// listedAt is when the list of instances last changed, since the start.
+	listedAt atomic.Int64
+	started  time.Time
 
 	mu       sync.Mutex
 	splitter *route.Splitter
@@ -109,6 +111,7 @@
 	for _, id := range gone {
 		s.pool.Forget(id)
 	}
+	s.listedAt.Store(int64(time.Since(s.started)))
 	s.known.Store(true)
 	leaving := 0
 	for _, instance := range instances {
@@ -120,6 +123,11 @@
 		Strs("gone", gone).Msg("")
 }
 
+// listAge returns how long ago the list of instances last changed.
+func (s *Server) listAge() time.Duration {
+	return time.Since(s.started) - time.Duration(s.listedAt.Load())
+}
+
 // ConfigurationContact notes whether the source of the configuration is in reach.
 func (s *Server) ConfigurationContact(lost bool) {
 	if !lost {
@@ -316,6 +324,7 @@
 		Int("status", o.status).Str("result", o.result).Str("reason", o.reason).
 		Str("instance", o.instance).Int("sends", o.sends).Int("load", o.load).Float64("cost", o.cost).
 		Int("candidates", o.candidates).Float64("reserve_ms", o.reserveMS).Float64("first_ms", o.firstMS).
-		Float64("commit_ms", o.commitMS).Int("events", o.events).Int64("charged", o.others).
+		Float64("commit_ms", o.commitMS).Int("events", o.events).Int64("charged", o.others).Uint64("epoch", o.epoch).
+		Str("previous", r.header.Get(s.dialect.PreviousTurn)).Int64("list_age_ms", s.listAge().Milliseconds()).
 		Int64("took_ms", took.Milliseconds()).Msg("")
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -93,6 +93,7 @@
 	}
 	t.reservation = reservation
 	t.outcome.others = reservation.Others
+	t.outcome.epoch = t.cell.Epoch()
 	if t.previous != "" && !reservation.Found {
 		t.ancestors = s.replicas.ChainElsewhere(ctx, t.header.Get(s.dialect.Program), t.previous)
 	}
