A list of instances read after its source was lost takes none away at once

Change: what a list lacks that was read while its source was lost, or within 3 s after, and did not say that it leaves, serves on for 2.5 s. The store's word that an instance is gone binds only once the store is stable.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -26,6 +26,9 @@
 	// it could not be reached; the time doubles with each failure in a row.
 	suspicionFirst = 250 * time.Millisecond
 	suspicionMost  = 2 * time.Second
+	// unlistedLife is how long an instance serves on that a doubtful list lacks: two
+	// intervals of its entry and a little more.
+	unlistedLife = 2500 * time.Millisecond
 	// remoteLoadLimit is how long another gateway's load report counts.
 	remoteLoadLimit = 1500 * time.Millisecond
 )
@@ -40,7 +43,10 @@
 	// failures counts failures to reach it in a row; avoidUntil is set by them.
 	failures   int
 	avoidUntil time.Time
-	cache      promptCache
+	// unlistedUntil is set on an instance that the list lacks, while the list may be
+	// wrong: it serves on until then.
+	unlistedUntil time.Time
+	cache         promptCache
 }
 
 func (m *member) load() int { return m.inFlight + m.remote }
@@ -74,8 +80,11 @@
 	}
 }
 
-// Update replaces the list of instances and returns the ids that are gone.
-func (d *Directory) Update(instances []Instance) (gone []string) {
+// Update replaces the list of instances and returns the ids that are gone. Entries
+// lapse when instances cannot renew them, so a list read from a source that was lost
+// moments ago is doubtful: what it lacks, and did not say that it leaves, serves on
+// for unlistedLife.
+func (d *Directory) Update(now time.Time, instances []Instance, doubtful bool) (gone []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	listed := map[string]bool{}
@@ -87,9 +96,16 @@
 			d.members[instance.ID] = known
 		}
 		known.instance = instance
+		known.unlistedUntil = time.Time{}
 	}
-	for id := range d.members {
-		if !listed[id] {
+	for id, known := range d.members {
+		if listed[id] {
+			continue
+		}
+		if doubtful && !known.instance.Leaving && known.unlistedUntil.IsZero() {
+			known.unlistedUntil = now.Add(unlistedLife)
+		}
+		if !now.Before(known.unlistedUntil) {
 			delete(d.members, id)
 			gone = append(gone, id)
 		}
@@ -102,6 +118,11 @@
 	return gone
 }
 
+// mayServe reports whether the instance may get new work.
+func (m *member) mayServe(now time.Time) bool {
+	return !m.instance.Leaving && (m.unlistedUntil.IsZero() || now.Before(m.unlistedUntil))
+}
+
 // Size returns the number of instances.
 func (d *Directory) Size() int {
 	d.mu.Lock()
--- /dev/null
+++ b/internal/backend/directory_test.go
@@ -0,0 +1,120 @@
+package backend
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1000, 0)
+
+func engines(count int) []Instance {
+	var all []Instance
+	for i := range count {
+		all = append(all, Instance{ID: fmt.Sprintf("e%02d", i), Service: "llm", Zone: "z", Slots: 12})
+	}
+	return all
+}
+
+func TestADoubtfulListTakesNoInstanceAway(t *testing.T) {
+	d := NewDirectory("z")
+	d.Update(start, engines(3), false)
+	require.Empty(t, d.Update(start, nil, true), "entries lapsed while the source was lost")
+	_, found := d.Pick(start.Add(time.Second), Demand{Service: "llm", Generates: true})
+	require.True(t, found)
+	_, found = d.Pick(start.Add(unlistedLife), Demand{Service: "llm", Generates: true})
+	require.False(t, found, "an instance that does not come back gets nothing more")
+	require.Len(t, d.Update(start.Add(unlistedLife), nil, false), 3)
+}
+
+func TestASoundListTakesInstancesAwayAtOnce(t *testing.T) {
+	d := NewDirectory("z")
+	d.Update(start, engines(3), false)
+	require.Equal(t, []string{"e02"}, d.Update(start, engines(2), false))
+}
+
+func TestALeavingInstanceGetsNothingEvenOnADoubtfulList(t *testing.T) {
+	d := NewDirectory("z")
+	leaving := engines(1)
+	leaving[0].Leaving = true
+	d.Update(start, leaving, true)
+	_, found := d.Pick(start, Demand{Service: "llm"})
+	require.False(t, found)
+	require.Equal(t, []string{"e00"}, d.Update(start, nil, true))
+}
+
+func TestPlacementSpreadsLoadAndKeepsToTheCache(t *testing.T) {
+	d := NewDirectory("z")
+	d.Update(start, engines(4), false)
+	counts := map[string]int{}
+	for i := range 40 {
+		choice, found := d.Pick(start, Demand{Service: "llm", Generates: true, Parts: []Part{{ID: fmt.Sprint("own", i), Tokens: 500}}})
+		require.True(t, found)
+		counts[choice.Instance.ID]++
+	}
+	for id, count := range counts {
+		require.Equal(t, 10, count, id)
+	}
+	session := []Part{{ID: "shared", Tokens: 500}, {ID: "session", Tokens: 4000}}
+	first, _ := d.Pick(start, Demand{Service: "llm", Generates: true, Parts: session})
+	again, _ := d.Pick(start, Demand{Service: "llm", Generates: true, Parts: session})
+	require.Equal(t, first.Instance.ID, again.Instance.ID, "4,500 tokens to read weigh more than one neighbour")
+	later, _ := d.Pick(start.Add(2*cacheLife), Demand{Service: "llm", Generates: true, Parts: session})
+	require.NotEqual(t, first.Instance.ID, later.Instance.ID, "what was not used lately is not believed to be there")
+}
+
+func TestASuspectedInstanceIsAvoidedUntilOthersAreGone(t *testing.T) {
+	d := NewDirectory("z")
+	d.Update(start, engines(2), false)
+	choice, _ := d.Pick(start, Demand{Service: "llm"})
+	d.End(start, choice.Instance.ID, Unreachable)
+	for range 3 {
+		next, _ := d.Pick(start, Demand{Service: "llm"})
+		require.NotEqual(t, choice.Instance.ID, next.Instance.ID)
+	}
+	other, _ := d.Pick(start, Demand{Service: "llm"})
+	last, found := d.Pick(start, Demand{Service: "llm", Exclude: []string{other.Instance.ID}})
+	require.True(t, found)
+	require.Equal(t, choice.Instance.ID, last.Instance.ID)
+}
+
+func TestRemoteLoadsReplaceEachOtherAndAge(t *testing.T) {
+	d := NewDirectory("z")
+	d.Update(start, engines(1), false)
+	d.RemoteLoads(start, "g1", map[string]int{"e00": 5, "unknown": 3})
+	d.RemoteLoads(start, "g2", map[string]int{"e00": 2})
+	d.RemoteLoads(start, "g1", map[string]int{"e00": 1})
+	choice, _ := d.Pick(start, Demand{Service: "llm"})
+	require.Equal(t, 3, choice.Load)
+	d.RemoteLoads(start.Add(10*remoteLoadLimit), "g2", map[string]int{"e00": 4})
+	choice, _ = d.Pick(start, Demand{Service: "llm"})
+	require.Equal(t, 5, choice.Load, "one own request and four of the gateway that still reports")
+}
+
+func TestAPlacementComparesABoundedSample(t *testing.T) {
+	d := NewDirectory("z")
+	d.Update(start, engines(500), false)
+	seen := map[string]bool{}
+	for range 400 {
+		choice, _ := d.Pick(start, Demand{Service: "llm", Generates: true})
+		require.LessOrEqual(t, choice.Candidates, sampleSize)
+		seen[choice.Instance.ID] = true
+	}
+	require.Greater(t, len(seen), 300)
+	session := []Part{{ID: "session", Tokens: 9000}}
+	first, _ := d.Pick(start, Demand{Service: "llm", Generates: true, Parts: session})
+	again, _ := d.Pick(start, Demand{Service: "llm", Generates: true, Parts: session})
+	require.Equal(t, first.Instance.ID, again.Instance.ID)
+}
+
+func BenchmarkPick1000(b *testing.B) {
+	d := NewDirectory("z")
+	d.Update(start, engines(1000), false)
+	parts := []Part{{ID: "shared", Tokens: 500}, {ID: "a", Tokens: 800}, {ID: "b", Tokens: 700}}
+	for b.Loop() {
+		choice, _ := d.Pick(start, Demand{Service: "llm", Generates: true, Parts: parts})
+		d.End(start, choice.Instance.ID, Answered)
+	}
+}
--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -97,7 +97,7 @@
 	var sound, suspected []*member
 	add := func(known *member) {
 		switch {
-		case known.instance.Leaving || slices.Contains(demand.Exclude, known.instance.ID):
+		case !known.mayServe(now) || slices.Contains(demand.Exclude, known.instance.ID):
 		case now.Before(known.avoidUntil):
 			suspected = append(suspected, known)
 		default:
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -34,6 +34,9 @@
 	headerLimit = 10 * time.Second
 	// leaveNotice is how long new callers may still come after readiness ended.
 	leaveNotice = 2500 * time.Millisecond
+	// listDoubt is how long after the loss of their source a list of instances may lack
+	// some that are there.
+	listDoubt = 3 * time.Second
 	// endPoll is how often a stop looks whether the last request ended.
 	endPoll = 25 * time.Millisecond
 	// configurationDoubt is how long the configuration's source may be lost before an
@@ -72,6 +75,8 @@
 	// lostSince is when the source of the configuration was lost, in Unix
 	// nanoseconds of the process's clock; zero while it is in reach.
 	lostSince atomic.Int64
+	// regainedAt is when that source was last reached again, in the same way.
+	regainedAt atomic.Int64
 	// listedAt is when the list of instances last changed, since the start.
 	listedAt atomic.Int64
 	started  time.Time
@@ -107,7 +112,8 @@
 
 // BackEndsChanged takes in the list of instances.
 func (s *Server) BackEndsChanged(instances []backend.Instance) {
-	gone := s.directory.Update(instances)
+	doubtful := s.sourceDoubtful()
+	gone := s.directory.Update(time.Now(), instances, doubtful)
 	for _, id := range gone {
 		s.pool.Forget(id)
 	}
@@ -120,7 +126,7 @@
 		}
 	}
 	s.log.Info().Str("event", "back_ends_changed").Int("instances", len(instances)).Int("leaving", leaving).
-		Strs("gone", gone).Msg("")
+		Bool("doubtful", doubtful).Strs("gone", gone).Msg("")
 }
 
 // listAge returns how long ago the list of instances last changed.
@@ -132,11 +138,19 @@
 func (s *Server) ConfigurationContact(lost bool) {
 	if !lost {
 		s.lostSince.Store(0)
+		s.regainedAt.Store(int64(time.Since(s.started)) + 1)
 		return
 	}
 	s.lostSince.Store(int64(time.Since(s.started)) + 1)
 }
 
+// sourceDoubtful reports whether the source of the instances is lost or was until
+// moments ago.
+func (s *Server) sourceDoubtful() bool {
+	regained := s.regainedAt.Load()
+	return s.lostSince.Load() != 0 || regained != 0 && time.Since(s.started)-time.Duration(regained) < listDoubt
+}
+
 // configurationDoubtful reports whether the configuration may be out of date.
 func (s *Server) configurationDoubtful() bool {
 	since := s.lostSince.Load()
