--- /dev/null
+++ b/internal/backend/exchange_test.go
@@ -0,0 +1,229 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"swiftbank.dev/swiftbank/internal/verdict"
+)
+
+// scripted is an instance that answers the requests of each connection by a script.
+type scripted struct {
+	instance Instance
+	listener net.Listener
+	// requests are the heads and bodies as they came, by connection.
+	requests chan string
+}
+
+// startScripted serves connections with the scripts in turn: each is called with
+// the number of the request on its connection.
+func startScripted(t *testing.T, script func(connection net.Conn, reader *bufio.Reader, number int) bool) *scripted {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &scripted{listener: listener, instance: Instance{ID: "i", Address: listener.Addr().String()}, requests: make(chan string, 100)}
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(connection, script)
+		}
+	}()
+	return s
+}
+
+func (s *scripted) serve(connection net.Conn, script func(net.Conn, *bufio.Reader, int) bool) {
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	for number := 1; script(connection, reader, number); number++ {
+	}
+}
+
+func readRequest(reader *bufio.Reader) (id, body string, ok bool) {
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return "", "", false
+	}
+	content, err := io.ReadAll(request.Body)
+	return request.Header.Get("Id"), string(content), err == nil
+}
+
+func answerTo(id, body, more string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, more, len(body), body)
+}
+
+func callWith(id, body string) Call {
+	return Call{Method: http.MethodPost, Target: "/a%2Fb?q=1", Host: "h.test", Header: http.Header{"Id": {id}}, Body: []byte(body), IDHeader: "Id"}
+}
+
+func do(t *testing.T, pool *Pool, s *scripted, call Call) (string, *Failure) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	t.Cleanup(cancel)
+	answer, failure := pool.Do(ctx, s.instance, call)
+	if failure != nil {
+		return "", failure
+	}
+	body, err := io.ReadAll(answer.Body())
+	if err != nil {
+		answer.Discard()
+		return "", &Failure{Verdict: verdict.MayHaveRun, Reason: err.Error()}
+	}
+	answer.Finish()
+	return string(body), nil
+}
+
+// newCounted returns a pool and a count of its connections.
+func newCounted() (*Pool, *int) {
+	opened := 0
+	return NewPool(func() { opened++ }), &opened
+}
+
+func TestAConnectionIsKeptAndTheTargetUnchanged(t *testing.T) {
+	lines := make(chan string, 10)
+	s := startScripted(t, func(c net.Conn, r *bufio.Reader, _ int) bool {
+		head, _ := r.Peek(20)
+		id, body, ok := readRequest(r)
+		if ok {
+			lines <- strings.SplitN(string(head), " HTTP", 2)[0]
+			_, _ = io.WriteString(c, answerTo(id, "echo "+body, ""))
+		}
+		return ok
+	})
+	pool, opened := newCounted()
+	for number := range 3 {
+		body, failure := do(t, pool, s, callWith(fmt.Sprint(number), "x"))
+		require.Nil(t, failure)
+		require.Equal(t, "echo x", body)
+		require.Equal(t, "POST /a%2Fb?q=1", <-lines)
+	}
+	require.Equal(t, 1, *opened)
+}
+
+func TestAnAnswerToAnEarlierRequestIsPassedOver(t *testing.T) {
+	s := startScripted(t, func(c net.Conn, r *bufio.Reader, number int) bool {
+		id, _, ok := readRequest(r)
+		if ok && number == 1 {
+			_, _ = io.WriteString(c, answerTo("of another", "not yours", "")+answerTo(id, "yours", ""))
+		}
+		return ok
+	})
+	pool, opened := newCounted()
+	body, failure := do(t, pool, s, callWith("mine", "x"))
+	require.Nil(t, failure)
+	require.Equal(t, "yours", body)
+	require.Empty(t, pool.idle["i"], "a connection on which something odd came is not kept")
+	require.Equal(t, 1, *opened)
+}
+
+func TestASurplusAnswerEndsItsConnection(t *testing.T) {
+	s := startScripted(t, func(c net.Conn, r *bufio.Reader, _ int) bool {
+		id, _, ok := readRequest(r)
+		if ok {
+			_, _ = io.WriteString(c, answerTo(id, "one", "")+answerTo(id, "again", ""))
+		}
+		return ok
+	})
+	pool, opened := newCounted()
+	for number := range 3 {
+		body, failure := do(t, pool, s, callWith(fmt.Sprint(number), "x"))
+		require.Nil(t, failure)
+		require.Equal(t, "one", body)
+	}
+	require.Equal(t, 3, *opened)
+}
+
+func TestBrokenAnswersMayHaveRun(t *testing.T) {
+	broken := map[string]string{
+		"no answer":   "",
+		"no protocol": "garbage\r\n\r\n",
+		"cut short":   "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 100\r\n\r\nhalf",
+		"cut chunk":   "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhal",
+		"no id":       "HTTP/1.1 200 OK\r\n\r\nwhole",
+	}
+	for name, answer := range broken {
+		t.Run(name, func(t *testing.T) {
+			s := startScripted(t, func(c net.Conn, r *bufio.Reader, _ int) bool {
+				_, _, _ = readRequest(r)
+				_, _ = io.WriteString(c, answer)
+				return false
+			})
+			pool, _ := newCounted()
+			_, failure := do(t, pool, s, callWith("mine", "x"))
+			require.NotNil(t, failure)
+			require.Equal(t, verdict.MayHaveRun, failure.Verdict)
+			require.Empty(t, pool.idle["i"])
+		})
+	}
+}
+
+func TestAnUnreachableInstanceDidNotRun(t *testing.T) {
+	s := startScripted(t, func(net.Conn, *bufio.Reader, int) bool { return false })
+	_ = s.listener.Close()
+	pool, _ := newCounted()
+	_, failure := do(t, pool, s, callWith("mine", "x"))
+	require.NotNil(t, failure)
+	require.Equal(t, verdict.NotRun, failure.Verdict)
+	require.True(t, failure.Unreachable)
+}
+
+// An instance may answer before it has read a long body and read on later: the
+// connection must not carry another request, whose bytes would be taken for the
+// rest of the body.
+func TestAnEarlyAnswerToALongBodyEndsItsConnection(t *testing.T) {
+	s := startScripted(t, func(c net.Conn, r *bufio.Reader, _ int) bool {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return false
+		}
+		_, _ = io.WriteString(c, answerTo(request.Header.Get("Id"), "no", ""))
+		// It neither reads on nor closes: the writer is held up.
+		<-t.Context().Done()
+		return false
+	})
+	pool, opened := newCounted()
+	long := strings.Repeat("x", 32<<20)
+	for number := range 2 {
+		body, failure := do(t, pool, s, callWith(fmt.Sprint(number), long))
+		require.Nil(t, failure)
+		require.Equal(t, "no", body)
+	}
+	require.Equal(t, 2, *opened)
+}
+
+func TestAConnectionThatEndedWhileItRestedIsNotUsed(t *testing.T) {
+	s := startScripted(t, func(c net.Conn, r *bufio.Reader, _ int) bool {
+		id, _, ok := readRequest(r)
+		if ok {
+			_, _ = io.WriteString(c, answerTo(id, "last", ""))
+		}
+		return false // it closes without a word
+	})
+	pool, opened := newCounted()
+	_, failure := do(t, pool, s, callWith("1", "x"))
+	require.Nil(t, failure)
+	require.Eventually(t, func() bool {
+		pool.mu.Lock()
+		defer pool.mu.Unlock()
+		return len(pool.idle["i"]) == 1 && !quiet(pool.idle["i"][0].Conn)
+	}, 20*time.Second, time.Millisecond)
+	_, failure = do(t, pool, s, callWith("2", "x"))
+	require.Nil(t, failure)
+	require.Equal(t, 2, *opened)
+}
+
+func TestTheInstancesWordOnRestingIsKept(t *testing.T) {
+	require.Equal(t, 3*time.Second-idleMargin, idleTime(http.Header{"Keep-Alive": {"timeout=3, max=5"}}))
+	require.Equal(t, time.Duration(0), idleTime(http.Header{"Keep-Alive": {"timeout=0"}}))
+	require.Equal(t, idleDefault, idleTime(http.Header{}))
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,7 +19,7 @@
 	"swiftbank.dev/swiftbank/internal/topology"
 )
 
-// Node holds the settings of one node. docs/OPERATING.md explains each key.
+// Node holds the settings of one node. docs/OPERATIONS.md explains each key.
 type Node struct {
 	ID string `koanf:"id" validate:"required"`
 	// CallerAddress is where callers reach the node over HTTP.
