Safe calls leave an instance that fell silent

Ruled out: refusals (0) and retries of the caller, which has no time left for them. Change: with an attempt left, twice the objective without the head of an answer ends the send; the instance is avoided for a moment.

--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -268,6 +268,7 @@
 	t.Run("a spent budget ends in 402 and the turn does not run", f.testBudget)
 	t.Run("an unsafe call whose answer is lost runs once", f.testLostAnswer)
 	t.Run("a refused call goes to another instance", f.testRefused)
+	t.Run("a safe call leaves an instance that fell silent", f.testSilent)
 	t.Run("a caller that leaves ends the work of the engine", f.testCallerLeaves)
 	t.Run("a route moves under load", f.testRouteMoves)
 	t.Run("turns outlive a lost disk", f.testLostDisk)
@@ -670,3 +671,16 @@
 	defer mu.Unlock()
 	require.Less(t, sends, 500)
 }
+
+// testSilent has one instance take requests and say nothing: safe calls end at the
+// other one, unsafe ones stay.
+func (f *fleet) testSilent(t *testing.T) {
+	hold := make(chan struct{})
+	defer close(hold)
+	f.apps[0].SetBehaviour(func(*http.Request) platformtest.Behaviour { return platformtest.Behaviour{Hold: hold} })
+	defer f.apps[0].SetBehaviour(nil)
+	for range 4 {
+		got := f.post(f.gateways[0], appsHost, "/start/s", nil, "")
+		require.Equal(t, http.StatusOK, got.status, got.body)
+	}
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -22,6 +22,8 @@
 	// waitShare is the part of a request's time that may pass without an instance
 	// that takes it; the rest is left for a new attempt.
 	waitShare = 2
+	// leastPatience is how long an instance may always take to begin its answer.
+	leastPatience = 100 * time.Millisecond
 	// largestAnswer bounds what is kept of an answer before it is passed on.
 	largestAnswer = 64 << 20
 )
@@ -30,6 +32,8 @@
 type attempt struct {
 	choice backend.Choice
 	answer *backend.Answer
+	// release frees what the attempt holds besides the answer.
+	release context.CancelFunc
 }
 
 // sendUntilTaken sends the request to one instance after another until one does
@@ -72,8 +76,12 @@
 	r.outcome.instance = choice.Instance.ID
 	r.outcome.load, r.outcome.cost, r.outcome.candidates = choice.Load, choice.Cost, choice.Candidates
 	s.metrics.sends.Inc()
-	answer, failure := s.pool.Do(ctx, choice.Instance, s.call(r, choice.Instance))
+	sendCtx, release := context.WithCancel(ctx)
+	silence := time.AfterFunc(s.patience(r), release)
+	answer, failure := s.pool.Do(sendCtx, choice.Instance, s.call(r, choice.Instance))
+	silence.Stop()
 	if failure != nil {
+		release()
 		ended := backend.Answered
 		if failure.Unreachable || ctx.Err() == nil {
 			ended = backend.Unreachable
@@ -86,12 +94,24 @@
 	if answer.Response.Header.Get(s.dialect.NotExecuted) != "" || status == http.StatusMisdirectedRequest {
 		_, _ = io.Copy(io.Discard, answer.Body())
 		answer.Finish()
+		release()
 		s.directory.End(time.Now(), choice.Instance.ID, backend.Full)
 		failure := &backend.Failure{Verdict: verdict.NotRun, Reason: "the instance refused with status " + strconv.Itoa(status)}
 		s.logSend(r, choice, failure)
 		return nil, failure
 	}
-	return &attempt{choice: choice, answer: answer}, nil
+	return &attempt{choice: choice, answer: answer, release: release}, nil
+}
+
+// patience is how long an instance may take to begin its answer. A request that may
+// run again and has another attempt goes on elsewhere after twice its objective: an
+// instance that fell silent is not known to be gone for seconds.
+func (s *Server) patience(r *request) time.Duration {
+	remaining := time.Until(r.deadline)
+	if r.route.Kind != route.Safe || r.outcome.sends >= r.route.Attempts || r.route.Objective <= 0 {
+		return remaining
+	}
+	return min(remaining, max(leastPatience, 2*r.route.Objective))
 }
 
 // logSend writes a send without a usable answer.
@@ -140,6 +160,7 @@
 // passAnswer reads a whole answer and hands it to the caller. An answer that is
 // not whole, or no answer of an instance, is a failure.
 func (s *Server) passAnswer(w http.ResponseWriter, r *request, sent *attempt) *backend.Failure {
+	defer sent.release()
 	answer := sent.answer
 	body, err := io.ReadAll(io.LimitReader(answer.Body(), largestAnswer))
 	if err != nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -177,6 +177,7 @@
 	if response.StatusCode != http.StatusOK || response.Header.Get(s.dialect.Signature) == "" {
 		return s.passOther(w, t, sent)
 	}
+	defer sent.release()
 	failure := s.passEvents(ctx, w, t, sent)
 	s.directory.End(time.Now(), sent.choice.Instance.ID, backend.Answered)
 	if failure != nil {
@@ -207,6 +208,7 @@
 func (s *Server) passOther(w http.ResponseWriter, t *turn, sent *attempt) *backend.Failure {
 	if t.begun {
 		sent.answer.Discard()
+		sent.release()
 		s.directory.End(time.Now(), sent.choice.Instance.ID, backend.Answered)
 		return &backend.Failure{Verdict: verdict.MayHaveRun, Reason: "the stream was not taken up again"}
 	}
