Instances that fail often are avoided; safe calls try again after a failure

Change: each failure of an instance's own or broken answer adds 40 ms to its predicted cost, halved every 2 s; a safe call with an attempt left tries again.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -5,6 +5,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -29,6 +30,8 @@
 	// unlistedLife is how long an instance serves on that a doubtful list lacks: two
 	// intervals of its entry and a little more.
 	unlistedLife = 2500 * time.Millisecond
+	// failureHalfLife is how long a failure counts for the half.
+	failureHalfLife = 2 * time.Second
 	// remoteLoadLimit is how long another gateway's load report counts.
 	remoteLoadLimit = 1500 * time.Millisecond
 )
@@ -43,6 +46,9 @@
 	// failures counts failures to reach it in a row; avoidUntil is set by them.
 	failures   int
 	avoidUntil time.Time
+	// failing counts the failures of late, halved every failureHalfLife since failingAt.
+	failing   float64
+	failingAt time.Time
 	// unlistedUntil is set on an instance that the list lacks, while the list may be
 	// wrong: it serves on until then.
 	unlistedUntil time.Time
@@ -184,6 +190,8 @@
 	Unreachable
 	// Full means that the instance had no room.
 	Full
+	// Failed means that it answered with a failure of its own, or broke its answer off.
+	Failed
 )
 
 // End takes a request off an instance.
@@ -204,5 +212,16 @@
 		known.avoidUntil = now.Add(avoid)
 	case Full:
 		known.avoidUntil = now.Add(fullPause)
+	case Failed:
+		known.failing = known.recentFailures(now) + 1
+		known.failingAt = now
 	}
 }
+
+// recentFailures returns the failures of late, the older the less.
+func (m *member) recentFailures(now time.Time) float64 {
+	if m.failing == 0 {
+		return 0
+	}
+	return m.failing * math.Exp2(-now.Sub(m.failingAt).Seconds()/failureHalfLife.Seconds())
+}
--- a/internal/backend/directory_test.go
+++ b/internal/backend/directory_test.go
@@ -80,6 +80,22 @@
 	require.Equal(t, choice.Instance.ID, last.Instance.ID)
 }
 
+func TestAnInstanceThatFailsOftenIsLeftAloneForAWhile(t *testing.T) {
+	d := NewDirectory("z")
+	d.Update(start, engines(2), false)
+	for range 3 {
+		d.End(start, "e00", Failed)
+		d.members["e00"].inFlight++
+	}
+	for range 8 {
+		choice, _ := d.Pick(start, Demand{Service: "llm", Generates: true})
+		require.Equal(t, "e01", choice.Instance.ID)
+	}
+	later := start.Add(10 * failureHalfLife)
+	choice, _ := d.Pick(later, Demand{Service: "llm", Generates: true})
+	require.Equal(t, "e00", choice.Instance.ID)
+}
+
 func TestRemoteLoadsReplaceEachOtherAndAge(t *testing.T) {
 	d := NewDirectory("z")
 	d.Update(start, engines(1), false)
--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -24,6 +24,9 @@
 	// the sample on, in steps that share no factor with most sizes.
 	sampleSize   = 24
 	sampleStride = 17
+	// failureCost is what each recent failure of an instance adds: one failure in
+	// passing moves little, an instance that fails time and again is left alone.
+	failureCost = 40.0
 	// fullPause is how long an instance that refused for lack of room is avoided.
 	fullPause = 40 * time.Millisecond
 	// cacheLife is how long a prompt part is believed to stay in an engine's memory.
@@ -145,7 +148,7 @@
 }
 
 func (d *Directory) cost(now time.Time, candidate *member, load int, demand Demand) float64 {
-	cost := 0.0
+	cost := failureCost * candidate.recentFailures(now)
 	if candidate.instance.Zone != d.zone {
 		cost += zoneCost
 	}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -108,7 +108,7 @@
 // instance that fell silent is not known to be gone for seconds.
 func (s *Server) patience(r *request) time.Duration {
 	remaining := time.Until(r.deadline)
-	if r.route.Kind != route.Safe || r.outcome.sends >= r.route.Attempts || r.route.Objective <= 0 {
+	if !s.mayTryAgain(r) || r.route.Objective <= 0 {
 		return remaining
 	}
 	return min(remaining, max(leastPatience, 2*r.route.Objective))
@@ -165,14 +165,19 @@
 	body, err := io.ReadAll(io.LimitReader(answer.Body(), largestAnswer))
 	if err != nil {
 		answer.Discard()
-		s.directory.End(time.Now(), sent.choice.Instance.ID, backend.Answered)
+		s.directory.End(time.Now(), sent.choice.Instance.ID, backend.Failed)
 		failure := &backend.Failure{Verdict: verdict.MayHaveRun, Reason: "the answer broke off: " + err.Error()}
 		s.logSend(r, sent.choice, failure)
 		return failure
 	}
 	answer.Finish()
-	s.directory.End(time.Now(), sent.choice.Instance.ID, backend.Answered)
 	response := answer.Response
+	s.directory.End(time.Now(), sent.choice.Instance.ID, endedWith(response.StatusCode))
+	if response.StatusCode >= http.StatusInternalServerError && s.mayTryAgain(r) {
+		failure := &backend.Failure{Verdict: verdict.MayHaveRun, Reason: "the instance answered " + strconv.Itoa(response.StatusCode)}
+		s.logSend(r, sent.choice, failure)
+		return failure
+	}
 	if response.StatusCode/100 == 2 && response.Header.Get(s.dialect.Signature) == "" {
 		failure := &backend.Failure{Verdict: verdict.MayHaveRun, Reason: "the answer has no signature"}
 		s.logSend(r, sent.choice, failure)
@@ -187,6 +192,19 @@
 	return nil
 }
 
+// endedWith tells an instance's own failures from its answers.
+func endedWith(status int) backend.Ended {
+	if status >= http.StatusInternalServerError {
+		return backend.Failed
+	}
+	return backend.Answered
+}
+
+// mayTryAgain reports whether the request may go to another instance after a run.
+func (s *Server) mayTryAgain(r *request) bool {
+	return r.route.Kind == route.Safe && r.outcome.sends < r.route.Attempts && time.Until(r.deadline) > leastPatience
+}
+
 // copyHeader passes an answer's headers on. The absence of a content type is kept.
 func copyHeader(to, from http.Header) {
 	for name, values := range passable(from) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -179,7 +179,11 @@
 	}
 	defer sent.release()
 	failure := s.passEvents(ctx, w, t, sent)
-	s.directory.End(time.Now(), sent.choice.Instance.ID, backend.Answered)
+	ended := backend.Answered
+	if failure != nil && failure.Verdict == verdict.MayHaveRun && ctx.Err() == nil {
+		ended = backend.Failed
+	}
+	s.directory.End(time.Now(), sent.choice.Instance.ID, ended)
 	if failure != nil {
 		sent.answer.Discard()
 		s.logSend(t.request, sent.choice, failure)
