Reading a prompt counts four times in a placement

Ruled out: forgetting too soon (parts believed kept for 15 s in place of 8: alike). Change: what is missing counts four times.

--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -11,6 +11,9 @@
 const (
 	// promptTokensPerMS is how fast an engine reads a prompt.
 	promptTokensPerMS = 64.8
+	// readingWeight counts that a prompt is read between the steps of all requests at
+	// the engine, so each of them waits for it.
+	readingWeight = 4.0
 	// neighbourCost is what each running request adds to another's time, mostly by
 	// the reading of its prompt.
 	neighbourCost = 10.0
@@ -161,7 +164,7 @@
 	if candidate.instance.ID == demand.Preferred && len(demand.Parts) > 0 {
 		missing = min(missing, demand.Parts[len(demand.Parts)-1].Tokens)
 	}
-	return cost + float64(missing)/promptTokensPerMS
+	return cost + readingWeight*float64(missing)/promptTokensPerMS
 }
 
 // promptCache is what this gateway believes an engine's memory to hold.
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -41,17 +41,16 @@
 
 // member is one process with what is needed to start it again.
 type member struct {
-	name      string
-	verb      string
-	settings  string
-	address   string
-	ready     string
-	metrics   string
-	data      string
-	command   *exec.Cmd
-	log       *lockedBuffer
-	exited    chan error
-	startedOn time.Time
+	name     string
+	verb     string
+	settings string
+	address  string
+	ready    string
+	metrics  string
+	data     string
+	command  *exec.Cmd
+	log      *lockedBuffer
+	exited   chan error
 }
 
 func baseConfiguration() platformtest.Configuration {
