--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -16,6 +16,7 @@
 	"swiftbank.dev/swiftbank/internal/peer"
 	"swiftbank.dev/swiftbank/internal/registry"
 	"swiftbank.dev/swiftbank/internal/replicaset"
+	"swiftbank.dev/swiftbank/internal/wait"
 	"swiftbank.dev/swiftbank/internal/wal"
 )
 
@@ -102,7 +103,7 @@
 		if err = disk.Rotate(snapshot); err == nil {
 			return nil
 		}
-		time.Sleep(retryDelay)
+		wait.For(context.Background(), retryDelay)
 	}
 	return err
 }
