Charges live as long as their program may rest; resting connections are shared

Cause 1 (reading): charges were kept for two minutes after their last use, whatever a route's retention; a program that rested longer would come back to a fresh budget. The new test fails without it. Cause 2 (reading): an instance accepts so many connections from all gateways, and each gateway kept any number at rest. Change: half of a gateway's part may rest.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -165,7 +165,7 @@
 		_ = a.Connection.Close()
 		return
 	}
-	a.pool.put(a.instance.ID, a.Connection, idleTime(a.Response.Header))
+	a.pool.put(a.instance, a.Connection, idleTime(a.Response.Header))
 }
 
 // wholeRequestRead reports whether the request was sent whole before the answer
--- a/internal/backend/exchange_test.go
+++ b/internal/backend/exchange_test.go
@@ -222,6 +222,31 @@
 	require.Equal(t, 2, *opened)
 }
 
+func TestNoMoreConnectionsRestThanMay(t *testing.T) {
+	s := startScripted(t, func(c net.Conn, r *bufio.Reader, _ int) bool {
+		id, _, ok := readRequest(r)
+		if ok {
+			_, _ = io.WriteString(c, answerTo(id, "x", ""))
+		}
+		return ok
+	})
+	s.instance.Service = "llm"
+	pool, _ := newCounted()
+	pool.SetIdleLimit("llm", 2)
+	var answers []*Answer
+	for number := range 5 {
+		answer, failure := pool.Do(t.Context(), s.instance, callWith(fmt.Sprint(number), "x"))
+		require.Nil(t, failure)
+		_, err := io.ReadAll(answer.Body())
+		require.NoError(t, err)
+		answers = append(answers, answer)
+	}
+	for _, answer := range answers {
+		answer.Finish()
+	}
+	require.Len(t, pool.idle["i"], 2)
+}
+
 func TestTheInstancesWordOnRestingIsKept(t *testing.T) {
 	require.Equal(t, 3*time.Second-idleMargin, idleTime(http.Header{"Keep-Alive": {"timeout=3, max=5"}}))
 	require.Equal(t, time.Duration(0), idleTime(http.Header{"Keep-Alive": {"timeout=0"}}))
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -39,11 +39,13 @@
 
 	mu   sync.Mutex
 	idle map[string][]*connection
+	// idleLimit bounds the resting connections to one instance, by service.
+	idleLimit map[string]int
 }
 
 // NewPool returns an empty pool.
 func NewPool(opened func()) *Pool {
-	return &Pool{Opened: opened, idle: map[string][]*connection{}}
+	return &Pool{Opened: opened, idle: map[string][]*connection{}, idleLimit: map[string]int{}}
 }
 
 // take returns a kept connection that is still sound, or a new one.
@@ -81,13 +83,27 @@
 	return last
 }
 
-// put keeps a connection for the next request.
-func (p *Pool) put(id string, kept *connection, idle time.Duration) {
+// put keeps a connection for the next request, unless as many rest as may.
+func (p *Pool) put(instance Instance, kept *connection, idle time.Duration) {
 	kept.idleUntil = time.Now().Add(idle)
-	_ = kept.SetDeadline(time.Time{})
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.idle[id] = append(p.idle[id], kept)
+	limit, bounded := p.idleLimit[instance.Service]
+	full := bounded && len(p.idle[instance.ID]) >= limit
+	if !full {
+		p.idle[instance.ID] = append(p.idle[instance.ID], kept)
+	}
+	p.mu.Unlock()
+	if full {
+		_ = kept.Close()
+	}
+}
+
+// SetIdleLimit bounds the connections that may rest to each instance of a service:
+// an instance accepts so many from all gateways together, resting ones included.
+func (p *Pool) SetIdleLimit(service string, limit int) {
+	p.mu.Lock()
+	p.idleLimit[service] = limit
+	p.mu.Unlock()
 }
 
 // Forget closes the kept connections of an instance that is gone.
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -18,9 +18,25 @@
 			break
 		}
 	}
+	s.boundIdle()
 	s.log.Info().Str("event", "configuration_changed").Uint64("version", table.Version).Int("routes", table.RouteCount()).Msg("")
 }
 
+// boundIdle shares each service's limit of connections among the gateways: what
+// rests here may take half of this one's part.
+func (s *Server) boundIdle() {
+	table := s.table.Load()
+	if table == nil {
+		return
+	}
+	gateways := max(1, int(s.gateways.Load()))
+	for name, service := range table.Services {
+		if service.ConnectionLimit > 0 {
+			s.pool.SetIdleLimit(name, max(1, service.ConnectionLimit/(2*gateways)))
+		}
+	}
+}
+
 // BackEndsChanged takes in the list of instances.
 func (s *Server) BackEndsChanged(instances []backend.Instance) {
 	doubtful := s.sourceDoubtful()
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -11,4 +11,6 @@
 	membership := replicaset.Read(objects)
 	s.replicas.SetMembership(membership)
 	gossip.SetGateways(membership.Gateways)
+	s.gateways.Store(int64(len(membership.Gateways)))
+	s.boundIdle()
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -65,6 +65,8 @@
 
 	table atomic.Pointer[route.Table]
 	known atomic.Bool
+	// gateways is how many the registry lists.
+	gateways atomic.Int64
 	// stopping ends readiness; ending refuses what is not yet passed on.
 	stopping atomic.Bool
 	ending   atomic.Bool
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -83,8 +83,10 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, replicaPatience)
 	defer cancel()
-	charge := ledger.Charge{Turn: t.id, Tokens: t.most}
-	reservation, err := t.cell.Reserve(ctx, t.program, charge, t.previous)
+	reservation, err := t.cell.Reserve(ctx, ledger.Reserve{
+		Program: t.program, Charge: ledger.Charge{Turn: t.id, Tokens: t.most},
+		Retention: t.route.Retention, History: t.previous,
+	})
 	t.outcome.reserveMS = sinceMS(began)
 	s.metrics.reserve.Observe(time.Since(began).Seconds())
 	if err != nil {
@@ -128,7 +130,7 @@
 	if t.program == "" {
 		return
 	}
-	t.cell.Settle(t.program, t.finalCharge())
+	t.cell.Settle(t.program, t.finalCharge(), t.route.Retention)
 }
 
 func (t *turn) finalCharge() ledger.Charge {
@@ -284,7 +286,7 @@
 		return nil
 	}
 	began := time.Now()
-	commit := ledger.Commit{Program: t.program, Charge: t.finalCharge(), Ancestors: t.ancestors, Turn: &ledger.Turn{
+	commit := ledger.Commit{Program: t.program, Charge: t.finalCharge(), Retention: t.route.Retention, Ancestors: t.ancestors, Turn: &ledger.Turn{
 		ID: t.id, Previous: t.previous, Input: t.input, Output: t.output,
 		Instance: t.outcome.instance, Retention: t.route.Retention,
 	}}
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -50,6 +50,8 @@
 type ProgramCharge struct {
 	Program string
 	Charge  Charge
+	// Retention is how long the program's charges are kept after they were used last.
+	Retention time.Duration
 }
 
 // Request is one message to a replica. Exactly one of the pointers is set.
@@ -72,6 +74,8 @@
 	// Program is "" when there is no budget to count against.
 	Program string
 	Charge  Charge
+	// Retention is how long the program may rest and still come back.
+	Retention time.Duration
 	// History names the turn whose chain is asked for, or "".
 	History string
 }
@@ -83,6 +87,7 @@
 	Ancestors []Turn
 	Program   string
 	Charge    Charge
+	Retention time.Duration
 }
 
 // Adopt tells a replica of a newer membership. The durable reply means that it
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -12,8 +12,8 @@
 	// retentionMargin is added to every retention, for the clocks of callers and
 	// replicas start at different moments.
 	retentionMargin = 15 * time.Second
-	// defaultRetention holds for charges, which name none.
-	defaultRetention = 2 * time.Minute
+	// leastRetention holds for charges of programs that name less.
+	leastRetention = 2 * time.Minute
 	// inventoryLimit bounds the ids of one inventory reply.
 	inventoryLimit = 4000
 	// maxChain bounds the length of a chain of turns.
@@ -44,8 +44,9 @@
 }
 
 type program struct {
-	charges map[string]Charge
-	until   time.Time
+	charges   map[string]Charge
+	retention time.Duration
+	until     time.Time
 }
 
 // NewState returns an empty replica. boot tells this life of the process from
@@ -119,7 +120,7 @@
 	reply.Reserve = answer
 	var output Output
 	if asked.Program != "" {
-		output.Records = s.charge(now, asked.Program, asked.Charge)
+		output.Records = s.charge(now, ProgramCharge{Program: asked.Program, Charge: asked.Charge, Retention: asked.Retention})
 		answer.Recorded = true
 		answer.Charges = s.chargesOf(asked.Program)
 		durable := s.reply(request.Number)
@@ -146,19 +147,20 @@
 }
 
 // charge merges one charge and returns the records that make it durable.
-func (s *State) charge(now time.Time, name string, charge Charge) []Record {
-	known := s.programs[name]
+func (s *State) charge(now time.Time, added ProgramCharge) []Record {
+	known := s.programs[added.Program]
 	if known == nil {
 		known = &program{charges: map[string]Charge{}}
-		s.programs[name] = known
+		s.programs[added.Program] = known
 	}
-	known.until = now.Add(defaultRetention)
-	merged, changed := Merge(known.charges, charge)
+	known.retention = max(known.retention, added.Retention, leastRetention)
+	known.until = now.Add(known.retention + retentionMargin)
+	merged, changed := Merge(known.charges, added.Charge)
 	if !changed {
 		return nil
 	}
-	known.charges[charge.Turn] = merged
-	return []Record{{Charge: &ProgramCharge{Program: name, Charge: charge}}}
+	known.charges[added.Charge.Turn] = merged
+	return []Record{{Charge: &added}}
 }
 
 // Merge returns the charge that holds after another one became known, and whether
@@ -220,7 +222,8 @@
 		output.Records = append(output.Records, s.store(now, *turn)...)
 	}
 	if request.Commit.Program != "" {
-		output.Records = append(output.Records, s.charge(now, request.Commit.Program, request.Commit.Charge)...)
+		charge := ProgramCharge{Program: request.Commit.Program, Charge: request.Commit.Charge, Retention: request.Commit.Retention}
+		output.Records = append(output.Records, s.charge(now, charge)...)
 	}
 	reply := s.reply(request.Number)
 	reply.Durable = true
@@ -263,8 +266,9 @@
 func (s *State) allCharges() []ProgramCharge {
 	var all []ProgramCharge
 	for _, name := range slices.Sorted(maps.Keys(s.programs)) {
-		for _, charge := range s.programs[name].charges {
-			all = append(all, ProgramCharge{Program: name, Charge: charge})
+		known := s.programs[name]
+		for _, charge := range known.charges {
+			all = append(all, ProgramCharge{Program: name, Charge: charge, Retention: known.retention})
 		}
 	}
 	return all
@@ -274,7 +278,7 @@
 func (s *State) MergeCharges(now time.Time, charges []ProgramCharge) []Record {
 	var records []Record
 	for _, charge := range charges {
-		records = append(records, s.charge(now, charge.Program, charge.Charge)...)
+		records = append(records, s.charge(now, charge)...)
 	}
 	return records
 }
@@ -363,7 +367,7 @@
 	case record.Turn != nil:
 		s.store(now, *record.Turn)
 	case record.Charge != nil:
-		s.charge(now, record.Charge.Program, record.Charge.Charge)
+		s.charge(now, *record.Charge)
 	case record.Set != nil && record.Set.Epoch > s.set.Epoch:
 		s.set = *record.Set
 	}
--- a/internal/ledger/state_test.go
+++ b/internal/ledger/state_test.go
@@ -140,3 +140,22 @@
 	require.Equal(t, 2, s.PeerPosition("reader"))
 	require.Len(t, ask("an earlier boot", 2).IDs, 3, "positions of an earlier life count for nothing")
 }
+
+// A program that rests for as long as its route allows comes back to the same
+// charges, also at a replica that was started again or learned them from another.
+func TestChargesLiveAsLongAsTheProgramMayRest(t *testing.T) {
+	const rest = 10 * time.Minute
+	s := NewState("disk", "boot")
+	s.Step(start, Request{Reserve: &Reserve{Program: "p", Charge: Charge{Turn: "t", Tokens: 7}, Retention: rest}})
+	rebuilt, joined := NewState("", "another boot"), NewState("other", "boot")
+	for _, record := range s.Snapshot() {
+		rebuilt.Replay(start, record)
+	}
+	joined.MergeCharges(start, s.allCharges())
+	for name, state := range map[string]*State{"kept": s, "started again": rebuilt, "learned": joined} {
+		state.Purge(start.Add(rest))
+		require.Len(t, state.chargesOf("p"), 1, name)
+		state.Purge(start.Add(2 * rest))
+		require.Empty(t, state.chargesOf("p"), name)
+	}
+}
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -164,9 +164,9 @@
 }
 
 // Settle records a final charge without a caller that waits for it.
-func (c *Client) Settle(program string, charge ledger.Charge) {
+func (c *Client) Settle(program string, charge ledger.Charge, retention time.Duration) {
 	pending := &operation{
-		request:    ledger.Request{Commit: &ledger.Commit{Program: program, Charge: charge}},
+		request:    ledger.Request{Commit: &ledger.Commit{Program: program, Charge: charge, Retention: retention}},
 		votersOnly: true,
 	}
 	number := c.begin(pending)
--- a/internal/quorum/client_test.go
+++ b/internal/quorum/client_test.go
@@ -111,15 +111,15 @@
 func TestAReservationNeedsAQuorum(t *testing.T) {
 	client, replicas := startThree(t)
 	charge := ledger.Charge{Turn: "t1", Tokens: 10}
-	reservation, err := client.Reserve(limited(t, 20*time.Second), "p", charge, "")
+	reservation, err := client.Reserve(limited(t, 20*time.Second), ledger.Reserve{Program: "p", Charge: charge, History: ""})
 	require.NoError(t, err)
 	require.NoError(t, reservation.Durable(limited(t, 20*time.Second)))
 	replicas[0].server.Close()
-	second, err := client.Reserve(limited(t, 20*time.Second), "p", ledger.Charge{Turn: "t2", Tokens: 5}, "")
+	second, err := client.Reserve(limited(t, 20*time.Second), ledger.Reserve{Program: "p", Charge: ledger.Charge{Turn: "t2", Tokens: 5}, History: ""})
 	require.NoError(t, err)
 	require.Equal(t, int64(10), second.Others)
 	replicas[1].server.Close()
-	_, err = client.Reserve(limited(t, 300*time.Millisecond), "p", ledger.Charge{Turn: "t3", Tokens: 5}, "")
+	_, err = client.Reserve(limited(t, 300*time.Millisecond), ledger.Reserve{Program: "p", Charge: ledger.Charge{Turn: "t3", Tokens: 5}, History: ""})
 	require.ErrorIs(t, err, ErrNoQuorum)
 }
 
@@ -130,7 +130,7 @@
 		replica.holdDurable = true
 		replica.mu.Unlock()
 	}
-	reservation, err := client.Reserve(limited(t, 20*time.Second), "p", ledger.Charge{Turn: "t", Tokens: 10}, "")
+	reservation, err := client.Reserve(limited(t, 20*time.Second), ledger.Reserve{Program: "p", Charge: ledger.Charge{Turn: "t", Tokens: 10}, History: ""})
 	require.NoError(t, err)
 	require.ErrorIs(t, reservation.Durable(limited(t, 200*time.Millisecond)), ErrNoQuorum)
 	err = client.Commit(limited(t, 200*time.Millisecond), ledger.Commit{Turn: &ledger.Turn{ID: "t"}}, 2)
@@ -140,11 +140,11 @@
 func TestAHistoryIsFoundWhereverItIs(t *testing.T) {
 	client, replicas := startThree(t)
 	replicas[2].step(ledger.Request{Commit: &ledger.Commit{Turn: &ledger.Turn{ID: "old", Input: []byte("in|"), Output: []byte("out|"), Retention: time.Minute}}})
-	reservation, err := client.Reserve(limited(t, 20*time.Second), "", ledger.Charge{Turn: "new"}, "old")
+	reservation, err := client.Reserve(limited(t, 20*time.Second), ledger.Reserve{Program: "", Charge: ledger.Charge{Turn: "new"}, History: "old"})
 	require.NoError(t, err)
 	require.True(t, reservation.Found)
 	require.Equal(t, "in|out|", string(reservation.History))
-	missing, err := client.Reserve(limited(t, 20*time.Second), "", ledger.Charge{Turn: "new"}, "unknown")
+	missing, err := client.Reserve(limited(t, 20*time.Second), ledger.Reserve{Program: "", Charge: ledger.Charge{Turn: "new"}, History: "unknown"})
 	require.NoError(t, err)
 	require.False(t, missing.Found)
 }
@@ -155,7 +155,7 @@
 	for _, replica := range replicas {
 		replica.step(ledger.Request{Adopt: &ledger.Adopt{Set: newer}})
 	}
-	_, err := client.Reserve(limited(t, 20*time.Second), "p", ledger.Charge{Turn: "t", Tokens: 10}, "")
+	_, err := client.Reserve(limited(t, 20*time.Second), ledger.Reserve{Program: "p", Charge: ledger.Charge{Turn: "t", Tokens: 10}, History: ""})
 	require.NoError(t, err)
 	require.Equal(t, uint64(2), client.Epoch())
 }
@@ -166,9 +166,9 @@
 	client, replicas := startThree(t)
 	replicas[1].server.Close()
 	replicas[2].server.Close()
-	_, err := client.Reserve(limited(t, 200*time.Millisecond), "p", ledger.Charge{Turn: "t", Tokens: 10}, "")
+	_, err := client.Reserve(limited(t, 200*time.Millisecond), ledger.Reserve{Program: "p", Charge: ledger.Charge{Turn: "t", Tokens: 10}, History: ""})
 	require.ErrorIs(t, err, ErrNoQuorum)
-	client.Settle("p", ledger.Charge{Turn: "t", Final: true})
+	client.Settle("p", ledger.Charge{Turn: "t", Final: true}, time.Minute)
 	back := startReplica(t, "r1", replicas[1].node.Address)
 	settled := ledger.Charge{Turn: "t", Final: true}
 	for _, replica := range []*standReplica{replicas[0], back} {
--- a/internal/quorum/reserve.go
+++ b/internal/quorum/reserve.go
@@ -21,12 +21,12 @@
 	Found bool
 }
 
-// Reserve adds a reservation at a quorum and reads a history. program "" reserves
-// nothing; history "" reads nothing. It returns once a quorum has accepted, though
+// Reserve adds a reservation at a quorum and reads a history. Program "" reserves
+// nothing; History "" reads nothing. It returns once a quorum has accepted, though
 // not yet synced, and the history is there or found nowhere.
-func (c *Client) Reserve(ctx context.Context, program string, charge ledger.Charge, history string) (*Reservation, error) {
+func (c *Client) Reserve(ctx context.Context, asked ledger.Reserve) (*Reservation, error) {
 	pending := &operation{
-		request:    ledger.Request{Reserve: &ledger.Reserve{Program: program, Charge: charge, History: history}},
+		request:    ledger.Request{Reserve: &asked},
 		votersOnly: true,
 	}
 	number := c.begin(pending)
@@ -34,7 +34,7 @@
 	patience := time.NewTimer(historyPatience)
 	defer patience.Stop()
 	for {
-		if c.settled(reservation, program, charge.Turn, history) {
+		if c.settled(reservation, asked) {
 			return reservation, nil
 		}
 		select {
@@ -49,14 +49,14 @@
 }
 
 // settled reports whether the reservation is complete, and fills it in.
-func (c *Client) settled(reservation *Reservation, program, turn, history string) bool {
+func (c *Client) settled(reservation *Reservation, asked ledger.Reserve) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	pending := reservation.operation
-	if program != "" && !pending.tally.Accepted(c.set) {
+	if asked.Program != "" && !pending.tally.Accepted(c.set) {
 		return false
 	}
-	if history != "" && !pending.tally.Found {
+	if asked.History != "" && !pending.tally.Found {
 		if !pending.everywhere && pending.tally.missing[c.diskOf(pending.nearest)] {
 			c.askEverywhereLocked(pending)
 		}
@@ -64,7 +64,7 @@
 			return false
 		}
 	}
-	reservation.Others = pending.tally.Others(turn)
+	reservation.Others = pending.tally.Others(asked.Charge.Turn)
 	reservation.Found = pending.tally.Found
 	reservation.History = pending.tally.History
 	reservation.Instance = pending.tally.Instance
