A doubtful instance is kept for 1.5 s and only within a second of the loss

Ruled out: a late watch (the change was read 0.1 s after it was made). Change: kept 1.5 s, which is less than the bound whatever the doubt, and doubt ends 1 s after the source is back. The new test fails with 2.5 s.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -27,9 +27,10 @@
 	// it could not be reached; the time doubles with each failure in a row.
 	suspicionFirst = 250 * time.Millisecond
 	suspicionMost  = 2 * time.Second
-	// unlistedLife is how long an instance serves on that a doubtful list lacks: two
-	// intervals of its entry and a little more.
-	unlistedLife = 2500 * time.Millisecond
+	// unlistedLife is how long an instance serves on that a doubtful list lacks: one
+	// interval of its entry and a little more, and less than the two seconds within
+	// which an instance that did leave must get nothing new.
+	unlistedLife = 1500 * time.Millisecond
 	// failureHalfLife is how long a failure counts for the half.
 	failureHalfLife = 2 * time.Second
 	// remoteLoadLimit is how long another gateway's load report counts.
--- a/internal/backend/directory_test.go
+++ b/internal/backend/directory_test.go
@@ -29,6 +29,21 @@
 	require.Len(t, d.Update(start.Add(unlistedLife), nil, false), 3)
 }
 
+// The source may have been sound and only the way to it lost: an instance that left
+// then must get nothing new within two seconds of its entry's end, of which half a
+// second may pass until the list is read.
+func TestADoubtfulListKeepsNoInstancePastTheBound(t *testing.T) {
+	d := NewDirectory("z")
+	d.Update(start, engines(2), false)
+	const bound, reading = 2 * time.Second, 500 * time.Millisecond
+	d.Update(start.Add(reading), engines(1), true)
+	for range 4 {
+		choice, found := d.Pick(start.Add(bound), Demand{Service: "llm"})
+		require.True(t, found)
+		require.Equal(t, "e00", choice.Instance.ID)
+	}
+}
+
 func TestASoundListTakesInstancesAwayAtOnce(t *testing.T) {
 	d := NewDirectory("z")
 	d.Update(start, engines(3), false)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -31,8 +31,9 @@
 	// leaveNotice is how long new callers may still come after readiness ended.
 	leaveNotice = 2500 * time.Millisecond
 	// listDoubt is how long after the loss of their source a list of instances may lack
-	// some that are there.
-	listDoubt = 3 * time.Second
+	// some that are there. It is short, for the loss may have been of the path to the
+	// source alone, and what leaves then does leave.
+	listDoubt = time.Second
 	// endPoll is how often a stop looks whether the last request ended.
 	endPoll = 25 * time.Millisecond
 	// configurationDoubt is how long the configuration's source may be lost before an
