--- a/internal/quorum/client_test.go
+++ b/internal/quorum/client_test.go
@@ -163,6 +163,9 @@
 // A turn is refused while no quorum is in reach; its reservation, where it did
 // arrive, must not count for ever.
 func TestASettledChargeOutlastsALostQuorum(t *testing.T) {
+	// Operators grant twelve seconds for a recovery; with five the charge was lost.
+	const recovery = 12 * time.Second
+	require.Greater(t, settleLimit, 2*recovery)
 	client, replicas := startThree(t)
 	replicas[1].server.Close()
 	replicas[2].server.Close()
