A fault soak of real processes behind proxies

Cause: the users ask for a randomized soak of the real programs with faults from outside; the end-to-end tests play single faults in a fixed order, and replicas and back ends could not be cut off one way, delayed or silenced while they run. Change: internal/faultproxy (a TCP proxy that delays, holds back one direction, resets); advertisedAddress, so that a process behind a proxy or a translation of addresses tells the others where to reach it; TestSoak: three gateways, four replicas, seven back ends, eight callers and seventeen kinds of fault by seed, checked from what callers and back ends saw: verdicts, single runs, whole answers in order, prompts, budgets, kept turns after the faults, the newest configuration at every gateway. Not covered: clocks are not moved (the processes use the steady clock alone and another one cannot be given to them from outside without privileges); a full disk.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -88,7 +88,7 @@
 		})
 	})
 	running.Go(func() {
-		node := replicaset.Node{Name: config.Node, Role: replicaset.RoleGateway, Address: config.PeerAddress, Zone: config.Zone}
+		node := replicaset.Node{Name: config.Node, Role: replicaset.RoleGateway, Address: config.Advertised(), Zone: config.Zone}
 		replicaset.Register(life, store, node, func(err error) { process.storeCallFailed("register", err) })
 	})
 	err := server.Serve(ctx, config.CallerAddress, config.Grace-stopReserve)
--- a/internal/command/replica.go
+++ b/internal/command/replica.go
@@ -44,7 +44,7 @@
 	metrics := replica.NewMetrics(config.Node)
 	store := platform.NewStore(config.StoreAddress, metrics.StoreCall)
 	server, err := replica.New(replica.Options{
-		Node: config.Node, Zone: config.Zone, Address: config.PeerAddress, DataFolder: config.DataFolder,
+		Node: config.Node, Zone: config.Zone, Address: config.PeerAddress, Advertised: config.Advertised(), DataFolder: config.DataFolder,
 		DiskMB: config.DiskMB, Tolerate: config.TolerateMachines, Registry: store, Log: process.log, Metrics: metrics,
 	})
 	if err != nil {
--- /dev/null
+++ b/internal/e2e/soak_callers_test.go
@@ -0,0 +1,139 @@
+package e2e
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// requestKind is what a caller asked for.
+type requestKind uint8
+
+const (
+	retainedTurn requestKind = iota
+	resumableTurn
+	safeCall
+	unsafeCall
+)
+
+// record is one request and its answer.
+type record struct {
+	answered
+	kind    requestKind
+	program string
+	budget  int
+	most    int
+	// previous is the turn it went on from; input what was sent.
+	previous keptTurn
+	input    string
+	gateway  string
+	sentAt   time.Duration
+	took     time.Duration
+}
+
+// soakCaller runs one program after another.
+type soakCaller struct {
+	*soak
+	random *rand.Rand
+}
+
+const (
+	turnTokens     = 40 // four events of ten tokens each
+	turnMost       = 50
+	turnsMost      = 5
+	triesMost      = 4
+	goOnFromKept   = 0.25
+	resumableShare = 0.3
+)
+
+// runProgram runs turns with calls of tools between them.
+func (c *soakCaller) runProgram() {
+	program := "p-" + c.nextID()
+	budget := turnMost * (1 + c.random.IntN(turnsMost))
+	var line keptTurn
+	if c.random.Float64() < goOnFromKept {
+		line = c.anyKept()
+	}
+	for range 1 + c.random.IntN(turnsMost) {
+		next, whole := c.turn(program, budget, line)
+		if !whole {
+			return
+		}
+		line = next
+		c.call(program, safeCall)
+		if c.random.IntN(2) == 0 {
+			c.call(program, unsafeCall)
+		}
+	}
+}
+
+// anyKept returns a turn that some program got whole.
+func (c *soakCaller) anyKept() keptTurn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.kept) == 0 {
+		return keptTurn{}
+	}
+	return c.kept[c.random.IntN(len(c.kept))]
+}
+
+// turn asks for one turn until it is answered whole or was tried often enough.
+func (c *soakCaller) turn(program string, budget int, line keptTurn) (keptTurn, bool) {
+	kind, path := retainedTurn, "/chat/s"
+	if c.random.Float64() < resumableShare {
+		kind, path, line = resumableTurn, "/plan/s", keptTurn{}
+	}
+	for range triesMost {
+		asked := record{kind: kind, program: program, budget: budget, most: turnMost, previous: line}
+		header := http.Header{
+			"X-Program-Id": {program}, "X-Session-Id": {"s-" + program}, "X-Program-Deadline-Ms": {"8000"},
+			"X-Token-Budget": {fmt.Sprint(budget)}, "X-Token-Count": {fmt.Sprintf("100,%d", turnMost)},
+		}
+		if line.id != "" {
+			header.Set("X-Previous-Turn", line.id)
+		}
+		got := c.ask(asked, agentHost, path, header)
+		if got.status == http.StatusPaymentRequired {
+			return keptTurn{}, false
+		}
+		if got.whole() {
+			return keptTurn{id: got.id, history: line.history + got.input + c.engines[0].EventData(got.id)}, true
+		}
+	}
+	return keptTurn{}, false
+}
+
+// call calls a tool.
+func (c *soakCaller) call(program string, kind requestKind) {
+	path := "/start/s"
+	if kind == unsafeCall {
+		path = "/charge/s"
+	}
+	c.ask(record{kind: kind, program: program}, appsHost, path, http.Header{"X-Program-Id": {program}})
+}
+
+// ask sends one request to some gateway and keeps what came of it.
+func (c *soakCaller) ask(asked record, host, path string, header http.Header) record {
+	gateway := c.gateways[c.random.IntN(len(c.gateways))]
+	asked.gateway = gateway.name
+	id := c.nextID()
+	asked.input = "input-" + id + "|"
+	asked.sentAt = time.Since(c.began)
+	asked.answered = exchange(gateway, id, host, path, header, asked.input)
+	asked.took = time.Since(c.began) - asked.sentAt
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.records = append(c.records, asked)
+	if asked.kind == retainedTurn && asked.whole() {
+		c.kept = append(c.kept, keptTurn{id: id, history: asked.previous.history + asked.input + c.engines[0].EventData(id)})
+	}
+	return asked
+}
+
+// whole reports whether the caller got a whole success.
+func (r record) whole() bool { return r.err == nil && r.status == http.StatusOK }
+
+// events returns how many whole events of a stream the caller got.
+func (r record) events() int { return strings.Count(r.body, "\n\n") }
--- /dev/null
+++ b/internal/e2e/soak_checks_test.go
@@ -0,0 +1,146 @@
+package e2e
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"swiftbank.dev/swiftbank/platform/platformtest"
+)
+
+// promises lists the statuses that say that a request has not run and never will.
+var promises = map[int]bool{
+	http.StatusPaymentRequired: true, http.StatusNotFound: true, http.StatusRequestTimeout: true,
+	http.StatusRequestEntityTooLarge: true, http.StatusMisdirectedRequest: true,
+	http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true,
+}
+
+// fleetIDs begins the ids of requests that the fleet itself sends at its start.
+const fleetIDs = "00000000"
+
+// backEnds returns all stand-ins.
+func (s *soak) backEnds() []*platformtest.Engine {
+	return append(append([]*platformtest.Engine{}, s.engines...), s.apps...)
+}
+
+// runsByID returns all runs of the back ends, by request.
+func (s *soak) runsByID() map[string][]platformtest.Run {
+	runs := map[string][]platformtest.Run{}
+	for _, backEnd := range s.backEnds() {
+		for _, run := range backEnd.Runs() {
+			runs[run.ID] = append(runs[run.ID], run)
+		}
+	}
+	return runs
+}
+
+// checkAll checks every request against what ran.
+func (s *soak) checkAll(t *testing.T) {
+	runs := s.runsByID()
+	asked := map[string]bool{}
+	tokens, budgets := map[string]int{}, map[string]int{}
+	for _, r := range s.records {
+		asked[r.id] = true
+		s.checkOne(t, r, runs[r.id])
+		if r.kind == retainedTurn || r.kind == resumableTurn {
+			tokens[r.program] += r.events() * turnTokens / 4
+			budgets[r.program] = r.budget
+		}
+	}
+	for program, spent := range tokens {
+		assert.LessOrEqual(t, spent, budgets[program]+turnMost, "budget of %s", program)
+	}
+	for id := range runs {
+		assert.True(t, asked[id] || strings.HasPrefix(id, fleetIDs), "nobody asked for %s", id)
+	}
+}
+
+func (s *soak) checkOne(t *testing.T, r record, runs []platformtest.Run) {
+	about := fmt.Sprintf("request %s to %s at %.3f s: status %d, error %v, %d runs", r.id, r.gateway, r.sentAt.Seconds(), r.status, r.err, len(runs))
+	if promises[r.status] {
+		assert.Empty(t, runs, "ran although refused: %s", about)
+	}
+	if r.kind == unsafeCall || r.kind == retainedTurn {
+		assert.LessOrEqual(t, len(runs), 1, "ran more than once: %s", about)
+	}
+	if r.kind == safeCall {
+		assert.LessOrEqual(t, len(runs), 2, "ran on more instances than allowed: %s", about)
+	}
+	assert.NotEqual(t, http.StatusNotFound, r.status, "a kept turn or a route is denied: %s", about)
+	assert.NotEqual(t, http.StatusGone, r.status, about)
+	for _, run := range runs {
+		assert.Equal(t, r.previous.history+r.input, run.Body, "another prompt: %s", about)
+	}
+	if r.whole() {
+		s.checkAnswer(t, r, runs, about)
+	}
+	if r.kind == resumableTurn || r.kind == retainedTurn {
+		s.checkOrder(t, r, about)
+	}
+}
+
+// checkAnswer checks that a success is the whole answer of an instance to this request.
+func (s *soak) checkAnswer(t *testing.T, r record, runs []platformtest.Run, about string) {
+	assert.NotEmpty(t, runs, "answered without a run: %s", about)
+	signer := strings.TrimPrefix(r.header.Get("X-Server-Signature"), "signed-by-")
+	assert.NotEmpty(t, signer, "not signed: %s", about)
+	if r.kind == safeCall || r.kind == unsafeCall {
+		assert.Equal(t, "answer to "+r.id+" by "+signer, r.body, about)
+		return
+	}
+	assert.Equal(t, s.engines[0].Events, r.events(), "not all events: %s", about)
+}
+
+// checkOrder checks that a stream, whole or broken off, holds each event once and in order.
+func (s *soak) checkOrder(t *testing.T, r record, about string) {
+	var expected strings.Builder
+	for number := 1; number <= s.engines[0].Events; number++ {
+		fmt.Fprintf(&expected, "id: %d\ndata: %s-%d\n\n", number, r.id, number)
+	}
+	if r.status == http.StatusOK {
+		assert.True(t, strings.HasPrefix(expected.String(), r.body), "other events: %s: %q", about, r.body)
+	}
+}
+
+// checkKeptTurns goes on from turns that callers got whole: each must reach an engine
+// with its whole history once the faults have ended.
+func (s *soak) checkKeptTurns(t *testing.T) {
+	const sample = 40
+	random := rand.New(rand.NewPCG(s.seed, 1<<32))
+	kept := append([]keptTurn{}, s.kept...)
+	random.Shuffle(len(kept), func(a, b int) { kept[a], kept[b] = kept[b], kept[a] })
+	for _, turn := range kept[:min(sample, len(kept))] {
+		require.Eventually(t, func() bool { return s.goesOn(t, turn) }, healLimit, 100*time.Millisecond, "turn %s is lost", turn.id)
+	}
+}
+
+func (s *soak) goesOn(t *testing.T, turn keptTurn) bool {
+	id := s.nextID()
+	got := exchange(s.gateways[0], id, agentHost, "/chat/after", http.Header{
+		"X-Program-Id": {"p-" + id}, "X-Token-Budget": {"1000"}, "X-Token-Count": {"100,50"}, "X-Previous-Turn": {turn.id},
+	}, "after|")
+	assert.NotEqual(t, http.StatusNotFound, got.status)
+	if got.err != nil || got.status != http.StatusOK {
+		return false
+	}
+	runs := runsOf(id, s.engines)
+	assert.Len(t, runs, 1)
+	assert.Equal(t, turn.history+"after|", runs[0].Body)
+	return true
+}
+
+// checkConfiguration checks that the newest configuration is in force at every gateway.
+func (s *soak) checkConfiguration(t *testing.T) {
+	for _, gateway := range s.gateways {
+		require.Eventually(t, func() bool {
+			got := exchange(gateway, s.nextID(), appsHost, s.probePath(s.version), nil, "x")
+			return got.err == nil && got.status == http.StatusOK
+		}, healLimit, 100*time.Millisecond, "%s lacks version %d", gateway.name, s.version)
+	}
+}
--- /dev/null
+++ b/internal/faultproxy/proxy_test.go
@@ -0,0 +1,100 @@
+package faultproxy
+
+import (
+	"bufio"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// echo answers each line with itself.
+func echo(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer connection.Close()
+				lines := bufio.NewReader(connection)
+				for {
+					line, err := lines.ReadString('\n')
+					if err != nil {
+						return
+					}
+					_, _ = connection.Write([]byte(line))
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func proxyTo(t *testing.T, target string) *Proxy {
+	proxy, err := New(target)
+	require.NoError(t, err)
+	t.Cleanup(proxy.Close)
+	return proxy
+}
+
+func dial(t *testing.T, proxy *Proxy) (net.Conn, *bufio.Reader) {
+	connection, err := net.Dial("tcp", proxy.Address())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = connection.Close() })
+	return connection, bufio.NewReader(connection)
+}
+
+// answered sends a line and hands over what comes back.
+func answered(connection net.Conn, lines *bufio.Reader, line string) <-chan string {
+	got := make(chan string, 1)
+	_, _ = connection.Write([]byte(line + "\n"))
+	go func() {
+		answer, _ := lines.ReadString('\n')
+		got <- answer
+	}()
+	return got
+}
+
+func TestWhatIsHeldBackGoesOnLater(t *testing.T) {
+	for name, condition := range map[string]Condition{"requests": {HoldRequests: true}, "answers": {HoldAnswers: true}} {
+		t.Run(name, func(t *testing.T) {
+			proxy := proxyTo(t, echo(t))
+			connection, lines := dial(t, proxy)
+			require.Equal(t, "a\n", <-answered(connection, lines, "a"))
+			proxy.Set(condition)
+			held := answered(connection, lines, "b")
+			select {
+			case answer := <-held:
+				t.Fatalf("%q came through", answer)
+			case <-time.After(20 * time.Millisecond):
+			}
+			proxy.Set(Condition{})
+			require.Equal(t, "b\n", <-held)
+		})
+	}
+}
+
+func TestAResetEndsOpenConnections(t *testing.T) {
+	proxy := proxyTo(t, echo(t))
+	connection, lines := dial(t, proxy)
+	require.Equal(t, "a\n", <-answered(connection, lines, "a"))
+	proxy.Reset()
+	_, err := lines.ReadByte()
+	require.Error(t, err)
+	again, lines := dial(t, proxy)
+	require.Equal(t, "b\n", <-answered(again, lines, "b"))
+}
+
+func TestARefusedConnectionIsReset(t *testing.T) {
+	proxy := proxyTo(t, echo(t))
+	proxy.Set(Condition{Refuse: true})
+	_, lines := dial(t, proxy)
+	_, err := lines.ReadByte()
+	require.Error(t, err)
+}
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -34,9 +34,11 @@
 
 // Options are what a replica is made of.
 type Options struct {
-	Node       string
-	Zone       string
+	Node string
+	Zone string
+	// Address is listened on; Advertised is where the others reach it.
 	Address    string
+	Advertised string
 	DataFolder string
 	DiskMB     int
 	// Tolerate is how many machines with disks may be lost at once.
@@ -110,7 +112,7 @@
 
 func (s *Server) own() replicaset.Node {
 	node := replicaset.Node{
-		Name: s.options.Node, Role: replicaset.RoleReplica, Address: s.options.Address,
+		Name: s.options.Node, Role: replicaset.RoleReplica, Address: s.options.Advertised,
 		Zone: s.options.Zone, Disk: s.state.Disk(), Leaving: s.members.leaving,
 	}
 	if cell := s.members.cell; cell != replicaset.NoCell {
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -11,8 +11,11 @@
 type Member struct {
 	Node string `koanf:"node" validate:"required"`
 	Zone string `koanf:"zone" validate:"required"`
-	// PeerAddress is where the product's own processes reach this one.
+	// PeerAddress is where this process listens for the product's other processes.
 	PeerAddress string `koanf:"peerAddress" validate:"required,hostname_port"`
+	// AdvertisedAddress is where the others reach it, when that is another address, as
+	// behind a proxy or a translation of addresses.
+	AdvertisedAddress string `koanf:"advertisedAddress" validate:"omitempty,hostname_port"`
 	// MetricsAddress serves the metrics.
 	MetricsAddress string `koanf:"metricsAddress" validate:"required,hostname_port"`
 	// StoreAddress is the platform's store.
@@ -42,6 +45,14 @@
 	DiskMB     int    `koanf:"diskMB" validate:"gt=0"`
 }
 
+// Advertised returns the address that the other processes are told.
+func (m Member) Advertised() string {
+	if m.AdvertisedAddress != "" {
+		return m.AdvertisedAddress
+	}
+	return m.PeerAddress
+}
+
 func defaultMember() Member {
 	return Member{MemoryMB: 256, Grace: 8 * time.Second, TolerateMachines: 1, LogLevel: "info"}
 }
