Load is told within a zone, and of whole zones between them

Cause: each gateway told eight others of its load every 50 ms: 160 datagrams a second and node. Test: TestReportsStayFewHoweverManyGatewaysThereAre, TestAZoneIsHeardOfByAnyOfItsGateways.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -33,7 +33,7 @@
 	unlistedLife = 1500 * time.Millisecond
 	// failureHalfLife is how long a failure counts for the half.
 	failureHalfLife = 2 * time.Second
-	// remoteLoadLimit is how long another gateway's load report counts.
+	// remoteLoadLimit is how long a report of load counts.
 	remoteLoadLimit = 1500 * time.Millisecond
 )
 
@@ -42,7 +42,7 @@
 	instance Instance
 	// inFlight are this gateway's own requests.
 	inFlight int
-	// remote are the requests of all other gateways by their last reports.
+	// remote are the requests of all other gateways by the last reports.
 	remote int
 	// failures counts failures to reach it in a row; avoidUntil is set by them.
 	failures   int
@@ -58,7 +58,14 @@
 
 func (m *member) load() int { return m.inFlight + m.remote }
 
-// remoteReport is what another gateway last said of its requests in flight.
+// LoadSource is whose requests a report of load counts: those of one gateway of the
+// own zone, or of all gateways of another zone. One field is set.
+type LoadSource struct {
+	Gateway string
+	Zone    string
+}
+
+// remoteReport is what was last heard of a source's requests in flight.
 type remoteReport struct {
 	loads map[string]int
 	at    time.Time
@@ -72,7 +79,7 @@
 	members map[string]*member
 	// byService lists the members of each service in the order of their ids.
 	byService map[string][]*member
-	reports   map[string]remoteReport
+	reports   map[LoadSource]remoteReport
 	// ranLast is the instance that had a prompt part last, for the parts of this
 	// gateway's own requests.
 	ranLast map[string]string
@@ -83,7 +90,7 @@
 func NewDirectory(zone string) *Directory {
 	return &Directory{
 		zone: zone, members: map[string]*member{}, byService: map[string][]*member{},
-		reports: map[string]remoteReport{}, ranLast: map[string]string{},
+		reports: map[LoadSource]remoteReport{}, ranLast: map[string]string{},
 	}
 }
 
@@ -150,14 +157,31 @@
 	return loads
 }
 
-// RemoteLoads takes in another gateway's requests in flight, in place of what it
-// said before. Reports that are too old are dropped.
-func (d *Directory) RemoteLoads(now time.Time, gateway string, loads map[string]int) {
+// ZoneLoads returns the requests in flight of the own zone's gateways by instance, as
+// far as they are known here.
+func (d *Directory) ZoneLoads() map[string]int {
+	loads := d.Loads()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for source, report := range d.reports {
+		if source.Zone != "" {
+			continue
+		}
+		for id, requests := range report.loads {
+			loads[id] += requests
+		}
+	}
+	return loads
+}
+
+// RemoteLoads takes in a source's requests in flight, in place of what was heard of
+// it before. Reports that are too old are dropped.
+func (d *Directory) RemoteLoads(now time.Time, source LoadSource, loads map[string]int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.addRemote(d.reports[gateway].loads, -1)
+	d.addRemote(d.reports[source].loads, -1)
 	d.addRemote(loads, 1)
-	d.reports[gateway] = remoteReport{loads: loads, at: now}
+	d.reports[source] = remoteReport{loads: loads, at: now}
 	for name, report := range d.reports {
 		if now.Sub(report.at) > d.remoteLimit() {
 			d.addRemote(report.loads, -1)
@@ -166,11 +190,11 @@
 	}
 }
 
-// remoteLimit is how long a report counts: the more gateways there are, the more
-// seldom each one reports here.
+// remoteLimit is how long a report counts: the more sources there are, the more
+// seldom each one is heard of here.
 func (d *Directory) remoteLimit() time.Duration {
-	const gatewaysAtOnce = 8
-	return remoteLoadLimit * time.Duration(1+len(d.reports)/gatewaysAtOnce)
+	const sourcesAtOnce = 8
+	return remoteLoadLimit * time.Duration(1+len(d.reports)/sourcesAtOnce)
 }
 
 func (d *Directory) addRemote(loads map[string]int, sign int) {
--- a/internal/backend/directory_test.go
+++ b/internal/backend/directory_test.go
@@ -114,12 +114,12 @@
 func TestRemoteLoadsReplaceEachOtherAndAge(t *testing.T) {
 	d := NewDirectory("z")
 	d.Update(start, engines(1), false)
-	d.RemoteLoads(start, "g1", map[string]int{"e00": 5, "unknown": 3})
-	d.RemoteLoads(start, "g2", map[string]int{"e00": 2})
-	d.RemoteLoads(start, "g1", map[string]int{"e00": 1})
+	d.RemoteLoads(start, LoadSource{Gateway: "g1"}, map[string]int{"e00": 5, "unknown": 3})
+	d.RemoteLoads(start, LoadSource{Gateway: "g2"}, map[string]int{"e00": 2})
+	d.RemoteLoads(start, LoadSource{Gateway: "g1"}, map[string]int{"e00": 1})
 	choice, _ := d.Pick(start, Demand{Service: "llm"})
 	require.Equal(t, 3, choice.Load)
-	d.RemoteLoads(start.Add(10*remoteLoadLimit), "g2", map[string]int{"e00": 4})
+	d.RemoteLoads(start.Add(10*remoteLoadLimit), LoadSource{Gateway: "g2"}, map[string]int{"e00": 4})
 	choice, _ = d.Pick(start, Demand{Service: "llm"})
 	require.Equal(t, 5, choice.Load, "one own request and four of the gateway that still reports")
 }
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -59,7 +59,7 @@
 		Node: config.Node, Zone: config.Zone, Dialect: platform.Dialect(), Directory: directory, Replicas: replicas,
 		Log: process.log, Metrics: metrics, Copies: config.TolerateMachines + 1,
 	})
-	gossip := gateway.NewGossip(config.Node, directory)
+	gossip := gateway.NewGossip(config.Node, config.Zone, directory)
 	store := platform.NewStore(config.StoreAddress, metrics.StoreCall)
 	sources := &platform.Sources{
 		Store: store, Node: config.Node,
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -18,50 +18,79 @@
 )
 
 const (
-	// gossipInterval is how often a gateway tells the others what it has in flight,
-	// when that has changed; gossipRefresh is when it does so anyway.
+	// gossipInterval is how often a gateway tells the others of its load, when that has
+	// changed; gossipRefresh is when it does so anyway.
 	gossipInterval = 50 * time.Millisecond
 	gossipRefresh  = 500 * time.Millisecond
-	// gossipFanout bounds the gateways that one report goes to; the others get the
-	// next ones.
-	gossipFanout = 8
+	// neighbourFanout and remoteFanout bound the gateways of the own zone and of other
+	// zones that hear of it each time; the others hear the next ones. So a gateway sends
+	// at most 60 datagrams a second, however many gateways there are.
+	neighbourFanout = 2
+	remoteFanout    = 1
 	// datagramBytes bounds one datagram.
 	datagramBytes = 60 << 10
 )
 
-// loadReport is one datagram: a gateway's requests in flight by instance.
+// loadReport is one datagram: requests in flight by instance. To its own zone a
+// gateway tells what it has itself, to other zones what its whole zone has as far as
+// it knows.
 type loadReport struct {
 	Gateway string
-	Loads   map[string]int
+	// Zone is set in a report of a whole zone.
+	Zone  string
+	Loads map[string]int
 }
 
 // Gossip shares the load that each gateway puts on the instances, so that gateways
 // that place alone do not all choose the same one.
 type Gossip struct {
 	node      string
+	zone      string
 	directory *backend.Directory
 
-	mu    sync.Mutex
-	peers []net.Addr
-	next  int
+	mu         sync.Mutex
+	neighbours rotation
+	remotes    rotation
+}
+
+// rotation hands out its addresses in turn.
+type rotation struct {
+	addresses []net.Addr
+	next      int
+}
+
+// take returns up to count addresses, each in its turn.
+func (r *rotation) take(count int) []net.Addr {
+	count = min(count, len(r.addresses))
+	taken := make([]net.Addr, 0, count)
+	for range count {
+		taken = append(taken, r.addresses[r.next%len(r.addresses)])
+		r.next++
+	}
+	return taken
 }
 
 // NewGossip returns the gossip of a gateway.
-func NewGossip(node string, directory *backend.Directory) *Gossip {
-	return &Gossip{node: node, directory: directory}
+func NewGossip(node, zone string, directory *backend.Directory) *Gossip {
+	return &Gossip{node: node, zone: zone, directory: directory}
 }
 
 // SetGateways takes in the gateways that the registry lists.
 func (g *Gossip) SetGateways(nodes map[string]replicaset.Node) {
-	var peers []net.Addr
+	var neighbours, remotes []net.Addr
 	for _, name := range slices.Sorted(maps.Keys(nodes)) {
-		address, err := net.ResolveUDPAddr("udp", nodes[name].Address)
-		if err == nil && name != g.node {
-			peers = append(peers, address)
+		node := nodes[name]
+		address, err := net.ResolveUDPAddr("udp", node.Address)
+		switch {
+		case err != nil || name == g.node:
+		case node.Zone == g.zone:
+			neighbours = append(neighbours, address)
+		default:
+			remotes = append(remotes, address)
 		}
 	}
 	g.mu.Lock()
-	g.peers = peers
+	g.neighbours.addresses, g.remotes.addresses = neighbours, remotes
 	g.mu.Unlock()
 }
 
@@ -95,34 +124,25 @@
 				continue
 			}
 			last, sentAt = loads, now
-			g.broadcast(socket, loadReport{Gateway: g.node, Loads: loads})
+			g.mu.Lock()
+			neighbours, remotes := g.neighbours.take(neighbourFanout), g.remotes.take(remoteFanout)
+			g.mu.Unlock()
+			sendTo(socket, neighbours, loadReport{Gateway: g.node, Loads: loads})
+			sendTo(socket, remotes, loadReport{Gateway: g.node, Zone: g.zone, Loads: g.directory.ZoneLoads()})
 		}
 	}
 }
 
-func (g *Gossip) broadcast(socket net.PacketConn, report loadReport) {
+func sendTo(socket net.PacketConn, peers []net.Addr, report loadReport) {
 	var message bytes.Buffer
-	if gob.NewEncoder(&message).Encode(report) != nil {
+	if len(peers) == 0 || gob.NewEncoder(&message).Encode(report) != nil {
 		return
 	}
-	for _, peer := range g.round() {
+	for _, peer := range peers {
 		_, _ = socket.WriteTo(message.Bytes(), peer)
 	}
 }
 
-// round returns the gateways that the next report goes to, each in its turn.
-func (g *Gossip) round() []net.Addr {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	count := min(gossipFanout, len(g.peers))
-	round := make([]net.Addr, 0, count)
-	for range count {
-		round = append(round, g.peers[g.next%len(g.peers)])
-		g.next++
-	}
-	return round
-}
-
 func (g *Gossip) receive(socket net.PacketConn) {
 	buffer := make([]byte, datagramBytes)
 	for {
@@ -135,9 +155,21 @@
 		}
 		var report loadReport
 		if gob.NewDecoder(bytes.NewReader(buffer[:size])).Decode(&report) == nil {
-			g.directory.RemoteLoads(time.Now(), report.Gateway, report.Loads)
+			g.take(time.Now(), report)
 		}
 	}
 }
 
+// take takes in one report. A report of the own zone is what its gateways say
+// themselves.
+func (g *Gossip) take(now time.Time, report loadReport) {
+	switch report.Zone {
+	case "":
+		g.directory.RemoteLoads(now, backend.LoadSource{Gateway: report.Gateway}, report.Loads)
+	case g.zone:
+	default:
+		g.directory.RemoteLoads(now, backend.LoadSource{Zone: report.Zone}, report.Loads)
+	}
+}
+
 func socketClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- /dev/null
+++ b/internal/gateway/gossip_test.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"swiftbank.dev/swiftbank/internal/backend"
+	"swiftbank.dev/swiftbank/internal/replicaset"
+)
+
+func gossipOf(node, zone string) *Gossip {
+	directory := backend.NewDirectory(zone)
+	directory.Update(time.Unix(1000, 0), []backend.Instance{{ID: "e", Service: "llm", Slots: 8}}, false)
+	return NewGossip(node, zone, directory)
+}
+
+// believedLoad returns the load that a placement finds at the only instance.
+func believedLoad(t *testing.T, g *Gossip) int {
+	choice, found := g.directory.Pick(time.Unix(1000, 0), backend.Demand{Service: "llm"})
+	require.True(t, found)
+	g.directory.End(time.Unix(1000, 0), "e", backend.Answered)
+	return choice.Load
+}
+
+func TestAZoneIsHeardOfByAnyOfItsGateways(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := gossipOf("a1", "a")
+	g.take(now, loadReport{Gateway: "a2", Loads: map[string]int{"e": 2}})
+	g.take(now, loadReport{Gateway: "b1", Zone: "b", Loads: map[string]int{"e": 5}})
+	g.take(now, loadReport{Gateway: "b2", Zone: "b", Loads: map[string]int{"e": 4}})
+	require.Equal(t, 6, believedLoad(t, g), "two of a2, and the newest word of zone b")
+	g.take(now, loadReport{Gateway: "a3", Zone: "a", Loads: map[string]int{"e": 9}})
+	require.Equal(t, 6, believedLoad(t, g), "the own zone is not counted twice")
+	require.Equal(t, map[string]int{"e": 2}, g.directory.ZoneLoads(), "what other zones have is not passed on as the own zone's")
+}
+
+func TestReportsStayFewHoweverManyGatewaysThereAre(t *testing.T) {
+	for _, gateways := range []int{2, 8, 51, 890} {
+		g := gossipOf("g0", "z0")
+		nodes := map[string]replicaset.Node{}
+		for i := range gateways {
+			name := fmt.Sprintf("g%d", i)
+			nodes[name] = replicaset.Node{Name: name, Zone: fmt.Sprintf("z%d", i%4), Address: fmt.Sprintf("127.0.0.1:%d", 1000+i)}
+		}
+		g.SetGateways(nodes)
+		heard := map[string]bool{}
+		for range 4 * gateways {
+			neighbours, remotes := g.neighbours.take(neighbourFanout), g.remotes.take(remoteFanout)
+			require.LessOrEqual(t, len(neighbours)+len(remotes), neighbourFanout+remoteFanout)
+			for _, address := range append(neighbours, remotes...) {
+				heard[address.String()] = true
+			}
+		}
+		require.Len(t, heard, gateways-1, "each gateway hears in its turn")
+	}
+}
