Placements prefer instances that are near and connected

Change: a placement adds 5 ms for an instance to which no connection rests, and 6 ms instead of 3 for one of another zone. A request in progress counts 10 ms, so load still decides between two instances that differ by more than one. Test: TestAnInstanceWithAConnectionIsPreferredUnlessItIsLoaded.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -74,6 +74,8 @@
 // Directory holds the instances of all services. It is safe for concurrent use.
 type Directory struct {
 	zone string
+	// connected reports whether a connection to an instance rests here; nil knows of none.
+	connected func(instance string) bool
 
 	mu      sync.Mutex
 	members map[string]*member
@@ -94,6 +96,10 @@
 	}
 }
 
+// UseConnections makes placements prefer instances to which a connection rests. It
+// must be called before the first Pick.
+func (d *Directory) UseConnections(pool *Pool) { d.connected = pool.rests }
+
 // Update replaces the list of instances and returns the ids that are gone. Entries
 // lapse when instances cannot renew them, so a list read from a source that was lost
 // moments ago is doubtful: what it lacks, and did not say that it leaves, serves on
--- a/internal/backend/directory_test.go
+++ b/internal/backend/directory_test.go
@@ -149,3 +149,19 @@
 		d.End(start, choice.Instance.ID, Answered)
 	}
 }
+
+func TestAnInstanceWithAConnectionIsPreferredUnlessItIsLoaded(t *testing.T) {
+	d := NewDirectory("z")
+	d.Update(start, engines(4), false)
+	d.connected = func(instance string) bool { return instance == "e02" }
+	for range 3 {
+		choice, _ := d.Pick(start, Demand{Service: "llm"})
+		require.Equal(t, "e02", choice.Instance.ID)
+	}
+	for range 4 * 12 {
+		d.Pick(start, Demand{Service: "llm"})
+	}
+	for id, load := range d.Loads() {
+		require.GreaterOrEqual(t, load, 10, "%s is left out although e02 is full", id)
+	}
+}
--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -19,8 +19,11 @@
 	neighbourCost = 10.0
 	// queuedCost is what each request beyond the slots adds, divided by the slots.
 	queuedCost = 280.0
-	// zoneCost is the way to another zone and back.
-	zoneCost = 3.0
+	// zoneCost is the way to another zone and back, and the bytes that go over it.
+	zoneCost = 6.0
+	// connectCost is a new connection: a round trip, the instance's time for it, and a
+	// place among the connections that the instance accepts from all gateways.
+	connectCost = 5.0
 	// plainQueuedCost is the wait behind one request of a plain service.
 	plainQueuedCost = 60.0
 	// sampleSize bounds the instances that one placement compares; sampleStride moves
@@ -155,6 +158,9 @@
 	if candidate.instance.Zone != d.zone {
 		cost += zoneCost
 	}
+	if d.connected != nil && !d.connected(candidate.instance.ID) {
+		cost += connectCost
+	}
 	slots := max(1, candidate.instance.Slots)
 	if !demand.Generates {
 		return cost + float64(load) + plainQueuedCost*float64(max(0, load-slots+1))
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -70,6 +70,14 @@
 	return &connection{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer)}, nil
 }
 
+// rests reports whether a kept connection to the instance is there to be used.
+func (p *Pool) rests(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[id]
+	return len(kept) > 0 && time.Now().Before(kept[len(kept)-1].idleUntil)
+}
+
 // pop takes the connection that was used last.
 func (p *Pool) pop(id string) *connection {
 	p.mu.Lock()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -92,6 +92,7 @@
 		replicas: options.Replicas, metrics: options.Metrics, splitter: route.NewSplitter(), started: time.Now(),
 	}
 	s.pool = backend.NewPool(s.metrics.connections.Inc)
+	s.directory.UseConnections(s.pool)
 	return s
 }
 
