Gateways begin split routes at places of their own

Change: a splitter counts up to 1,000 requests as dealt before its first, by the hash of owner and route.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -89,7 +89,7 @@
 func New(options Options) *Server {
 	s := &Server{
 		options: options, dialect: options.Dialect, log: options.Log, directory: options.Directory,
-		replicas: options.Replicas, metrics: options.Metrics, splitter: route.NewSplitter(), started: time.Now(),
+		replicas: options.Replicas, metrics: options.Metrics, splitter: route.NewSplitter(options.Node), started: time.Now(),
 	}
 	s.pool = backend.NewPool(s.metrics.connections.Inc)
 	s.directory.UseConnections(s.pool)
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -19,7 +20,7 @@
 
 func TestASplitRouteDealsByWeight(t *testing.T) {
 	split := &Route{Name: "r", Targets: []Target{{"a", 90}, {"b", 10}, {"none", 0}}}
-	splitter := NewSplitter()
+	splitter := NewSplitter("g")
 	counts := map[string]int{}
 	for range 1000 {
 		counts[splitter.Next(split)]++
@@ -27,3 +28,17 @@
 	require.Equal(t, map[string]int{"a": 900, "b": 100}, counts)
 	require.Equal(t, "", splitter.Next(&Route{Name: "empty", Targets: []Target{{"a", 0}, {"b", 0}}}))
 }
+
+// Fifty gateways deal six requests each: all of them together must keep the weights.
+func TestManySplittersTogetherKeepTheWeights(t *testing.T) {
+	split := &Route{Name: "r", Targets: []Target{{"a", 95}, {"b", 5}}}
+	const gateways, each = 50, 6
+	counts := map[string]int{}
+	for gateway := range gateways {
+		splitter := NewSplitter(fmt.Sprintf("gateway-%d", gateway))
+		for range each {
+			counts[splitter.Next(split)]++
+		}
+	}
+	require.InDelta(t, 0.05*gateways*each, counts["b"], 7)
+}
