A connection's queue takes room as messages come

Cause: each connection between processes had a queue with room for 8,192 messages at once, 1.06 MB for a replica's replies. A replica has a connection from every gateway: at 51 gateways 54 MB on a machine with 82, at a collector's limit of 45, so the collector never rested. Change: messages wait in a slice that grows to the same bound and is reused while it is small; buffers of 8 KB in place of 32. Test: TestARestingConnectionHoldsLittleMemory, seen to fail without it (1,067 KB against a limit of 40), and the order and bound of the queue.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -14,10 +14,13 @@
 )
 
 const (
-	// queueMessages is how many messages may wait for a connection's writer.
+	// queueMessages is how many messages may wait for a connection's writer. Room for
+	// them is made as they come: a replica has a connection from every gateway.
 	queueMessages = 8192
+	// keptMessages is the room that a connection keeps for the next messages.
+	keptMessages = 64
 	// bufferBytes is the size of the buffers before encoder and decoder.
-	bufferBytes = 32 << 10
+	bufferBytes = 8 << 10
 	// redialDelay is the pause before the next try to reach a peer.
 	redialDelay = 100 * time.Millisecond
 )
@@ -110,13 +113,19 @@
 // sender encodes queued messages and writes all that wait in one call.
 type sender[Send any] struct {
 	connection net.Conn
-	queue      chan Send
-	closed     chan struct{}
-	once       sync.Once
+	// wake is signalled when messages wait.
+	wake   chan struct{}
+	closed chan struct{}
+	once   sync.Once
+
+	mu      sync.Mutex
+	waiting []Send
+	// spare is the room of the messages written last.
+	spare []Send
 }
 
 func newSender[Send any](connection net.Conn) *sender[Send] {
-	s := &sender[Send]{connection: connection, queue: make(chan Send, queueMessages), closed: make(chan struct{})}
+	s := &sender[Send]{connection: connection, wake: make(chan struct{}, 1), closed: make(chan struct{})}
 	go s.run()
 	return s
 }
@@ -127,12 +136,20 @@
 		return false
 	default:
 	}
+	s.mu.Lock()
+	full := len(s.waiting) >= queueMessages
+	if !full {
+		s.waiting = append(s.waiting, message)
+	}
+	s.mu.Unlock()
+	if full {
+		return false
+	}
 	select {
-	case s.queue <- message:
-		return true
+	case s.wake <- struct{}{}:
 	default:
-		return false
 	}
+	return true
 }
 
 func (s *sender[Send]) close() {
@@ -150,24 +167,38 @@
 		select {
 		case <-s.closed:
 			return
-		case message := <-s.queue:
-			if encoder.Encode(message) != nil || s.drain(encoder) != nil || buffer.Flush() != nil {
-				return
+		case <-s.wake:
+		}
+		for batch := s.take(); len(batch) > 0; batch = s.take() {
+			for _, message := range batch {
+				if encoder.Encode(message) != nil {
+					return
+				}
 			}
+			s.giveBack(batch)
+		}
+		if buffer.Flush() != nil {
+			return
 		}
 	}
 }
 
-// drain encodes what else waits, so that it travels in the same write.
-func (s *sender[Send]) drain(encoder *gob.Encoder) error {
-	for {
-		select {
-		case message := <-s.queue:
-			if err := encoder.Encode(message); err != nil {
-				return err
-			}
-		default:
-			return nil
-		}
+// take returns all messages that wait.
+func (s *sender[Send]) take() []Send {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	batch := s.waiting
+	s.waiting, s.spare = s.spare, nil
+	return batch
+}
+
+// giveBack keeps the room of written messages for the next ones, unless it is large.
+func (s *sender[Send]) giveBack(batch []Send) {
+	if cap(batch) > keptMessages {
+		return
 	}
+	clear(batch)
+	s.mu.Lock()
+	s.spare = batch[:0]
+	s.mu.Unlock()
 }
