--- a/internal/e2e/soak_checks_test.go
+++ b/internal/e2e/soak_checks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -41,8 +42,7 @@
 }
 
 // checkAll checks every request against what ran.
-func (s *soak) checkAll(t *testing.T) {
-	runs := s.runsByID()
+func (s *soak) checkAll(t assert.TestingT, runs map[string][]platformtest.Run) {
 	asked := map[string]bool{}
 	tokens, budgets := map[string]int{}, map[string]int{}
 	for _, r := range s.records {
@@ -61,7 +61,7 @@
 	}
 }
 
-func (s *soak) checkOne(t *testing.T, r record, runs []platformtest.Run) {
+func (s *soak) checkOne(t assert.TestingT, r record, runs []platformtest.Run) {
 	about := fmt.Sprintf("request %s to %s at %.3f s: status %d, error %v, %d runs", r.id, r.gateway, r.sentAt.Seconds(), r.status, r.err, len(runs))
 	if promises[r.status] {
 		assert.Empty(t, runs, "ran although refused: %s", about)
@@ -86,7 +86,7 @@
 }
 
 // checkAnswer checks that a success is the whole answer of an instance to this request.
-func (s *soak) checkAnswer(t *testing.T, r record, runs []platformtest.Run, about string) {
+func (s *soak) checkAnswer(t assert.TestingT, r record, runs []platformtest.Run, about string) {
 	assert.NotEmpty(t, runs, "answered without a run: %s", about)
 	signer := strings.TrimPrefix(r.header.Get("X-Server-Signature"), "signed-by-")
 	assert.NotEmpty(t, signer, "not signed: %s", about)
@@ -98,7 +98,7 @@
 }
 
 // checkOrder checks that a stream, whole or broken off, holds each event once and in order.
-func (s *soak) checkOrder(t *testing.T, r record, about string) {
+func (s *soak) checkOrder(t assert.TestingT, r record, about string) {
 	var expected strings.Builder
 	for number := 1; number <= s.engines[0].Events; number++ {
 		fmt.Fprintf(&expected, "id: %d\ndata: %s-%d\n\n", number, r.id, number)
@@ -144,3 +144,52 @@
 		}, healLimit, 100*time.Millisecond, "%s lacks version %d", gateway.name, s.version)
 	}
 }
+
+// counter counts the checks that failed.
+type counter struct{ failed int }
+
+// Errorf implements assert.TestingT.
+func (c *counter) Errorf(string, ...any) { c.failed++ }
+
+func TestTheSoakFindsEachBrokenPromise(t *testing.T) {
+	engine := platformtest.NewEngine("i-engine-1")
+	t.Cleanup(engine.Close)
+	const id = "0000000100000001"
+	signed := http.Header{"X-Server-Signature": {"signed-by-i-engine-1"}}
+	stream := func(numbers ...int) string {
+		var body strings.Builder
+		for _, number := range numbers {
+			fmt.Fprintf(&body, "id: %d\ndata: %s-%d\n\n", number, id, number)
+		}
+		return body.String()
+	}
+	run := platformtest.Run{ID: id, Body: "in"}
+	turn := record{kind: retainedTurn, program: "p", budget: 100, input: "in", answered: answered{id: id, status: http.StatusOK, header: signed, body: stream(1, 2, 3, 4)}}
+	call := record{kind: unsafeCall, input: "in", answered: answered{id: id, status: http.StatusOK, header: signed, body: "answer to " + id + " by i-engine-1"}}
+	with := func(r record, change func(*record)) record { change(&r); return r }
+	check := func(r record, runs ...platformtest.Run) int {
+		s := &soak{fleet: &fleet{engines: []*platformtest.Engine{engine}}, records: []record{r}}
+		var found counter
+		s.checkAll(&found, map[string][]platformtest.Run{id: runs})
+		return found.failed
+	}
+	require.Zero(t, check(turn, run))
+	require.Zero(t, check(call, run))
+	require.Zero(t, check(with(turn, func(r *record) { r.body, r.err = stream(1, 2), io.ErrUnexpectedEOF }), run), "a stream may break off")
+	require.Zero(t, check(with(call, func(r *record) { r.status, r.header = http.StatusServiceUnavailable, nil })))
+
+	require.Positive(t, check(with(call, func(r *record) { r.status = http.StatusServiceUnavailable }), run), "ran although refused")
+	require.Positive(t, check(call, run, run), "an unsafe call ran twice")
+	require.Positive(t, check(turn, run, run), "a turn ran twice")
+	require.Positive(t, check(with(call, func(r *record) { r.kind = safeCall }), run, run, run), "a safe call ran too often")
+	require.Positive(t, check(call), "answered without a run")
+	require.Positive(t, check(with(call, func(r *record) { r.body = "answer to another by i-engine-1" }), run), "another request's answer")
+	require.Positive(t, check(with(call, func(r *record) { r.header = nil }), run), "not signed")
+	require.Positive(t, check(with(turn, func(r *record) { r.body = stream(1, 2) }), run), "looks complete")
+	require.Positive(t, check(with(turn, func(r *record) { r.body = stream(1, 2, 2, 3) }), run), "an event twice")
+	require.Positive(t, check(with(turn, func(r *record) { r.body, r.err = stream(1, 3), io.ErrUnexpectedEOF }), run), "an event missing")
+	require.Positive(t, check(turn, platformtest.Run{ID: id, Body: "other"}), "another prompt")
+	require.Positive(t, check(with(turn, func(r *record) { r.status = http.StatusNotFound })), "a kept turn denied")
+	require.Positive(t, check(with(turn, func(r *record) { r.budget = -20 }), run), "over budget")
+	require.Positive(t, check(with(turn, func(r *record) { r.answered.id = "0000000100000002" }), run), "nobody asked")
+}
--- a/internal/e2e/soak_faults_test.go
+++ b/internal/e2e/soak_faults_test.go
@@ -291,9 +291,7 @@
 
 // allKilled ends all processes at one moment, with torn writes on all disks.
 func (s *soak) allKilled() (string, func(), bool) {
-	if len(s.active) > 0 {
-		return "", nil, false
-	}
+	s.healDue(time.Now().Add(time.Hour))
 	for _, m := range s.members() {
 		require.NoError(s.t, m.command.Process.Kill())
 	}
--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -53,9 +53,9 @@
 const (
 	soakCallers = 8
 	// faultPause bounds the pause between the beginnings of two faults.
-	faultPauseLeast, faultPauseMost = 200 * time.Millisecond, 1200 * time.Millisecond
+	faultPauseLeast, faultPauseMost = 100 * time.Millisecond, 700 * time.Millisecond
 	// faultsAtOnce bounds the faults in force together.
-	faultsAtOnce = 3
+	faultsAtOnce = 5
 	// healLimit is how long the fleet may take to serve everything once all faults ended.
 	healLimit = 30 * time.Second
 )
@@ -107,7 +107,7 @@
 	s.healAll()
 	stop()
 	callers.Wait()
-	s.checkAll(t)
+	s.checkAll(t, s.runsByID())
 	s.checkKeptTurns(t)
 	s.checkConfiguration(t)
 	t.Logf("seed %d: %d requests, %d turns kept, faults:\n%s", seed, len(s.records), len(s.kept), strings.Join(s.story, "\n"))
