The fleet of the end-to-end tests is up when every gateway serves a turn

A starting gateway may read the members of the fleet two seconds after another one since reads of a starting fleet became more seldom. Ruled out: a change of the product: a gateway that restarts in a running fleet lists the members at once; only when the cells are founded while it starts does it read them later. Change: the tests wait for a turn at every gateway, not at the first alone.

--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -234,12 +234,15 @@
 	return response.StatusCode
 }
 
-// awaitTurn waits until a turn is served, which takes a quorum of replicas.
+// awaitTurn waits until every gateway serves a turn, which takes a quorum of replicas
+// that it knows.
 func (f *fleet) awaitTurn() {
 	f.t.Helper()
-	require.Eventually(f.t, func() bool {
-		return f.turn(f.gateways[0], turnRequest{path: "/chat/x", program: f.newID(), budget: 1000, most: 50, body: "warm"}).status == http.StatusOK
-	}, time.Minute, 50*time.Millisecond)
+	for _, gateway := range f.gateways {
+		require.Eventually(f.t, func() bool {
+			return f.turn(gateway, turnRequest{path: "/chat/x", program: f.newID(), budget: 1000, most: 50, body: "warm"}).status == http.StatusOK
+		}, time.Minute, 50*time.Millisecond)
+	}
 }
 
 func (f *fleet) newID() string {
