Gateways whose way to the replicas is cut reserve by way of others

Gateways still reach each other. Ruled out: readiness. Three of the four gateways of a zone are cut, and with fewer than half of a zone's gateways ready the platform uses all of them. Change: a replica that has not answered within its usual time (smoothed as TCP does) gets the request by way of another gateway as well. The relaying gateway changes nothing, the epoch included, so what a quorum means is unchanged; replies may come twice, which the tally bears. Who relays is decided by a pure state machine (relayOrder): two unproven gateways at a time, then the one that answered. Connections are opened when needed and closed after ten idle seconds. At the target size nothing is added while no way is cut.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -55,6 +55,8 @@
 	metrics := gateway.NewMetrics(config.Node)
 	directory := backend.NewDirectory(config.Zone)
 	replicas := quorum.NewCells(life, config.Zone, process.log)
+	relays := quorum.NewRelays(life, config.Node, config.Zone, process.log, metrics.Relayed)
+	replicas.UseRelays(relays)
 	server := gateway.New(gateway.Options{
 		Node: config.Node, Zone: config.Zone, Dialect: platform.Dialect(), Directory: directory, Replicas: replicas,
 		Log: process.log, Metrics: metrics, Copies: config.TolerateMachines + 1,
@@ -70,13 +72,14 @@
 		Failed:        process.storeCallFailed,
 		Configuration: server.ConfigurationChanged,
 		BackEnds:      server.BackEndsChanged,
-		Registry:      func(objects []registry.Object) { server.RegistryChanged(objects, gossip) },
+		Registry:      func(objects []registry.Object) { server.RegistryChanged(objects, gossip, relays) },
 	}
 	process.log.Info().Str("event", "start").Str("role", "gateway").Str("zone", config.Zone).
 		Str("callers", config.CallerAddress).Str("store", config.StoreAddress).Msg("")
 	var running conc.WaitGroup
 	running.Go(func() { sources.Run(life) })
 	running.Go(func() { process.failing("gossip", gossip.Run(life, config.PeerAddress)) })
+	running.Go(func() { process.failing("relaying", replicas.ServeRelays(life, config.PeerAddress)) })
 	running.Go(func() { process.failing("metrics", serveMetrics(life, config.MetricsAddress, metrics.Registry)) })
 	running.Go(func() {
 		process.failing("readiness", serveReady(life, config.ReadyAddress, platform.Dialect().ReadyPath, server.Ready))
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,7 @@
 	commit      prometheus.Histogram
 	connections prometheus.Counter
 	sends       prometheus.Counter
+	relayed     prometheus.Counter
 	store       *prometheus.CounterVec
 }
 
@@ -41,11 +42,14 @@
 		sends: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "swiftbank_backend_sends_total", Help: "Requests sent to instances.", ConstLabels: labels,
 		}),
+		relayed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "swiftbank_relayed_requests_total", Help: "Requests to replicas sent by other gateways.", ConstLabels: labels,
+		}),
 		store: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "swiftbank_store_calls_total", Help: "Calls to the shared store by method and status.", ConstLabels: labels,
 		}, []string{"method", "status"}),
 	}
-	m.Registry.MustRegister(m.requests, m.latency, m.reserve, m.commit, m.connections, m.sends, m.store)
+	m.Registry.MustRegister(m.requests, m.latency, m.reserve, m.commit, m.connections, m.sends, m.relayed, m.store)
 	return m
 }
 
@@ -54,6 +58,9 @@
 	m.store.WithLabelValues(method, strconv.Itoa(status)).Inc()
 }
 
+// Relayed counts a request to a replica that was sent by another gateway.
+func (m *Metrics) Relayed() { m.relayed.Inc() }
+
 func (m *Metrics) request(o *outcome, took time.Duration) {
 	m.requests.WithLabelValues(strconv.Itoa(o.status), o.result).Inc()
 	m.latency.WithLabelValues(o.result).Observe(took.Seconds())
--- a/internal/quorum/cells.go
+++ b/internal/quorum/cells.go
@@ -16,6 +16,7 @@
 	context context.Context
 	zone    string
 	log     *log.Logger
+	relays  *Relays
 
 	mu    sync.RWMutex
 	cells []*Client
@@ -26,6 +27,36 @@
 	return &Cells{context: ctx, zone: zone, log: logger}
 }
 
+// UseRelays makes the clients go by other gateways where their own way to a replica is
+// cut. It must be called before SetMembership.
+func (c *Cells) UseRelays(relays *Relays) {
+	c.relays = relays
+	relays.replied = c.relayed
+	relays.reopened = c.relayReopened
+}
+
+// relayed takes in a reply that came by another gateway.
+func (c *Cells) relayed(reply RelayReply) {
+	for cell, client := range c.clients() {
+		if cell == reply.Cell {
+			client.relayed(reply)
+		}
+	}
+}
+
+// relayReopened sends again what a new connection to a relaying gateway may have lost.
+func (c *Cells) relayReopened() {
+	for _, client := range c.clients() {
+		client.detourAll()
+	}
+}
+
+func (c *Cells) clients() []*Client {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.cells
+}
+
 // SetMembership takes in what the registry holds.
 func (c *Cells) SetMembership(membership replicaset.Membership) {
 	if !membership.HasLayout {
@@ -33,7 +64,11 @@
 	}
 	c.mu.Lock()
 	for len(c.cells) < membership.Layout.Cells {
-		c.cells = append(c.cells, NewClient(c.context, c.zone, c.log))
+		client := NewClient(c.context, c.zone, c.log)
+		if c.relays != nil {
+			client.useRelays(c.relays, len(c.cells))
+		}
+		c.cells = append(c.cells, client)
 	}
 	cells := c.cells
 	c.mu.Unlock()
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -39,6 +39,14 @@
 	replicas   []*replicaLink
 	number     uint64
 	operations map[uint64]*operation
+	// relays are ways by other gateways, or nil; cell is this client's number there.
+	relays *Relays
+	cell   int
+	// forwards are the requests of other gateways that were passed on, by their number
+	// on the links here.
+	forwards map[uint64]forward
+	// answers estimates how long a replica takes to answer.
+	answers roundTrip
 }
 
 // operation is a request that waits for replies.
@@ -55,11 +63,21 @@
 	nearest *replicaLink
 	// everywhere is set once all replicas are asked for the history.
 	everywhere bool
+	// begunAt is when it was sent first; resent is set once it was sent again, after
+	// which its answer tells nothing of the time that one takes.
+	begunAt time.Time
+	resent  bool
 }
 
 // NewClient returns a client that knows no replicas yet.
 func NewClient(ctx context.Context, zone string, logger *log.Logger) *Client {
-	return &Client{context: ctx, zone: zone, log: logger, operations: map[uint64]*operation{}}
+	return &Client{context: ctx, zone: zone, log: logger, operations: map[uint64]*operation{}, forwards: map[uint64]forward{}}
+}
+
+// useRelays makes the client go by other gateways where its own way is cut. It must be
+// called before the first request.
+func (c *Client) useRelays(relays *Relays, cell int) {
+	c.relays, c.cell = relays, cell
 }
 
 // SetReplicas takes in the replicas that the registry lists, and the replica set.
@@ -121,6 +139,7 @@
 		replica.link.Send(ledger.Request{Adopt: &ledger.Adopt{Set: set}})
 	}
 	for _, pending := range c.operations {
+		pending.resent = true
 		for _, replica := range c.replicas {
 			c.send(replica, pending)
 		}
@@ -204,6 +223,8 @@
 
 // await waits for a condition, which is checked under the lock after each reply.
 func (c *Client) await(ctx context.Context, pending *operation, met func() bool) error {
+	detours := c.newDetours()
+	defer detours.stop()
 	for {
 		c.mu.Lock()
 		done := met()
@@ -213,6 +234,9 @@
 		}
 		select {
 		case <-pending.changed:
+		case <-detours.due():
+			c.detour(pending)
+			detours.again()
 		case <-ctx.Done():
 			return ErrNoQuorum
 		}
@@ -227,13 +251,9 @@
 	defer c.mu.Unlock()
 	c.number++
 	pending.request.Number = c.number
+	pending.begunAt = time.Now()
 	c.operations[c.number] = pending
-	for _, replica := range c.replicas {
-		if replica.up {
-			pending.nearest = replica
-			break
-		}
-	}
+	pending.nearest = c.nearest(pending.begunAt)
 	for _, replica := range c.replicas {
 		c.send(replica, pending)
 	}
@@ -246,8 +266,42 @@
 	c.mu.Unlock()
 }
 
-// send sends an operation to one replica, as far as it concerns it.
+// nearest returns the nearest replica that is believed to answer, or nil.
+func (c *Client) nearest(now time.Time) *replicaLink {
+	for _, replica := range c.replicas {
+		if c.direct(now, replica) {
+			return replica
+		}
+	}
+	if c.relays != nil && len(c.replicas) > 0 {
+		return c.replicas[0]
+	}
+	return nil
+}
+
+// send sends an operation to one replica, as far as it concerns it, and by another
+// gateway as well where the direct way is not believed to work. Replies may come twice.
 func (c *Client) send(replica *replicaLink, pending *operation) {
+	request, concerned := c.requestTo(replica, pending)
+	if !concerned {
+		return
+	}
+	now := time.Now()
+	if c.relays != nil && !c.direct(now, replica) {
+		c.sendByRelay(replica, request)
+	}
+	if replica.link.Send(request) {
+		replica.expect(now)
+	}
+}
+
+func (c *Client) sendByRelay(replica *replicaLink, request ledger.Request) {
+	c.relays.send(RelayRequest{Cell: c.cell, Replica: replica.node.Name, Request: request}, c.answers.patience())
+}
+
+// requestTo returns what an operation asks of one replica, and false where that is
+// nothing.
+func (c *Client) requestTo(replica *replicaLink, pending *operation) (ledger.Request, bool) {
 	request := pending.request
 	request.Epoch = c.set.Epoch
 	voter := c.set.Has(replica.node.Disk)
@@ -260,13 +314,13 @@
 			reserve.Program = ""
 		}
 		if reserve.History == "" && reserve.Program == "" {
-			return
+			return request, false
 		}
 		request.Reserve = &reserve
 	} else if pending.votersOnly && !voter {
-		return
+		return request, false
 	}
-	replica.link.Send(request)
+	return request, true
 }
 
 func (o *operation) signal() {
--- a/internal/quorum/link.go
+++ b/internal/quorum/link.go
@@ -1,6 +1,8 @@
 package quorum
 
 import (
+	"time"
+
 	"swiftbank.dev/swiftbank/internal/ledger"
 	"swiftbank.dev/swiftbank/internal/peer"
 	"swiftbank.dev/swiftbank/internal/replicaset"
@@ -12,6 +14,18 @@
 	node   replicaset.Node
 	link   *peer.Link[ledger.Request, ledger.Reply]
 	up     bool
+	// unansweredSince is when the oldest request was sent that no reply has followed;
+	// zero while there is none.
+	unansweredSince time.Time
+	// detoured is set while requests go by another gateway.
+	detoured bool
+}
+
+// expect notes that a request was sent. The client's lock is held.
+func (r *replicaLink) expect(now time.Time) {
+	if r.unansweredSince.IsZero() {
+		r.unansweredSince = now
+	}
 }
 
 // LinkUp implements peer.Handler: it repeats what this replica has not answered.
@@ -20,11 +34,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r.up = true
+	r.unansweredSince = time.Time{}
 	c.log.Info().Str("event", "dependency_regained").Str("dependency", "replica").Str("peer", r.node.Name).Msg("")
 	if c.set.Epoch > 0 {
 		r.link.Send(ledger.Request{Adopt: &ledger.Adopt{Set: c.set}})
 	}
 	for _, pending := range c.operations {
+		pending.resent = true
 		c.send(r, pending)
 		pending.signal()
 	}
@@ -47,6 +63,23 @@
 	c := r.client
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	r.unansweredSince = time.Time{}
+	if r.detoured {
+		r.detoured = false
+		c.log.Info().Str("event", "detour_ended").Str("peer", r.node.Name).Msg("")
+	}
+	if c.passBack(r, reply) {
+		return
+	}
+	if pending := c.operations[reply.Number]; pending != nil && reply.Reserve != nil && !pending.resent {
+		c.answers.observe(time.Since(pending.begunAt))
+	}
+	c.receive(r, reply)
+}
+
+// receive takes in a reply that came directly or by another gateway. The caller holds
+// the lock.
+func (c *Client) receive(r *replicaLink, reply ledger.Reply) {
 	r.node.Disk = reply.Disk
 	if reply.Stale != nil {
 		c.adopt(*reply.Stale)
--- /dev/null
+++ b/internal/quorum/relay.go
@@ -0,0 +1,253 @@
+package quorum
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"swiftbank.dev/swiftbank/internal/ledger"
+	"swiftbank.dev/swiftbank/internal/peer"
+	"swiftbank.dev/swiftbank/internal/replicaset"
+)
+
+// relayIdle is how long a connection to a relaying gateway stays without use.
+const relayIdle = 10 * time.Second
+
+// Relays are the ways to replicas by other gateways, for a gateway whose own way is
+// cut. Connections are opened when they are needed. It is safe for concurrent use.
+type Relays struct {
+	context context.Context
+	node    string
+	zone    string
+	log     *log.Logger
+	// replied hands over a replica's reply; reopened says that a connection stands and
+	// what was sent before may be lost. Both are set before first use.
+	replied  func(RelayReply)
+	reopened func()
+	// counted is told of each request that went by a relay.
+	counted func()
+
+	mu    sync.Mutex
+	nodes map[string]replicaset.Node
+	order *relayOrder
+	links map[string]*relayLink
+}
+
+// NewRelays returns the relays of a gateway. counted is called for each request sent.
+func NewRelays(ctx context.Context, node, zone string, logger *log.Logger, counted func()) *Relays {
+	return &Relays{
+		context: ctx, node: node, zone: zone, log: logger, counted: counted,
+		replied: func(RelayReply) {}, reopened: func() {},
+		nodes: map[string]replicaset.Node{}, order: newRelayOrder(), links: map[string]*relayLink{},
+	}
+}
+
+// relayLink is the connection to one relaying gateway.
+type relayLink struct {
+	relays *Relays
+	node   replicaset.Node
+	link   *peer.Link[RelayRequest, RelayReply]
+	// idle closes the connection when it was not used for relayIdle.
+	idle *time.Timer
+}
+
+// SetGateways takes in the gateways that the registry lists.
+func (r *Relays) SetGateways(nodes map[string]replicaset.Node) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.nodes = nodes
+	var names []string
+	for name, node := range nodes {
+		if name != r.node && !node.Leaving {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		if near := cmp.Compare(r.distance(a), r.distance(b)); near != 0 {
+			return near
+		}
+		return cmp.Compare(a, b)
+	})
+	r.order.setCandidates(names)
+	for name, link := range r.links {
+		if node, listed := nodes[name]; !listed || node.Address != link.node.Address {
+			r.close(name)
+		}
+	}
+}
+
+func (r *Relays) distance(name string) int {
+	if r.nodes[name].Zone == r.zone {
+		return 0
+	}
+	return 1
+}
+
+// send asks other gateways to pass a request on. Nothing is promised: the caller sends
+// again what is not answered.
+func (r *Relays) send(request RelayRequest, patience time.Duration) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, name := range r.order.pick(now, patience) {
+		link := r.open(name)
+		link.idle.Reset(relayIdle)
+		r.order.asked(now, name)
+		link.link.Send(request)
+		r.counted()
+	}
+}
+
+// open returns the connection to a gateway. The caller holds the lock.
+func (r *Relays) open(name string) *relayLink {
+	if link := r.links[name]; link != nil {
+		return link
+	}
+	link := &relayLink{relays: r, node: r.nodes[name]}
+	link.idle = time.AfterFunc(relayIdle, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.links[name] == link {
+			r.close(name)
+		}
+	})
+	r.links[name] = link
+	link.link = peer.NewLink[RelayRequest, RelayReply](r.context, link.node.Address, link)
+	r.log.Info().Str("event", "relay_opened").Str("gateway", name).Msg("")
+	return link
+}
+
+// close ends the connection to a gateway. The caller holds the lock.
+func (r *Relays) close(name string) {
+	link := r.links[name]
+	link.idle.Stop()
+	link.link.Abandon()
+	delete(r.links, name)
+	r.log.Info().Str("event", "relay_closed").Str("gateway", name).Msg("")
+}
+
+// LinkUp implements peer.Handler.
+func (l *relayLink) LinkUp() { l.relays.reopened() }
+
+// LinkDown implements peer.Handler.
+func (l *relayLink) LinkDown(error) {
+	r := l.relays
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.order.failed(time.Now(), l.node.Name)
+}
+
+// Received implements peer.Handler.
+func (l *relayLink) Received(reply RelayReply) {
+	r := l.relays
+	r.mu.Lock()
+	if reply.Unreachable {
+		r.order.failed(time.Now(), l.node.Name)
+	} else {
+		r.order.answered(time.Now(), l.node.Name)
+	}
+	r.mu.Unlock()
+	if !reply.Unreachable {
+		r.replied(reply)
+	}
+}
+
+// forward is a request of another gateway that was passed on to a replica.
+type forward struct {
+	from *peer.Connection[RelayReply]
+	// number is the request's number at the other gateway.
+	number  uint64
+	cell    int
+	expires time.Time
+}
+
+const (
+	// forwardLife is how long a replica's replies are passed back.
+	forwardLife = 3 * time.Second
+	// forwardsMost bounds the requests of other gateways under way.
+	forwardsMost = 8192
+)
+
+// ServeRelays passes the requests of other gateways on until the context ends.
+func (c *Cells) ServeRelays(ctx context.Context, address string) error {
+	listener, err := peer.Listen(ctx, address)
+	if err != nil {
+		return err
+	}
+	server := peer.NewServer(listener, c.Forward)
+	stop := context.AfterFunc(ctx, server.Close)
+	defer stop()
+	server.Run()
+	return nil
+}
+
+// Forward passes a request of another gateway on to a replica of the cell, if the
+// direct way there works. Requests that were relayed once are not relayed again.
+func (c *Cells) Forward(from *peer.Connection[RelayReply], request RelayRequest) {
+	c.mu.RLock()
+	var client *Client
+	if request.Cell >= 0 && request.Cell < len(c.cells) {
+		client = c.cells[request.Cell]
+	}
+	c.mu.RUnlock()
+	if client != nil && client.forward(from, request) {
+		return
+	}
+	from.Send(RelayReply{
+		Cell: request.Cell, Replica: request.Replica, Unreachable: true, Reply: ledger.Reply{Number: request.Request.Number},
+	})
+}
+
+// forward reports whether the request was passed on.
+func (c *Client) forward(from *peer.Connection[RelayReply], request RelayRequest) bool {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, replica := range c.replicas {
+		if replica.node.Name != request.Replica {
+			continue
+		}
+		if !c.direct(now, replica) || !c.roomToForward(now) {
+			return false
+		}
+		c.number++
+		c.forwards[c.number] = forward{from: from, number: request.Request.Number, cell: request.Cell, expires: now.Add(forwardLife)}
+		passed := request.Request
+		passed.Number = c.number
+		replica.expect(now)
+		return replica.link.Send(passed)
+	}
+	return false
+}
+
+// roomToForward drops expired entries once the table is full.
+func (c *Client) roomToForward(now time.Time) bool {
+	if len(c.forwards) < forwardsMost {
+		return true
+	}
+	for number, entry := range c.forwards {
+		if now.After(entry.expires) {
+			delete(c.forwards, number)
+		}
+	}
+	return len(c.forwards) < forwardsMost
+}
+
+// passBack hands a reply to the gateway that asked, and reports whether there is one.
+// The caller holds the lock.
+func (c *Client) passBack(replica *replicaLink, reply ledger.Reply) bool {
+	entry, relayed := c.forwards[reply.Number]
+	if !relayed {
+		return false
+	}
+	if reply.Reserve == nil {
+		delete(c.forwards, reply.Number) // the last reply to any request
+	}
+	reply.Number = entry.number
+	entry.from.Send(RelayReply{Cell: entry.cell, Replica: replica.node.Name, Reply: reply})
+	return true
+}
--- a/internal/quorum/reserve.go
+++ b/internal/quorum/reserve.go
@@ -33,6 +33,8 @@
 	reservation := &Reservation{client: c, number: number, operation: pending}
 	patience := time.NewTimer(historyPatience)
 	defer patience.Stop()
+	detours := c.newDetours()
+	defer detours.stop()
 	for {
 		if c.settled(reservation, asked) {
 			return reservation, nil
@@ -41,6 +43,9 @@
 		case <-pending.changed:
 		case <-patience.C:
 			c.askEverywhere(pending)
+		case <-detours.due():
+			c.detour(pending)
+			detours.again()
 		case <-ctx.Done():
 			c.end(number)
 			return nil, ErrNoQuorum
@@ -78,16 +83,17 @@
 	return replica.node.Disk
 }
 
-// allMissing reports whether all connected replicas said that they lack the
-// history.
+// allMissing reports whether all connected replicas, and all that answered by another
+// gateway, said that they lack the history.
 func (c *Client) allMissing(pending *operation) bool {
 	asked := 0
 	for _, replica := range c.replicas {
-		if !replica.up {
+		missing := pending.tally.missing[replica.node.Disk]
+		if !replica.up && !missing {
 			continue
 		}
 		asked++
-		if !pending.tally.missing[replica.node.Disk] {
+		if !missing {
 			return false
 		}
 	}
@@ -105,6 +111,7 @@
 		return
 	}
 	pending.everywhere = true
+	pending.resent = true
 	pending.tally.missing = map[string]bool{}
 	for _, replica := range c.replicas {
 		c.send(replica, pending)
--- a/internal/quorum/tally.go
+++ b/internal/quorum/tally.go
@@ -69,6 +69,13 @@
 	return len(set.Voters) > 0 && count(t.durable, set) >= set.Quorum()
 }
 
+// Answered reports whether the disk has said all that the request waits for: a
+// reservation is answered for good once it is durable.
+func (t *Tally) Answered(disk string) bool {
+	_, durable := t.durable[disk]
+	return durable
+}
+
 // Copies returns how many disks hold the request durably, voters or not.
 func (t *Tally) Copies() int { return len(t.durable) }
 
