Turns go where the program's earlier turns left their prompts

Cause: a line of turns moves between gateways, and each gateway knew only of prompts that it had sent itself. Change: the final charge of a turn says which instance holds its prompt and how far. The replicas return a program's charges with each reservation anyway, so any gateway learns of it without a further message: about 40 bytes a charge. The cache that a gateway believes in counts tokens of a part, not the part. Ruled out: hashing lines to engines, which is wrong whenever load moves one; engines' own events, which each gateway would have to poll.

--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -35,8 +35,6 @@
 	failureCost = 40.0
 	// fullPause is how long an instance that refused for lack of room is avoided.
 	fullPause = 40 * time.Millisecond
-	// cacheLife is how long a prompt part is believed to stay in an engine's memory.
-	cacheLife = 8 * time.Second
 )
 
 // Part is one part of a prompt, which requests may share.
@@ -45,6 +43,15 @@
 	Tokens int
 }
 
+// Cached says that an instance holds a prompt up to some tokens of one of its parts.
+type Cached struct {
+	Instance string
+	// Part is the index of the part in the prompt, Tokens how many of it are held. All
+	// parts before it are held as well.
+	Part   int
+	Tokens int
+}
+
 // Demand is what a request needs.
 type Demand struct {
 	Service string
@@ -52,6 +59,9 @@
 	Generates bool
 	// Parts are the parts of the prompt, in order.
 	Parts []Part
+	// Cached is what instances hold of the prompt by the word of earlier requests, which
+	// other gateways may have served.
+	Cached []Cached
 	// Preferred is the instance that ran the previous turn, or "".
 	Preferred string
 	// Exclude lists instances that were tried.
@@ -166,44 +176,30 @@
 		return cost + float64(load) + plainQueuedCost*float64(max(0, load-slots+1))
 	}
 	cost += neighbourCost*float64(load) + queuedCost*float64(max(0, load-slots+1))/float64(slots)
-	missing := candidate.cache.missing(now, demand.Parts)
+	missing := min(candidate.cache.missing(now, demand.Parts), demand.missingAt(candidate.instance.ID))
 	if candidate.instance.ID == demand.Preferred && len(demand.Parts) > 0 {
 		missing = min(missing, demand.Parts[len(demand.Parts)-1].Tokens)
 	}
 	return cost + readingWeight*float64(missing)/promptTokensPerMS
 }
 
-// promptCache is what this gateway believes an engine's memory to hold.
-type promptCache map[string]time.Time
-
-func newPromptCache() promptCache { return promptCache{} }
-
-// missing returns the tokens that the engine would have to read: a part counts as
-// held only if all before it are.
-func (c promptCache) missing(now time.Time, parts []Part) int {
-	missing, intact := 0, true
-	for _, part := range parts {
-		usedAt, known := c[part.ID]
-		intact = intact && known && now.Sub(usedAt) < cacheLife
-		if !intact {
-			missing += part.Tokens
+// missingAt returns the tokens that an instance would have to read by the word of
+// earlier requests.
+func (d Demand) missingAt(instance string) int {
+	total := 0
+	for _, part := range d.Parts {
+		total += part.Tokens
+	}
+	missing := total
+	for _, cached := range d.Cached {
+		if cached.Instance != instance {
+			continue
 		}
-	}
-	return missing
-}
-
-// add notes the parts of a request that goes to the engine.
-func (c promptCache) add(now time.Time, parts []Part) {
-	const sweepSize = 2048
-	for _, part := range parts {
-		c[part.ID] = now
-	}
-	if len(c) < sweepSize {
-		return
-	}
-	for id, usedAt := range c {
-		if now.Sub(usedAt) >= cacheLife {
-			delete(c, id)
+		behind := 0
+		for _, part := range d.Parts[cached.Part+1:] {
+			behind += part.Tokens
 		}
+		missing = min(missing, behind+max(0, d.Parts[cached.Part].Tokens-cached.Tokens))
 	}
+	return missing
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,6 +28,8 @@
 	reservation *quorum.Reservation
 	// cell keeps the program's turns and charges.
 	cell *quorum.Client
+	// parts are the parts of the prompt.
+	parts []backend.Part
 	// ancestors are the turns before this one, where another cell keeps them.
 	ancestors []ledger.Turn
 	durable   bool
@@ -47,6 +49,7 @@
 		t.program = r.header.Get(s.dialect.Program)
 	}
 	t.most = mostTokens(r.header, s.dialect.TokenCount)
+	t.parts = promptParts(r.header.Get(s.dialect.PromptPrefix))
 	if r.route.Retained {
 		t.previous = r.header.Get(s.dialect.PreviousTurn)
 	}
@@ -134,14 +137,37 @@
 }
 
 func (t *turn) finalCharge() ledger.Charge {
-	return ledger.Charge{Turn: t.id, Tokens: int64(t.events * t.service.TokensPerEvent), Final: true}
+	generated := t.events * t.service.TokensPerEvent
+	charge := ledger.Charge{Turn: t.id, Tokens: int64(generated), Final: true}
+	if t.events > 0 && len(t.parts) > 0 {
+		last := t.parts[len(t.parts)-1]
+		charge.Cached = ledger.CachedPrompt{Instance: t.outcome.instance, Part: last.ID, Tokens: last.Tokens + generated}
+	}
+	return charge
+}
+
+// cached returns what instances hold of the turn's prompt by the word of the program's
+// earlier turns.
+func (t *turn) cached() []backend.Cached {
+	if t.reservation == nil {
+		return nil
+	}
+	var held []backend.Cached
+	for _, prompt := range t.reservation.Cached {
+		for index, part := range t.parts {
+			if part.ID == prompt.Part {
+				held = append(held, backend.Cached{Instance: prompt.Instance, Part: index, Tokens: prompt.Tokens})
+			}
+		}
+	}
+	return held
 }
 
 // relay sends the turn to an instance and passes its events on, going on at
 // another send where the route allows that.
 func (s *Server) relay(ctx context.Context, w http.ResponseWriter, t *turn) *backend.Failure {
 	demand := backend.Demand{
-		Service: t.service.Name, Generates: t.service.Generates, Parts: promptParts(t.header.Get(s.dialect.PromptPrefix)),
+		Service: t.service.Name, Generates: t.service.Generates, Parts: t.parts, Cached: t.cached(),
 	}
 	if t.reservation != nil {
 		demand.Preferred = t.reservation.Instance
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -44,6 +44,18 @@
 	Tokens int64
 	// Final is false for a reservation.
 	Final bool
+	// Cached is what the turn left in an instance's memory; set on final charges.
+	Cached CachedPrompt
+}
+
+// CachedPrompt is a prompt that an instance holds, a hint for the placement of the
+// turns that go on from it on whichever gateway.
+type CachedPrompt struct {
+	Instance string
+	// Part is the last part of the prompt, Tokens how many of it are held, what was
+	// generated included. All parts before it are held as well.
+	Part   string
+	Tokens int
 }
 
 // ProgramCharge is a charge with its program.
--- a/internal/quorum/reserve.go
+++ b/internal/quorum/reserve.go
@@ -17,6 +17,8 @@
 	// History is the text of the turn asked for; Instance ran it last.
 	History  []byte
 	Instance string
+	// Cached are the prompts that the program's other turns left at instances.
+	Cached []ledger.CachedPrompt
 	// Found is false when every replica that answered lacks the history.
 	Found bool
 }
@@ -73,6 +75,7 @@
 	reservation.Found = pending.tally.Found
 	reservation.History = pending.tally.History
 	reservation.Instance = pending.tally.Instance
+	reservation.Cached = pending.tally.Cached()
 	return true
 }
 
--- a/internal/quorum/tally.go
+++ b/internal/quorum/tally.go
@@ -91,6 +91,17 @@
 	return sum
 }
 
+// Cached returns the prompts that the program's turns left in the memory of instances.
+func (t *Tally) Cached() []ledger.CachedPrompt {
+	var cached []ledger.CachedPrompt
+	for _, charge := range t.charges {
+		if charge.Cached.Part != "" {
+			cached = append(cached, charge.Cached)
+		}
+	}
+	return cached
+}
+
 // count returns the voters that answered under the set's epoch. An answer under an
 // older one is void: the replica may have answered before the set changed.
 func count(answers map[string]uint64, set replicaset.Set) int {
