Placement learns how fast instances work

Cause: the costs of a placement held figures of the first deployments' data sheet (64.8 tokens a ms, 280 ms a turn). Change: each gateway learns by service the time to read a token (weighted regression of the first event's time on the tokens missing, at calm instances), the tokens that turns read, and the time of a request. A prompt that must be read costs its time for itself and for each request running there; a queued request costs a request's time by the slots. An instance that works several times slower than its service does, by the time between events or of whole answers, costs accordingly; that fades, so it is tried again.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -54,6 +54,7 @@
 	// wrong: it serves on until then.
 	unlistedUntil time.Time
 	cache         promptCache
+	slowness      slowness
 }
 
 func (m *member) load() int { return m.inFlight + m.remote }
@@ -86,6 +87,8 @@
 	// gateway's own requests.
 	ranLast map[string]string
 	turn    int
+	// paces is what is known of how fast each service works.
+	paces map[string]*pace
 }
 
 // NewDirectory returns an empty directory of a gateway in the zone.
@@ -93,6 +96,7 @@
 	return &Directory{
 		zone: zone, members: map[string]*member{}, byService: map[string][]*member{},
 		reports: map[LoadSource]remoteReport{}, ranLast: map[string]string{},
+		paces: map[string]*pace{},
 	}
 }
 
@@ -211,6 +215,30 @@
 	}
 }
 
+// Observe takes in the figures of a request that an instance answered whole.
+func (d *Directory) Observe(now time.Time, id string, seen Observation) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known := d.members[id]
+	if known == nil {
+		return
+	}
+	slower, ok := d.paceOf(known.instance.Service).observe(seen, known.instance.Slots)
+	if ok {
+		known.slowness.add(now, slower)
+	}
+}
+
+// paceOf returns what is known of how fast a service works. The caller holds the lock.
+func (d *Directory) paceOf(service string) *pace {
+	known := d.paces[service]
+	if known == nil {
+		known = newPace()
+		d.paces[service] = known
+	}
+	return known
+}
+
 // Ended is what is learned from the end of an exchange.
 type Ended uint8
 
--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -5,27 +5,14 @@
 	"time"
 )
 
-// The predicted cost of a placement, in milliseconds. The figures come from the
-// engines' data sheet: 64.8 prompt tokens are read in a millisecond, between the
-// steps of the other requests.
+// The predicted cost of a placement is in milliseconds. What depends on how fast the
+// instances work is learned (pace); these are prices of the way there.
 const (
-	// promptTokensPerMS is how fast an engine reads a prompt.
-	promptTokensPerMS = 64.8
-	// readingWeight counts that a prompt is read between the steps of all requests at
-	// the engine, so each of them waits for it.
-	readingWeight = 4.0
-	// neighbourCost is what each running request adds to another's time, mostly by
-	// the reading of its prompt.
-	neighbourCost = 10.0
-	// queuedCost is what each request beyond the slots adds, divided by the slots.
-	queuedCost = 280.0
 	// zoneCost is the way to another zone and back, and the bytes that go over it.
 	zoneCost = 6.0
 	// connectCost is a new connection: a round trip, the instance's time for it, and a
 	// place among the connections that the instance accepts from all gateways.
 	connectCost = 5.0
-	// plainQueuedCost is the wait behind one request of a plain service.
-	plainQueuedCost = 60.0
 	// sampleSize bounds the instances that one placement compares; sampleStride moves
 	// the sample on, in steps that share no factor with most sizes.
 	sampleSize   = 24
@@ -74,6 +61,8 @@
 	// Load is the requests believed to be there, Cost the predicted cost in ms.
 	Load int
 	Cost float64
+	// Missing is how many prompt tokens it has to read by what is believed here.
+	Missing int
 	// Candidates is how many instances were compared.
 	Candidates int
 }
@@ -95,10 +84,10 @@
 		// Ties go to another instance each time, or all gateways would choose alike.
 		candidate := candidates[(i+d.turn)%len(candidates)]
 		load := candidate.load()
-		cost := d.cost(now, candidate, load, demand)
+		cost, missing := d.cost(now, candidate, load, demand)
 		if best == nil || cost < choice.Cost {
 			best = candidate
-			choice.Load, choice.Cost = load, cost
+			choice.Load, choice.Cost, choice.Missing = load, cost, missing
 		}
 	}
 	best.inFlight++
@@ -163,7 +152,8 @@
 	return ""
 }
 
-func (d *Directory) cost(now time.Time, candidate *member, load int, demand Demand) float64 {
+// cost predicts what a placement costs, in milliseconds, and the tokens to be read.
+func (d *Directory) cost(now time.Time, candidate *member, load int, demand Demand) (float64, int) {
 	cost := failureCost * candidate.recentFailures(now)
 	if candidate.instance.Zone != d.zone {
 		cost += zoneCost
@@ -171,16 +161,29 @@
 	if d.connected != nil && !d.connected(candidate.instance.ID) {
 		cost += connectCost
 	}
+	known := d.paceOf(demand.Service)
 	slots := max(1, candidate.instance.Slots)
+	waiting := float64(max(0, load-slots+1))
+	cost += (candidate.slowness.factor(now) - 1) * known.durationMS()
 	if !demand.Generates {
-		return cost + float64(load) + plainQueuedCost*float64(max(0, load-slots+1))
+		return cost + float64(load) + known.durationMS()*waiting, 0
 	}
-	cost += neighbourCost*float64(load) + queuedCost*float64(max(0, load-slots+1))/float64(slots)
+	missing := d.missing(now, candidate, demand)
+	running := float64(min(load, slots))
+	// Each request there reads its prompt between the steps of the others: this one waits
+	// for theirs, and all wait for this one's.
+	cost += running * known.readTokens() * known.readingMS()
+	cost += (1 + running) * float64(missing) * known.readingMS()
+	return cost + waiting*known.durationMS()/float64(slots), missing
+}
+
+// missing returns the prompt tokens that the instance would have to read.
+func (d *Directory) missing(now time.Time, candidate *member, demand Demand) int {
 	missing := min(candidate.cache.missing(now, demand.Parts), demand.missingAt(candidate.instance.ID))
 	if candidate.instance.ID == demand.Preferred && len(demand.Parts) > 0 {
 		missing = min(missing, demand.Parts[len(demand.Parts)-1].Tokens)
 	}
-	return cost + readingWeight*float64(missing)/promptTokensPerMS
+	return missing
 }
 
 // missingAt returns the tokens that an instance would have to read by the word of
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -32,10 +32,22 @@
 type attempt struct {
 	choice backend.Choice
 	answer *backend.Answer
+	sentAt time.Time
+	// firstEventAt is when the first event of a stream came; events counts them.
+	firstEventAt time.Time
+	events       int
 	// release frees what the attempt holds besides the answer.
 	release context.CancelFunc
 }
 
+// sawEvent notes an event of a stream.
+func (a *attempt) sawEvent() {
+	if a.events == 0 {
+		a.firstEventAt = time.Now()
+	}
+	a.events++
+}
+
 // sendUntilTaken sends the request to one instance after another until one does
 // not refuse it. tried grows by each instance that was asked. A failure's verdict
 // says whether the request may have run.
@@ -78,6 +90,7 @@
 	s.metrics.sends.Inc()
 	sendCtx, release := context.WithCancel(ctx)
 	silence := time.AfterFunc(s.patience(r), release)
+	sentAt := time.Now()
 	answer, failure := s.pool.Do(sendCtx, choice.Instance, s.call(r, choice.Instance))
 	silence.Stop()
 	if failure != nil {
@@ -100,7 +113,7 @@
 		s.logSend(r, choice, failure)
 		return nil, failure
 	}
-	return &attempt{choice: choice, answer: answer, release: release}, nil
+	return &attempt{choice: choice, answer: answer, sentAt: sentAt, release: release}, nil
 }
 
 // patience is how long an instance may take to begin its answer. A request that may
@@ -173,6 +186,9 @@
 	answer.Finish()
 	response := answer.Response
 	s.directory.End(time.Now(), sent.choice.Instance.ID, endedWith(response.StatusCode))
+	if response.StatusCode/100 == 2 {
+		s.observe(r, sent, time.Time{}, 0)
+	}
 	if response.StatusCode >= http.StatusInternalServerError && s.mayTryAgain(r) {
 		failure := &backend.Failure{Verdict: verdict.MayHaveRun, Reason: "the instance answered " + strconv.Itoa(response.StatusCode)}
 		s.logSend(r, sent.choice, failure)
@@ -192,6 +208,19 @@
 	return nil
 }
 
+// observe tells the directory how long a whole answer took. firstAt is when its first
+// event came, if it was a stream.
+func (s *Server) observe(r *request, sent *attempt, firstAt time.Time, events int) {
+	now := time.Now()
+	seen := backend.Observation{
+		Kind: r.route.Name, Missing: sent.choice.Missing, Load: sent.choice.Load, Took: now.Sub(sent.sentAt), Events: events,
+	}
+	if events > 0 {
+		seen.First = firstAt.Sub(sent.sentAt)
+	}
+	s.directory.Observe(now, sent.choice.Instance.ID, seen)
+}
+
 // endedWith tells an instance's own failures from its answers.
 func endedWith(status int) backend.Ended {
 	if status >= http.StatusInternalServerError {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -218,6 +218,7 @@
 		return failure
 	}
 	sent.answer.Finish()
+	s.observe(t.request, sent, sent.firstEventAt, sent.events)
 	if failure := s.complete(ctx, t); failure != nil {
 		return failure
 	}
@@ -265,6 +266,7 @@
 			return &backend.Failure{Verdict: verdict.MayHaveRun, Reason: "the stream broke off: " + err.Error()}
 		}
 		t.ran = true
+		sent.sawEvent()
 		if err := s.awaitReservation(ctx, t); err != nil {
 			return &backend.Failure{Verdict: verdict.Ran, Reason: "the reservation is not durable: " + err.Error()}
 		}
