Equal instances get equal shares

Cause: found by the test of slow instances: with 9 or 3 instances requests of equal cost all went to the same one, with 4 or 12 to two of them. The place where a choice begins moved by 17 and then once more by 1 each time: 18 shares a factor with most sizes. Change: the place is drawn by splitmix64 from the gateway's name and a counter. Test: TestEqualInstancesGetEqualShares; before, 4 instances got 50, 0, 50, 0 of 100. The instances that hold a program's prompt are always among those compared.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -9,6 +9,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Instance is one running back end.
@@ -86,7 +88,8 @@
 	// ranLast is the instance that had a prompt part last, for the parts of this
 	// gateway's own requests.
 	ranLast map[string]string
-	turn    int
+	// turn counts placements; seed is what they begin from at this gateway.
+	turn, seed uint64
 	// paces is what is known of how fast each service works.
 	paces map[string]*pace
 }
@@ -104,6 +107,10 @@
 // must be called before the first Pick.
 func (d *Directory) UseConnections(pool *Pool) { d.connected = pool.rests }
 
+// SeedWith makes this gateway's choices among equal instances differ from those of
+// gateways with other names.
+func (d *Directory) SeedWith(node string) { d.seed = xxhash.Sum64String(node) }
+
 // Update replaces the list of instances and returns the ids that are gone. Entries
 // lapse when instances cannot renew them, so a list read from a source that was lost
 // moments ago is doubtful: what it lacks, and did not say that it leaves, serves on
--- a/internal/backend/directory_test.go
+++ b/internal/backend/directory_test.go
@@ -165,3 +165,30 @@
 		require.GreaterOrEqual(t, load, 10, "%s is left out although e02 is full", id)
 	}
 }
+
+// With 9 or 3 instances all equal requests once went to the same one, with 12 to two.
+func TestEqualInstancesGetEqualShares(t *testing.T) {
+	for _, count := range []int{2, 3, 4, 9, 12, 17, 18, 34} {
+		firsts := map[string]bool{}
+		for gateway := range 20 {
+			d := NewDirectory("z")
+			d.SeedWith(fmt.Sprint("gateway-", gateway))
+			d.Update(start, engines(count), false)
+			counts := map[string]int{}
+			const each = 100
+			for request := range each * count {
+				choice, _ := d.Pick(start, Demand{Service: "llm"})
+				d.End(start, choice.Instance.ID, Answered)
+				counts[choice.Instance.ID]++
+				if request == 0 {
+					firsts[choice.Instance.ID] = true
+				}
+			}
+			require.Len(t, counts, count)
+			for id, got := range counts {
+				require.InDelta(t, each, got, each/2, "%d instances, %s", count, id)
+			}
+		}
+		require.Greater(t, len(firsts), 1, "gateways do not all begin with the same one")
+	}
+}
--- a/internal/backend/pace.go
+++ b/internal/backend/pace.go
@@ -172,10 +172,10 @@
 const (
 	// slowGain is the weight of a new request in an instance's slowness, slowHalfLife how
 	// fast that fades without requests: a slow instance must be tried again.
-	slowGain     = 0.15
+	slowGain     = 0.1
 	slowHalfLife = 2 * time.Second
-	// slowDeadband is how much slower, as a logarithm, an instance may seem by chance.
-	slowDeadband = 0.5
+	// slowLeast is how much slower, as a logarithm, an instance may seem by chance.
+	slowLeast = 0.8
 )
 
 // slowness is how much slower than its service an instance works, as a logarithm.
@@ -184,7 +184,7 @@
 	at    time.Time
 }
 
-// at returns the slowness after some time without requests.
+// faded returns the slowness after some time without requests.
 func (s slowness) faded(now time.Time) float64 {
 	if s.value == 0 {
 		return 0
@@ -201,5 +201,9 @@
 // factor returns how many times longer than usual a request takes here; 1 within what
 // chance explains.
 func (s slowness) factor(now time.Time) float64 {
-	return math.Exp(max(0, s.faded(now)-slowDeadband))
+	present := s.faded(now)
+	if present < slowLeast {
+		return 1
+	}
+	return math.Exp(present)
 }
--- /dev/null
+++ b/internal/backend/pace_test.go
@@ -0,0 +1,115 @@
+package backend
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// answers feeds a service's pace with turns of an engine that reads a token in tokenMS.
+func answers(p *pace, random *rand.Rand, count int, tokenMS float64) {
+	const baseMS = 20
+	for range count {
+		missing := random.IntN(12000)
+		noise := 1 + 0.2*random.NormFloat64()
+		first := time.Duration((baseMS + tokenMS*float64(missing)) * noise * float64(time.Millisecond))
+		p.observe(Observation{Kind: "r", Missing: missing, First: first, Took: first + 300*time.Millisecond, Events: 10}, 16)
+	}
+}
+
+func TestThePaceFollowsTheEngines(t *testing.T) {
+	for _, tokenMS := range []float64{0.002, 0.006, 0.0154, 0.1} {
+		p := newPace()
+		answers(p, rand.New(rand.NewPCG(1, 2)), 400, tokenMS)
+		require.InEpsilon(t, tokenMS, p.readingMS(), 0.3)
+		answers(p, rand.New(rand.NewPCG(3, 4)), 800, 3*tokenMS)
+		require.InEpsilon(t, 3*tokenMS, p.readingMS(), 0.3, "engines may become slower")
+	}
+}
+
+func TestThePaceKeepsThePriorWhileNothingTellsOtherwise(t *testing.T) {
+	p := newPace()
+	require.InDelta(t, priorReading, p.readingMS(), 0)
+	for range 100 {
+		p.observe(Observation{Kind: "r", Missing: 600, First: 50 * time.Millisecond, Took: time.Second, Events: 5}, 16)
+	}
+	require.InDelta(t, priorReading, p.readingMS(), 0, "turns of one length do not tell what a token costs")
+	require.InDelta(t, 600, p.readTokens(), 1)
+	require.InDelta(t, 1000, p.durationMS(), 1)
+}
+
+func TestWhatLoadedInstancesTellIsNotOfReading(t *testing.T) {
+	p := newPace()
+	random := rand.New(rand.NewPCG(5, 6))
+	answers(p, random, 400, 0.006)
+	for range 400 {
+		p.observe(Observation{Kind: "r", Missing: random.IntN(12000), Load: 16, First: 3 * time.Second, Took: 4 * time.Second, Events: 9}, 16)
+	}
+	require.InEpsilon(t, 0.006, p.readingMS(), 0.3)
+}
+
+// serve answers requests of a plain service and returns how many each instance got. The
+// instance "e00" takes slow times as long.
+func serve(d *Directory, now *time.Time, random *rand.Rand, requests int, slow float64) map[string]int {
+	counts := map[string]int{}
+	for range requests {
+		*now = now.Add(10 * time.Millisecond)
+		choice, _ := d.Pick(*now, Demand{Service: "llm"})
+		id := choice.Instance.ID
+		counts[id]++
+		took := 20 * random.ExpFloat64()
+		if id == "e00" {
+			took *= slow
+		}
+		d.End(*now, id, Answered)
+		d.Observe(*now, id, Observation{Kind: "r", Took: time.Duration(took * float64(time.Millisecond))})
+	}
+	return counts
+}
+
+func TestASlowInstanceGetsLessAndIsTriedAgain(t *testing.T) {
+	d := NewDirectory("z")
+	d.Update(start, engines(4), false)
+	now, random := start, rand.New(rand.NewPCG(7, 8))
+	const requests = 400
+	even := serve(d, &now, random, requests, 1)
+	for id, count := range even {
+		require.Greater(t, count, requests/8, "%s works as the others do", id)
+	}
+	during := serve(d, &now, random, requests, 6)
+	require.Less(t, during["e00"], requests/8)
+	require.Positive(t, during["e00"], "it is tried from time to time")
+	serve(d, &now, random, requests, 1)
+	after := serve(d, &now, random, requests, 1)
+	require.Greater(t, after["e00"], requests/8, "it works as the others do again")
+}
+
+func TestASessionGoesWhereAnotherGatewayLeftItsPrompt(t *testing.T) {
+	d := NewDirectory("z")
+	d.Update(start, engines(50), false)
+	session := []Part{{ID: "shared", Tokens: 12000}, {ID: "session", Tokens: 5000}}
+	demand := Demand{Service: "llm", Generates: true, Parts: session, Cached: []Cached{
+		{Instance: "e31", Part: 1, Tokens: 2000}, {Instance: "e41", Part: 1, Tokens: 4000}, {Instance: "gone", Part: 1, Tokens: 5000},
+	}}
+	for i := range 3 {
+		choice, found := d.Pick(start, demand)
+		require.True(t, found)
+		require.Equal(t, "e41", choice.Instance.ID, "pick %d: the instance that lacks least", i)
+		require.Equal(t, 1000, choice.Missing)
+		d.End(start, choice.Instance.ID, Answered)
+		d.members["e41"].cache = newPromptCache()
+	}
+}
+
+func TestAPartThatGrewIsHeldAsFarAsItWasRead(t *testing.T) {
+	cache := newPromptCache()
+	cache.add(start, []Part{{ID: "shared", Tokens: 1000}, {ID: "session", Tokens: 300}})
+	require.Equal(t, 500, cache.missing(start, []Part{{ID: "shared", Tokens: 1000}, {ID: "session", Tokens: 800}}))
+	behind := []Part{{ID: "shared", Tokens: 1000}, {ID: "session", Tokens: 800}, {ID: "child", Tokens: 50}}
+	cache.add(start, []Part{{ID: "child", Tokens: 50}})
+	require.Equal(t, 550, cache.missing(start, behind), "what stands behind a gap is not held")
+	require.Equal(t, 1300, cache.missing(start.Add(cacheLife), []Part{{ID: "shared", Tokens: 1000}, {ID: "session", Tokens: 300}}))
+	require.Equal(t, 1000, cache.missing(start, []Part{{ID: "new", Tokens: 1000}}))
+}
--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -13,10 +13,8 @@
 	// connectCost is a new connection: a round trip, the instance's time for it, and a
 	// place among the connections that the instance accepts from all gateways.
 	connectCost = 5.0
-	// sampleSize bounds the instances that one placement compares; sampleStride moves
-	// the sample on, in steps that share no factor with most sizes.
-	sampleSize   = 24
-	sampleStride = 17
+	// sampleSize bounds the instances that one placement compares.
+	sampleSize = 24
 	// failureCost is what each recent failure of an instance adds: one failure in
 	// passing moves little, an instance that fails time and again is left alone.
 	failureCost = 40.0
@@ -77,12 +75,9 @@
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	d.turn++
 	var best *member
 	choice := Choice{Candidates: len(candidates)}
-	for i := range candidates {
-		// Ties go to another instance each time, or all gateways would choose alike.
-		candidate := candidates[(i+d.turn)%len(candidates)]
+	for _, candidate := range candidates { // of equals the first one, which differs each time
 		load := candidate.load()
 		cost, missing := d.cost(now, candidate, load, demand)
 		if best == nil || cost < choice.Cost {
@@ -98,7 +93,7 @@
 }
 
 // candidates returns a bounded sample of the instances that may get the request:
-// those that ran the turn before, and others in turn. Leaving and excluded ones are
+// those that are believed to hold parts of the prompt, and others in turn. Leaving and excluded ones are
 // left out, suspected ones too unless there are no others.
 func (d *Directory) candidates(now time.Time, demand Demand) []*member {
 	all := d.byService[demand.Service]
@@ -113,17 +108,23 @@
 		}
 	}
 	if len(all) > sampleSize {
-		for _, id := range []string{demand.Preferred, d.lastRun(demand.Parts)} {
+		likely := []string{demand.Preferred, d.lastRun(demand.Parts)}
+		for _, cached := range demand.Cached {
+			likely = append(likely, cached.Instance)
+		}
+		slices.Sort(likely)
+		for _, id := range slices.Compact(likely) {
 			if known := d.members[id]; known != nil && known.instance.Service == demand.Service {
 				add(known)
 			}
 		}
 	}
+	first := d.firstOf(len(all))
 	for step := range all {
 		if len(sound) >= sampleSize {
 			break
 		}
-		add(all[(d.turn*sampleStride+step)%len(all)])
+		add(all[(first+step)%len(all)])
 	}
 	if len(sound) == 0 {
 		return suspected
@@ -131,6 +132,22 @@
 	return sound
 }
 
+// firstOf returns where the next placement begins among so many instances. The places
+// are spread evenly whatever their number, and differently at each gateway: otherwise
+// all gateways would give what is equal to the same instances.
+func (d *Directory) firstOf(count int) int {
+	if count == 0 {
+		return 0
+	}
+	d.turn++
+	// The steps of splitmix64 (Steele, Lea, Flood: Fast Splittable Pseudorandom Number
+	// Generators, 2014).
+	mixed := d.seed + d.turn*0x9e3779b97f4a7c15
+	mixed = (mixed ^ mixed>>30) * 0xbf58476d1ce4e5b9
+	mixed = (mixed ^ mixed>>27) * 0x94d049bb133111eb
+	return int((mixed ^ mixed>>31) % uint64(count))
+}
+
 // remember notes where the parts of a prompt were used last.
 func (d *Directory) remember(id string, parts []Part) {
 	const most = 16384
