A stop refuses what it could not finish; lost peers are dialled again sooner

And after the loss of all power two gateways waited 0.7 s for a replica whose machine was dark when they dialled. Change: once no new callers come, a request whose deadline lies behind the end of the stop is refused with a short Retry-After. A dial is given up after 0.3 s.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -15,6 +15,8 @@
 	configurationRetry = 400 * time.Millisecond
 	fullRetry          = 150 * time.Millisecond
 	replicaRetry       = 300 * time.Millisecond
+	// elsewhereRetry is for refusals of this gateway alone: others serve.
+	elsewhereRetry = 20 * time.Millisecond
 )
 
 // admit matches the request with its route and reads its body.
@@ -55,6 +57,9 @@
 	r.service = r.table.Services[service]
 	r.service.Name = service
 	s.setDeadline(r)
+	if s.endsBefore(r.deadline) {
+		return refuseFor(verdict.CodeUnavailable, elsewhereRetry, "the gateway ends before the request's deadline")
+	}
 	return nil
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -71,6 +71,9 @@
 	// stopping ends readiness; ending refuses what is not yet passed on.
 	stopping atomic.Bool
 	ending   atomic.Bool
+	// endsAt is when a planned stop cuts what is left, in nanoseconds since the start. It
+	// is set once no new callers come; zero before.
+	endsAt atomic.Int64
 	// lostSince is when the source of the configuration was lost, in nanoseconds since
 	// the start; zero while it is in reach.
 	lostSince atomic.Int64
@@ -133,6 +136,9 @@
 	defer cancel()
 	wait.For(ctx, leaveNotice)
 	_ = listener.Close()
+	if deadline, bounded := ctx.Deadline(); bounded {
+		s.endsAt.Store(int64(deadline.Sub(s.started)))
+	}
 	for s.inFlight.Load() > 0 && wait.For(ctx, endPoll) {
 	}
 	s.ending.Store(true)
@@ -144,6 +150,14 @@
 	return server.Close()
 }
 
+// endsBefore reports whether the gateway is at the end of a planned stop and may be gone
+// before the given time. What callers still send on kept connections is refused then:
+// taken, it might be cut.
+func (s *Server) endsBefore(deadline time.Time) bool {
+	endsAt := s.endsAt.Load()
+	return endsAt != 0 && deadline.After(s.started.Add(time.Duration(endsAt)))
+}
+
 // handle serves one request of a caller.
 func (s *Server) handle(w http.ResponseWriter, incoming *http.Request) {
 	s.inFlight.Add(1)
--- a/internal/peer/socket.go
+++ b/internal/peer/socket.go
@@ -16,8 +16,10 @@
 	// unacknowledgedLimit is how long sent bytes may stay unacknowledged before the
 	// kernel ends the connection.
 	unacknowledgedLimit = 1500 * time.Millisecond
-	// dialTimeout bounds the wait for a connection.
-	dialTimeout = 700 * time.Millisecond
+	// dialTimeout bounds the wait for a connection. A peer that was without power when
+	// the opening packet came would answer only the next one, a second later: a new try
+	// comes sooner.
+	dialTimeout = 300 * time.Millisecond
 )
 
 // probes are the keep-alive probes that find a silent peer on an idle connection.
