A gateway cut off from everything asks for no callers

Cause: kinds of trouble cut a gateway from all machines of the system. No gateway can relay then; each turn waited 0.9 s for a 503. Change: a gateway that has no quorum of replicas and has heard of no other gateway for two seconds is not ready, refuses turns at once and asks kept connections to close. While the replicas are lost for all, gateways still hear of each other, and none does this. Test: TestAGatewayThatHearsOfNoOtherIsAlone.

--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -9,6 +9,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -48,11 +49,26 @@
 	zone      string
 	directory *backend.Directory
 
+	// heardAt is when a report last came, since started; others is how many gateways
+	// there are besides this one.
+	started time.Time
+	heardAt atomic.Int64
+	others  atomic.Int64
+
 	mu         sync.Mutex
 	neighbours rotation
 	remotes    rotation
 }
 
+// gossipSilence is how long no gateway may be heard of before all are out of reach:
+// some gateway reports each gossipRefresh.
+const gossipSilence = 2 * time.Second
+
+// Alone reports whether there are other gateways and none has been heard of lately.
+func (g *Gossip) Alone(now time.Time) bool {
+	return g.others.Load() > 0 && now.Sub(g.started)-time.Duration(g.heardAt.Load()) > gossipSilence
+}
+
 // rotation hands out its addresses in turn.
 type rotation struct {
 	addresses []net.Addr
@@ -72,7 +88,7 @@
 
 // NewGossip returns the gossip of a gateway.
 func NewGossip(node, zone string, directory *backend.Directory) *Gossip {
-	return &Gossip{node: node, zone: zone, directory: directory}
+	return &Gossip{node: node, zone: zone, directory: directory, started: time.Now()}
 }
 
 // SetGateways takes in the gateways that the registry lists.
@@ -89,6 +105,7 @@
 			remotes = append(remotes, address)
 		}
 	}
+	g.others.Store(int64(len(neighbours) + len(remotes)))
 	g.mu.Lock()
 	g.neighbours.addresses, g.remotes.addresses = neighbours, remotes
 	g.mu.Unlock()
@@ -163,6 +180,7 @@
 // take takes in one report. A report of the own zone is what its gateways say
 // themselves.
 func (g *Gossip) take(now time.Time, report loadReport) {
+	g.heardAt.Store(int64(now.Sub(g.started)))
 	switch report.Zone {
 	case "":
 		g.directory.RemoteLoads(now, backend.LoadSource{Gateway: report.Gateway}, report.Loads)
--- a/internal/gateway/gossip_test.go
+++ b/internal/gateway/gossip_test.go
@@ -57,3 +57,14 @@
 		require.Len(t, heard, gateways-1, "each gateway hears in its turn")
 	}
 }
+
+func TestAGatewayThatHearsOfNoOtherIsAlone(t *testing.T) {
+	g := gossipOf("a1", "a")
+	now := g.started
+	require.False(t, g.Alone(now.Add(time.Hour)), "there are no others")
+	g.SetGateways(map[string]replicaset.Node{"a1": {Name: "a1", Zone: "a", Address: "127.0.0.1:1"}, "b1": {Name: "b1", Zone: "b", Address: "127.0.0.1:2"}})
+	require.False(t, g.Alone(now.Add(gossipRefresh)), "the others may not have reported yet")
+	require.True(t, g.Alone(now.Add(2*gossipSilence)))
+	g.take(now.Add(2*gossipSilence), loadReport{Gateway: "b1", Zone: "b"})
+	require.False(t, g.Alone(now.Add(2*gossipSilence+gossipRefresh)))
+}
--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -12,6 +12,7 @@
 	membership := replicaset.Read(objects)
 	s.replicas.SetMembership(membership)
 	gossip.SetGateways(membership.Gateways)
+	s.gossip.Store(gossip)
 	relays.SetGateways(membership.Gateways)
 	s.gateways.Store(int64(len(membership.Gateways)))
 	s.boundIdle()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -71,6 +71,9 @@
 	// stopping ends readiness; ending refuses what is not yet passed on.
 	stopping atomic.Bool
 	ending   atomic.Bool
+	// gossip tells whether other gateways are heard of; nil before the registry was read.
+	gossip      atomic.Pointer[Gossip]
+	wasIsolated atomic.Bool
 	// endsAt is when a planned stop cuts what is left, in nanoseconds since the start. It
 	// is set once no new callers come; zero before.
 	endsAt atomic.Int64
@@ -101,7 +104,19 @@
 
 // Ready reports whether new callers may come.
 func (s *Server) Ready() bool {
-	return !s.stopping.Load() && s.table.Load() != nil && s.known.Load()
+	return !s.stopping.Load() && s.table.Load() != nil && s.known.Load() && !s.isolated()
+}
+
+// isolated reports whether this gateway reaches neither a quorum of replicas nor another
+// gateway that could relay: callers are served better elsewhere. While replicas are
+// missing for all, gateways still hear of each other, and none is isolated.
+func (s *Server) isolated() bool {
+	gossip := s.gossip.Load()
+	isolated := gossip != nil && gossip.Alone(time.Now()) && !s.replicas.Reachable()
+	if s.wasIsolated.Swap(isolated) != isolated {
+		s.log.Warn().Str("event", "isolation_changed").Bool("isolated", isolated).Msg("")
+	}
+	return isolated
 }
 
 // Serve serves callers until the context ends, then lets those in progress end and
@@ -167,7 +182,7 @@
 		host: incoming.Host, method: incoming.Method, target: incoming.RequestURI, header: incoming.Header,
 	}
 	defer s.finish(r)
-	if s.stopping.Load() {
+	if s.stopping.Load() || s.wasIsolated.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	if failure := s.admit(w, r, incoming); failure != nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -83,6 +83,9 @@
 	if t.cell == nil {
 		return refuseFor(verdict.CodeUnavailable, replicaRetry, "no replicas are known yet")
 	}
+	if s.isolated() {
+		return refuseFor(verdict.CodeUnavailable, elsewhereRetry, "this gateway reaches neither replicas nor other gateways")
+	}
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, replicaPatience)
 	defer cancel()
--- a/internal/quorum/cells.go
+++ b/internal/quorum/cells.go
@@ -93,6 +93,16 @@
 	return c.cells[replicaset.CellOf(program, len(c.cells))]
 }
 
+// Reachable reports whether a quorum of some cell is connected directly.
+func (c *Cells) Reachable() bool {
+	for _, client := range c.clients() {
+		if client.Ready() {
+			return true
+		}
+	}
+	return false
+}
+
 // ChainElsewhere looks for a turn in the cells other than the program's own, and
 // returns it with all turns before it, newest first: a program may go on from a
 // turn of another one.
