--- /dev/null
+++ b/internal/gateway/stop_test.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	"swiftbank.dev/swiftbank/internal/backend"
+	"swiftbank.dev/swiftbank/internal/quorum"
+	"swiftbank.dev/swiftbank/internal/route"
+)
+
+const deadlineHeader = "X-Test-Deadline"
+
+// gatewayOf returns a gateway with one route of plain calls and no instances.
+func gatewayOf(t *testing.T) *Server {
+	quiet := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	s := New(Options{
+		Node: "g", Zone: "z", Dialect: Dialect{Deadline: deadlineHeader, RequestID: "X-Test-Id"},
+		Directory: backend.NewDirectory("z"), Replicas: quorum.NewCells(t.Context(), "z", quiet),
+		Log: quiet, Metrics: NewMetrics("g"),
+	})
+	table := route.NewTable(1, []*route.Route{{
+		Name: "call", Host: "apps.test", Prefix: "/call/", Kind: route.Unsafe, Attempts: 1, Timeout: 3 * time.Second,
+		Targets: []route.Target{{Service: "apps", Weight: 1}},
+	}}, []route.Service{{Name: "apps"}}, route.Limits{})
+	s.ConfigurationChanged(table)
+	s.BackEndsChanged(nil)
+	return s
+}
+
+func ask(s *Server, deadlineMS string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(http.MethodPost, "http://apps.test/call/1", nil)
+	request.Header.Set(deadlineHeader, deadlineMS)
+	recorder := httptest.NewRecorder()
+	s.handle(recorder, request)
+	return recorder
+}
+
+// F18: what a stop takes last must not be cut.
+func TestAStopRefusesWhatItCouldNotFinish(t *testing.T) {
+	s := gatewayOf(t)
+	require.Contains(t, ask(s, "100").Body.String(), "overloaded", "there is no instance")
+	s.endsAt.Store(int64(time.Since(s.started) + time.Second))
+	late := ask(s, "2000")
+	require.Equal(t, http.StatusServiceUnavailable, late.Code)
+	require.Contains(t, late.Body.String(), "unavailable")
+	require.NotEmpty(t, late.Header().Get("Retry-After"))
+	require.Contains(t, ask(s, "100").Body.String(), "overloaded", "what ends in time is served")
+}
