Streams leave engines whose machines do not answer

Ruled out: a time-out on silence alone. A loaded or hanging engine may be silent for long, and going on elsewhere while it works is one engine too many and breaks promises. Change: after a silence of half of the route's objective a stream asks whether the instance's machine is there, unless any other answer came from it meanwhile. Two opening packets without an answer, 120 ms each, mean that it is gone; a refusal or a reset is an answer. All streams at an instance share one check, and its connection serves the next request. What is gone is left as any unreachable instance is: a resumable stream goes on elsewhere, another one ends with a truthful answer at once.

--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -41,11 +41,13 @@
 	idle map[string][]*connection
 	// idleLimit bounds the resting connections to one instance, by service.
 	idleLimit map[string]int
+	// alive is what is known of each instance's machine.
+	alive map[string]*liveness
 }
 
 // NewPool returns an empty pool.
 func NewPool(opened func()) *Pool {
-	return &Pool{Opened: opened, idle: map[string][]*connection{}, idleLimit: map[string]int{}}
+	return &Pool{Opened: opened, idle: map[string][]*connection{}, idleLimit: map[string]int{}, alive: map[string]*liveness{}}
 }
 
 // take returns a kept connection that is still sound, or a new one.
@@ -67,7 +69,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer)}, nil
+	return newConnection(opened), nil
+}
+
+func newConnection(opened net.Conn) *connection {
+	return &connection{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer)}
 }
 
 // rests reports whether a kept connection to the instance is there to be used.
@@ -119,6 +125,7 @@
 	p.mu.Lock()
 	kept := p.idle[id]
 	delete(p.idle, id)
+	delete(p.alive, id)
 	p.mu.Unlock()
 	for _, connection := range kept {
 		_ = connection.Close()
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -36,16 +36,20 @@
 	// firstEventAt is when the first event of a stream came; events counts them.
 	firstEventAt time.Time
 	events       int
+	// watch ends a stream whose instance's machine is gone; nil for other requests.
+	watch *silenceWatch
 	// release frees what the attempt holds besides the answer.
 	release context.CancelFunc
 }
 
 // sawEvent notes an event of a stream.
 func (a *attempt) sawEvent() {
+	now := time.Now()
 	if a.events == 0 {
-		a.firstEventAt = time.Now()
+		a.firstEventAt = now
 	}
 	a.events++
+	a.watch.heard(now)
 }
 
 // sendUntilTaken sends the request to one instance after another until one does
@@ -89,12 +93,19 @@
 	r.outcome.load, r.outcome.cost, r.outcome.candidates = choice.Load, choice.Cost, choice.Candidates
 	s.metrics.sends.Inc()
 	sendCtx, release := context.WithCancel(ctx)
+	var watch *silenceWatch
+	if r.route.Kind == route.Streaming {
+		watch = s.watchSilence(sendCtx, r, choice.Instance, release)
+		cancel := release
+		release = func() { watch.stop(); cancel() }
+	}
 	silence := time.AfterFunc(s.patience(r), release)
 	sentAt := time.Now()
 	answer, failure := s.pool.Do(sendCtx, choice.Instance, s.call(r, choice.Instance))
 	silence.Stop()
 	if failure != nil {
 		release()
+		watch.explain(failure)
 		ended := backend.Answered
 		if failure.Unreachable || ctx.Err() == nil {
 			ended = backend.Unreachable
@@ -103,6 +114,7 @@
 		s.logSend(r, choice, failure)
 		return nil, failure
 	}
+	s.pool.Heard(time.Now(), choice.Instance.ID)
 	status := answer.Response.StatusCode
 	if answer.Response.Header.Get(s.dialect.NotExecuted) != "" || status == http.StatusMisdirectedRequest {
 		_, _ = io.Copy(io.Discard, answer.Body())
@@ -113,7 +125,7 @@
 		s.logSend(r, choice, failure)
 		return nil, failure
 	}
-	return &attempt{choice: choice, answer: answer, sentAt: sentAt, release: release}, nil
+	return &attempt{choice: choice, answer: answer, sentAt: sentAt, watch: watch, release: release}, nil
 }
 
 // patience is how long an instance may take to begin its answer. A request that may
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -210,8 +210,12 @@
 	}
 	defer sent.release()
 	failure := s.passEvents(ctx, w, t, sent)
+	sent.watch.explain(failure)
 	ended := backend.Answered
-	if failure != nil && failure.Verdict == verdict.MayHaveRun && ctx.Err() == nil {
+	switch {
+	case sent.watch.gone.Load():
+		ended = backend.Unreachable
+	case failure != nil && failure.Verdict == verdict.MayHaveRun && ctx.Err() == nil:
 		ended = backend.Failed
 	}
 	s.directory.End(time.Now(), sent.choice.Instance.ID, ended)
