Gateways that start while the store is away start from a replica's copy

Any gateway that is restarted during an outage of the store was lost for as long. Ruled out: gateways asking each other, which nobody can name at a start, and which may all have been killed. Change: replicas watch configuration and instances too and keep a copy of what the store last said, members included, on their disk (internal/bootstrap). A gateway that the store does not answer asks the seeds of its settings, which are replicas, and starts from the newest copy; the store's word replaces each part of it. While the configuration is a copy unknown routes are answered 503. Settings: `seeds` of gateways, `copyAddress` of replicas. Tests: TestFleet, a fleet starts from copies while the store is down; internal/bootstrap. Without seeds a gateway is not ready then (TestFleet, a store that is down at start).

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -79,6 +79,7 @@
 		Str("callers", config.CallerAddress).Str("store", config.StoreAddress).Msg("")
 	var running conc.WaitGroup
 	running.Go(func() { sources.Run(life) })
+	running.Go(func() { server.Bootstrap(life, config.Seeds, gossip, relays) })
 	running.Go(func() { process.failing("gossip", gossip.Run(life, config.PeerAddress)) })
 	running.Go(func() { process.failing("relaying", replicas.ServeRelays(life, config.PeerAddress)) })
 	running.Go(func() { process.failing("metrics", serveMetrics(life, config.MetricsAddress, metrics.Registry)) })
--- a/internal/command/replica.go
+++ b/internal/command/replica.go
@@ -8,6 +8,8 @@
 	"github.com/sourcegraph/conc"
 	"github.com/spf13/cobra"
 
+	"swiftbank.dev/swiftbank/internal/bootstrap"
+	"swiftbank.dev/swiftbank/internal/registry"
 	"swiftbank.dev/swiftbank/internal/replica"
 	"swiftbank.dev/swiftbank/internal/settings"
 	"swiftbank.dev/swiftbank/platform"
@@ -51,12 +53,21 @@
 		process.log.Error().Str("event", "start_failed").Err(err).Msg("")
 		return err
 	}
+	copied := bootstrap.NewKeeper(config.DataFolder, process.log)
 	sources := &platform.Sources{
 		Store: store, Node: config.Node, Failed: process.storeCallFailed,
-		Contact:  func(err error) { process.contact("store", err) },
-		Registry: server.RegistryChanged, Emptied: server.Leave,
+		Contact: func(err error) { process.contact("store", err) },
+		Registry: func(objects []registry.Object) {
+			copied.MembersChanged(objects)
+			server.RegistryChanged(objects)
+		},
+		Emptied: server.Leave,
 	}
 	var running conc.WaitGroup
+	if config.CopyAddress != "" {
+		sources.Configuration, sources.BackEnds = copied.ConfigurationChanged, copied.BackEndsChanged
+		running.Go(func() { process.failing("store copy", copied.Serve(ctx, config.CopyAddress)) })
+	}
 	running.Go(func() { sources.Run(ctx) })
 	running.Go(func() { process.failing("metrics", serveMetrics(ctx, config.MetricsAddress, metrics.Registry)) })
 	running.Go(func() {
--- a/internal/e2e/fleet_cases_test.go
+++ b/internal/e2e/fleet_cases_test.go
@@ -35,6 +35,7 @@
 	t.Run("a planned stop cuts nothing off", f.testPlannedStop)
 	t.Run("a planned stop under load leaves no request without an answer", f.testStopUnderLoad)
 	t.Run("a store that is down at start", f.testStoreDownAtStart)
+	t.Run("a fleet starts from copies while the store is down", f.testStartFromCopy)
 	t.Run("a machine is emptied under load", f.testRetirement)
 }
 
@@ -315,6 +316,46 @@
 	f.awaitReady(f.gateways[0])
 }
 
+// testStartFromCopy takes all processes and the store away at once: what starts then
+// serves from the replicas' copies, and follows the store when it is back.
+func (f *fleet) testStartFromCopy(t *testing.T) {
+	f.store.SetFault(func(*http.Request) platformtest.Fault {
+		return platformtest.Fault{Status: http.StatusServiceUnavailable}
+	})
+	for _, member := range f.members() {
+		f.kill(member)
+	}
+	f.seedGateways()
+	for _, member := range f.members() {
+		f.start(member)
+	}
+	for _, gateway := range f.gateways {
+		f.awaitReady(gateway)
+	}
+	f.awaitTurn()
+	call := f.post(f.gateways[0], appsHost, "/charge/a", nil, "x")
+	require.Equal(t, http.StatusOK, call.status, call.body)
+	unknown := f.post(f.gateways[0], appsHost, "/nowhere/", nil, "x")
+	require.Equal(t, http.StatusServiceUnavailable, unknown.status, "a copy may lack the newest routes")
+	f.store.SetFault(nil)
+	require.Eventually(t, func() bool {
+		return f.post(f.gateways[0], appsHost, "/nowhere/", nil, "x").status == http.StatusNotFound
+	}, time.Minute, 50*time.Millisecond, "the store's own word counts again")
+}
+
+// seedGateways gives the gateways the replicas' copies to start from.
+func (f *fleet) seedGateways() {
+	seeds := "seeds:\n"
+	for _, replica := range f.replicas {
+		seeds += "  - " + replica.copies + "\n"
+	}
+	for _, gateway := range f.gateways {
+		content, err := os.ReadFile(gateway.settings)
+		require.NoError(f.t, err)
+		gateway.settings = f.write(gateway.name, string(content)+seeds)
+	}
+}
+
 // testStopUnderLoad keeps connections busy while the gateway stops: whatever an
 // instance ran has an answer.
 func (f *fleet) testStopUnderLoad(t *testing.T) {
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -58,9 +58,11 @@
 	ready    string
 	metrics  string
 	data     string
-	command  *exec.Cmd
-	log      *lockedBuffer
-	exited   chan error
+	// copies is where a replica hands out its copy of what the store last said.
+	copies  string
+	command *exec.Cmd
+	log     *lockedBuffer
+	exited  chan error
 	// storePath and peerPath are the proxies on its ways, where the fleet is proxied.
 	storePath *faultproxy.Proxy
 	peerPath  *faultproxy.Proxy
@@ -109,11 +111,11 @@
 		f.apps = append(f.apps, f.newBackEnd(fmt.Sprintf("i-app-%d", i+1), "apps", zones[i%len(zones)]))
 	}
 	f.store.Put("config", "main", f.config)
-	const replicaAddresses, gatewayAddresses = 2, 4
+	const replicaAddresses, gatewayAddresses = 3, 4
 	addresses := reserve(t, layout.replicas*replicaAddresses+layout.gateways*gatewayAddresses)
 	for i := range layout.replicas {
 		own := addresses[replicaAddresses*i:]
-		f.replicas = append(f.replicas, f.newReplica(fmt.Sprintf("replica-%d", i+1), zones[i%len(zones)], own[0], own[1]))
+		f.replicas = append(f.replicas, f.newReplica(fmt.Sprintf("replica-%d", i+1), zones[i%len(zones)], own))
 	}
 	addresses = addresses[layout.replicas*replicaAddresses:]
 	for i := range layout.gateways {
@@ -170,10 +172,11 @@
 	return settings
 }
 
-func (f *fleet) newReplica(name, zone, peer, metrics string) *member {
-	m := &member{name: name, verb: "replica", address: peer, metrics: metrics, data: f.t.TempDir()}
-	m.settings = f.write(name, fmt.Sprintf("node: %s\nzone: %s\npeerAddress: %s\nmetricsAddress: %s\nmemoryMB: 256\ngrace: 5s\ntolerateMachines: 1\ndataFolder: %s\ndiskMB: 64\n",
-		name, zone, peer, metrics, m.data)+f.throughProxies(m, peer))
+func (f *fleet) newReplica(name, zone string, addresses []string) *member {
+	peer, metrics := addresses[0], addresses[1]
+	m := &member{name: name, verb: "replica", address: peer, metrics: metrics, copies: addresses[2], data: f.t.TempDir()}
+	m.settings = f.write(name, fmt.Sprintf("node: %s\nzone: %s\npeerAddress: %s\nmetricsAddress: %s\nmemoryMB: 256\ngrace: 5s\ntolerateMachines: 1\ndataFolder: %s\ndiskMB: 64\ncopyAddress: %s\n",
+		name, zone, peer, metrics, m.data, m.copies)+f.throughProxies(m, peer))
 	return m
 }
 
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -7,8 +7,17 @@
 	"swiftbank.dev/swiftbank/internal/route"
 )
 
-// ConfigurationChanged takes in a configuration unless a newer one is in force.
+// ConfigurationChanged takes in a configuration of the store unless a newer one is in
+// force.
 func (s *Server) ConfigurationChanged(table *route.Table) {
+	s.sources.Lock()
+	defer s.sources.Unlock()
+	s.heard.configuration = true
+	s.fromCopy.Store(false)
+	s.adoptConfiguration(table)
+}
+
+func (s *Server) adoptConfiguration(table *route.Table) {
 	for {
 		present := s.table.Load()
 		if present != nil && present.Version >= table.Version {
@@ -37,8 +46,15 @@
 	}
 }
 
-// BackEndsChanged takes in the list of instances.
+// BackEndsChanged takes in the store's list of instances.
 func (s *Server) BackEndsChanged(instances []backend.Instance) {
+	s.sources.Lock()
+	defer s.sources.Unlock()
+	s.heard.instances = true
+	s.adoptInstances(instances)
+}
+
+func (s *Server) adoptInstances(instances []backend.Instance) {
 	doubtful := s.sourceDoubtful()
 	gone := s.directory.Update(time.Now(), instances, doubtful)
 	for _, id := range gone {
@@ -80,6 +96,9 @@
 
 // configurationDoubtful reports whether the configuration may be out of date.
 func (s *Server) configurationDoubtful() bool {
+	if s.fromCopy.Load() {
+		return true
+	}
 	since := s.lostSince.Load()
 	return since != 0 && time.Since(s.started)-time.Duration(since) > configurationDoubt
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -86,6 +86,13 @@
 	listedAt atomic.Int64
 	started  time.Time
 
+	// sources makes what comes from the store and from copies of it come one by one;
+	// heard says what the store itself has told, which no copy replaces. fromCopy is set
+	// while the configuration in force is a copy.
+	sources  sync.Mutex
+	heard    heard
+	fromCopy atomic.Bool
+
 	mu       sync.Mutex
 	splitter *route.Splitter
 	inFlight atomic.Int64
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -137,6 +138,15 @@
 	return nil
 }
 
+// Routes returns all routes in the order of their hosts.
+func (t *Table) Routes() []*Route {
+	var all []*Route
+	for _, host := range slices.Sorted(maps.Keys(t.byHost)) {
+		all = append(all, t.byHost[host]...)
+	}
+	return all
+}
+
 // RouteCount returns the number of routes.
 func (t *Table) RouteCount() int {
 	count := 0
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -35,6 +35,8 @@
 	// CallerAddress is where callers reach it; ReadyAddress says whether new ones may come.
 	CallerAddress string `koanf:"callerAddress" validate:"required,hostname_port"`
 	ReadyAddress  string `koanf:"readyAddress" validate:"required,hostname_port"`
+	// Seeds are replicas' copy addresses, asked while the store is away at a start.
+	Seeds []string `koanf:"seeds" validate:"dive,hostname_port"`
 }
 
 // Replica holds the settings of a replica.
@@ -43,6 +45,8 @@
 	// DataFolder is the only place that lasts.
 	DataFolder string `koanf:"dataFolder" validate:"required"`
 	DiskMB     int    `koanf:"diskMB" validate:"gt=0"`
+	// CopyAddress is where it hands out its copy of what the store last said; "" does not.
+	CopyAddress string `koanf:"copyAddress" validate:"omitempty,hostname_port"`
 }
 
 // Advertised returns the address that the other processes are told.
