--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -60,35 +60,17 @@
 	refused := 0
 	excluded := len(demand.Exclude)
 	last := &backend.Failure{Verdict: verdict.NotRun, Reason: "no instance is known to be sound"}
-	var waiting *place
-	defer func() {
-		if waiting != nil {
-			s.lines.leave(waiting)
-		}
-	}()
-	queued := !s.lines.empty(demand.Service) // those who wait come first
 	for {
-		switch {
-		case queued && excluded > 0:
-			// Others need not wait for one that may not go where they may.
-			if time.Now().After(giveUp) || !wait.For(ctx, refusalPause) {
-				return nil, last
-			}
-		case queued:
-			if waiting == nil {
-				waiting = s.lines.join(demand.Service)
+		choice, found := s.directory.Pick(time.Now(), demand)
+		if !found || refused >= maxRefusals {
+			if found {
+				s.directory.End(time.Now(), choice.Instance.ID, backend.Answered)
 			}
-			if !s.lines.await(ctx, waiting, refusalPause, giveUp) {
+			if time.Now().After(giveUp) || !wait.For(ctx, refusalPause) {
 				return nil, last
 			}
-		}
-		if queued {
-			refused, queued = 0, false
+			refused = 0
 			demand.Exclude = demand.Exclude[:excluded]
-		}
-		choice, found := s.directory.Pick(time.Now(), demand)
-		if !found {
-			queued = true
 			continue
 		}
 		sent, failure := s.send(ctx, r, choice)
@@ -101,10 +83,6 @@
 		last = failure
 		refused++
 		demand.Exclude = append(demand.Exclude, choice.Instance.ID)
-		queued = refused >= maxRefusals
-		if queued && waiting != nil {
-			s.lines.failed(waiting)
-		}
 	}
 }
 
@@ -132,7 +110,7 @@
 		if failure.Unreachable || ctx.Err() == nil {
 			ended = backend.Unreachable
 		}
-		s.ended(choice.Instance, ended)
+		s.directory.End(time.Now(), choice.Instance.ID, ended)
 		s.logSend(r, choice, failure)
 		return nil, failure
 	}
@@ -142,7 +120,7 @@
 		_, _ = io.Copy(io.Discard, answer.Body())
 		answer.Finish()
 		release()
-		s.ended(choice.Instance, backend.Full)
+		s.directory.End(time.Now(), choice.Instance.ID, backend.Full)
 		failure := &backend.Failure{Verdict: verdict.NotRun, Reason: "the instance refused with status " + strconv.Itoa(status)}
 		s.logSend(r, choice, failure)
 		return nil, failure
@@ -212,14 +190,14 @@
 	body, err := io.ReadAll(io.LimitReader(answer.Body(), largestAnswer))
 	if err != nil {
 		answer.Discard()
-		s.ended(sent.choice.Instance, backend.Failed)
+		s.directory.End(time.Now(), sent.choice.Instance.ID, backend.Failed)
 		failure := &backend.Failure{Verdict: verdict.MayHaveRun, Reason: "the answer broke off: " + err.Error()}
 		s.logSend(r, sent.choice, failure)
 		return failure
 	}
 	answer.Finish()
 	response := answer.Response
-	s.ended(sent.choice.Instance, endedWith(response.StatusCode))
+	s.directory.End(time.Now(), sent.choice.Instance.ID, endedWith(response.StatusCode))
 	if response.StatusCode/100 == 2 {
 		s.observe(r, sent, time.Time{}, 0)
 	}
@@ -255,14 +233,6 @@
 	s.directory.Observe(now, sent.choice.Instance.ID, seen)
 }
 
-// ended takes a request off an instance, whose place another one may get.
-func (s *Server) ended(instance backend.Instance, how backend.Ended) {
-	s.directory.End(time.Now(), instance.ID, how)
-	if how != backend.Full {
-		s.lines.freed(instance.Service)
-	}
-}
-
 // endedWith tells an instance's own failures from its answers.
 func endedWith(status int) backend.Ended {
 	if status >= http.StatusInternalServerError {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -93,9 +93,6 @@
 	heard    heard
 	fromCopy atomic.Bool
 
-	// lines hold the requests that wait for room at the instances.
-	lines *lines
-
 	mu       sync.Mutex
 	splitter *route.Splitter
 	inFlight atomic.Int64
@@ -106,7 +103,6 @@
 	s := &Server{
 		options: options, dialect: options.Dialect, log: options.Log, directory: options.Directory,
 		replicas: options.Replicas, metrics: options.Metrics, splitter: route.NewSplitter(options.Node), started: time.Now(),
-		lines: newLines(),
 	}
 	s.pool = backend.NewPool(s.metrics.connections.Inc)
 	s.directory.UseConnections(s.pool)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -218,7 +218,7 @@
 	case failure != nil && failure.Verdict == verdict.MayHaveRun && ctx.Err() == nil:
 		ended = backend.Failed
 	}
-	s.ended(sent.choice.Instance, ended)
+	s.directory.End(time.Now(), sent.choice.Instance.ID, ended)
 	if failure != nil {
 		sent.answer.Discard()
 		s.logSend(t.request, sent.choice, failure)
@@ -249,7 +249,7 @@
 	if t.begun {
 		sent.answer.Discard()
 		sent.release()
-		s.ended(sent.choice.Instance, backend.Answered)
+		s.directory.End(time.Now(), sent.choice.Instance.ID, backend.Answered)
 		return &backend.Failure{Verdict: verdict.MayHaveRun, Reason: "the stream was not taken up again"}
 	}
 	t.ran = true
