A machine counts as gone after three unanswered opening packets

Cause: with links that lose three packets in ten two tries would name a live machine gone in a quarter of the checks, and a stream that is taken up elsewhere while its engine works is one engine too many. Change: three tries of 100 ms in place of two of 120 ms.

--- a/internal/backend/liveness.go
+++ b/internal/backend/liveness.go
@@ -13,9 +13,10 @@
 const (
 	// checkTimeout is how long an instance's machine may take to accept a connection, and
 	// checkTries how many opening packets must stay unanswered before it counts as gone:
-	// one may be lost, or meet a full queue of new connections.
-	checkTimeout = 120 * time.Millisecond
-	checkTries   = 2
+	// some may be lost, meet a full queue of new connections, or find this process itself
+	// without the processor.
+	checkTimeout = 100 * time.Millisecond
+	checkTries   = 3
 	// checkLife is how long the result of a check holds for all requests there.
 	checkLife = 250 * time.Millisecond
 )
