--- /dev/null
+++ b/internal/gateway/send.go
@@ -0,0 +1,145 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"swiftbank.dev/swiftbank/internal/backend"
+	"swiftbank.dev/swiftbank/internal/route"
+	"swiftbank.dev/swiftbank/internal/verdict"
+	"swiftbank.dev/swiftbank/internal/wait"
+)
+
+const (
+	// maxRefusals is how many instances that refuse a request are asked in a row
+	// before the gateway pauses.
+	maxRefusals = 3
+	// refusalPause is the pause before instances that had no room are asked again.
+	refusalPause = 25 * time.Millisecond
+	// waitShare is the part of a request's time that may pass without an instance
+	// that takes it; the rest is left for a new attempt.
+	waitShare = 2
+	// leastPatience is how long an instance may always take to begin its answer.
+	leastPatience = 100 * time.Millisecond
+)
+
+// attempt is one send to an instance.
+type attempt struct {
+	choice backend.Choice
+	answer *backend.Answer
+	sentAt time.Time
+	// firstEventAt is when the first event of a stream came; events counts them.
+	firstEventAt time.Time
+	events       int
+	// watch ends a stream whose instance's machine is gone; nil for other requests.
+	watch *silenceWatch
+	// release frees what the attempt holds besides the answer.
+	release context.CancelFunc
+}
+
+// sawEvent notes an event of a stream.
+func (a *attempt) sawEvent() {
+	now := time.Now()
+	if a.events == 0 {
+		a.firstEventAt = now
+	}
+	a.events++
+	a.watch.heard(now)
+}
+
+// sendUntilTaken sends the request to one instance after another until one does
+// not refuse it. tried grows by each instance that was asked. A failure's verdict
+// says whether the request may have run.
+func (s *Server) sendUntilTaken(ctx context.Context, r *request, demand backend.Demand) (*attempt, *backend.Failure) {
+	giveUp := r.arrived.Add(r.deadline.Sub(r.arrived) / waitShare)
+	refused := 0
+	excluded := len(demand.Exclude)
+	last := &backend.Failure{Verdict: verdict.NotRun, Reason: "no instance is known to be sound"}
+	for {
+		choice, found := s.directory.Pick(time.Now(), demand)
+		if !found || refused >= maxRefusals {
+			if found {
+				s.directory.End(time.Now(), choice.Instance.ID, backend.Answered)
+			}
+			if time.Now().After(giveUp) || !wait.For(ctx, refusalPause) {
+				return nil, last
+			}
+			refused = 0
+			demand.Exclude = demand.Exclude[:excluded]
+			continue
+		}
+		sent, failure := s.send(ctx, r, choice)
+		if failure == nil {
+			return sent, nil
+		}
+		if failure.Verdict != verdict.NotRun || ctx.Err() != nil {
+			return nil, failure
+		}
+		last = failure
+		refused++
+		demand.Exclude = append(demand.Exclude, choice.Instance.ID)
+	}
+}
+
+// send makes one attempt. On success the caller must end it with done.
+func (s *Server) send(ctx context.Context, r *request, choice backend.Choice) (*attempt, *backend.Failure) {
+	r.outcome.sends++
+	r.outcome.instance = choice.Instance.ID
+	r.outcome.load, r.outcome.cost, r.outcome.candidates = choice.Load, choice.Cost, choice.Candidates
+	s.metrics.sends.Inc()
+	sendCtx, release := context.WithCancel(ctx)
+	var watch *silenceWatch
+	if r.route.Kind == route.Streaming {
+		watch = s.watchSilence(sendCtx, r, choice.Instance, release)
+		cancel := release
+		release = func() { watch.stop(); cancel() }
+	}
+	silence := time.AfterFunc(s.patience(r), release)
+	sentAt := time.Now()
+	answer, failure := s.pool.Do(sendCtx, choice.Instance, s.call(r, choice.Instance))
+	silence.Stop()
+	if failure != nil {
+		release()
+		watch.explain(failure)
+		ended := backend.Answered
+		if failure.Unreachable || ctx.Err() == nil {
+			ended = backend.Unreachable
+		}
+		s.directory.End(time.Now(), choice.Instance.ID, ended)
+		s.logSend(r, choice, failure)
+		return nil, failure
+	}
+	s.pool.Heard(time.Now(), choice.Instance.ID)
+	status := answer.Response.StatusCode
+	if answer.Response.Header.Get(s.dialect.NotExecuted) != "" || status == http.StatusMisdirectedRequest {
+		_, _ = io.Copy(io.Discard, answer.Body())
+		answer.Finish()
+		release()
+		s.directory.End(time.Now(), choice.Instance.ID, backend.Full)
+		failure := &backend.Failure{Verdict: verdict.NotRun, Reason: "the instance refused with status " + strconv.Itoa(status)}
+		s.logSend(r, choice, failure)
+		return nil, failure
+	}
+	return &attempt{choice: choice, answer: answer, sentAt: sentAt, watch: watch, release: release}, nil
+}
+
+// patience is how long an instance may take to begin its answer. A request that may
+// run again and has another attempt goes on elsewhere after twice its objective: an
+// instance that fell silent is not known to be gone for seconds.
+func (s *Server) patience(r *request) time.Duration {
+	remaining := time.Until(r.deadline)
+	if !s.mayTryAgain(r) || r.route.Objective <= 0 {
+		return remaining
+	}
+	return min(remaining, max(leastPatience, 2*r.route.Objective))
+}
+
+// logSend writes a send without a usable answer.
+func (s *Server) logSend(r *request, choice backend.Choice, failure *backend.Failure) {
+	s.log.Warn().Str("event", "send_failed").Str("id", r.id).Str("instance", choice.Instance.ID).
+		Str("verdict", failure.Verdict.String()).Str("reason", failure.Reason).Int("load", choice.Load).
+		Int64("since_ms", time.Since(r.arrived).Milliseconds()).Msg("")
+}
