While no gateway has a way, few requests are relayed

And a replica that is dark made the relaying gateway count as failed. Change: while no gateway is proven to have a way, one request a replica asks within the patience; once one answers, all that waits goes. Settling without a caller backs off to 10 s. A gateway by which another replica answered within the last second keeps its place. Tests: TestWithoutAnyWayFewRequestsAreRelayed, TestALostReplicaSaysNothingOfTheRelay.

--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -192,7 +192,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(c.context, settleLimit)
 		defer cancel()
-		_ = c.await(ctx, pending, func() bool { return pending.tally.Durable(c.set) })
+		_ = c.awaitWith(ctx, pending, settleDetours, func() bool { return pending.tally.Durable(c.set) })
 		c.end(number)
 	}()
 }
@@ -223,7 +223,11 @@
 
 // await waits for a condition, which is checked under the lock after each reply.
 func (c *Client) await(ctx context.Context, pending *operation, met func() bool) error {
-	detours := c.newDetours()
+	return c.awaitWith(ctx, pending, callerDetours, met)
+}
+
+func (c *Client) awaitWith(ctx context.Context, pending *operation, most time.Duration, met func() bool) error {
+	detours := c.newDetours(most)
 	defer detours.stop()
 	for {
 		c.mu.Lock()
--- a/internal/quorum/detour.go
+++ b/internal/quorum/detour.go
@@ -2,9 +2,13 @@
 
 import "time"
 
-// detourMost bounds the pause between two tries to reach silent replicas by other
-// gateways.
-const detourMost = 400 * time.Millisecond
+// callerDetours and settleDetours bound the pause between two tries to reach silent
+// replicas by other gateways, with a caller that waits and without one. During an outage
+// every refused turn leaves a charge to settle.
+const (
+	callerDetours = 400 * time.Millisecond
+	settleDetours = 10 * time.Second
+)
 
 // direct reports whether the way to a replica is believed to work: it is connected and
 // has not been silent for longer than its answers take. The caller holds the lock.
@@ -17,19 +21,19 @@
 
 // detours times the tries of one operation. A nil timer never fires.
 type detours struct {
-	timer *time.Timer
-	pause time.Duration
+	timer       *time.Timer
+	pause, most time.Duration
 }
 
 // newDetours returns the times at which an operation goes by other gateways.
-func (c *Client) newDetours() *detours {
+func (c *Client) newDetours(most time.Duration) *detours {
 	if c.relays == nil {
 		return &detours{}
 	}
 	c.mu.Lock()
 	pause := c.answers.patience()
 	c.mu.Unlock()
-	return &detours{timer: time.NewTimer(pause), pause: pause}
+	return &detours{timer: time.NewTimer(pause), pause: pause, most: most}
 }
 
 func (d *detours) due() <-chan time.Time {
@@ -41,7 +45,7 @@
 
 // again sets the next time, at a pause that doubles.
 func (d *detours) again() {
-	d.pause = min(2*d.pause, detourMost)
+	d.pause = min(2*d.pause, d.most)
 	d.timer.Reset(d.pause)
 }
 
--- a/internal/quorum/relay.go
+++ b/internal/quorum/relay.go
@@ -23,7 +23,7 @@
 	node    string
 	zone    string
 	log     *log.Logger
-	// replied hands over a replica's reply; reopened says that a connection stands and
+	// replied hands over a replica's reply; reopened says that there is a way now, and
 	// what was sent before may be lost. Both are set before first use.
 	replied  func(RelayReply)
 	reopened func()
@@ -34,6 +34,9 @@
 	nodes map[string]replicaset.Node
 	order *relayOrder
 	links map[string]*relayLink
+	// probedAt is when a request for a replica was last sent while no gateway was proven
+	// to have a way. While there may be none, one request at a time asks.
+	probedAt map[string]time.Time
 }
 
 // NewRelays returns the relays of a gateway. counted is called for each request sent.
@@ -42,6 +45,7 @@
 		context: ctx, node: node, zone: zone, log: logger, counted: counted,
 		replied: func(RelayReply) {}, reopened: func() {},
 		nodes: map[string]replicaset.Node{}, order: newRelayOrder(), links: map[string]*relayLink{},
+		probedAt: map[string]time.Time{},
 	}
 }
 
@@ -92,6 +96,12 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.order.proven() == "" {
+		if now.Sub(r.probedAt[request.Replica]) < patience {
+			return
+		}
+		r.probedAt[request.Replica] = now
+	}
 	for _, name := range r.order.pick(now, patience) {
 		link := r.open(name)
 		link.idle.Reset(relayIdle)
@@ -143,14 +153,18 @@
 // Received implements peer.Handler.
 func (l *relayLink) Received(reply RelayReply) {
 	r := l.relays
-	r.mu.Lock()
 	if reply.Unreachable {
-		r.order.failed(time.Now(), l.node.Name)
-	} else {
-		r.order.answered(time.Now(), l.node.Name)
+		r.mu.Lock()
+		r.order.unreachable(time.Now(), l.node.Name)
+		r.mu.Unlock()
+		return
 	}
+	r.mu.Lock()
+	first := r.order.proven() == ""
+	r.order.answered(time.Now(), l.node.Name)
 	r.mu.Unlock()
-	if !reply.Unreachable {
-		r.replied(reply)
+	r.replied(reply)
+	if first {
+		r.reopened() // what waited for a way goes by it
 	}
 }
--- a/internal/quorum/relay_test.go
+++ b/internal/quorum/relay_test.go
@@ -167,6 +167,33 @@
 	require.NotContains(t, order.pick(at(62), patience), "c", "gone from the list")
 }
 
+// During an outage of all replicas thousands of requests wait; they must not all be sent
+// again and again to gateways that have no way either.
+func TestWithoutAnyWayFewRequestsAreRelayed(t *testing.T) {
+	f := startRelayFleet(t)
+	sent := 0
+	f.relays.counted = func() { sent++ }
+	f.relays.SetGateways(map[string]replicaset.Node{"g1": {Name: "g1", Address: deadAddress(t), Zone: "r0"}})
+	const requests, replicas = 500, 3
+	for range requests {
+		for replica := range replicas {
+			f.relays.send(RelayRequest{Replica: fmt.Sprint("r", replica)}, time.Hour)
+		}
+	}
+	require.Equal(t, replicas, sent)
+}
+
+func TestALostReplicaSaysNothingOfTheRelay(t *testing.T) {
+	now := time.Unix(0, 0)
+	order := newRelayOrder()
+	order.setCandidates([]string{"a", "b"})
+	order.answered(now, "a")
+	order.unreachable(now.Add(time.Millisecond), "a")
+	require.Equal(t, "a", order.proven())
+	order.unreachable(now.Add(2*relayFailureLife), "a")
+	require.Empty(t, order.proven())
+}
+
 func TestRoundTripFollowsAnswers(t *testing.T) {
 	var estimate roundTrip
 	require.Equal(t, patienceUnknown, estimate.patience())
--- a/internal/quorum/relayorder.go
+++ b/internal/quorum/relayorder.go
@@ -71,6 +71,17 @@
 	known.answeredAt, known.askedAt = now, time.Time{}
 }
 
+// unreachable notes that a candidate has no way to a replica. That tells of the replica
+// alone if another one answered by the candidate moments ago.
+func (o *relayOrder) unreachable(now time.Time, name string) {
+	known := o.state(name)
+	if !known.answeredAt.IsZero() && now.Sub(known.answeredAt) < relayFailureLife {
+		known.askedAt = time.Time{}
+		return
+	}
+	o.failed(now, name)
+}
+
 // failed notes that a candidate has no way to the replicas, or cannot be reached.
 func (o *relayOrder) failed(now time.Time, name string) {
 	known := o.state(name)
--- a/internal/quorum/reserve.go
+++ b/internal/quorum/reserve.go
@@ -35,7 +35,7 @@
 	reservation := &Reservation{client: c, number: number, operation: pending}
 	patience := time.NewTimer(historyPatience)
 	defer patience.Stop()
-	detours := c.newDetours()
+	detours := c.newDetours(callerDetours)
 	defer detours.stop()
 	for {
 		if c.settled(reservation, asked) {
