Slow instances are seen by fewer requests; copies are read unhurriedly

A gateway sends about one stream a second to each engine, and the slowness faded faster than that. Change: a stream, whose pauses vary little, weighs 0.3, a whole answer 0.1, and what is known fades by half in four seconds.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -231,8 +231,11 @@
 		return
 	}
 	slower, ok := d.paceOf(known.instance.Service).observe(seen, known.instance.Slots)
-	if ok {
-		known.slowness.add(now, slower)
+	switch {
+	case ok && seen.Events > 0:
+		known.slowness.add(now, slower, slowStreamGain)
+	case ok:
+		known.slowness.add(now, slower, slowPlainGain)
 	}
 }
 
--- a/internal/backend/pace.go
+++ b/internal/backend/pace.go
@@ -170,10 +170,13 @@
 const leastSlopeShare = 20
 
 const (
-	// slowGain is the weight of a new request in an instance's slowness, slowHalfLife how
-	// fast that fades without requests: a slow instance must be tried again.
-	slowGain     = 0.1
-	slowHalfLife = 2 * time.Second
+	// slowStreamGain and slowPlainGain are the weights of a new request in an instance's
+	// slowness: the pause between two events varies little from stream to stream, the time
+	// of whole answers much. slowHalfLife is how fast the slowness fades without requests:
+	// a slow instance must be tried again.
+	slowStreamGain = 0.3
+	slowPlainGain  = 0.1
+	slowHalfLife   = 4 * time.Second
 	// slowLeast is how much slower, as a logarithm, an instance may seem by chance.
 	slowLeast = 0.8
 )
@@ -192,9 +195,9 @@
 	return s.value * math.Exp2(-now.Sub(s.at).Seconds()/slowHalfLife.Seconds())
 }
 
-func (s *slowness) add(now time.Time, slower float64) {
+func (s *slowness) add(now time.Time, slower, gain float64) {
 	present := s.faded(now)
-	s.value = present + slowGain*(slower-present)
+	s.value = present + gain*(slower-present)
 	s.at = now
 }
 
--- a/internal/command/replica.go
+++ b/internal/command/replica.go
@@ -65,6 +65,7 @@
 	}
 	var running conc.WaitGroup
 	if config.CopyAddress != "" {
+		sources.Unhurried = true
 		sources.Configuration, sources.BackEnds = copied.ConfigurationChanged, copied.BackEndsChanged
 		running.Go(func() { process.failing("store copy", copied.Serve(ctx, config.CopyAddress)) })
 	}
