The soak tears disks that are still empty

Ruled out: the product; all its promises held until then. Change: the fault makes the folder, so an unfinished segment on an empty disk is tried too.

--- a/internal/e2e/soak_faults_test.go
+++ b/internal/e2e/soak_faults_test.go
@@ -142,6 +142,8 @@
 		require.NoError(s.t, err)
 		require.NoError(s.t, opened.Close())
 	}
+	// A replica that was killed right after it lost its disk has no folder yet.
+	require.NoError(s.t, os.MkdirAll(filepath.Join(m.data, "ledger"), 0o700))
 	require.NoError(s.t, os.WriteFile(filepath.Join(m.data, "ledger", "99999999.partial"), []byte("unfinished"), 0o600))
 }
 
