--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -51,8 +51,7 @@
 }
 
 // sendUntilTaken sends the request to one instance after another until one does
-// not refuse it. tried grows by each instance that was asked. A failure's verdict
-// says whether the request may have run.
+// not refuse it. A failure's verdict says whether the request may have run.
 func (s *Server) sendUntilTaken(ctx context.Context, r *request, demand backend.Demand) (*attempt, *backend.Failure) {
 	giveUp := r.arrived.Add(r.deadline.Sub(r.arrived) / waitShare)
 	refused := 0
@@ -84,7 +83,8 @@
 	}
 }
 
-// send makes one attempt. On success the caller must end it with done.
+// send makes one attempt. On success the caller must read the answer, end it, and release
+// the attempt.
 func (s *Server) send(ctx context.Context, r *request, choice backend.Choice) (*attempt, *backend.Failure) {
 	r.outcome.sends++
 	r.outcome.instance = choice.Instance.ID
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -72,6 +72,7 @@
 	stopping atomic.Bool
 	ending   atomic.Bool
 	// gossip tells whether other gateways are heard of; nil before the registry was read.
+	// wasIsolated is what isolated said last.
 	gossip      atomic.Pointer[Gossip]
 	wasIsolated atomic.Bool
 	// endsAt is when a planned stop cuts what is left, in nanoseconds since the start. It
