Streams ask whether a silent machine is there after four times the usual wait

Change: the silence is four times what streams of the service usually wait for their first event, learned like the other speeds, between 150 ms and a second.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -239,6 +239,13 @@
 	}
 }
 
+// UsualFirst returns how long streams of a service usually wait for their first event.
+func (d *Directory) UsualFirst(service string) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Duration(d.paceOf(service).firstMS() * float64(time.Millisecond))
+}
+
 // paceOf returns what is known of how fast a service works. The caller holds the lock.
 func (d *Directory) paceOf(service string) *pace {
 	known := d.paces[service]
--- a/internal/backend/pace.go
+++ b/internal/backend/pace.go
@@ -54,6 +54,8 @@
 	duration mean
 	// typical is the usual logarithm of a unit of work's time, by the kind of request.
 	typical map[string]*mean
+	// first is the mean time to a stream's first event in milliseconds.
+	first mean
 }
 
 func newPace() *pace { return &pace{typical: map[string]*mean{}} }
@@ -64,6 +66,9 @@
 // readTokens returns how many tokens a request makes its engine read.
 func (p *pace) readTokens() float64 { return p.read.or(priorRead) }
 
+// firstMS returns how long a stream waits for its first event, in milliseconds.
+func (p *pace) firstMS() float64 { return p.first.or(priorDuration) }
+
 // durationMS returns how long a request takes, in milliseconds.
 func (p *pace) durationMS() float64 { return p.duration.or(priorDuration) }
 
@@ -73,6 +78,7 @@
 	p.duration.add(milliseconds(seen.Took), paceGain)
 	if seen.Events > 0 {
 		p.read.add(float64(seen.Missing), paceGain)
+		p.first.add(milliseconds(seen.First), paceGain)
 		if seen.Load*calmShare <= slots {
 			p.reading.add(float64(seen.Missing), milliseconds(seen.First))
 		}
--- a/internal/backend/pace_test.go
+++ b/internal/backend/pace_test.go
@@ -38,6 +38,7 @@
 	require.InDelta(t, priorReading, p.readingMS(), 0, "turns of one length do not tell what a token costs")
 	require.InDelta(t, 600, p.readTokens(), 1)
 	require.InDelta(t, 1000, p.durationMS(), 1)
+	require.InDelta(t, 50, p.firstMS(), 1)
 }
 
 func TestWhatLoadedInstancesTellIsNotOfReading(t *testing.T) {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -93,7 +93,7 @@
 	sendCtx, release := context.WithCancel(ctx)
 	var watch *silenceWatch
 	if r.route.Kind == route.Streaming {
-		watch = s.watchSilence(sendCtx, r, choice.Instance, release)
+		watch = s.watchSilence(sendCtx, choice.Instance, release)
 		cancel := release
 		release = func() { watch.stop(); cancel() }
 	}
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -9,11 +9,13 @@
 )
 
 const (
-	// leastSilence is the shortest silence of an instance after which a stream asks
-	// whether the instance's machine is there; silenceShare is the part of the route's
-	// objectives that may pass before, so that the stream can still go on in time.
-	leastSilence = 100 * time.Millisecond
-	silenceShare = 2
+	// leastSilence and mostSilence bound the silence of an instance after which a stream
+	// asks whether the instance's machine is there: silenceFactor times what streams of
+	// the service usually wait for their first event. Asking takes a connection, and
+	// engines under load are silent for longer.
+	leastSilence  = 150 * time.Millisecond
+	mostSilence   = time.Second
+	silenceFactor = 4
 )
 
 // silenceWatch ends a send whose instance says nothing because its machine is gone. An
@@ -29,10 +31,10 @@
 }
 
 // watchSilence watches a stream's send until stop.
-func (s *Server) watchSilence(ctx context.Context, r *request, instance backend.Instance, end context.CancelFunc) *silenceWatch {
-	watch := &silenceWatch{pool: s.pool, instance: instance, end: end, silence: max(leastSilence, r.route.Objective/silenceShare)}
-	if r.route.GapObjective > 0 {
-		watch.silence = max(leastSilence, min(r.route.Objective, r.route.GapObjective)/silenceShare)
+func (s *Server) watchSilence(ctx context.Context, instance backend.Instance, end context.CancelFunc) *silenceWatch {
+	usual := s.directory.UsualFirst(instance.Service)
+	watch := &silenceWatch{
+		pool: s.pool, instance: instance, end: end, silence: min(mostSilence, max(leastSilence, silenceFactor*usual)),
 	}
 	watch.timer = time.AfterFunc(time.Hour, func() { watch.silent(ctx) })
 	watch.timer.Reset(watch.silence) // the timer is known to its function before it fires
