A SIGHUP in the first moments of a process does not end it

The signal was caught only after the log on disk had been read; until then it ends a process. Ruled out: a fault of its disk, which would have written `start_failed`. Change: SIGHUP is caught before the settings are read.

--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -49,15 +49,25 @@
 type process struct {
 	log    *log.Logger
 	writer *eventlog.Writer
+	// hangups receives each SIGHUP from the process's first moments on.
+	hangups chan os.Signal
 }
 
-func newProcess(member settings.Member) *process {
+// catchHangups must be called before anything that takes time: a SIGHUP that is not
+// caught ends the process, and a replica may read its log for seconds.
+func catchHangups() chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
+func newProcess(member settings.Member, hangups chan os.Signal) *process {
 	debug.SetMemoryLimit(int64(member.MemoryMB) << 20 * memoryShare / 100)
 	debug.SetGCPercent(collectorPercent)
 	writer := eventlog.NewWriter(os.Stdout)
 	logger := eventlog.New(writer, member.Node)
 	logger.Level = log.ParseLevel(member.LogLevel)
-	return &process{log: logger, writer: writer}
+	return &process{log: logger, writer: writer, hangups: hangups}
 }
 
 // close writes the rest of the log.
@@ -66,13 +76,11 @@
 // watchReload logs each SIGHUP after reading the settings again; what may change
 // in a running process is the level of the log.
 func (p *process) watchReload(ctx context.Context, reload func() (settings.Member, error)) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangups:
+		case <-p.hangups:
 			member, err := reload()
 			if err != nil {
 				p.log.Error().Str("event", "reload_failed").Err(err).Msg("")
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -31,13 +32,14 @@
 	}
 	flags.add(command)
 	command.RunE = func(command *cobra.Command, _ []string) error {
+		hangups := catchHangups()
 		config, err := settings.LoadGateway(flags.settingsFile, flags.overrides)
 		if err != nil {
 			return exitWith(ExitUsage, err)
 		}
 		ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGTERM, syscall.SIGINT)
 		defer stop()
-		if err := runGateway(ctx, config, flags); err != nil {
+		if err := runGateway(ctx, config, flags, hangups); err != nil {
 			return exitWith(ExitFailure, err)
 		}
 		return nil
@@ -46,8 +48,8 @@
 }
 
 // runGateway runs until ctx ends and the requests in progress have.
-func runGateway(ctx context.Context, config settings.Gateway, flags fleetFlags) error {
-	process := newProcess(config.Member)
+func runGateway(ctx context.Context, config settings.Gateway, flags fleetFlags, hangups chan os.Signal) error {
+	process := newProcess(config.Member, hangups)
 	defer process.close()
 	// The sources, the replicas and the readiness answer live until the last request ended.
 	life, end := context.WithCancel(context.Background())
--- a/internal/command/replica.go
+++ b/internal/command/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -25,13 +26,14 @@
 	}
 	flags.add(command)
 	command.RunE = func(command *cobra.Command, _ []string) error {
+		hangups := catchHangups()
 		config, err := settings.LoadReplica(flags.settingsFile, flags.overrides)
 		if err != nil {
 			return exitWith(ExitUsage, err)
 		}
 		ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGTERM, syscall.SIGINT)
 		defer stop()
-		if err := runReplica(ctx, config, flags); err != nil {
+		if err := runReplica(ctx, config, flags, hangups); err != nil {
 			return exitWith(ExitFailure, err)
 		}
 		return nil
@@ -40,8 +42,8 @@
 }
 
 // runReplica runs until ctx ends. Nothing acknowledged waits for a planned stop.
-func runReplica(ctx context.Context, config settings.Replica, flags fleetFlags) error {
-	process := newProcess(config.Member)
+func runReplica(ctx context.Context, config settings.Replica, flags fleetFlags, hangups chan os.Signal) error {
+	process := newProcess(config.Member, hangups)
 	defer process.close()
 	metrics := replica.NewMetrics(config.Node)
 	store := platform.NewStore(config.StoreAddress, metrics.StoreCall)
