--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"swiftbank.dev/swiftbank/internal/backend"
+	"swiftbank.dev/swiftbank/internal/feed"
 	"swiftbank.dev/swiftbank/internal/gateway"
 	"swiftbank.dev/swiftbank/internal/quorum"
 	"swiftbank.dev/swiftbank/internal/registry"
@@ -65,23 +66,20 @@
 		Log: process.log, Metrics: metrics, Copies: config.TolerateMachines + 1,
 	})
 	gossip := gateway.NewGossip(config.Node, config.Zone, directory)
-	store := platform.NewStore(config.StoreAddress, metrics.StoreCall)
-	sources := &platform.Sources{
-		Store: store, Node: config.Node,
-		Contact: func(err error) {
-			process.contact("store", err)
-			server.ConfigurationContact(err != nil)
+	store := platform.NewStore(config.StoreAddress, metrics.StoreCall, process.storeCallFailed)
+	knowledge := feed.NewNode(feed.Options{
+		Node: config.Node, Zone: config.Zone, Role: replicaset.RoleGateway, Seeds: config.Seeds, Store: store,
+		Metrics: metrics, Log: process.log, StoreFailed: process.storeCallFailed,
+		StoreContact: func(err error) { process.contact("store", err) },
+		Handlers: feed.Handlers{
+			Status: server.KnowledgeChanged, Configuration: server.ConfigurationChanged, Instances: server.InstancesChanged,
+			Members: func(objects []registry.Object) { server.MembersChanged(objects, gossip, relays) },
 		},
-		Failed:        process.storeCallFailed,
-		Configuration: server.ConfigurationChanged,
-		BackEnds:      server.BackEndsChanged,
-		Registry:      func(objects []registry.Object) { server.RegistryChanged(objects, gossip, relays) },
-	}
+	})
 	process.log.Info().Str("event", "start").Str("role", "gateway").Str("zone", config.Zone).
 		Str("callers", config.CallerAddress).Str("store", config.StoreAddress).Msg("")
 	var running conc.WaitGroup
-	running.Go(func() { sources.Run(life) })
-	running.Go(func() { server.Bootstrap(life, config.Seeds, gossip, relays) })
+	running.Go(func() { knowledge.Run(life) })
 	running.Go(func() { process.failing("gossip", gossip.Run(life, config.PeerAddress)) })
 	running.Go(func() { process.failing("relaying", replicas.ServeRelays(life, config.PeerAddress)) })
 	running.Go(func() { process.failing("metrics", serveMetrics(life, config.MetricsAddress, metrics.Registry)) })
@@ -96,7 +94,8 @@
 	})
 	running.Go(func() {
 		node := replicaset.Node{Name: config.Node, Role: replicaset.RoleGateway, Address: config.Advertised(), Zone: config.Zone}
-		replicaset.Register(life, store, node, func(err error) { process.storeCallFailed("register", err) })
+		knowledge.AwaitMembers(life)
+		replicaset.Register(life, store, node, knowledge.Member, func(err error) { process.storeCallFailed("register", err) })
 	})
 	err := server.Serve(ctx, config.CallerAddress, config.Grace-stopReserve)
 	end()
--- a/internal/command/replica.go
+++ b/internal/command/replica.go
@@ -9,9 +9,10 @@
 	"github.com/sourcegraph/conc"
 	"github.com/spf13/cobra"
 
-	"swiftbank.dev/swiftbank/internal/bootstrap"
+	"swiftbank.dev/swiftbank/internal/feed"
 	"swiftbank.dev/swiftbank/internal/registry"
 	"swiftbank.dev/swiftbank/internal/replica"
+	"swiftbank.dev/swiftbank/internal/replicaset"
 	"swiftbank.dev/swiftbank/internal/settings"
 	"swiftbank.dev/swiftbank/platform"
 )
@@ -46,32 +47,34 @@
 	process := newProcess(config.Member, hangups)
 	defer process.close()
 	metrics := replica.NewMetrics(config.Node)
-	store := platform.NewStore(config.StoreAddress, metrics.StoreCall)
+	store := platform.NewStore(config.StoreAddress, metrics.StoreCall, process.storeCallFailed)
+	var server *replica.Server
+	knowledge := feed.NewNode(feed.Options{
+		Node: config.Node, Zone: config.Zone, Role: replicaset.RoleReplica, Store: store,
+		Metrics: metrics, Log: process.log, StoreFailed: process.storeCallFailed,
+		StoreContact: func(err error) { process.contact("store", err) },
+		Handlers: feed.Handlers{
+			Members:     func(objects []registry.Object) { server.MembersChanged(objects) },
+			Retirements: func(states map[string]feed.RetirementState) { server.RetirementsChanged(states) },
+		},
+	})
 	server, err := replica.New(replica.Options{
-		Node: config.Node, Zone: config.Zone, Address: config.PeerAddress, Advertised: config.Advertised(), DataFolder: config.DataFolder,
-		DiskMB: config.DiskMB, Tolerate: config.TolerateMachines, Registry: store, Log: process.log, Metrics: metrics,
+		Node: config.Node, Zone: config.Zone, Address: config.PeerAddress, Advertised: config.Advertised(), Feed: config.CopyAddress,
+		DataFolder: config.DataFolder, DiskMB: config.DiskMB, Tolerate: config.TolerateMachines, Registry: store,
+		Known: knowledge.Member, Retirements: store, Log: process.log, Metrics: metrics,
 	})
 	if err != nil {
 		process.log.Error().Str("event", "start_failed").Err(err).Msg("")
 		return err
 	}
-	copied := bootstrap.NewKeeper(config.DataFolder, process.log)
-	sources := &platform.Sources{
-		Store: store, Node: config.Node, Failed: process.storeCallFailed,
-		Contact: func(err error) { process.contact("store", err) },
-		Registry: func(objects []registry.Object) {
-			copied.MembersChanged(objects)
-			server.RegistryChanged(objects)
-		},
-		Emptied: server.Leave,
-	}
+	copied := feed.NewCopyFile(config.DataFolder, process.log)
+	knowledge.Load(copied.Load())
 	var running conc.WaitGroup
+	running.Go(func() { copied.Run(ctx, knowledge) })
 	if config.CopyAddress != "" {
-		sources.Unhurried = true
-		sources.Configuration, sources.BackEnds = copied.ConfigurationChanged, copied.BackEndsChanged
-		running.Go(func() { process.failing("store copy", copied.Serve(ctx, config.CopyAddress)) })
+		running.Go(func() { process.failing("feed", knowledge.Serve(ctx, config.CopyAddress)) })
 	}
-	running.Go(func() { sources.Run(ctx) })
+	running.Go(func() { knowledge.Run(ctx) })
 	running.Go(func() { process.failing("metrics", serveMetrics(ctx, config.MetricsAddress, metrics.Registry)) })
 	running.Go(func() {
 		process.watchReload(ctx, func() (settings.Member, error) {
@@ -79,6 +82,5 @@
 			return fresh.Member, err
 		})
 	})
-	err = server.Run(ctx)
-	return err
+	return server.Run(ctx)
 }
--- /dev/null
+++ b/internal/feed/cache_test.go
@@ -0,0 +1,260 @@
+package feed
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"swiftbank.dev/swiftbank/internal/backend"
+)
+
+func instance(name string, revision uint64) Record {
+	return Record{Name: name, Revision: revision, Instance: &backend.Instance{ID: name, Service: "s", Slots: int(revision)}}
+}
+
+func deleted(name string, revision uint64) Record {
+	return Record{Name: name, Revision: revision, Deleted: true}
+}
+
+func snapshotAt(at uint64, records ...Record) Batch {
+	return Batch{Kind: Instances, Snapshot: true, At: at, Records: records}
+}
+
+func changesTo(after, at uint64, records ...Record) Batch {
+	return Batch{Kind: Instances, After: after, At: at, Records: records}
+}
+
+// held returns the revisions of the records of a kind by their names.
+func held(c *Cache, kind Kind) map[string]uint64 {
+	revisions := map[string]uint64{}
+	for _, record := range c.Records(kind) {
+		revisions[record.Name] = record.Revision
+	}
+	return revisions
+}
+
+func TestABatchThatIsBehindChangesNothing(t *testing.T) {
+	c := NewCache()
+	apply := func(batch Batch) Outcome { outcome, _ := c.Apply(batch); return outcome }
+	require.Equal(t, Gap, apply(changesTo(0, 5, instance("a", 5))), "nothing was listed yet")
+	require.Equal(t, Applied, apply(snapshotAt(10, instance("a", 5), instance("b", 9))))
+	require.Equal(t, Behind, apply(snapshotAt(8, instance("a", 5))))
+	require.Equal(t, Behind, apply(changesTo(5, 9, deleted("b", 9))))
+	require.Equal(t, Gap, apply(changesTo(11, 12, deleted("b", 9))), "what happened from 10 to 11 is unknown")
+	require.Equal(t, Applied, apply(changesTo(7, 12, instance("b", 9), deleted("a", 11))))
+	require.Equal(t, map[string]uint64{"b": 9}, held(c, Instances))
+	require.Equal(t, Position{Known: true, At: 12}, c.Positions()[Instances])
+	require.Equal(t, Invalid, apply(Batch{Kind: kindCount, Snapshot: true, At: 20}))
+	require.Equal(t, Invalid, apply(snapshotAt(20, Record{Name: "c", Revision: 15})))
+	require.Equal(t, Invalid, apply(changesTo(30, 20)))
+	require.Equal(t, map[string]uint64{"b": 9}, held(c, Instances))
+}
+
+// The store may give a deletion the revision of the object's last change.
+func TestADeletionMayCarryEitherRevision(t *testing.T) {
+	for _, revision := range []uint64{5, 11} {
+		c := NewCache()
+		c.Apply(snapshotAt(10, instance("a", 5)))
+		c.Apply(changesTo(10, 11, deleted("a", revision)))
+		require.Empty(t, held(c, Instances))
+	}
+}
+
+func TestWhatAProcessLacks(t *testing.T) {
+	c := NewCache()
+	c.Apply(snapshotAt(10, instance("a", 5), instance("b", 9)))
+	c.Apply(changesTo(10, 14, instance("c", 12), deleted("a", 5)))
+	c.Apply(changesTo(14, 20, instance("c", 18)))
+	at := func(position uint64) []Batch {
+		var known Positions
+		known[Instances] = Position{Known: true, At: position}
+		return c.Since(known)
+	}
+	require.Equal(t, []Batch{snapshotAt(20, instance("b", 9), instance("c", 18))}, at(9), "deletions before the first list are unknown")
+	require.Equal(t, []Batch{changesTo(10, 20, deleted("a", 5), instance("c", 18))}, at(10), "one record for each name")
+	require.Equal(t, []Batch{changesTo(14, 20, instance("c", 18))}, at(14))
+	require.Empty(t, at(20))
+	require.Empty(t, at(25), "a process that knows more gets nothing")
+	require.Equal(t, []Batch{snapshotAt(20, instance("b", 9), instance("c", 18))}, c.Since(Positions{}))
+}
+
+// The later pages of a list are newer than the revision that it names.
+func TestAPageThatIsNewerThanItsListStays(t *testing.T) {
+	c := NewCache()
+	c.Apply(snapshotAt(10, instance("a", 13)))
+	c.Apply(changesTo(10, 12, deleted("a", 12)))
+	require.Equal(t, map[string]uint64{"a": 13}, held(c, Instances), "it was made anew after that deletion")
+	c.Apply(changesTo(12, 14, instance("a", 13)))
+	require.Equal(t, map[string]uint64{"a": 13}, held(c, Instances))
+}
+
+func TestAnObjectThatWasMadeAnewIsNoDeletion(t *testing.T) {
+	c := NewCache()
+	c.Apply(snapshotAt(10, instance("a", 5)))
+	c.Apply(changesTo(10, 12, deleted("a", 12)))
+	c.Apply(changesTo(12, 15, instance("a", 15)))
+	var known Positions
+	known[Instances] = Position{Known: true, At: 10}
+	require.Equal(t, []Batch{changesTo(10, 15, instance("a", 15))}, c.Since(known))
+}
+
+// A list that comes after the store forgot its history becomes changes for the others.
+func TestANewListBecomesChanges(t *testing.T) {
+	c := NewCache()
+	c.Apply(snapshotAt(10, instance("a", 5), instance("b", 9)))
+	c.Apply(snapshotAt(40, instance("b", 9), instance("d", 33)))
+	var known Positions
+	known[Instances] = Position{Known: true, At: 10}
+	require.Equal(t, []Batch{changesTo(10, 40, deleted("a", 5), instance("d", 33))}, c.Since(known))
+}
+
+func TestTombstonesAreBounded(t *testing.T) {
+	c := NewCache()
+	c.Apply(snapshotAt(1))
+	at := uint64(1)
+	for i := range 3 * mostTombstones {
+		name := fmt.Sprintf("i-%d", i)
+		c.Apply(changesTo(at, at+1, instance(name, at+1)))
+		c.Apply(changesTo(at+1, at+2, deleted(name, at+2)))
+		at += 2
+	}
+	require.LessOrEqual(t, len(c.kinds[Instances].tombstones), mostTombstones)
+	var old Positions
+	old[Instances] = Position{Known: true, At: 2}
+	require.True(t, c.Since(old)[0].Snapshot, "a process that is far behind gets a snapshot")
+	old[Instances].At = at - 2
+	require.False(t, c.Since(old)[0].Snapshot)
+}
+
+// history is a store that remembers what it held at each revision.
+type history struct {
+	contents []map[string]uint64
+	changes  []Record
+}
+
+func newHistory() *history { return &history{contents: []map[string]uint64{{}}} }
+
+// at is the newest revision.
+func (h *history) at() uint64 { return uint64(len(h.contents) - 1) }
+
+// change writes or deletes an object.
+func (h *history) change(name string, remove bool) {
+	next := map[string]uint64{}
+	for known, revision := range h.contents[h.at()] {
+		next[known] = revision
+	}
+	revision := h.at() + 1
+	if remove {
+		h.changes = append(h.changes, deleted(name, next[name]))
+		delete(next, name)
+	} else {
+		h.changes = append(h.changes, instance(name, revision))
+		next[name] = revision
+	}
+	h.contents = append(h.contents, next)
+}
+
+func (h *history) list() Batch {
+	batch := snapshotAt(h.at())
+	for name, revision := range h.contents[h.at()] {
+		batch.Records = append(batch.Records, instance(name, revision))
+	}
+	return batch
+}
+
+// watch returns the changes between two revisions.
+func (h *history) watch(after, at uint64) Batch {
+	return changesTo(after, at, h.changes[after:at]...)
+}
+
+// Processes that learn from the store and from each other, with messages that are lost,
+// doubled, late and out of order, hold at each moment exactly what the store held at their
+// position, and never go back.
+func TestACacheHoldsWhatTheStoreHeldAtItsPosition(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		store := newHistory()
+		const processes = 4
+		caches := make([]*Cache, processes)
+		for i := range caches {
+			caches[i] = NewCache()
+		}
+		type message struct {
+			to      int
+			batches []Batch
+		}
+		var onTheWay []message
+		pick := func(label string) int { return rapid.IntRange(0, processes-1).Draw(rt, label) }
+		check := func(process int, before Position) {
+			position := caches[process].Positions()[Instances]
+			if position.At < before.At || before.Known && !position.Known {
+				rt.Fatalf("process %d went back from %v to %v", process, before, position)
+			}
+			if position.Known {
+				require.Equal(rt, store.contents[position.At], held(caches[process], Instances), "process %d at %d", process, position.At)
+			}
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"write": func(*rapid.T) {
+				store.change(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(rt, "name"), false)
+			},
+			"remove": func(*rapid.T) {
+				name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(rt, "name")
+				if _, exists := store.contents[store.at()][name]; exists {
+					store.change(name, true)
+				}
+			},
+			"list": func(*rapid.T) { onTheWay = append(onTheWay, message{pick("to"), []Batch{store.list()}}) },
+			"watch": func(*rapid.T) {
+				to := pick("to")
+				position := caches[to].Positions()[Instances]
+				if position.Known {
+					at := rapid.Uint64Range(position.At, store.at()).Draw(rt, "at")
+					onTheWay = append(onTheWay, message{to, []Batch{store.watch(position.At, at)}})
+				}
+			},
+			"poll": func(*rapid.T) {
+				from, to := pick("from"), pick("to")
+				onTheWay = append(onTheWay, message{to, caches[from].Since(caches[to].Positions())})
+			},
+			"arrive": func(*rapid.T) {
+				if len(onTheWay) == 0 {
+					return
+				}
+				which := rapid.IntRange(0, len(onTheWay)-1).Draw(rt, "which")
+				arrived := onTheWay[which]
+				if !rapid.Bool().Draw(rt, "comes again") {
+					onTheWay = append(onTheWay[:which], onTheWay[which+1:]...)
+				}
+				before := caches[arrived.to].Positions()[Instances]
+				for _, batch := range arrived.batches {
+					caches[arrived.to].Apply(batch)
+				}
+				check(arrived.to, before)
+			},
+			"restart": func(*rapid.T) { caches[pick("process")] = NewCache() },
+		})
+	})
+}
+
+// FuzzApply applies what a broken or hostile peer may send.
+func FuzzApply(f *testing.F) {
+	f.Add(uint8(1), true, uint64(0), uint64(5), "a", uint64(4), false)
+	f.Add(uint8(9), false, uint64(7), uint64(5), "", uint64(0), true)
+	f.Fuzz(func(t *testing.T, kind uint8, snapshot bool, after, at uint64, name string, revision uint64, gone bool) {
+		c := NewCache()
+		c.Apply(snapshotAt(10, instance("a", 5)))
+		record := Record{Name: name, Revision: revision, Deleted: gone, Member: []byte("m")}
+		before := c.Positions()
+		outcome, _ := c.Apply(Batch{Kind: Kind(kind), Snapshot: snapshot, After: after, At: at, Records: []Record{record}})
+		for _, kind := range Kinds() {
+			require.GreaterOrEqual(t, c.Positions()[kind].At, before[kind].At)
+		}
+		if outcome == Invalid {
+			require.Equal(t, before, c.Positions())
+		}
+		c.Since(before)
+		c.Snapshot()
+	})
+}
--- /dev/null
+++ b/internal/feed/candidates.go
@@ -0,0 +1,80 @@
+package feed
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"swiftbank.dev/swiftbank/internal/replicaset"
+)
+
+// otherUpstreams bounds the replicas of other zones that a gateway may fall back on. It
+// outlives the loss of its zone and of seven replicas more without reading the store.
+const otherUpstreams = 8
+
+// Upstream is a process that may be followed.
+type Upstream struct {
+	// Node is its name; a seed, which settings name by its address alone, has none.
+	Node    string
+	Address string
+	Zone    string
+}
+
+// ReplicaUpstreams returns the upstreams of a replica: those of its zone that rank before
+// it, first the first. The order by name is the same everywhere, so nobody follows in a
+// circle.
+func ReplicaUpstreams(node, zone string, replicas map[string]replicaset.Node) []Upstream {
+	var upstreams []Upstream
+	for _, name := range slices.Sorted(maps.Keys(replicas)) {
+		other := replicas[name]
+		if name < node && other.Zone == zone && mayBeFollowed(other) {
+			upstreams = append(upstreams, upstreamOf(other))
+		}
+	}
+	return upstreams
+}
+
+// GatewayUpstreams returns the upstreams of a gateway: the replicas of its zone, then some
+// of other zones. Each gateway has an order of its own, so that they spread. Before it
+// knows of any replica these are its seeds.
+func GatewayUpstreams(node, zone string, replicas map[string]replicaset.Node, seeds []string) []Upstream {
+	var near, far []Upstream
+	for _, other := range replicas {
+		switch {
+		case !mayBeFollowed(other):
+		case other.Zone == zone:
+			near = append(near, upstreamOf(other))
+		default:
+			far = append(far, upstreamOf(other))
+		}
+	}
+	if len(near)+len(far) == 0 {
+		return seedUpstreams(seeds)
+	}
+	sortFor(node, near)
+	sortFor(node, far)
+	return append(near, far[:min(otherUpstreams, len(far))]...)
+}
+
+func mayBeFollowed(node replicaset.Node) bool { return node.Feed != "" && !node.Leaving }
+
+func upstreamOf(node replicaset.Node) Upstream {
+	return Upstream{Node: node.Name, Address: node.Feed, Zone: node.Zone}
+}
+
+func seedUpstreams(seeds []string) []Upstream {
+	var upstreams []Upstream
+	for _, address := range seeds {
+		upstreams = append(upstreams, Upstream{Address: address})
+	}
+	return upstreams
+}
+
+// sortFor sorts upstreams by a hash of both names (rendezvous hashing): a change of the
+// list moves few gateways.
+func sortFor(node string, upstreams []Upstream) {
+	rank := func(u Upstream) uint64 { return xxhash.Sum64String(node + "\x00" + u.Node) }
+	slices.SortFunc(upstreams, func(a, b Upstream) int { return cmp.Compare(rank(a), rank(b)) })
+}
--- /dev/null
+++ b/internal/feed/follow.go
@@ -0,0 +1,111 @@
+package feed
+
+import (
+	"bufio"
+	"context"
+	"encoding/gob"
+	"fmt"
+	"net"
+	"time"
+
+	"swiftbank.dev/swiftbank/internal/peer"
+	"swiftbank.dev/swiftbank/internal/wait"
+)
+
+const (
+	// dialTimeout bounds the wait for a connection to an upstream: shorter than
+	// silenceLimit, and longer than a lost opening packet between zones is worth.
+	dialTimeout = 300 * time.Millisecond
+	// bufferBytes is the size of the buffers of a connection.
+	bufferBytes = 8 << 10
+	// unconfirmedAfter is how long a process that starts waits for confirmed knowledge
+	// before it uses a copy from a disk.
+	unconfirmedAfter = 250 * time.Millisecond
+	// unconfirmedPause is the pause before an upstream without confirmed knowledge is
+	// asked again meanwhile.
+	unconfirmedPause = 50 * time.Millisecond
+)
+
+// runFollowing polls the upstream that is to be followed, until the context ends.
+func (n *Node) runFollowing(ctx context.Context) {
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		upstream := n.applied.Follow
+		following, stop := context.WithCancel(ctx)
+		n.stopFollow = stop
+		n.mu.Unlock()
+		if upstream != nil {
+			err := n.follow(following, *upstream)
+			if following.Err() == nil {
+				n.upstreamFailed(*upstream, err)
+			}
+		}
+		stop()
+		n.awaitUpstream(ctx, upstream)
+	}
+}
+
+// awaitUpstream waits until there is another upstream than the one that ended.
+func (n *Node) awaitUpstream(ctx context.Context, ended *Upstream) {
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		changed := n.applied.Follow != ended
+		n.mu.Unlock()
+		if changed {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-n.wakeFollow:
+		}
+	}
+}
+
+func (n *Node) upstreamFailed(upstream Upstream, err error) {
+	n.log.Warn().Str("event", "upstream_failed").Str("peer", upstream.Node).Str("address", upstream.Address).Err(err).Msg("")
+	n.step(func(now time.Time) Output[asker] { return n.core.Failed(now, upstream) })
+}
+
+// follow polls one upstream until it fails or the context ends.
+func (n *Node) follow(ctx context.Context, upstream Upstream) error {
+	connection, err := peer.Dialer(dialTimeout).DialContext(ctx, "tcp", upstream.Address)
+	if err != nil {
+		return fmt.Errorf("feed: %w", err)
+	}
+	defer connection.Close()
+	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
+	defer stop()
+	encoder := gob.NewEncoder(connection)
+	decoder := gob.NewDecoder(bufio.NewReaderSize(connection, bufferBytes))
+	for {
+		reply, err := poll(connection, encoder, decoder, Request{Node: n.options.Node, Positions: n.Positions()})
+		if err != nil {
+			return err
+		}
+		n.heard(ctx, upstream, reply)
+	}
+}
+
+// poll asks once and waits for the answer.
+func poll(connection net.Conn, encoder *gob.Encoder, decoder *gob.Decoder, request Request) (Reply, error) {
+	if err := connection.SetDeadline(time.Now().Add(silenceLimit)); err != nil {
+		return Reply{}, fmt.Errorf("feed: %w", err)
+	}
+	if err := encoder.Encode(request); err != nil {
+		return Reply{}, fmt.Errorf("feed: ask: %w", err)
+	}
+	var reply Reply
+	if err := decoder.Decode(&reply); err != nil {
+		return Reply{}, fmt.Errorf("feed: answer: %w", err)
+	}
+	return reply, nil
+}
+
+// heard applies an answer. A process that starts waits a moment for confirmed knowledge.
+func (n *Node) heard(ctx context.Context, upstream Upstream, reply Reply) {
+	if !reply.Status.Confirmed && time.Since(n.started) < unconfirmedAfter {
+		wait.For(ctx, unconfirmedPause)
+		return
+	}
+	n.step(func(now time.Time) Output[asker] { return n.core.Heard(now, upstream, reply) })
+}
--- /dev/null
+++ b/internal/feed/informer.go
@@ -0,0 +1,108 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"swiftbank.dev/swiftbank/internal/wait"
+)
+
+const (
+	// watchWait is how long a watch may wait at the store, which allows 30 s.
+	watchWait = 29 * time.Second
+	// watchSlack is added before a watch without an answer is given up.
+	watchSlack = 2 * time.Second
+	// listTimeout bounds a list, which may take several calls.
+	listTimeout = 2 * time.Second
+	// retryFirst and retryMost bound the pause after a failed call.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+)
+
+// informer reads one kind from the store.
+type informer struct {
+	store Store
+	known knowledge
+	kind  Kind
+	// urgent kinds must be known within a second.
+	urgent bool
+	// pacer lets several changes come by one answer.
+	pacer pacer
+	// forgotten is set when the store has forgotten the history after our position.
+	forgotten bool
+	// confirmed is set once the store has told of all changes so far.
+	confirmed bool
+
+	mu sync.Mutex
+	// cancel ends the watch under way.
+	cancel context.CancelFunc
+}
+
+// restart ends the watch under way, so that a new one begins at once.
+func (i *informer) restart() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.cancel != nil {
+		i.cancel()
+	}
+}
+
+// run lists and watches until the context ends. What is known stays in force while
+// the store cannot be reached.
+func (i *informer) run(ctx context.Context) {
+	pause := retryFirst
+	for ctx.Err() == nil {
+		err := i.step(ctx)
+		switch {
+		case err == nil:
+			pause = retryFirst
+			wait.For(ctx, i.pacer.next(time.Now()))
+		case errors.Is(err, ErrHistoryGone):
+			i.forgotten = true
+		case errors.Is(err, context.Canceled): // the monitor wants a new watch
+		default:
+			i.known.callFailed(i.kind, err)
+			wait.For(ctx, pause)
+			pause = min(2*pause, retryMost)
+		}
+	}
+}
+
+func (i *informer) step(ctx context.Context) error {
+	position := i.known.position(i.kind)
+	if !position.Known || i.forgotten {
+		return i.list(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	i.mu.Lock()
+	i.cancel = cancel
+	i.mu.Unlock()
+	longest := watchWait
+	if !i.confirmed {
+		longest = 0 // what is known may be old: the store tells at once whether it is
+	}
+	records, at, err := i.store.Watch(ctx, i.kind, position.At, longest, false)
+	if err != nil {
+		return err
+	}
+	i.confirmed = true
+	i.known.answered(i.kind)
+	i.known.read(Batch{Kind: i.kind, After: position.At, At: at, Records: records})
+	return nil
+}
+
+func (i *informer) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	records, at, err := i.store.List(ctx, i.kind)
+	if err != nil {
+		return err
+	}
+	i.forgotten, i.confirmed = false, true
+	i.known.answered(i.kind)
+	i.known.read(Batch{Kind: i.kind, Snapshot: true, At: at, Records: records})
+	return nil
+}
--- a/platform/monitor.go
+++ b/internal/feed/monitor.go
@@ -1,9 +1,8 @@
-package platform
+package feed
 
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/wait"
@@ -14,8 +13,10 @@
 	// how long an answer may take.
 	probeInterval = time.Second
 	probeTimeout  = 900 * time.Millisecond
-	// probeRetry is the pause between probes while the store does not answer.
-	probeRetry = 200 * time.Millisecond
+	// probeRetryFirst and probeRetryMost bound the pause between probes while the store
+	// does not answer. A reader notices its return within a second.
+	probeRetryFirst = 200 * time.Millisecond
+	probeRetryMost  = 800 * time.Millisecond
 	// slowRounds is how many rounds pass between the probes of kinds that may be late.
 	slowRounds = 8
 )
@@ -25,28 +26,33 @@
 // or its history. A probe is a watch that does not wait and may be stale, which
 // costs a tenth of a call.
 type monitor struct {
-	store     *Store
+	store     Store
+	known     knowledge
 	informers []*informer
-	// changed is told when the store is lost and when it is reached again.
-	changed func(err error)
 }
 
 // run probes until the context ends.
 func (m *monitor) run(ctx context.Context) {
 	lost := false
+	pause := probeRetryFirst
 	for round := 0; ctx.Err() == nil; round++ {
 		err := m.probeAll(ctx, round)
+		if ctx.Err() != nil {
+			return
+		}
 		if (err != nil) != lost {
 			lost = err != nil
-			m.changed(err)
+			m.known.contact(err)
 			if !lost {
 				m.restartAll()
 			}
 		}
 		if lost {
-			wait.For(ctx, probeRetry)
+			wait.For(ctx, pause)
+			pause = min(2*pause, probeRetryMost)
 			continue
 		}
+		pause = probeRetryFirst
 		wait.For(ctx, probeInterval)
 	}
 }
@@ -88,17 +94,17 @@
 func (m *monitor) probe(ctx context.Context, informer *informer) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	at := informer.position()
-	changes, _, err := m.store.watch(ctx, informer.kind, at, 0, true)
-	var answer *statusError
-	switch {
-	case errors.As(err, &answer) && answer.status == http.StatusGone:
+	position := m.known.position(informer.kind)
+	records, _, err := m.store.Watch(ctx, informer.kind, position.At, 0, true)
+	if errors.Is(err, ErrHistoryGone) {
 		informer.restart()
 		return nil
-	case err != nil:
+	}
+	if err != nil {
 		return err
 	}
-	if len(changes) > 0 && informer.position() == at {
+	m.known.answered(informer.kind)
+	if len(records) > 0 && m.known.position(informer.kind) == position {
 		informer.restart()
 	}
 	return nil
--- /dev/null
+++ b/internal/feed/node_test.go
@@ -0,0 +1,301 @@
+package feed
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/stretchr/testify/require"
+
+	"swiftbank.dev/swiftbank/internal/backend"
+	"swiftbank.dev/swiftbank/internal/replicaset"
+	"swiftbank.dev/swiftbank/internal/route"
+)
+
+func quiet() *log.Logger { return &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}} }
+
+// memoryStore is a Store in memory that can be made to fail.
+type memoryStore struct {
+	mu      sync.Mutex
+	failing bool
+	lists   int
+	content map[Kind][]Record
+	at      uint64
+	changed chan struct{}
+}
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{content: map[Kind][]Record{}, at: 1, changed: make(chan struct{})}
+}
+
+var errAway = errors.New("the store is away")
+
+func (s *memoryStore) List(_ context.Context, kind Kind) ([]Record, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists++
+	if s.failing {
+		return nil, 0, errAway
+	}
+	return s.content[kind], s.at, nil
+}
+
+func (s *memoryStore) Watch(ctx context.Context, kind Kind, after uint64, wait time.Duration, _ bool) ([]Record, uint64, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for last := wait == 0; ; {
+		s.mu.Lock()
+		var records []Record
+		for _, record := range s.content[kind] {
+			if record.Revision > after {
+				records = append(records, record)
+			}
+		}
+		failing, at, changed := s.failing, s.at, s.changed
+		s.mu.Unlock()
+		if failing {
+			return nil, 0, errAway
+		}
+		if len(records) > 0 || last {
+			return records, at, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			last = true
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// put adds or replaces a record.
+func (s *memoryStore) put(kind Kind, record Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at++
+	record.Revision = s.at
+	var rest []Record
+	for _, other := range s.content[kind] {
+		if other.Name != record.Name {
+			rest = append(rest, other)
+		}
+	}
+	s.content[kind] = append(rest, record)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *memoryStore) fail(failing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failing = failing
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *memoryStore) putConfiguration(version uint64) {
+	s.put(Configurations, Record{Name: "main", Configuration: ConfigurationOf(tableOf(version))})
+}
+
+func tableOf(version uint64) *route.Table {
+	routes := []*route.Route{
+		{Name: "a", Host: "one.test", Prefix: "/a/", Kind: route.Safe, Timeout: time.Second, Targets: []route.Target{{Service: "apps", Weight: 1}}},
+		{Name: "b", Host: "one.test", Prefix: "/a/b/", Kind: route.Streaming, Retained: true, Targets: []route.Target{{Service: "llm", Weight: 1}}},
+	}
+	return route.NewTable(version, routes, []route.Service{{Name: "apps"}, {Name: "llm", Generates: true, TokensPerEvent: 9}}, route.Limits{BodyBytes: 100})
+}
+
+// listener is a process's node and what it was told.
+type listener struct {
+	*Node
+	address string
+	stop    context.CancelFunc
+
+	mu        sync.Mutex
+	table     *route.Table
+	instances []backend.Instance
+	statuses  []Status
+}
+
+func (l *listener) locked(do func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	do()
+}
+
+// startNode runs a node that serves polls on a loopback address.
+func startNode(t *testing.T, options Options, batches []Batch) *listener {
+	l := &listener{}
+	options.Log = quiet()
+	options.Handlers = Handlers{
+		Configuration: func(table *route.Table) { l.locked(func() { l.table = table }) },
+		Instances:     func(instances []backend.Instance, _ bool) { l.locked(func() { l.instances = instances }) },
+		Status:        func(status Status) { l.locked(func() { l.statuses = append(l.statuses, status) }) },
+	}
+	l.Node = NewNode(options)
+	l.Load(batches)
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l.address = socket.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	l.stop = cancel
+	var running sync.WaitGroup
+	running.Go(func() { l.serve(ctx, socket) })
+	running.Go(func() { l.Run(ctx) })
+	t.Cleanup(func() { cancel(); running.Wait() })
+	return l
+}
+
+func (l *listener) awaitVersion(t *testing.T, version uint64) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.table != nil && l.table.Version == version
+	}, 30*time.Second, 5*time.Millisecond)
+}
+
+func TestAGatewayLearnsFromAReplicaAndDoesNotRead(t *testing.T) {
+	store, untouched := newMemoryStore(), newMemoryStore()
+	store.putConfiguration(7)
+	store.put(Instances, instance("i-1", 0))
+	replica := startNode(t, Options{Node: "r", Zone: "z", Role: replicaset.RoleReplica, Store: store}, nil)
+	gateway := startNode(t, Options{Node: "g", Zone: "z", Role: replicaset.RoleGateway, Seeds: []string{replica.address}, Store: untouched}, nil)
+	gateway.awaitVersion(t, 7)
+	gateway.locked(func() {
+		require.Equal(t, "b", gateway.table.Match("one.test", "/a/b/c").Name)
+		require.True(t, gateway.table.Services["llm"].Generates)
+		require.Equal(t, int64(100), gateway.table.Limits.BodyBytes)
+		require.Len(t, gateway.instances, 1)
+	})
+	store.putConfiguration(8)
+	gateway.awaitVersion(t, 8)
+	require.True(t, gateway.Status().Fresh())
+	require.Zero(t, untouched.lists)
+}
+
+// The store is away and all processes start: a replica's disk has what they serve from,
+// and it counts as a copy until the store itself speaks.
+func TestAGatewayStartsFromAReplicasDisk(t *testing.T) {
+	folder := t.TempDir()
+	store := newMemoryStore()
+	store.putConfiguration(7)
+	store.put(Instances, instance("i-1", 0))
+	before := startNode(t, Options{Node: "r", Zone: "z", Role: replicaset.RoleReplica, Store: store}, nil)
+	before.awaitVersion(t, 7)
+	require.Eventually(t, func() bool { return before.Positions().Complete() }, 30*time.Second, 5*time.Millisecond)
+	_, err := NewCopyFile(folder, quiet()).save(before.Snapshot())
+	require.NoError(t, err)
+
+	store.fail(true)
+	replica := startNode(t, Options{Node: "r", Zone: "z", Role: replicaset.RoleReplica, Store: store}, NewCopyFile(folder, quiet()).Load())
+	gateway := startNode(t, Options{Node: "g", Zone: "z", Role: replicaset.RoleGateway, Seeds: []string{replica.address}, Store: store}, nil)
+	gateway.awaitVersion(t, 7)
+	require.False(t, gateway.Status().Confirmed)
+	store.fail(false)
+	require.Eventually(t, func() bool { return gateway.Status().Fresh() }, 30*time.Second, 5*time.Millisecond)
+	gateway.locked(func() { require.True(t, gateway.statuses[len(gateway.statuses)-1].Confirmed) })
+}
+
+func TestAGatewayReadsTheStoreWhenItsUpstreamIsGone(t *testing.T) {
+	store := newMemoryStore()
+	store.putConfiguration(7)
+	replica := startNode(t, Options{Node: "r", Zone: "z", Role: replicaset.RoleReplica, Store: store}, nil)
+	gateway := startNode(t, Options{Node: "g", Zone: "z", Role: replicaset.RoleGateway, Seeds: []string{replica.address}, Store: store}, nil)
+	gateway.awaitVersion(t, 7)
+	replica.stop()
+	store.putConfiguration(8)
+	gateway.awaitVersion(t, 8)
+}
+
+// A replica that knows less than its asker, as after a restart from an old disk, does not
+// take anything back.
+func TestAnUpstreamThatIsBehindTakesNothingBack(t *testing.T) {
+	store := newMemoryStore()
+	store.putConfiguration(7)
+	first := startNode(t, Options{Node: "r1", Zone: "z", Role: replicaset.RoleReplica, Store: store}, nil)
+	first.awaitVersion(t, 7)
+	require.Eventually(t, func() bool { return first.Positions().Complete() }, 30*time.Second, 5*time.Millisecond)
+	old := first.Snapshot()
+	store.putConfiguration(8)
+	first.awaitVersion(t, 8)
+	away := newMemoryStore()
+	away.fail(true)
+	second := startNode(t, Options{Node: "r2", Zone: "z", Role: replicaset.RoleReplica, Store: away}, old)
+	gateway := startNode(t, Options{Node: "g", Zone: "z", Role: replicaset.RoleGateway, Seeds: []string{first.address, second.address}, Store: away}, nil)
+	gateway.awaitVersion(t, 8)
+	first.stop()
+	require.Eventually(t, func() bool { return !gateway.Status().Fresh() }, 30*time.Second, 5*time.Millisecond)
+	gateway.locked(func() { require.Equal(t, uint64(8), gateway.table.Version) })
+}
+
+func TestTheCopyOutlivesTheProcess(t *testing.T) {
+	folder := t.TempDir()
+	copied := NewCopyFile(folder, quiet())
+	batches := []Batch{snapshotAt(10, instance("a", 5), instance("b", 9))}
+	_, err := copied.save(batches)
+	require.NoError(t, err)
+	require.Equal(t, batches, NewCopyFile(folder, quiet()).Load())
+	_, err = NewCopyFile(folder, quiet()).save([]Batch{snapshotAt(11)})
+	require.NoError(t, err)
+}
+
+func TestATornCopyHoldsNothing(t *testing.T) {
+	folder := t.TempDir()
+	_, err := NewCopyFile(folder, quiet()).save([]Batch{snapshotAt(10, instance("a", 5))})
+	require.NoError(t, err)
+	path := filepath.Join(folder, copyName)
+	content, err := os.ReadFile(path)
+	require.NoError(t, err)
+	for _, length := range []int{0, 1, len(content) / 2, len(content) - 1} {
+		require.NoError(t, os.WriteFile(path, content[:length], 0o600))
+		require.Empty(t, NewCopyFile(folder, quiet()).Load())
+	}
+}
+
+// Entries that all lapsed say nothing to a process that starts: the last list stays, at
+// its own revision.
+func TestACopyKeepsTheLastInstances(t *testing.T) {
+	folder := t.TempDir()
+	copied := NewCopyFile(folder, quiet())
+	_, err := copied.save([]Batch{snapshotAt(10, instance("a", 5))})
+	require.NoError(t, err)
+	_, err = copied.save([]Batch{snapshotAt(12)})
+	require.NoError(t, err)
+	again := NewCopyFile(folder, quiet())
+	require.Equal(t, []Batch{snapshotAt(10, instance("a", 5))}, again.Load())
+	_, err = again.save([]Batch{snapshotAt(14)})
+	require.NoError(t, err)
+	require.Equal(t, []Batch{snapshotAt(10, instance("a", 5))}, NewCopyFile(folder, quiet()).Load(), "also by the next process")
+}
+
+// FuzzReply decodes what a broken peer may send and applies it.
+func FuzzReply(f *testing.F) {
+	var seed bytes.Buffer
+	reply := Reply{Batches: []Batch{snapshotAt(10, instance("a", 5)), {Kind: Configurations, Snapshot: true, At: 3}}, Status: Status{Confirmed: true}}
+	require.NoError(f, gob.NewEncoder(&seed).Encode(reply))
+	f.Add(seed.Bytes())
+	f.Add([]byte("no message"))
+	f.Fuzz(func(_ *testing.T, content []byte) {
+		var decoded Reply
+		if gob.NewDecoder(bytes.NewReader(content)).Decode(&decoded) != nil {
+			return
+		}
+		core := NewCore[string](CoreOptions{Node: "g", Zone: "z", Role: replicaset.RoleGateway, ReadAfter: readAfter(replicaset.RoleGateway)})
+		core.Begin(begin)
+		output := core.Heard(begin, Upstream{}, decoded)
+		for _, change := range output.Changes {
+			Handlers{Configuration: func(*route.Table) {}, Instances: func([]backend.Instance, bool) {}}.changed(change, false)
+		}
+	})
+}
--- a/platform/pacer.go
+++ b/internal/feed/pacer.go
@@ -1,4 +1,4 @@
-package platform
+package feed
 
 import "time"
 
@@ -18,8 +18,6 @@
 	// instancePace stays well below the two seconds within which a leaving instance
 	// must get nothing new.
 	instancePace = pace{first: 25 * time.Millisecond, most: 600 * time.Millisecond, young: 1200 * time.Millisecond}
-	// copyPace is for the copy of the instances that a replica keeps for others.
-	copyPace = pace{first: 2 * time.Second, most: 8 * time.Second}
 	// memberPace is for the members of the fleet: a gateway that learns late of a
 	// replica's new disk or address refuses turns meanwhile.
 	memberPace = pace{first: 250 * time.Millisecond, most: 250 * time.Millisecond}
--- /dev/null
+++ b/internal/feed/reader.go
@@ -0,0 +1,55 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+// ErrHistoryGone says that the store has forgotten the changes after a revision: the kind
+// must be listed again.
+var ErrHistoryGone = errors.New("feed: the store has forgotten the history after this revision")
+
+// Store is the operators' shared store.
+type Store interface {
+	// List returns all objects of a kind and a revision: changes after it come by Watch.
+	List(ctx context.Context, kind Kind) (records []Record, at uint64, err error)
+	// Watch waits for changes after a revision and returns them with the revision up to
+	// which there are no others. A stale one may miss the newest. The error may be
+	// ErrHistoryGone.
+	Watch(ctx context.Context, kind Kind, after uint64, wait time.Duration, stale bool) (records []Record, at uint64, err error)
+}
+
+// knowledge is what a reader fills.
+type knowledge interface {
+	// position returns up to where all changes of a kind are known.
+	position(kind Kind) Position
+	// read takes what the store told.
+	read(batch Batch)
+	// answered notes that the store told of a kind; contact that the store is lost or
+	// reached again.
+	answered(kind Kind)
+	contact(err error)
+	// callFailed is told of each call that failed.
+	callFailed(kind Kind, err error)
+}
+
+// readStore lists and watches all kinds until the context ends.
+func readStore(ctx context.Context, store Store, known knowledge) {
+	paces := map[Kind]pace{Configurations: promptPace, Instances: instancePace, Members: memberPace, Retirements: memberPace}
+	urgent := map[Kind]bool{Configurations: true, Instances: true}
+	watcher := &monitor{store: store, known: known}
+	for _, kind := range Kinds() {
+		watcher.informers = append(watcher.informers, &informer{
+			store: store, known: known, kind: kind, urgent: urgent[kind], pacer: pacer{pace: paces[kind]},
+		})
+	}
+	var running conc.WaitGroup
+	running.Go(func() { watcher.run(ctx) })
+	for _, informer := range watcher.informers {
+		running.Go(func() { informer.run(ctx) })
+	}
+	running.Wait()
+}
--- /dev/null
+++ b/internal/gateway/knowledge.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"time"
+
+	"swiftbank.dev/swiftbank/internal/backend"
+	"swiftbank.dev/swiftbank/internal/feed"
+	"swiftbank.dev/swiftbank/internal/quorum"
+	"swiftbank.dev/swiftbank/internal/registry"
+	"swiftbank.dev/swiftbank/internal/replicaset"
+	"swiftbank.dev/swiftbank/internal/route"
+)
+
+// ConfigurationChanged puts a configuration in force unless a newer one is.
+func (s *Server) ConfigurationChanged(table *route.Table) {
+	present := s.table.Load()
+	if present != nil && present.Version >= table.Version {
+		return
+	}
+	s.table.Store(table)
+	s.boundIdle()
+	s.log.Info().Str("event", "configuration_changed").Uint64("version", table.Version).Int("routes", table.RouteCount()).
+		Dur("age", s.knowledgeAge()).Msg("")
+}
+
+// boundIdle shares each service's limit of connections among the gateways: those that
+// are idle here may take half of this one's part.
+func (s *Server) boundIdle() {
+	table := s.table.Load()
+	if table == nil {
+		return
+	}
+	gateways := max(1, int(s.gateways.Load()))
+	for name, service := range table.Services {
+		if service.ConnectionLimit > 0 {
+			s.pool.SetIdleLimit(name, max(1, service.ConnectionLimit/(2*gateways)))
+		}
+	}
+}
+
+// InstancesChanged replaces the list of instances. A doubtful list may lack some that are
+// there.
+func (s *Server) InstancesChanged(instances []backend.Instance, doubtful bool) {
+	gone := s.directory.Update(time.Now(), instances, doubtful)
+	for _, id := range gone {
+		s.pool.Forget(id)
+	}
+	s.listedAt.Store(int64(time.Since(s.started)))
+	s.known.Store(true)
+	leaving := 0
+	for _, instance := range instances {
+		if instance.Leaving {
+			leaving++
+		}
+	}
+	s.log.Info().Str("event", "back_ends_changed").Int("instances", len(instances)).Int("leaving", leaving).
+		Bool("doubtful", doubtful).Strs("gone", gone).Dur("age", s.knowledgeAge()).Msg("")
+}
+
+// MembersChanged replaces the product's own objects: the cells of replicas and the other
+// gateways.
+func (s *Server) MembersChanged(objects []registry.Object, gossip *Gossip, relays *quorum.Relays) {
+	membership := replicaset.Read(objects)
+	s.replicas.SetMembership(membership)
+	gossip.SetGateways(membership.Gateways)
+	s.gossip.Store(gossip)
+	relays.SetGateways(membership.Gateways)
+	s.gateways.Store(int64(len(membership.Gateways)))
+	s.boundIdle()
+}
+
+// listAge returns how long ago the list of instances last changed.
+func (s *Server) listAge() time.Duration {
+	return time.Since(s.started) - time.Duration(s.listedAt.Load())
+}
+
+// knowledge is what the gateway was told of the worth of what it knows.
+type knowledge struct {
+	status feed.Status
+	toldAt time.Time
+	// staleSince is when the status stopped being fresh; zero while it is.
+	staleSince time.Time
+}
+
+// KnowledgeChanged says how fresh configuration and instances are from now on.
+func (s *Server) KnowledgeChanged(status feed.Status) {
+	now := time.Now()
+	next := &knowledge{status: status, toldAt: now}
+	if !status.Fresh() {
+		next.staleSince = now
+		if before := s.knowledge.Load(); before != nil && !before.staleSince.IsZero() {
+			next.staleSince = before.staleSince
+		}
+	}
+	s.knowledge.Store(next)
+	s.log.Info().Str("event", "knowledge_changed").Bool("fresh", status.Fresh()).Bool("confirmed", status.Confirmed).
+		Bool("lost", status.Lost).Dur("age", status.Age).Msg("")
+}
+
+// knowledgeAge returns how old the gateway's knowledge was when it was last told, for the
+// logs.
+func (s *Server) knowledgeAge() time.Duration {
+	known := s.knowledge.Load()
+	if known == nil {
+		return 0
+	}
+	return known.status.Age
+}
+
+// configurationDoubtful reports whether the configuration may be out of date.
+func (s *Server) configurationDoubtful() bool {
+	known := s.knowledge.Load()
+	if known == nil || !known.status.Confirmed {
+		return true
+	}
+	return !known.staleSince.IsZero() && time.Since(known.staleSince) > configurationDoubt
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,8 @@
 	sends       prometheus.Counter
 	relayed     prometheus.Counter
 	store       *prometheus.CounterVec
+	feedAge     prometheus.Gauge
+	feedReading prometheus.Gauge
 }
 
 // NewMetrics registers a gateway's metrics.
@@ -49,10 +51,22 @@
 			Name: "swiftbank_store_calls_total", Help: "Calls to the shared store by method and status.", ConstLabels: labels,
 		}, []string{"method", "status"}),
 	}
-	m.Registry.MustRegister(m.requests, m.latency, m.reserve, m.commit, m.connections, m.sends, m.relayed, m.store)
+	m.feedAge = prometheus.NewGauge(prometheus.GaugeOpts{Name: "swiftbank_feed_age_seconds", Help: "Age of what is known of the shared store.", ConstLabels: labels})
+	m.feedReading = prometheus.NewGauge(prometheus.GaugeOpts{Name: "swiftbank_feed_reading", Help: "1 while this process reads the shared store itself.", ConstLabels: labels})
+	m.Registry.MustRegister(m.feedAge, m.feedReading, m.requests, m.latency, m.reserve, m.commit, m.connections, m.sends, m.relayed, m.store)
 	return m
 }
 
+// FeedAge notes how old the knowledge of the shared store is, and whether this process
+// reads the store itself.
+func (m *Metrics) FeedAge(seconds float64, reading bool) {
+	m.feedAge.Set(seconds)
+	m.feedReading.Set(0)
+	if reading {
+		m.feedReading.Set(1)
+	}
+}
+
 // StoreCall counts a call to the shared store; status 0 is a call without an answer.
 func (m *Metrics) StoreCall(method string, status int) {
 	m.store.WithLabelValues(method, strconv.Itoa(status)).Inc()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -30,14 +30,11 @@
 	headerLimit = 10 * time.Second
 	// leaveNotice is how long new callers may still come after readiness ended.
 	leaveNotice = 2500 * time.Millisecond
-	// listDoubt is how long after the loss of their source a list of instances may lack
-	// some that are there. It is short, for the loss may have been of the path to the
-	// source alone, and what leaves then does leave.
-	listDoubt = time.Second
 	// endPoll is how often a stop looks whether the last request ended.
 	endPoll = 25 * time.Millisecond
-	// configurationDoubt is how long the configuration's source may be lost before an
-	// unknown route is no longer believed not to exist.
+	// configurationDoubt is how long the configuration may be stale before a route that it
+	// lacks is no longer taken not to exist. It is below the least time in which a change
+	// must be in force on any deployment so far (2 s).
 	configurationDoubt = 1500 * time.Millisecond
 )
 
@@ -78,22 +75,12 @@
 	// endsAt is when a planned stop cuts what is left, in nanoseconds since the start. It
 	// is set once no new callers come; zero before.
 	endsAt atomic.Int64
-	// lostSince is when the source of the configuration was lost, in nanoseconds since
-	// the start; zero while it is in reach.
-	lostSince atomic.Int64
-	// regainedAt is when that source was last reached again, in the same way.
-	regainedAt atomic.Int64
+	// knowledge says how fresh configuration and instances are; nil before that is known.
+	knowledge atomic.Pointer[knowledge]
 	// listedAt is when the list of instances last changed, since the start.
 	listedAt atomic.Int64
 	started  time.Time
 
-	// sources makes what comes from the store and from copies of it come one by one;
-	// heard says what the store itself has told, which no copy replaces. fromCopy is set
-	// while the configuration in force is a copy.
-	sources  sync.Mutex
-	heard    heard
-	fromCopy atomic.Bool
-
 	mu       sync.Mutex
 	splitter *route.Splitter
 	inFlight atomic.Int64
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -30,7 +30,7 @@
 		Targets: []route.Target{{Service: "apps", Weight: 1}},
 	}}, []route.Service{{Name: "apps"}}, route.Limits{})
 	s.ConfigurationChanged(table)
-	s.BackEndsChanged(nil)
+	s.InstancesChanged(nil, false)
 	return s
 }
 
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -47,8 +47,8 @@
 	reason       string
 }
 
-// RegistryChanged takes in the registry's objects.
-func (s *Server) RegistryChanged(objects []registry.Object) {
+// MembersChanged replaces the registry's objects.
+func (s *Server) MembersChanged(objects []registry.Object) {
 	s.post(func() { s.readRegistry(replicaset.Read(objects)) })
 }
 
@@ -285,7 +285,7 @@
 	ctx, cancel := context.WithCancel(s.context)
 	s.members.registration = cancel
 	own := s.own()
-	go replicaset.Register(ctx, s.options.Registry, own, func(err error) {
+	go replicaset.Register(ctx, s.options.Registry, own, s.options.Known, func(err error) {
 		s.log.Warn().Str("event", "register_failed").Err(err).Msg("")
 	})
 }
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -20,6 +20,8 @@
 	programs prometheus.Gauge
 	bytes    prometheus.Gauge
 	store    *prometheus.CounterVec
+
+	feedAge, feedReading prometheus.Gauge
 }
 
 // NewMetrics registers a replica's metrics.
@@ -49,10 +51,22 @@
 	m.store = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "swiftbank_store_calls_total", Help: "Calls to the shared store by method and status.", ConstLabels: labels,
 	}, []string{"method", "status"})
-	m.Registry.MustRegister(m.store, m.requests, m.syncs, m.batch, m.epoch, m.turns, m.programs, m.bytes)
+	m.feedAge = gauge("swiftbank_feed_age_seconds", "Age of what is known of the shared store.")
+	m.feedReading = gauge("swiftbank_feed_reading", "1 while this process reads the shared store itself.")
+	m.Registry.MustRegister(m.feedAge, m.feedReading, m.store, m.requests, m.syncs, m.batch, m.epoch, m.turns, m.programs, m.bytes)
 	return m
 }
 
+// FeedAge notes how old the knowledge of the shared store is, and whether this process
+// reads the store itself.
+func (m *Metrics) FeedAge(seconds float64, reading bool) {
+	m.feedAge.Set(seconds)
+	m.feedReading.Set(0)
+	if reading {
+		m.feedReading.Set(1)
+	}
+}
+
 // StoreCall counts a call to the shared store; status 0 is a call without an answer.
 func (m *Metrics) StoreCall(method string, status int) {
 	m.store.WithLabelValues(method, strconv.Itoa(status)).Inc()
--- /dev/null
+++ b/internal/replica/retirement.go
@@ -0,0 +1,36 @@
+package replica
+
+import (
+	"context"
+
+	"swiftbank.dev/swiftbank/internal/feed"
+)
+
+// Retirements takes the reports on machines that are emptied.
+type Retirements interface {
+	// ReportRetirement tries until the report is taken or the context ends.
+	ReportRetirement(ctx context.Context, node string, state feed.RetirementState)
+}
+
+// RetirementsChanged takes the operator's requests to empty machines, by node.
+func (s *Server) RetirementsChanged(states map[string]feed.RetirementState) {
+	state := states[s.options.Node]
+	if state == feed.NotRetiring || state == feed.RetirementCompleted {
+		return
+	}
+	s.post(func() {
+		if s.members.leaving {
+			return
+		}
+		if state == feed.RetirementAsked {
+			s.reportRetirement(feed.RetirementRunning)
+		}
+		s.Leave(func() { s.reportRetirement(feed.RetirementCompleted) })
+	})
+}
+
+// reportRetirement tells the operator in the background.
+func (s *Server) reportRetirement(state feed.RetirementState) {
+	s.log.Info().Str("event", "retirement_reported").Bool("complete", state == feed.RetirementCompleted).Msg("")
+	go s.options.Retirements.ReportRetirement(s.context, s.options.Node, state)
+}
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -36,16 +36,21 @@
 type Options struct {
 	Node string
 	Zone string
-	// Address is listened on; Advertised is where the others reach it.
+	// Address is listened on; Advertised is where the others reach it. Feed is where it
+	// hands on what the shared store says, "" if it does not.
 	Address    string
 	Advertised string
+	Feed       string
 	DataFolder string
 	DiskMB     int
 	// Tolerate is how many machines with disks may be lost at once.
 	Tolerate int
 	Registry registry.Registry
-	Log      *log.Logger
-	Metrics  *Metrics
+	// Known returns a registry object as far as it is known here without a call.
+	Known       func(name string) (registry.Object, bool)
+	Retirements Retirements
+	Log         *log.Logger
+	Metrics     *Metrics
 }
 
 // Server is one replica. Its state belongs to the goroutine of Run.
@@ -58,6 +63,8 @@
 	peers   map[string]*peerState
 	members membership
 	context context.Context
+	// ended is closed when the loop takes no more work.
+	ended chan struct{}
 
 	started  time.Time
 	purgedAt time.Time
@@ -69,6 +76,7 @@
 	s := &Server{
 		options: options, log: options.Log,
 		inbox: make(chan func(), inboxEvents), peers: map[string]*peerState{}, context: context.Background(),
+		ended: make(chan struct{}),
 	}
 	if options.Metrics == nil {
 		s.options.Metrics = NewMetrics(options.Node)
@@ -113,7 +121,7 @@
 func (s *Server) own() replicaset.Node {
 	node := replicaset.Node{
 		Name: s.options.Node, Role: replicaset.RoleReplica, Address: s.options.Advertised,
-		Zone: s.options.Zone, Disk: s.state.Disk(), Leaving: s.members.leaving,
+		Zone: s.options.Zone, Feed: s.options.Feed, Disk: s.state.Disk(), Leaving: s.members.leaving,
 	}
 	if cell := s.members.cell; cell != replicaset.NoCell {
 		node.Cell = &cell
@@ -125,7 +133,7 @@
 func (s *Server) post(work func()) {
 	select {
 	case s.inbox <- work:
-	case <-s.context.Done():
+	case <-s.ended:
 	}
 }
 
@@ -144,6 +152,7 @@
 	running.Go(func() { s.syncer.run(ctx) })
 	s.register()
 	s.loop(ctx)
+	close(s.ended)
 	cancel()
 	server.Close()
 	for _, peer := range s.peers {
--- a/internal/replicaset/register.go
+++ b/internal/replicaset/register.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"reflect"
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/registry"
@@ -19,12 +20,16 @@
 	registryRetry = 200 * time.Millisecond
 )
 
-// Register writes a node's description under its name until that has succeeded.
-func Register(ctx context.Context, objects registry.Registry, node Node, failed func(error)) {
+// Known returns a registry object as far as a process knows it without a call.
+type Known func(name string) (registry.Object, bool)
+
+// Register writes a node's description under its name until that has succeeded. It makes
+// no call when the registry is known to hold it.
+func Register(ctx context.Context, objects registry.Registry, node Node, known Known, failed func(error)) {
 	content, _ := json.Marshal(node) // plain strings always encode
 	name := nodePrefix + node.Name
 	for ctx.Err() == nil {
-		err := put(ctx, objects, name, content)
+		err := put(ctx, objects, name, content, known)
 		if err == nil {
 			return
 		}
@@ -34,16 +39,38 @@
 }
 
 // put creates an object, or replaces the one that is there.
-func put(ctx context.Context, objects registry.Registry, name string, content []byte) error {
+func put(ctx context.Context, objects registry.Registry, name string, content []byte, known Known) error {
 	ctx, cancel := context.WithTimeout(ctx, registryTimeout)
 	defer cancel()
-	err := objects.Create(ctx, name, content)
+	present, exists := known(name)
+	if !exists {
+		err := objects.Create(ctx, name, content)
+		if !errors.Is(err, registry.ErrConflict) {
+			return err
+		}
+		if present, err = objects.Get(ctx, name); err != nil {
+			return err
+		}
+	}
+	if sameDescription(present.Value, content) {
+		return nil
+	}
+	err := objects.Replace(ctx, name, content, present.Revision)
 	if !errors.Is(err, registry.ErrConflict) {
 		return err
 	}
-	present, err := objects.Get(ctx, name)
-	if err != nil {
+	if present, err = objects.Get(ctx, name); err != nil {
 		return err
 	}
 	return objects.Replace(ctx, name, content, present.Revision)
 }
+
+// sameDescription compares two descriptions of nodes by what they say: the registry may
+// have written one in another way.
+func sameDescription(a, b []byte) bool {
+	var first, second Node
+	if json.Unmarshal(a, &first) != nil || json.Unmarshal(b, &second) != nil {
+		return false
+	}
+	return reflect.DeepEqual(first, second)
+}
--- a/internal/replicaset/set.go
+++ b/internal/replicaset/set.go
@@ -74,6 +74,8 @@
 	Role    string `json:"role"`
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
+	// Feed is where a replica hands on what the shared store says; "" if it does not.
+	Feed string `json:"feed,omitempty"`
 	// Disk is set for replicas.
 	Disk string `json:"disk,omitempty"`
 	// Cell is the cell a replica belongs to, nil while it has none.
