A fleet that lost all power learns what the store says sooner

Seeds were tried one after the other, 300 ms each while their machines were off, and a replica answered polls only after it had read its log (320 to 345 ms). Ruled out: the store (it answered), the replicas' reading of it. Change: seeds are one upstream, dialled at the same time; the one that accepted and then did not answer is left out next time. A replica serves the copy of its disk before it reads its log. The first pause before an upstream is tried again is a tick (100 ms, was 500 ms). Test: TestOneSeedOfSeveralIsEnough.

--- a/internal/command/replica.go
+++ b/internal/command/replica.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 
 	"github.com/sourcegraph/conc"
@@ -48,16 +49,20 @@
 	defer process.close()
 	metrics := replica.NewMetrics(config.Node)
 	store := platform.NewStore(config.StoreAddress, metrics.StoreCall, process.storeCallFailed)
-	var server *replica.Server
+	starting := &startingReplica{}
 	knowledge := feed.NewNode(feed.Options{
 		Node: config.Node, Zone: config.Zone, Role: replicaset.RoleReplica, Store: store,
 		Metrics: metrics, Log: process.log, StoreFailed: process.storeCallFailed,
 		StoreContact: func(err error) { process.contact("store", err) },
-		Handlers: feed.Handlers{
-			Members:     func(objects []registry.Object) { server.MembersChanged(objects) },
-			Retirements: func(states map[string]feed.RetirementState) { server.RetirementsChanged(states) },
-		},
+		Handlers:     feed.Handlers{Members: starting.membersChanged, Retirements: starting.retirementsChanged},
 	})
+	copied := feed.NewCopyFile(config.DataFolder, process.log)
+	knowledge.Load(copied.Load())
+	var running conc.WaitGroup
+	if config.CopyAddress != "" {
+		running.Go(func() { process.failing("feed", knowledge.Serve(ctx, config.CopyAddress)) })
+	}
+	running.Go(func() { knowledge.Run(ctx) })
 	server, err := replica.New(replica.Options{
 		Node: config.Node, Zone: config.Zone, Address: config.PeerAddress, Advertised: config.Advertised(), Feed: config.CopyAddress,
 		DataFolder: config.DataFolder, DiskMB: config.DiskMB, Tolerate: config.TolerateMachines, Registry: store,
@@ -67,14 +72,8 @@
 		process.log.Error().Str("event", "start_failed").Err(err).Msg("")
 		return err
 	}
-	copied := feed.NewCopyFile(config.DataFolder, process.log)
-	knowledge.Load(copied.Load())
-	var running conc.WaitGroup
+	starting.started(server)
 	running.Go(func() { copied.Run(ctx, knowledge) })
-	if config.CopyAddress != "" {
-		running.Go(func() { process.failing("feed", knowledge.Serve(ctx, config.CopyAddress)) })
-	}
-	running.Go(func() { knowledge.Run(ctx) })
 	running.Go(func() { process.failing("metrics", serveMetrics(ctx, config.MetricsAddress, metrics.Registry)) })
 	running.Go(func() {
 		process.watchReload(ctx, func() (settings.Member, error) {
@@ -84,3 +83,43 @@
 	})
 	return server.Run(ctx)
 }
+
+// startingReplica keeps what the feed tells until the replica has read its log: what others
+// learn from this process does not wait for that.
+type startingReplica struct {
+	mu          sync.Mutex
+	server      *replica.Server
+	members     []registry.Object
+	retirements map[string]feed.RetirementState
+}
+
+func (s *startingReplica) membersChanged(objects []registry.Object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.server != nil {
+		s.server.MembersChanged(objects)
+		return
+	}
+	s.members = objects
+}
+
+func (s *startingReplica) retirementsChanged(states map[string]feed.RetirementState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.server != nil {
+		s.server.RetirementsChanged(states)
+		return
+	}
+	s.retirements = states
+}
+
+// started hands over what was told so far.
+func (s *startingReplica) started(server *replica.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.server = server
+	if s.members != nil {
+		server.MembersChanged(s.members)
+	}
+	server.RetirementsChanged(s.retirements)
+}
--- a/internal/feed/candidates.go
+++ b/internal/feed/candidates.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -16,12 +17,17 @@
 
 // Upstream is a process that may be followed.
 type Upstream struct {
-	// Node is its name; a seed, which settings name by its address alone, has none.
-	Node    string
+	// Node is its name; seeds, which settings name by their addresses alone, have none.
+	Node string
+	// Address is where it is polled. Several, separated by commas, are tried at the same
+	// time, and the first that accepts a connection is followed.
 	Address string
 	Zone    string
 }
 
+// addressSeparator stands between several addresses of an Upstream.
+const addressSeparator = ","
+
 // ReplicaUpstreams returns the upstreams of a replica: those of its zone that rank before
 // it, first the first. The order by name is the same everywhere, so nobody follows in a
 // circle.
@@ -64,12 +70,13 @@
 	return Upstream{Node: node.Name, Address: node.Feed, Zone: node.Zone}
 }
 
+// seedUpstreams returns the seeds as one upstream: a process that starts knows nothing, and
+// some of the seeds may be gone.
 func seedUpstreams(seeds []string) []Upstream {
-	var upstreams []Upstream
-	for _, address := range seeds {
-		upstreams = append(upstreams, Upstream{Address: address})
+	if len(seeds) == 0 {
+		return nil
 	}
-	return upstreams
+	return []Upstream{{Address: strings.Join(seeds, addressSeparator)}}
 }
 
 // sortFor sorts upstreams by a hash of both names (rendezvous hashing): a change of the
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -6,6 +6,8 @@
 	"encoding/gob"
 	"fmt"
 	"net"
+	"slices"
+	"strings"
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/peer"
@@ -68,10 +70,11 @@
 
 // follow polls one upstream until it fails or the context ends.
 func (n *Node) follow(ctx context.Context, upstream Upstream) error {
-	connection, err := peer.Dialer(dialTimeout).DialContext(ctx, "tcp", upstream.Address)
+	connection, err := dialAny(ctx, n.addressesOf(upstream))
 	if err != nil {
 		return fmt.Errorf("feed: %w", err)
 	}
+	n.unanswering = connection.RemoteAddr().String()
 	defer connection.Close()
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	defer stop()
@@ -82,10 +85,63 @@
 		if err != nil {
 			return err
 		}
+		n.unanswering = ""
 		n.heard(ctx, upstream, reply)
 	}
 }
 
+// addressesOf returns where to poll an upstream. Of several addresses the one that accepted
+// a connection and then did not answer is left out once.
+func (n *Node) addressesOf(upstream Upstream) []string {
+	addresses := strings.Split(upstream.Address, addressSeparator)
+	if len(addresses) > 1 {
+		addresses = slices.DeleteFunc(addresses, func(address string) bool { return address == n.unanswering })
+	}
+	n.unanswering = ""
+	return addresses
+}
+
+// dialed is the end of one try to connect.
+type dialed struct {
+	connection net.Conn
+	err        error
+}
+
+// dialAny connects to all addresses at the same time and returns the first connection, or
+// the last error.
+func dialAny(ctx context.Context, addresses []string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	results := make(chan dialed, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			connection, err := peer.Dialer(dialTimeout).DialContext(ctx, "tcp", address)
+			results <- dialed{connection: connection, err: err}
+		}()
+	}
+	var last error
+	for tried := range addresses {
+		result := <-results
+		if result.err != nil {
+			last = result.err
+			continue
+		}
+		go closeRest(cancel, results, len(addresses)-tried-1)
+		return result.connection, nil
+	}
+	cancel()
+	return nil, last
+}
+
+// closeRest ends the tries that came second.
+func closeRest(cancel context.CancelFunc, results <-chan dialed, count int) {
+	cancel()
+	for range count {
+		if result := <-results; result.err == nil {
+			_ = result.connection.Close()
+		}
+	}
+}
+
 // poll asks once and waits for the answer.
 func poll(connection net.Conn, encoder *gob.Encoder, decoder *gob.Decoder, request Request) (Reply, error) {
 	if err := connection.SetDeadline(time.Now().Add(answerTimeout)); err != nil {
--- a/internal/feed/node.go
+++ b/internal/feed/node.go
@@ -112,6 +112,9 @@
 	// stopFollow and stopRead end what is under way.
 	wakeFollow, wakeRead chan struct{}
 	stopFollow, stopRead context.CancelFunc
+	// unanswering is the address that was connected last and has not answered since. It
+	// belongs to the loop that follows.
+	unanswering string
 }
 
 // NewNode returns a node that knows nothing yet.
--- a/internal/feed/node_test.go
+++ b/internal/feed/node_test.go
@@ -207,6 +207,25 @@
 	gateway.locked(func() { require.True(t, gateway.statuses[len(gateway.statuses)-1].Confirmed) })
 }
 
+// Some seeds are of no use: one refuses, one accepts and never answers.
+func TestOneSeedOfSeveralIsEnough(t *testing.T) {
+	store, untouched := newMemoryStore(), newMemoryStore()
+	store.putConfiguration(7)
+	replica := startNode(t, Options{Node: "r", Zone: "z", Role: replicaset.RoleReplica, Store: store}, nil)
+	replica.awaitVersion(t, 7)
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, gone.Close())
+	frozen, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = frozen.Close() })
+	for range 3 { // whichever of them accepts first
+		seeds := []string{frozen.Addr().String(), gone.Addr().String(), replica.address}
+		gateway := startNode(t, Options{Node: "g", Zone: "z", Role: replicaset.RoleGateway, Seeds: seeds, Store: untouched}, nil)
+		gateway.awaitVersion(t, 7)
+	}
+}
+
 func TestAGatewayReadsTheStoreWhenItsUpstreamIsGone(t *testing.T) {
 	store := newMemoryStore()
 	store.putConfiguration(7)
--- a/internal/feed/selector.go
+++ b/internal/feed/selector.go
@@ -12,11 +12,12 @@
 	// trialLimit is how long a new upstream may take to show fresh knowledge.
 	trialLimit = time.Second
 	// avoidFirst and avoidMost bound how long an upstream that failed is passed over; the
-	// time doubles with each failure in a row.
-	avoidFirst = 500 * time.Millisecond
+	// time doubles with each failure in a row. The first is as short as a tick: a process
+	// that starts beside its upstreams finds them a moment later.
+	avoidFirst = tickInterval
 	avoidMost  = 30 * time.Second
 	// mostDoublings reaches avoidMost.
-	mostDoublings = 6
+	mostDoublings = 9
 	// handBack is how long an upstream must be fresh before this process stops reading
 	// the store itself.
 	handBack = time.Second
