Placements among many instances compare those with an idle connection and those of the own zone

Cause: a placement compares a sample of 24 instances taken in turn. Change: the sample begins with the instances that probably hold parts of the prompt (as before), those with an idle connection here, and up to twelve of the own zone; the rest in turn. Services of up to 24 instances are compared whole, as before. Tests: TestAGatewayKeepsToFewInstancesOfALargeService, TestInstancesOfTheOwnZoneAreAlwaysCompared (both fail without the change).

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -55,8 +55,10 @@
 	// unlistedUntil is set on an instance that the list lacks, while the list may be
 	// wrong: it serves on until then.
 	unlistedUntil time.Time
-	cache         promptCache
-	slowness      slowness
+	// sampled is the number of the last placement that looked at it.
+	sampled  uint64
+	cache    promptCache
+	slowness slowness
 }
 
 func (m *member) load() int { return m.inFlight + m.remote }
@@ -77,19 +79,25 @@
 // Directory holds the instances of all services. It is safe for concurrent use.
 type Directory struct {
 	zone string
-	// connected reports whether a connection to an instance rests here; nil knows of none.
+	// connected reports whether there is an idle connection to an instance, idle lists the
+	// instances with one; nil knows of none.
 	connected func(instance string) bool
+	idle      func() []string
 
 	mu      sync.Mutex
 	members map[string]*member
 	// byService lists the members of each service in the order of their ids.
 	byService map[string][]*member
-	reports   map[LoadSource]remoteReport
+	// near lists those of the own zone among them.
+	near    map[string][]*member
+	reports map[LoadSource]remoteReport
 	// ranLast is the instance that had a prompt part last, for the parts of this
 	// gateway's own requests.
 	ranLast map[string]string
 	// turn counts placements; seed is what they begin from at this gateway.
 	turn, seed uint64
+	// samples numbers the placements.
+	samples uint64
 	// paces is what is known of how fast each service works.
 	paces map[string]*pace
 }
@@ -103,9 +111,9 @@
 	}
 }
 
-// UseConnections makes placements prefer instances to which a connection rests. It
-// must be called before the first Pick.
-func (d *Directory) UseConnections(pool *Pool) { d.connected = pool.rests }
+// UseConnections makes placements prefer instances with an idle connection. It must be
+// called before the first Pick.
+func (d *Directory) UseConnections(pool *Pool) { d.connected, d.idle = pool.isIdle, pool.idleInstances }
 
 // SeedWith makes this gateway's choices among equal instances differ from those of
 // gateways with other names.
@@ -141,10 +149,14 @@
 			gone = append(gone, id)
 		}
 	}
-	d.byService = map[string][]*member{}
+	d.byService, d.near = map[string][]*member{}, map[string][]*member{}
 	for _, id := range slices.Sorted(maps.Keys(d.members)) {
 		known := d.members[id]
-		d.byService[known.instance.Service] = append(d.byService[known.instance.Service], known)
+		service := known.instance.Service
+		d.byService[service] = append(d.byService[service], known)
+		if known.instance.Zone == d.zone {
+			d.near[service] = append(d.near[service], known)
+		}
 	}
 	return gone
 }
--- a/internal/backend/directory_test.go
+++ b/internal/backend/directory_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -166,6 +168,42 @@
 	}
 }
 
+// A gateway with few requests among many instances once met each of them with a
+// connection of its own: one that was idle was seldom among those that it compared.
+func TestAGatewayKeepsToFewInstancesOfALargeService(t *testing.T) {
+	d := NewDirectory("z")
+	d.Update(start, engines(102), false)
+	idle := map[string]bool{}
+	d.connected = func(instance string) bool { return idle[instance] }
+	d.idle = func() []string { return slices.Sorted(maps.Keys(idle)) }
+	for range 200 {
+		choice, _ := d.Pick(start, Demand{Service: "llm"})
+		idle[choice.Instance.ID] = true
+		d.End(start, choice.Instance.ID, Answered)
+	}
+	require.Len(t, idle, 1)
+	for range 20 { // requests at the same time take further ones
+		choice, _ := d.Pick(start, Demand{Service: "llm"})
+		idle[choice.Instance.ID] = true
+	}
+	require.Greater(t, len(idle), 2)
+}
+
+func TestInstancesOfTheOwnZoneAreAlwaysCompared(t *testing.T) {
+	d := NewDirectory("z")
+	all := engines(102)
+	for i := range all {
+		all[i].Zone = "far"
+	}
+	all[77].Zone = "z"
+	d.Update(start, all, false)
+	for range 50 {
+		choice, _ := d.Pick(start, Demand{Service: "llm"})
+		require.Equal(t, all[77].ID, choice.Instance.ID)
+		d.End(start, choice.Instance.ID, Answered)
+	}
+}
+
 // With 9 or 3 instances all equal requests once went to the same one, with 12 to two.
 func TestEqualInstancesGetEqualShares(t *testing.T) {
 	for _, count := range []int{2, 3, 4, 9, 12, 17, 18, 34} {
--- a/internal/backend/liveness_test.go
+++ b/internal/backend/liveness_test.go
@@ -51,7 +51,7 @@
 	pool := NewPool(func() {})
 	there := Instance{ID: "there", Service: "llm", Address: listener.Addr().String()}
 	require.False(t, pool.Gone(context.Background(), there, time.Millisecond))
-	require.True(t, pool.rests("there"), "the connection serves the next request")
+	require.True(t, pool.isIdle("there"), "the connection serves the next request")
 	require.NoError(t, listener.Close())
 	pool.Forget("there")
 	require.False(t, pool.Gone(context.Background(), there, time.Millisecond), "a refusal is an answer of the machine")
--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -13,8 +13,10 @@
 	// connectCost is a new connection: a round trip, the instance's time for it, and a
 	// place among the connections that the instance accepts from all gateways.
 	connectCost = 5.0
-	// sampleSize bounds the instances that one placement compares.
+	// sampleSize bounds the instances that one placement compares, besides those that are
+	// likely; up to nearShare of them come from the own zone first.
 	sampleSize = 24
+	nearShare  = sampleSize / 2
 	// failureCost is what each recent failure of an instance adds: one failure in
 	// passing moves little, an instance that fails time and again is left alone.
 	failureCost = 40.0
@@ -92,44 +94,73 @@
 	return choice, true
 }
 
-// candidates returns a bounded sample of the instances that may get the request:
-// those that are believed to hold parts of the prompt, and others in turn. Leaving and excluded ones are
-// left out, suspected ones too unless there are no others.
+// candidates returns a bounded sample of the instances that may get the request, in an
+// order that differs each time. Of a large service these are the ones that probably hold
+// parts of the prompt, those with an idle connection here, and others in turn, those of
+// the own zone first: a gateway with few requests thus keeps to few instances. Leaving and
+// excluded ones are left out, suspected ones too unless there are no others.
 func (d *Directory) candidates(now time.Time, demand Demand) []*member {
-	all := d.byService[demand.Service]
-	var sound, suspected []*member
-	add := func(known *member) {
-		switch {
-		case !known.mayServe(now) || slices.Contains(demand.Exclude, known.instance.ID):
-		case now.Before(known.avoidUntil):
-			suspected = append(suspected, known)
-		default:
-			sound = append(sound, known)
-		}
-	}
+	d.samples++
+	picked := sample{now: now, demand: demand, number: d.samples}
+	all, near := d.byService[demand.Service], d.near[demand.Service]
 	if len(all) > sampleSize {
-		likely := []string{demand.Preferred, d.lastRun(demand.Parts)}
-		for _, cached := range demand.Cached {
-			likely = append(likely, cached.Instance)
-		}
-		slices.Sort(likely)
-		for _, id := range slices.Compact(likely) {
-			if known := d.members[id]; known != nil && known.instance.Service == demand.Service {
-				add(known)
-			}
+		for _, id := range d.likely(demand) {
+			picked.add(d.members[id])
 		}
+		picked.addInTurn(near, d.firstOf(len(near)), nearShare)
 	}
-	first := d.firstOf(len(all))
+	picked.addInTurn(all, d.firstOf(len(all)), sampleSize)
+	if len(picked.sound) == 0 {
+		return picked.suspected
+	}
+	return picked.sound
+}
+
+// likely returns the instances that probably hold parts of the prompt, and those with an
+// idle connection here.
+func (d *Directory) likely(demand Demand) []string {
+	ids := []string{demand.Preferred, d.lastRun(demand.Parts)}
+	for _, cached := range demand.Cached {
+		ids = append(ids, cached.Instance)
+	}
+	if d.idle != nil {
+		ids = append(ids, d.idle()...)
+	}
+	return ids
+}
+
+// sample gathers candidates for one placement.
+type sample struct {
+	now    time.Time
+	demand Demand
+	// number marks the instances that were looked at.
+	number           uint64
+	sound, suspected []*member
+}
+
+// add takes an instance if it may get the request.
+func (s *sample) add(known *member) {
+	if known == nil || known.sampled == s.number || known.instance.Service != s.demand.Service {
+		return
+	}
+	known.sampled = s.number
+	switch {
+	case !known.mayServe(s.now) || slices.Contains(s.demand.Exclude, known.instance.ID):
+	case s.now.Before(known.avoidUntil):
+		s.suspected = append(s.suspected, known)
+	default:
+		s.sound = append(s.sound, known)
+	}
+}
+
+// addInTurn takes instances from the given place on until there are so many.
+func (s *sample) addInTurn(all []*member, first, most int) {
 	for step := range all {
-		if len(sound) >= sampleSize {
-			break
+		if len(s.sound) >= most {
+			return
 		}
-		add(all[(first+step)%len(all)])
-	}
-	if len(sound) == 0 {
-		return suspected
+		s.add(all[(first+step)%len(all)])
 	}
-	return sound
 }
 
 // firstOf returns where the next placement begins among so many instances. The places
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -76,12 +77,31 @@
 	return &connection{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer)}
 }
 
-// rests reports whether a kept connection to the instance is there to be used.
-func (p *Pool) rests(id string) bool {
+// isIdle reports whether there is an idle connection to the instance to be used.
+func (p *Pool) isIdle(id string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	kept := p.idle[id]
-	return len(kept) > 0 && time.Now().Before(kept[len(kept)-1].idleUntil)
+	return usable(p.idle[id], time.Now())
+}
+
+// idleInstances returns the instances with an idle connection, in the order of their ids.
+func (p *Pool) idleInstances() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	var ids []string
+	for id, kept := range p.idle {
+		if usable(kept, now) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// usable reports whether the connection that was used last may still be used.
+func usable(kept []*connection, now time.Time) bool {
+	return len(kept) > 0 && now.Before(kept[len(kept)-1].idleUntil)
 }
 
 // pop takes the connection that was used last.
