--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -11,21 +11,15 @@
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/peer"
-	"swiftbank.dev/swiftbank/internal/wait"
 )
 
 const (
-	// dialTimeout bounds the wait for a connection to an upstream: shorter than
-	// answerTimeout, and longer than a lost opening packet between zones is worth.
-	dialTimeout = 300 * time.Millisecond
+	// dialTimeout bounds the wait for a connection to an upstream. An opening packet that
+	// is lost, as while a machine starts, is sent again by the kernel after a second; a new
+	// try comes sooner. Round trips between zones are far below.
+	dialTimeout = 150 * time.Millisecond
 	// bufferBytes is the size of the buffers of a connection.
 	bufferBytes = 8 << 10
-	// unconfirmedAfter is how long a process that starts waits for confirmed knowledge
-	// before it uses a copy from a disk.
-	unconfirmedAfter = 250 * time.Millisecond
-	// unconfirmedPause is the pause before an upstream without confirmed knowledge is
-	// asked again meanwhile.
-	unconfirmedPause = 50 * time.Millisecond
 )
 
 // runFollowing polls the upstream that is to be followed, until the context ends.
@@ -86,7 +80,7 @@
 			return err
 		}
 		n.unanswering = ""
-		n.heard(ctx, upstream, reply)
+		n.step(func(now time.Time) Output[asker] { return n.core.Heard(now, upstream, reply) })
 	}
 }
 
@@ -156,12 +150,3 @@
 	}
 	return reply, nil
 }
-
-// heard applies an answer. A process that starts waits a moment for confirmed knowledge.
-func (n *Node) heard(ctx context.Context, upstream Upstream, reply Reply) {
-	if !reply.Status.Confirmed && time.Since(n.started) < unconfirmedAfter {
-		wait.For(ctx, unconfirmedPause)
-		return
-	}
-	n.step(func(now time.Time) Output[asker] { return n.core.Heard(now, upstream, reply) })
-}
--- a/internal/feed/node.go
+++ b/internal/feed/node.go
@@ -98,7 +98,6 @@
 type Node struct {
 	options Options
 	log     *log.Logger
-	started time.Time
 
 	// delivery makes the handlers' calls come one by one in the order of the changes. It
 	// is taken before mu.
@@ -120,7 +119,7 @@
 // NewNode returns a node that knows nothing yet.
 func NewNode(options Options) *Node {
 	return &Node{
-		options: options, log: options.Log, started: time.Now(),
+		options: options, log: options.Log,
 		core: NewCore[asker](CoreOptions{
 			Node: options.Node, Zone: options.Zone, Role: options.Role, Seeds: options.Seeds, ReadAfter: readAfter(options.Role),
 		}),
--- a/internal/feed/selector.go
+++ b/internal/feed/selector.go
@@ -12,12 +12,12 @@
 	// trialLimit is how long a new upstream may take to show fresh knowledge.
 	trialLimit = time.Second
 	// avoidFirst and avoidMost bound how long an upstream that failed is passed over; the
-	// time doubles with each failure in a row. The first is as short as a tick: a process
+	// time doubles with each failure in a row. The first ends with the next tick: a process
 	// that starts beside its upstreams finds them a moment later.
-	avoidFirst = tickInterval
+	avoidFirst = tickInterval / 2
 	avoidMost  = 30 * time.Second
 	// mostDoublings reaches avoidMost.
-	mostDoublings = 9
+	mostDoublings = 10
 	// handBack is how long an upstream must be fresh before this process stops reading
 	// the store itself.
 	handBack = time.Second
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -189,11 +189,7 @@
 	}
 	fresh := Log[R]{folder: l.folder, number: next, file: file, pending: &bytes.Buffer{}}
 	fresh.encoder = gob.NewEncoder(fresh.pending)
-	for piece := range slices.Chunk(snapshot, snapshotRecords) {
-		if err = fresh.Append(piece); err != nil {
-			break
-		}
-	}
+	err = fresh.writeSnapshot(snapshot)
 	if err == nil {
 		err = os.Rename(l.path(next, partialSuffix), l.path(next, segmentSuffix))
 	}
@@ -211,14 +207,26 @@
 	return nil
 }
 
+// writeSnapshot writes the records piece by piece, so that few are encoded at once, and
+// syncs them once: the segment counts only after its rename.
+func (l *Log[R]) writeSnapshot(snapshot []R) error {
+	for piece := range slices.Chunk(snapshot, snapshotRecords) {
+		if err := l.encode(piece); err != nil {
+			return err
+		}
+		if err := l.writePending(); err != nil {
+			return fmt.Errorf("wal: snapshot: %w", err)
+		}
+	}
+	return l.file.Sync()
+}
+
 // Append writes and syncs records. After an error they stay pending and are
 // written before anything else by the next Append, which may have no records of
 // its own; none of them is durable until an Append succeeds.
 func (l *Log[R]) Append(records []R) error {
-	for _, record := range records {
-		if err := l.encoder.Encode(record); err != nil {
-			return fmt.Errorf("wal: encode: %w", err)
-		}
+	if err := l.encode(records); err != nil {
+		return err
 	}
 	if l.pending.Len() == 0 {
 		return nil
@@ -230,10 +238,37 @@
 	if err := l.write(l.pending.Bytes()); err != nil {
 		return fmt.Errorf("wal: append: %w", err)
 	}
+	if err := l.file.Sync(); err != nil {
+		return fmt.Errorf("wal: append: %w", err)
+	}
 	l.broken = false
+	l.written()
+	return nil
+}
+
+// encode adds records to those that are not durable yet.
+func (l *Log[R]) encode(records []R) error {
+	for _, record := range records {
+		if err := l.encoder.Encode(record); err != nil {
+			return fmt.Errorf("wal: encode: %w", err)
+		}
+	}
+	return nil
+}
+
+// writePending writes what is encoded, without a sync.
+func (l *Log[R]) writePending() error {
+	if err := l.write(l.pending.Bytes()); err != nil {
+		return err
+	}
+	l.written()
+	return nil
+}
+
+// written notes that the pending bytes are in the file.
+func (l *Log[R]) written() {
 	l.size += int64(headerBytes + l.pending.Len())
 	l.pending.Reset()
-	return nil
 }
 
 // cutBroken removes what a failed write may have left behind the synced bytes.
@@ -252,10 +287,8 @@
 	framed := make([]byte, headerBytes, headerBytes+len(batch))
 	binary.LittleEndian.PutUint32(framed, uint32(len(batch)))
 	binary.LittleEndian.PutUint32(framed[4:], crc32.Checksum(batch, castagnoli))
-	if _, err := l.file.Write(append(framed, batch...)); err != nil {
-		return err
-	}
-	return l.file.Sync()
+	_, err := l.file.Write(append(framed, batch...))
+	return err
 }
 
 // Close closes the segment. What was appended without an error is durable already.
