A gateway that was restarted reads the store when its seeds are not up yet

Ruled out: the replicas' log (they answer polls before they read it), the dial (150 ms). Change: a gateway that knows nothing and has no answer after 100 ms reads the store as well, unless the whole fleet starts for the first time (`firstStart`), when nobody calls yet. It stops once an upstream is fresh for more than one answer (350 ms, was 1 s). Found on the way: seeds, one upstream with several addresses, were kept for good when the one that accepted first had nothing fresh to tell; they are left and tried again now (TestSeedsAreTriedAgain; TestAnUpstreamThatIsBehindTakesNothingBack failed by it, by chance). Cost: about seven calls a gateway after a loss of all power, none at a first start.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -68,7 +68,7 @@
 	gossip := gateway.NewGossip(config.Node, config.Zone, directory)
 	store := platform.NewStore(config.StoreAddress, metrics.StoreCall, process.storeCallFailed)
 	knowledge := feed.NewNode(feed.Options{
-		Node: config.Node, Zone: config.Zone, Role: replicaset.RoleGateway, Seeds: config.Seeds, Store: store,
+		Node: config.Node, Zone: config.Zone, Role: replicaset.RoleGateway, Seeds: config.Seeds, FirstStart: config.FirstStart, Store: store,
 		Metrics: metrics, Log: process.log, StoreFailed: process.storeCallFailed,
 		StoreContact: func(err error) { process.contact("store", err) },
 		Handlers: feed.Handlers{
--- a/internal/feed/candidates.go
+++ b/internal/feed/candidates.go
@@ -25,6 +25,9 @@
 	Zone    string
 }
 
+// hasSeveral reports whether there are several addresses.
+func (u Upstream) hasSeveral() bool { return strings.Contains(u.Address, addressSeparator) }
+
 // addressSeparator stands between several addresses of an Upstream.
 const addressSeparator = ","
 
--- a/internal/feed/fleet_test.go
+++ b/internal/feed/fleet_test.go
@@ -162,7 +162,7 @@
 	p := f.processes[name]
 	p.life++
 	p.alive, p.decision, p.polled, p.positions, p.lostTold = true, Decision{}, nil, Positions{}, false
-	delay := readAfter(p.role)
+	delay := readAfter(p.role, false)
 	if p.role == replicaset.RoleGateway {
 		delay = func(int, int) time.Duration {
 			return gatewayReadAfter + time.Duration(f.random.Int64N(int64(gatewayReadSpread)))
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return fmt.Errorf("feed: %w", err)
 	}
-	n.unanswering = connection.RemoteAddr().String()
+	n.useless = connection.RemoteAddr().String()
 	defer connection.Close()
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	defer stop()
@@ -79,19 +79,21 @@
 		if err != nil {
 			return err
 		}
-		n.unanswering = ""
+		if reply.Status.Fresh() {
+			n.useless = ""
+		}
 		n.step(func(now time.Time) Output[asker] { return n.core.Heard(now, upstream, reply) })
 	}
 }
 
-// addressesOf returns where to poll an upstream. Of several addresses the one that accepted
-// a connection and then did not answer is left out once.
+// addressesOf returns where to poll an upstream. Of several addresses the one that was
+// connected last and had nothing fresh to tell is left out once.
 func (n *Node) addressesOf(upstream Upstream) []string {
 	addresses := strings.Split(upstream.Address, addressSeparator)
 	if len(addresses) > 1 {
-		addresses = slices.DeleteFunc(addresses, func(address string) bool { return address == n.unanswering })
+		addresses = slices.DeleteFunc(addresses, func(address string) bool { return address == n.useless })
 	}
-	n.unanswering = ""
+	n.useless = ""
 	return addresses
 }
 
--- a/internal/feed/node.go
+++ b/internal/feed/node.go
@@ -38,16 +38,25 @@
 	gatewayReadAfter  = time.Second
 	gatewayReadSpread = time.Second
 	processReadSpread = 20 * time.Millisecond
+	// restartReadAfter is how long a gateway that was restarted and knows nothing waits for
+	// its seeds, which answer within milliseconds if they are up. After a loss of all power
+	// they may be up later than the gateway, and callers wait.
+	restartReadAfter = 100 * time.Millisecond
 )
 
 // readAfter returns how long a process of the role looks for an upstream before it reads.
-func readAfter(role string) func(upstreams, processes int) time.Duration {
+// At the first start of a whole fleet nobody calls yet, and hundreds of gateways wait for
+// their seeds.
+func readAfter(role string, firstStart bool) func(upstreams, processes int) time.Duration {
 	if role == replicaset.RoleReplica {
 		return func(upstreams, _ int) time.Duration { return time.Duration(upstreams) * replicaReadAfter }
 	}
 	return func(upstreams, processes int) time.Duration {
-		if upstreams == 0 {
+		switch {
+		case upstreams == 0:
 			return 0
+		case processes == 0 && !firstStart:
+			return restartReadAfter
 		}
 		spread := gatewayReadSpread + time.Duration(processes)*processReadSpread
 		return gatewayReadAfter + rand.N(spread)
@@ -79,6 +88,8 @@
 	Zone string
 	// Role is replicaset.RoleReplica or replicaset.RoleGateway.
 	Role string
+	// FirstStart says that the whole fleet starts for the first time.
+	FirstStart bool
 	// Seeds are addresses of upstreams known before any replica is.
 	Seeds    []string
 	Store    Store
@@ -111,9 +122,9 @@
 	// stopFollow and stopRead end what is under way.
 	wakeFollow, wakeRead chan struct{}
 	stopFollow, stopRead context.CancelFunc
-	// unanswering is the address that was connected last and has not answered since. It
-	// belongs to the loop that follows.
-	unanswering string
+	// useless is the address that was connected last, while nothing fresh came from there.
+	// It belongs to the loop that follows.
+	useless string
 }
 
 // NewNode returns a node that knows nothing yet.
@@ -121,7 +132,8 @@
 	return &Node{
 		options: options, log: options.Log,
 		core: NewCore[asker](CoreOptions{
-			Node: options.Node, Zone: options.Zone, Role: options.Role, Seeds: options.Seeds, ReadAfter: readAfter(options.Role),
+			Node: options.Node, Zone: options.Zone, Role: options.Role, Seeds: options.Seeds,
+			ReadAfter: readAfter(options.Role, options.FirstStart),
 		}),
 		wakeFollow: make(chan struct{}, 1), wakeRead: make(chan struct{}, 1),
 		stopFollow: func() {}, stopRead: func() {},
--- a/internal/feed/node_test.go
+++ b/internal/feed/node_test.go
@@ -258,6 +258,19 @@
 	gateway.locked(func() { require.Equal(t, uint64(8), gateway.table.Version) })
 }
 
+func TestHowLongAGatewayWaitsBeforeItReads(t *testing.T) {
+	restarted, first := readAfter(replicaset.RoleGateway, false), readAfter(replicaset.RoleGateway, true)
+	require.Zero(t, restarted(0, 0), "there is nobody else to ask")
+	require.Equal(t, restartReadAfter, restarted(1, 0), "callers wait")
+	require.GreaterOrEqual(t, first(1, 0), gatewayReadAfter, "nobody calls yet")
+	for range 100 {
+		wait := restarted(5, 300)
+		require.GreaterOrEqual(t, wait, gatewayReadAfter, "it has something to serve from")
+		require.Less(t, wait, gatewayReadAfter+gatewayReadSpread+300*processReadSpread)
+	}
+	require.Equal(t, 2*replicaReadAfter, readAfter(replicaset.RoleReplica, false)(2, 300))
+}
+
 func TestTheCopyOutlivesTheProcess(t *testing.T) {
 	folder := t.TempDir()
 	copied := NewCopyFile(folder, quiet())
@@ -310,7 +323,7 @@
 		if gob.NewDecoder(bytes.NewReader(content)).Decode(&decoded) != nil {
 			return
 		}
-		core := NewCore[string](CoreOptions{Node: "g", Zone: "z", Role: replicaset.RoleGateway, ReadAfter: readAfter(replicaset.RoleGateway)})
+		core := NewCore[string](CoreOptions{Node: "g", Zone: "z", Role: replicaset.RoleGateway, ReadAfter: readAfter(replicaset.RoleGateway, false)})
 		core.Begin(begin)
 		output := core.Heard(begin, Upstream{}, decoded)
 		for _, change := range output.Changes {
--- a/internal/feed/selector.go
+++ b/internal/feed/selector.go
@@ -19,8 +19,8 @@
 	// mostDoublings reaches avoidMost.
 	mostDoublings = 10
 	// handBack is how long an upstream must be fresh before this process stops reading
-	// the store itself.
-	handBack = time.Second
+	// the store itself: more than one answer.
+	handBack = pollInterval + tickInterval
 	// moveHome is how long an upstream is followed before one that ranks before it by
 	// zone takes its place: a fleet that starts knows its members one by one.
 	moveHome = 3 * time.Second
@@ -163,19 +163,18 @@
 
 // tickSearch leaves an upstream that had its time, and tries the next one. When all have
 // failed lately the process stays where it is: what it follows may be the first to be
-// fresh again.
+// fresh again. Seeds are tried again, for another one of them may answer.
 func (s *Selector) tickSearch(now time.Time) {
 	if s.current != nil && s.onTrial(now) {
 		return
 	}
 	next := s.next(now)
-	if next == nil {
-		return
-	}
-	if s.current != nil {
+	if s.current != nil && (next != nil || s.current.hasSeveral()) {
 		s.avoid(now)
 	}
-	s.follow(now, next)
+	if next != nil {
+		s.follow(now, next)
+	}
 }
 
 // onTrial reports whether the upstream may still show fresh knowledge: it is new, and has
--- a/internal/feed/selector_test.go
+++ b/internal/feed/selector_test.go
@@ -142,6 +142,18 @@
 	require.NotEmpty(t, c.follows(), "the one that is followed is fresh again")
 }
 
+// Seeds are one upstream with several addresses: left when nothing fresh comes, and tried
+// again, for another one of them may be fresh.
+func TestSeedsAreTriedAgain(t *testing.T) {
+	c := newChooser(time.Minute, Upstream{Address: "1,2"})
+	c.hear(trialLimit-2*tickInterval, Status{})
+	require.NotNil(t, c.Decision().Follow)
+	c.hear(3*tickInterval, Status{})
+	require.Nil(t, c.Decision().Follow)
+	c.pass(2 * tickInterval)
+	require.NotNil(t, c.Decision().Follow)
+}
+
 func TestAnUpstreamOfTheOwnZoneIsPreferred(t *testing.T) {
 	c := newChooser(time.Second, far)
 	c.hear(time.Second, fresh)
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -35,8 +35,12 @@
 	// CallerAddress is where callers reach it; ReadyAddress says whether new ones may come.
 	CallerAddress string `koanf:"callerAddress" validate:"required,hostname_port"`
 	ReadyAddress  string `koanf:"readyAddress" validate:"required,hostname_port"`
-	// Seeds are replicas' copy addresses, asked while the store is away at a start.
+	// Seeds are replicas' copy addresses, from which it learns what the store says before it
+	// knows the replicas.
 	Seeds []string `koanf:"seeds" validate:"dive,hostname_port"`
+	// FirstStart says that the whole fleet starts for the first time: then a gateway waits
+	// longer for its seeds before it reads the store itself.
+	FirstStart bool `koanf:"firstStart"`
 }
 
 // Replica holds the settings of a replica.
@@ -45,7 +49,7 @@
 	// DataFolder is the only place that lasts.
 	DataFolder string `koanf:"dataFolder" validate:"required"`
 	DiskMB     int    `koanf:"diskMB" validate:"gt=0"`
-	// CopyAddress is where it hands out its copy of what the store last said; "" does not.
+	// CopyAddress is where it hands on what the store says to other processes; "" does not.
 	CopyAddress string `koanf:"copyAddress" validate:"omitempty,hostname_port"`
 }
 
