An upstream's old answer does not count against the next one

Cause: found by reading. A process that leaves an upstream because the store is lost to it follows the next one at the same instant, and the old answer was taken for the new one's: it was left with the next tick (100 ms) unless it answered before. Change: whether an upstream was heard since it is followed is a field, not a comparison of times. Test: TestTheNextUpstreamHasATrialOfItsOwn, seen to fail before.

--- a/internal/feed/selector.go
+++ b/internal/feed/selector.go
@@ -44,13 +44,14 @@
 	candidates []Upstream
 	processes  int
 
-	// current is the upstream that is followed, since followedAt; heardAt is when it
-	// last answered, with status.
-	current    *Upstream
-	followedAt time.Time
-	heardAt    time.Time
-	status     Status
-	complete   bool
+	// current is the upstream that is followed, since followedAt; heard is set once it has
+	// answered since, complete when it knows all kinds.
+	current         *Upstream
+	followedAt      time.Time
+	heard, complete bool
+	// heardAt is when any upstream last answered, with status.
+	heardAt time.Time
+	status  Status
 	// goodSince is when the upstream's knowledge became fresh, zero while it is not.
 	goodSince time.Time
 	// avoided holds the upstreams that failed, by address.
@@ -93,13 +94,14 @@
 	s.Tick(now)
 }
 
-// Heard takes an answer of the upstream that is followed. complete says that the process
-// knows all kinds since.
+// Heard takes an answer of the upstream that is followed. complete says that it knows all
+// kinds.
 func (s *Selector) Heard(now time.Time, from Upstream, status Status, complete bool) {
 	if s.current == nil || *s.current != from {
 		return
 	}
-	s.heardAt, s.status, s.complete = now, status, complete
+	s.heardAt, s.status = now, status
+	s.heard, s.complete = true, complete
 	s.Tick(now)
 }
 
@@ -122,7 +124,7 @@
 
 // good reports whether the upstream's knowledge is fresh.
 func (s *Selector) good(now time.Time) bool {
-	return s.current != nil && s.complete && !s.heardAt.Before(s.followedAt) && s.UpstreamStatus(now).Fresh()
+	return s.current != nil && s.heard && s.complete && s.UpstreamStatus(now).Fresh()
 }
 
 // Tick decides anew as time passes.
@@ -180,8 +182,7 @@
 // onTrial reports whether the upstream may still show fresh knowledge: it is new, and has
 // not said that the store is lost to it or its knowledge stale.
 func (s *Selector) onTrial(now time.Time) bool {
-	heard := !s.heardAt.Before(s.followedAt)
-	if heard && s.status.Confirmed && !s.UpstreamStatus(now).Fresh() {
+	if s.heard && s.status.Confirmed && !s.UpstreamStatus(now).Fresh() {
 		return false
 	}
 	return now.Sub(s.followedAt) < trialLimit
@@ -201,8 +202,8 @@
 }
 
 func (s *Selector) follow(now time.Time, upstream *Upstream) {
-	s.current = upstream
-	s.followedAt = now
+	s.current, s.followedAt = upstream, now
+	s.heard = false
 }
 
 // avoid leaves the upstream that is followed.
--- a/internal/feed/selector_test.go
+++ b/internal/feed/selector_test.go
@@ -90,6 +90,16 @@
 	require.Equal(t, "near2", c.follows())
 }
 
+// What the upstream before said once counted against the next one, which was left with the
+// next tick unless it answered sooner.
+func TestTheNextUpstreamHasATrialOfItsOwn(t *testing.T) {
+	c := newChooser(time.Minute, near, near2, far)
+	c.hear(time.Second, fresh)
+	c.hear(tickInterval, lost)
+	c.pass(trialLimit / 2)
+	require.Equal(t, "near2", c.follows())
+}
+
 func TestAnUpstreamWhoseKnowledgeIsOldIsLeft(t *testing.T) {
 	c := newChooser(time.Second, near, near2)
 	c.hear(time.Second, fresh)
--- a/internal/feed/status.go
+++ b/internal/feed/status.go
@@ -7,9 +7,9 @@
 	// knowledge each probeInterval, within probeTimeout, and two steps of upstreams add a
 	// pollInterval each: 2.5 s with nothing lost.
 	staleAfter = 3 * time.Second
-	// incompleteAfterRegain is how long after the loss of the store a list of instances may lack some
-	// that are there. It is short, for the loss may have been of the path to the store
-	// alone, and what leaves then does leave.
+	// incompleteAfterRegain is how long after the loss of the store a list of instances may
+	// lack some that are there. It is short, for the loss may have been of the path to the
+	// store alone, and what leaves then does leave.
 	incompleteAfterRegain = time.Second
 )
 
@@ -20,8 +20,8 @@
 	Confirmed bool
 	// Lost says that the store does not answer the process that reads it.
 	Lost bool
-	// Incomplete says that the store is lost or was until incompleteAfterRegain ago: entries of
-	// instances that could not renew them may be missing.
+	// Incomplete says that the store is lost or was until incompleteAfterRegain ago: entries
+	// of instances that could not renew them may be missing.
 	Incomplete bool
 	// Age is how long ago the store last answered the process that reads it.
 	Age time.Duration
