--- a/internal/feed/cache.go
+++ b/internal/feed/cache.go
@@ -174,14 +174,20 @@
 	return batch
 }
 
+// changesAfter returns deletions first: an object that was made anew is a record again.
 func (h *collection) changesAfter(kind Kind, after uint64) Batch {
 	batch := Batch{Kind: kind, After: after, At: h.position.At}
 	for _, held := range []map[string]entry{h.tombstones, h.records} {
-		for _, name := range slices.Sorted(maps.Keys(held)) {
-			if held[name].learnedAt > after {
-				batch.Records = append(batch.Records, held[name].record)
+		var changed []string
+		for name, each := range held {
+			if each.learnedAt > after {
+				changed = append(changed, name)
 			}
 		}
+		slices.Sort(changed)
+		for _, name := range changed {
+			batch.Records = append(batch.Records, held[name].record)
+		}
 	}
 	return batch
 }
@@ -189,9 +195,15 @@
 // Snapshot returns all that is known, as batches.
 func (c *Cache) Snapshot() []Batch { return c.Since(Positions{}) }
 
-// Records returns the records of a kind in the order of their names.
+// Records returns the records of a kind, in no order: there may be thousands, and whoever
+// needs an order has one of its own.
 func (c *Cache) Records(kind Kind) []Record {
-	return c.kinds[kind].snapshot(kind).Records
+	held := c.kinds[kind].records
+	records := make([]Record, 0, len(held))
+	for _, each := range held {
+		records = append(records, each.record)
+	}
+	return records
 }
 
 // Record returns one record, if it is known.
