A SIGHUP in the first moments of a start does not end a process

Ruled out: the first statement of main, which runs after the initialisation of all packages; masking by the platform, which is not ours. Change: package hangup installs the handler when it is initialised; commands that end by themselves give SIGHUP its usual effect back.

--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -5,9 +5,7 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
@@ -17,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"swiftbank.dev/swiftbank/internal/eventlog"
+	"swiftbank.dev/swiftbank/internal/hangup"
 	"swiftbank.dev/swiftbank/internal/settings"
 )
 
@@ -49,25 +48,15 @@
 type process struct {
 	log    *log.Logger
 	writer *eventlog.Writer
-	// hangups receives each SIGHUP from the process's first moments on.
-	hangups chan os.Signal
 }
 
-// catchHangups must be called before anything that takes time: a SIGHUP that is not
-// caught ends the process, and a replica may read its log for seconds.
-func catchHangups() chan os.Signal {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	return hangups
-}
-
-func newProcess(member settings.Member, hangups chan os.Signal) *process {
+func newProcess(member settings.Member) *process {
 	debug.SetMemoryLimit(int64(member.MemoryMB) << 20 * memoryShare / 100)
 	debug.SetGCPercent(collectorPercent)
 	writer := eventlog.NewWriter(os.Stdout)
 	logger := eventlog.New(writer, member.Node)
 	logger.Level = log.ParseLevel(member.LogLevel)
-	return &process{log: logger, writer: writer, hangups: hangups}
+	return &process{log: logger, writer: writer}
 }
 
 // close writes the rest of the log.
@@ -80,7 +69,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-p.hangups:
+		case <-hangup.Signals():
 			member, err := reload()
 			if err != nil {
 				p.log.Error().Str("event", "reload_failed").Err(err).Msg("")
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -26,21 +25,21 @@
 func newGatewayCommand() *cobra.Command {
 	var flags fleetFlags
 	command := &cobra.Command{
-		Use:     "gateway",
-		Short:   "Run a gateway on the operators' platform until SIGTERM, then drain and exit",
-		Example: "  swiftbank gateway --settings gateway.yaml",
-		Args:    cobra.NoArgs,
+		Annotations: map[string]string{servesUntilStopped: "true"},
+		Use:         "gateway",
+		Short:       "Run a gateway on the operators' platform until SIGTERM, then drain and exit",
+		Example:     "  swiftbank gateway --settings gateway.yaml",
+		Args:        cobra.NoArgs,
 	}
 	flags.add(command)
 	command.RunE = func(command *cobra.Command, _ []string) error {
-		hangups := catchHangups()
 		config, err := settings.LoadGateway(flags.settingsFile, flags.overrides)
 		if err != nil {
 			return exitWith(ExitUsage, err)
 		}
 		ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGTERM, syscall.SIGINT)
 		defer stop()
-		if err := runGateway(ctx, config, flags, hangups); err != nil {
+		if err := runGateway(ctx, config, flags); err != nil {
 			return exitWith(ExitFailure, err)
 		}
 		return nil
@@ -49,8 +48,8 @@
 }
 
 // runGateway runs until ctx ends and the requests in progress have.
-func runGateway(ctx context.Context, config settings.Gateway, flags fleetFlags, hangups chan os.Signal) error {
-	process := newProcess(config.Member, hangups)
+func runGateway(ctx context.Context, config settings.Gateway, flags fleetFlags) error {
+	process := newProcess(config.Member)
 	defer process.close()
 	// The sources, the replicas and the readiness answer live until the last request ended.
 	life, end := context.WithCancel(context.Background())
--- a/internal/command/replica.go
+++ b/internal/command/replica.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"os"
 	"os/signal"
 	"sync"
 	"syscall"
@@ -21,21 +20,21 @@
 func newReplicaCommand() *cobra.Command {
 	var flags fleetFlags
 	command := &cobra.Command{
-		Use:     "replica",
-		Short:   "Run a replica of turns and charges on a machine with a disk until SIGTERM",
-		Example: "  swiftbank replica --settings replica.yaml",
-		Args:    cobra.NoArgs,
+		Annotations: map[string]string{servesUntilStopped: "true"},
+		Use:         "replica",
+		Short:       "Run a replica of turns and charges on a machine with a disk until SIGTERM",
+		Example:     "  swiftbank replica --settings replica.yaml",
+		Args:        cobra.NoArgs,
 	}
 	flags.add(command)
 	command.RunE = func(command *cobra.Command, _ []string) error {
-		hangups := catchHangups()
 		config, err := settings.LoadReplica(flags.settingsFile, flags.overrides)
 		if err != nil {
 			return exitWith(ExitUsage, err)
 		}
 		ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGTERM, syscall.SIGINT)
 		defer stop()
-		if err := runReplica(ctx, config, flags, hangups); err != nil {
+		if err := runReplica(ctx, config, flags); err != nil {
 			return exitWith(ExitFailure, err)
 		}
 		return nil
@@ -44,8 +43,8 @@
 }
 
 // runReplica runs until ctx ends. Nothing acknowledged waits for a planned stop.
-func runReplica(ctx context.Context, config settings.Replica, flags fleetFlags, hangups chan os.Signal) error {
-	process := newProcess(config.Member, hangups)
+func runReplica(ctx context.Context, config settings.Replica, flags fleetFlags) error {
+	process := newProcess(config.Member)
 	defer process.close()
 	metrics := replica.NewMetrics(config.Node)
 	store := platform.NewStore(config.StoreAddress, metrics.StoreCall, process.storeCallFailed)
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -9,6 +9,8 @@
 	"io"
 
 	"github.com/spf13/cobra"
+
+	"swiftbank.dev/swiftbank/internal/hangup"
 )
 
 // The exit codes of all commands.
@@ -41,6 +43,10 @@
 // silentError ends a command whose output already says everything.
 var errSilent = errors.New("")
 
+// servesUntilStopped marks commands to which a SIGHUP means to read the settings again; it
+// ends the others.
+const servesUntilStopped = "serves until stopped"
+
 // Run executes the command line and returns the exit code.
 func Run(arguments []string, out, errOut io.Writer) int {
 	root := newRoot()
@@ -67,6 +73,11 @@
 		Short:         "Scheduler for agent programs",
 		SilenceUsage:  true,
 		SilenceErrors: true,
+		PersistentPreRun: func(command *cobra.Command, _ []string) {
+			if command.Annotations[servesUntilStopped] == "" {
+				hangup.Release()
+			}
+		},
 	}
 	root.CompletionOptions.DisableDefaultCmd = true
 	root.AddCommand(
