Limits of tenants hold over the fleet: each voter lends its share of a limit as a token bucket

Cause: no limit held: a tenant's rate and burst were not read. Weighed: (1) allowances lent by the replicas, each voter of the tenant's cell an equal share (built); (2) shares of gateways (built as a trial); (3) counting with the reservation of a turn: plain calls make none; (4) counters in the operators' store: a priced call for each request, and none while it is away; (5) one leader for each tenant: it must be fenced, and its loss stops the tenant. Change: package quota, two pure state machines: Lender (a bucket for each tenant) and Borrower (a gateway's allowances, short-lived, some ahead where many requests come). Borrow and Loan travel as the replicas' other messages do, by other gateways where a connection is cut. Beyond the limit: 429 with the time at which there is credit; 503 where no lender answers. Retry-After follows from that.

--- a/internal/command/replica.go
+++ b/internal/command/replica.go
@@ -13,6 +13,7 @@
 	"swiftbank.dev/swiftbank/internal/registry"
 	"swiftbank.dev/swiftbank/internal/replica"
 	"swiftbank.dev/swiftbank/internal/replicaset"
+	"swiftbank.dev/swiftbank/internal/route"
 	"swiftbank.dev/swiftbank/internal/settings"
 	"swiftbank.dev/swiftbank/platform"
 )
@@ -53,7 +54,9 @@
 		Node: config.Node, Zone: config.Zone, Role: replicaset.RoleReplica, Store: store,
 		Metrics: metrics, Log: process.log, StoreFailed: process.storeCallFailed,
 		StoreContact: func(err error) { process.contact("store", err) },
-		Handlers:     feed.Handlers{Members: starting.membersChanged, Retirements: starting.retirementsChanged},
+		Handlers: feed.Handlers{
+			Members: starting.membersChanged, Retirements: starting.retirementsChanged, Configuration: starting.configurationChanged,
+		},
 	})
 	copied := feed.NewCopyFile(config.DataFolder, process.log)
 	knowledge.Load(copied.Load())
@@ -65,7 +68,7 @@
 	server, err := replica.New(replica.Options{
 		Node: config.Node, Zone: config.Zone, Address: config.PeerAddress, Advertised: config.Advertised(), Feed: config.CopyAddress,
 		DataFolder: config.DataFolder, DiskMB: config.DiskMB, Tolerate: config.TolerateMachines, Registry: store,
-		Known: knowledge.Member, Retirements: store, Log: process.log, Metrics: metrics,
+		Known: knowledge.Member, Retirements: store, Log: process.log, Metrics: metrics, Quota: config.Quota(),
 	})
 	if err != nil {
 		process.log.Error().Str("event", "start_failed").Err(err).Msg("")
@@ -90,6 +93,7 @@
 	server      *replica.Server
 	members     []registry.Object
 	retirements map[string]feed.RetirementState
+	table       *route.Table
 }
 
 func (s *startingReplica) membersChanged(objects []registry.Object) {
@@ -112,6 +116,16 @@
 	s.retirements = states
 }
 
+func (s *startingReplica) configurationChanged(table *route.Table) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.server != nil {
+		s.server.ConfigurationChanged(table)
+		return
+	}
+	s.table = table
+}
+
 // started hands over what was told so far.
 func (s *startingReplica) started(server *replica.Server) {
 	s.mu.Lock()
@@ -121,4 +135,7 @@
 		server.MembersChanged(s.members)
 	}
 	server.RetirementsChanged(s.retirements)
+	if s.table != nil {
+		server.ConfigurationChanged(s.table)
+	}
 }
--- a/internal/e2e/tenancy_test.go
+++ b/internal/e2e/tenancy_test.go
@@ -79,9 +79,53 @@
 			require.Empty(t, runsOf(refused.id, f.apps))
 		}
 	})
+	t.Run("a tenant's limit holds over all gateways", f.testLimit)
 	t.Run("no output holds a key", f.testNoKeyInOutput)
 }
 
+// testLimit sends far more than a tenant's limit, and counts what ran over the time that this
+// took.
+func (f *fleet) testLimit(t *testing.T) {
+	const rate, burst, overage, requests = 10, 6, 0.1, 150
+	f.putTenants(t, 5,
+		map[string]any{"name": "riga", "api_keys": []string{keyOfRiga}, "rate_per_s": rate, "burst": burst},
+		map[string]any{"name": "luzon", "api_keys": []string{keyOfLuzon}, "rate_per_s": 1000, "burst": 1000})
+	require.Eventually(t, func() bool {
+		return f.post(f.gateways[0], appsHost, "/charge/a", as(keyOfRiga), "x").status == http.StatusOK
+	}, 20*time.Second, 50*time.Millisecond)
+	began := time.Now()
+	answers := make(chan answered, requests)
+	for number := range requests {
+		id := f.newID()
+		go func() {
+			answers <- exchange(f.gateways[number%len(f.gateways)], id, appsHost, "/charge/a", as(keyOfRiga), "x")
+		}()
+	}
+	ran := 0
+	for range requests {
+		got := <-answers
+		require.NoError(t, got.err)
+		runs := runsOf(got.id, f.apps)
+		if got.status == http.StatusOK {
+			ran++
+			continue
+		}
+		require.Contains(t, []int{http.StatusTooManyRequests, http.StatusServiceUnavailable}, got.status)
+		require.NotEmpty(t, got.header.Get("Retry-After"))
+		require.Empty(t, runs, "a refused request has not run")
+	}
+	allowed := (rate*(time.Since(began).Seconds()+5) + burst) * (1 + overage)
+	require.LessOrEqual(t, float64(ran), allowed)
+	require.Positive(t, ran)
+	for _, gateway := range f.gateways {
+		other := f.post(gateway, appsHost, "/charge/a", as(keyOfLuzon), "x")
+		require.Equal(t, http.StatusOK, other.status, "another tenant's requests go on")
+		require.Eventually(t, func() bool {
+			return f.post(gateway, appsHost, "/charge/a", as(keyOfRiga), "x").status == http.StatusOK
+		}, 20*time.Second, 50*time.Millisecond, "there is credit again")
+	}
+}
+
 func (f *fleet) testKeyAndTenant(t *testing.T) {
 	for _, gateway := range f.gateways {
 		header := as(keyOfRiga)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -42,10 +42,13 @@
 	load       int
 	cost       float64
 	candidates int
-	reserveMS  float64
-	firstMS    float64
-	commitMS   float64
-	events     int
+	// lender was asked last for an allowance of the tenant's; limitMS is how long that took.
+	lender    string
+	limitMS   float64
+	reserveMS float64
+	firstMS   float64
+	commitMS  float64
+	events    int
 	// others is what the program's other turns were charged, epoch the replica set's.
 	others int64
 	epoch  uint64
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -81,6 +81,9 @@
 	listedAt atomic.Int64
 	started  time.Time
 
+	// allowances are what this gateway may let through of tenants with a limit.
+	allowances *allowances
+
 	mu       sync.Mutex
 	splitter *route.Splitter
 	inFlight atomic.Int64
@@ -91,6 +94,7 @@
 	s := &Server{
 		options: options, dialect: options.Dialect, log: options.Log, directory: options.Directory,
 		replicas: options.Replicas, metrics: options.Metrics, splitter: route.NewSplitter(options.Node), started: time.Now(),
+		allowances: newAllowances(),
 	}
 	s.pool = backend.NewPool(s.metrics.connections.Inc)
 	s.directory.UseConnections(s.pool)
@@ -186,6 +190,10 @@
 	}
 	ctx, cancel := context.WithDeadline(incoming.Context(), r.deadline)
 	defer cancel()
+	if failure := s.withinLimit(ctx, r); failure != nil {
+		s.refuse(w, r, failure)
+		return
+	}
 	if r.route.Kind == route.Streaming {
 		s.stream(ctx, w, r)
 		return
@@ -207,7 +215,7 @@
 		Str("tenant", r.tenantName()).Str("key_fingerprint", r.keyFingerprint).Str("route", name).Uint64("config", version).Str("service", r.service.Name).
 		Int("status", o.status).Str("result", o.result).Str("reason", o.reason).
 		Str("instance", o.instance).Int("sends", o.sends).Int("load", o.load).Float64("cost", o.cost).
-		Int("candidates", o.candidates).Float64("reserve_ms", o.reserveMS).Float64("first_ms", o.firstMS).
+		Int("candidates", o.candidates).Str("lender", o.lender).Float64("limit_ms", o.limitMS).Float64("reserve_ms", o.reserveMS).Float64("first_ms", o.firstMS).
 		Float64("commit_ms", o.commitMS).Int("events", o.events).Int64("charged", o.others).Uint64("epoch", o.epoch).
 		Str("previous", r.header.Get(s.dialect.PreviousTurn)).Int64("list_age_ms", s.listAge().Milliseconds()).
 		Int64("took_ms", took.Milliseconds()).Msg("")
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -20,6 +20,7 @@
 import (
 	"time"
 
+	"swiftbank.dev/swiftbank/internal/quota"
 	"swiftbank.dev/swiftbank/internal/replicaset"
 )
 
@@ -82,6 +83,8 @@
 	Fetch     *Fetch
 	Chain     *Chain
 	Hello     *replicaset.Node
+	// Borrow is answered beside the ledger, by the replica's lender.
+	Borrow *quota.Borrow
 }
 
 // Reserve asks for a reservation, for a turn's history, or for both.
@@ -154,6 +157,8 @@
 	Turns []Turn
 	// Chain is set in the answer to a Chain.
 	Chain bool
+	// Loan answers a Borrow.
+	Loan *quota.Loan
 }
 
 // ReserveReply is what a replica knows when it accepts a reservation.
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -12,6 +12,7 @@
 
 	"swiftbank.dev/swiftbank/internal/ledger"
 	"swiftbank.dev/swiftbank/internal/peer"
+	"swiftbank.dev/swiftbank/internal/quota"
 	"swiftbank.dev/swiftbank/internal/replicaset"
 )
 
@@ -57,8 +58,12 @@
 	chains map[string][]ledger.Turn
 	// changed is signalled after each reply.
 	changed chan struct{}
-	// votersOnly requests are of no use to other replicas.
+	// votersOnly requests are of no use to other replicas; only names the one that a request
+	// is for, "" where it is for several.
 	votersOnly bool
+	only       string
+	// loan is the answer to a Borrow.
+	loan *quota.Loan
 	// nearest is the replica that is asked for the history, or nil.
 	nearest *replicaLink
 	// everywhere is set once all replicas are asked for the history.
@@ -309,6 +314,9 @@
 	request := pending.request
 	request.Epoch = c.set.Epoch
 	voter := c.set.Has(replica.node.Disk)
+	if pending.only != "" {
+		return request, replica.node.Name == pending.only
+	}
 	if request.Reserve != nil {
 		reserve := *request.Reserve
 		if reserve.History != "" && !pending.everywhere && replica != pending.nearest {
--- a/internal/quorum/client_test.go
+++ b/internal/quorum/client_test.go
@@ -23,7 +23,9 @@
 	state *ledger.State
 	// holdDurable keeps the replies back that wait for a sync.
 	holdDurable bool
-	server      *peer.Server[ledger.Request, ledger.Reply]
+	// lend answers requests for allowances.
+	lend   func(ledger.Request) ledger.Reply
+	server *peer.Server[ledger.Request, ledger.Reply]
 }
 
 func startReplica(t *testing.T, name, address string) *standReplica {
@@ -42,6 +44,10 @@
 func (r *standReplica) receive(from *peer.Connection[ledger.Reply], request ledger.Request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if request.Borrow != nil {
+		from.Send(r.lend(request))
+		return
+	}
 	output := r.state.Step(time.Now(), request)
 	replies := output.Now
 	if !r.holdDurable {
--- a/internal/quorum/link.go
+++ b/internal/quorum/link.go
@@ -89,6 +89,9 @@
 	if pending == nil {
 		return
 	}
+	if reply.Loan != nil {
+		pending.loan = reply.Loan
+	}
 	if reply.Chain {
 		pending.chains[reply.Disk] = reply.Turns
 	}
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"swiftbank.dev/swiftbank/internal/ledger"
+	"swiftbank.dev/swiftbank/internal/quota"
 )
 
 // Metrics are a replica's counters in the Prometheus format.
@@ -22,6 +23,9 @@
 	store    *prometheus.CounterVec
 
 	feedAge, feedReading prometheus.Gauge
+
+	allowances   *prometheus.CounterVec
+	loansRefused prometheus.Counter
 }
 
 // NewMetrics registers a replica's metrics.
@@ -53,6 +57,13 @@
 	}, []string{"method", "status"})
 	m.feedAge = gauge("swiftbank_feed_age_seconds", "Age of what is known of the shared store.")
 	m.feedReading = gauge("swiftbank_feed_reading", "1 while this process reads the shared store itself.")
+	m.allowances = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "swiftbank_replica_allowances_total", Help: "Allowances of tenants' limits lent, by what for.", ConstLabels: labels,
+	}, []string{"for"})
+	m.loansRefused = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "swiftbank_replica_loans_refused_total", Help: "Requests for an allowance of a tenant that had none left here.", ConstLabels: labels,
+	})
+	m.Registry.MustRegister(m.allowances, m.loansRefused)
 	m.Registry.MustRegister(m.feedAge, m.feedReading, m.store, m.requests, m.syncs, m.batch, m.epoch, m.turns, m.programs, m.bytes)
 	return m
 }
@@ -97,5 +108,16 @@
 		m.requests.WithLabelValues("inventory").Inc()
 	case request.Fetch != nil:
 		m.requests.WithLabelValues("fetch").Inc()
+	case request.Borrow != nil:
+		m.requests.WithLabelValues("borrow").Inc()
+	}
+}
+
+// lent counts what a lender said.
+func (m *Metrics) lent(lent quota.Loan) {
+	m.allowances.WithLabelValues("waiting").Add(float64(lent.Waiting))
+	m.allowances.WithLabelValues("ahead").Add(float64(lent.Ahead))
+	if lent.Wait > 0 {
+		m.loansRefused.Inc()
 	}
 }
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -14,6 +14,7 @@
 
 	"swiftbank.dev/swiftbank/internal/ledger"
 	"swiftbank.dev/swiftbank/internal/peer"
+	"swiftbank.dev/swiftbank/internal/quota"
 	"swiftbank.dev/swiftbank/internal/registry"
 	"swiftbank.dev/swiftbank/internal/replicaset"
 	"swiftbank.dev/swiftbank/internal/wait"
@@ -51,6 +52,8 @@
 	Retirements Retirements
 	Log         *log.Logger
 	Metrics     *Metrics
+	// Quota is how exactly the limits of tenants must hold.
+	Quota quota.Policy
 }
 
 // Server is one replica. Its state belongs to the goroutine of Run.
@@ -58,6 +61,7 @@
 	options Options
 	log     *log.Logger
 	state   *ledger.State
+	lender  *quota.Lender
 	inbox   chan func()
 	syncer  *syncer
 	peers   map[string]*peerState
@@ -76,7 +80,7 @@
 	s := &Server{
 		options: options, log: options.Log,
 		inbox: make(chan func(), inboxEvents), peers: map[string]*peerState{}, context: context.Background(),
-		ended: make(chan struct{}),
+		ended: make(chan struct{}), lender: quota.NewLender(options.Quota),
 	}
 	if options.Metrics == nil {
 		s.options.Metrics = NewMetrics(options.Node)
@@ -190,8 +194,12 @@
 		s.meet(*request.Hello)
 		return
 	}
-	output := s.state.Step(time.Now(), request)
 	s.options.Metrics.count(request)
+	if request.Borrow != nil {
+		from.Send(s.lend(request))
+		return
+	}
+	output := s.state.Step(time.Now(), request)
 	s.logRequest(request, output)
 	for _, reply := range output.Now {
 		from.Send(reply)
@@ -232,6 +240,7 @@
 		peer.tick(now)
 	}
 	s.tickMembership(now)
+	s.tellLender(now)
 	if now.Sub(s.purgedAt) >= purgeInterval {
 		s.purgedAt = now
 		s.state.Purge(now)
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"os"
 	"time"
+
+	"swiftbank.dev/swiftbank/internal/quota"
 )
 
 // Member holds what gateways and replicas both need. docs/OPERATIONS.md explains
@@ -51,6 +53,16 @@
 	DiskMB     int    `koanf:"diskMB" validate:"gt=0"`
 	// CopyAddress is where it hands on what the store says to other processes; "" does not.
 	CopyAddress string `koanf:"copyAddress" validate:"omitempty,hostname_port"`
+	// QuotaWindow is the span in which the requests of a tenant are counted, QuotaOverage the
+	// share and QuotaSlack the number of requests by which a count may exceed its limit.
+	QuotaWindow  time.Duration `koanf:"quotaWindow" validate:"gt=0"`
+	QuotaOverage float64       `koanf:"quotaOverage" validate:"gte=0,lte=1"`
+	QuotaSlack   float64       `koanf:"quotaSlack" validate:"gte=0"`
+}
+
+// Quota returns how exactly the limits of tenants must hold.
+func (r Replica) Quota() quota.Policy {
+	return quota.Policy{Window: r.QuotaWindow, Overage: r.QuotaOverage, Slack: r.QuotaSlack}
 }
 
 // Advertised returns the address that the other processes are told.
@@ -72,7 +84,10 @@
 
 // LoadReplica reads the settings of a replica.
 func LoadReplica(path string, overrides []string) (Replica, error) {
-	return loadFile(path, overrides, Replica{Member: defaultMember()})
+	limits := quota.DefaultPolicy
+	return loadFile(path, overrides, Replica{
+		Member: defaultMember(), QuotaWindow: limits.Window, QuotaOverage: limits.Overage, QuotaSlack: limits.Slack,
+	})
 }
 
 // Check reports the first thing that is wrong with the settings.
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -49,6 +49,7 @@
 	CodeSessionEnded      Code = "session_ended"
 	CodeLimitReached      Code = "program_limit_reached"
 	CodeBudgetExhausted   Code = "budget_exhausted"
+	CodeTenantLimit       Code = "tenant_limit_reached"
 	CodeOverloaded        Code = "overloaded"
 	CodeDeadline          Code = "deadline_exceeded"
 	CodeNoBackEnd         Code = "no_back_end"
