Limits count in a sliding window, and lenders remember what they lent

Weighed: a deeper bucket (lets twice the limit through in a span across the refill); a window without memory (a voter that restarts lends all of it again: 1.5 times the limit); a pause of a window after each restart (no request of any limited tenant for 5 s after a loss of power). Change: the Lender counts what it lent until a window after its use; each lending is a record of the replica's log, and an answer waits for the disk where more than a share of the slack is not on it. A restarted voter goes on with it, a new one lends more as the window passes.

--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -191,4 +191,6 @@
 	Turn   *Turn
 	Charge *ProgramCharge
 	Set    *replicaset.Set
+	// Lent is the lender's; the ledger passes it over.
+	Lent *quota.Lending
 }
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -23,8 +24,6 @@
 // holdings are a tenant's allowances at this gateway.
 type holdings struct {
 	held []allowance
-	// returned counts, by lender, what was lent ahead and not used in time.
-	returned map[string]int
 	// emptyUntil is when a lender that had nothing left has an allowance again.
 	emptyUntil map[string]time.Time
 	// demand counts the requests of late, which lose their weight over demandSpan.
@@ -34,9 +33,7 @@
 
 // allowance is a number of requests that may go on.
 type allowance struct {
-	lender  string
 	count   int
-	ahead   bool
 	expires time.Time
 }
 
@@ -47,7 +44,7 @@
 	b.tidy(now)
 	known := b.tenants[tenant]
 	if known == nil {
-		known = &holdings{returned: map[string]int{}, emptyUntil: map[string]time.Time{}, demandAt: now}
+		known = &holdings{emptyUntil: map[string]time.Time{}, demandAt: now}
 		b.tenants[tenant] = known
 	}
 	return known
@@ -96,16 +93,7 @@
 // expire drops what is no longer good. The holder may not use it even if nobody else does:
 // its lender counts on that.
 func (h *holdings) expire(now time.Time) {
-	kept := h.held[:0]
-	for _, held := range h.held {
-		switch {
-		case now.Before(held.expires):
-			kept = append(kept, held)
-		case held.ahead:
-			h.returned[held.lender] += held.count
-		}
-	}
-	h.held = kept
+	h.held = slices.DeleteFunc(h.held, func(held allowance) bool { return !now.Before(held.expires) })
 }
 
 // Next returns the first of the lenders that may have an allowance, and what to ask it for
@@ -116,9 +104,7 @@
 	for _, name := range lenders {
 		empty := known.emptyUntil[name].Sub(now)
 		if empty <= 0 {
-			asked = Borrow{Tenant: tenant, Waiting: 1, Ahead: known.expected(now), Returned: known.returned[name]}
-			delete(known.returned, name)
-			return name, asked, 0, true
+			return name, Borrow{Tenant: tenant, Waiting: 1, Ahead: known.expected(now)}, 0, true
 		}
 		if wait == 0 || empty < wait {
 			wait = empty
@@ -141,9 +127,9 @@
 		known.emptyUntil[lender] = now.Add(lent.Wait)
 	}
 	if lent.Waiting > 0 {
-		known.held = append(known.held, allowance{lender: lender, count: lent.Waiting, expires: sentAt.Add(lent.Life)})
+		known.held = append(known.held, allowance{count: lent.Waiting, expires: sentAt.Add(lent.Life)})
 	}
 	if lent.Ahead > 0 {
-		known.held = append(known.held, allowance{lender: lender, count: lent.Ahead, ahead: true, expires: sentAt.Add(lent.AheadLife)})
+		known.held = append(known.held, allowance{count: lent.Ahead, expires: sentAt.Add(lent.AheadLife)})
 	}
 }
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -2,51 +2,70 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/tenant"
 )
 
-// Lender lends one voter's share of the limits of its cell's tenants. It is a pure state
-// machine and not safe for concurrent use.
+// Lender lends one voter's share of the limits of its cell's tenants. It counts what it lent
+// in a sliding window, until nothing of it can have been used within the window any more. It
+// is a pure state machine and not safe for concurrent use.
 type Lender struct {
 	policy  Policy
 	tenants *tenant.Index
-	buckets map[string]*bucket
+	counts  map[string]*count
 	// share is the part of each limit that is lent here. A larger one that was adopted
 	// counts from raiseAt on.
 	share   float64
 	adopted float64
 	raiseAt time.Time
-	// votesSince is when this became a voter, as far as this process knows.
+	// votesSince is when this became a voter; remembers says that all that it lent as one
+	// is counted here.
 	votesSince time.Time
+	remembers  bool
 }
 
-// bucket is a tenant's tokens.
-type bucket struct {
-	tokens float64
-	at     time.Time
-	ahead  []loan
+// count is what was lent of a tenant's limit.
+type count struct {
+	lent []lending
+	// unsynced is how much of it would be forgotten in a loss of power now.
+	unsynced int
 }
 
-// loan is what was lent ahead and may still be used.
-type loan struct {
-	count   int
-	expires time.Time
+// lending is a number of allowances that count until a time.
+type lending struct {
+	count int
+	until time.Time
 }
 
+const (
+	// countStep is how exactly the end of a count is kept: lendings of one step count until
+	// the last one's end, which bounds their number.
+	countStep = 100 * time.Millisecond
+	// aheadShare is the part of the credit that may be lent ahead at once: what one gateway
+	// does not use, others miss until it counts no more. Returning it was weighed: a message
+	// that comes twice would return it twice.
+	aheadShare = 8
+	// unsyncedShare is the part of the slack that may be forgotten in a loss of power.
+	unsyncedShare = 4
+)
+
 // NewLender returns a lender without a share.
 func NewLender(policy Policy) *Lender {
-	return &Lender{policy: policy, buckets: map[string]*bucket{}}
+	return &Lender{policy: policy, counts: map[string]*count{}}
 }
 
 // SetTenants replaces the tenants and their limits. nil knows of none.
-func (l *Lender) SetTenants(tenants *tenant.Index) {
-	l.tenants = tenants
-	for name := range l.buckets {
-		if listed := tenants.Named(name); listed == nil || !listed.Limit.Limited() {
-			delete(l.buckets, name)
-		}
+func (l *Lender) SetTenants(tenants *tenant.Index) { l.tenants = tenants }
+
+// Resume makes a voter that was restarted go on with what its disk says that it lent. All of
+// that may have been used just now.
+func (l *Lender) Resume(now time.Time, voters int, lent map[string]int) {
+	l.SetVoters(now, voters, true)
+	l.remembers = true
+	for name, allowances := range lent {
+		l.countOf(name).add(allowances, now.Add(l.policy.Window))
 	}
 }
 
@@ -63,10 +82,8 @@
 	}
 	l.adopted = adopted
 	switch {
-	case l.share == 0: // a voter that was none begins with empty buckets
-		l.share = adopted
-		l.votesSince = now
-		clear(l.buckets)
+	case l.share == 0:
+		l.share, l.votesSince, l.remembers = adopted, now, false
 	case adopted < l.share:
 		l.share = adopted
 	default:
@@ -82,72 +99,118 @@
 	return l.share
 }
 
-// Lend answers a gateway.
-func (l *Lender) Lend(now time.Time, asked Borrow) Loan {
+// Lend answers a gateway. sync says that the answer must wait until the lending is on the
+// disk.
+func (l *Lender) Lend(now time.Time, asked Borrow) (lent Loan, sync bool) {
 	listed := l.tenants.Named(asked.Tenant)
 	share := l.presentShare(now)
 	switch {
 	case listed == nil || share == 0:
-		return Loan{Unable: true}
+		return Loan{Unable: true}, false
 	case !listed.Limit.Limited():
-		return Loan{Unlimited: true}
-	}
-	rate := listed.Limit.PerSecond * share
-	depth := l.depth(listed.Limit, share)
-	known := l.refilled(now, listed.Name, rate, min(depth, l.policy.Slack/2*share))
-	known.tokens = min(known.tokens+float64(max(0, asked.Returned)), depth)
-	lent := Loan{Life: l.policy.life(), AheadLife: aheadLife}
-	lent.Waiting = known.take(asked.Waiting, math.Inf(1))
-	most := l.policy.Overage/2*l.policy.inWindow(listed.Limit)*share - float64(known.outstanding(now))
-	lent.Ahead = known.take(asked.Ahead, most)
-	if lent.Ahead > 0 {
-		known.ahead = append(known.ahead, loan{count: lent.Ahead, expires: now.Add(aheadLife)})
+		return Loan{Unlimited: true}, false
 	}
+	known := l.countOf(asked.Tenant)
+	credit := l.credit(now, listed.Limit, share, known)
+	lent = Loan{Life: l.policy.life(), AheadLife: aheadLife}
+	lent.Waiting = max(0, min(asked.Waiting, credit))
+	lent.Ahead = max(0, min(asked.Ahead, (credit-lent.Waiting)/aheadShare))
+	known.add(lent.Waiting, now.Add(lent.Life+l.policy.Window))
+	known.add(lent.Ahead, now.Add(lent.AheadLife+l.policy.Window))
 	if lent.Waiting == 0 {
-		lent.Wait = time.Duration((1 - known.tokens) / rate * float64(time.Second))
+		lent.Wait = l.nextCredit(now, known)
 	}
-	return lent
+	most := l.policy.Slack / unsyncedShare * share
+	return lent, lent.Waiting+lent.Ahead > 0 && float64(known.unsynced) > most
 }
 
-// depth is what a bucket holds at most: a share of the burst and of half the slack. It is
-// one request at least, or small limits could not be lent at all.
-func (l *Lender) depth(limit tenant.Limit, share float64) float64 {
-	return max(1, (limit.Burst+l.policy.Slack/2)*share)
+// Synced says that so many allowances lent of a tenant's limit are on the disk.
+func (l *Lender) Synced(name string, allowances int) {
+	if known := l.counts[name]; known != nil {
+		known.unsynced = max(0, known.unsynced-allowances)
+	}
 }
 
-// refilled returns the tenant's bucket with what has come in since it was used last. A new
-// one began with a share of the slack only when this became a voter: an earlier life of this
-// process, or an earlier voter, may have lent the burst a moment before.
-func (l *Lender) refilled(now time.Time, name string, rate, first float64) *bucket {
-	known := l.buckets[name]
-	if known == nil {
-		known = &bucket{tokens: first, at: l.votesSince}
-		l.buckets[name] = known
+// Counted returns what counts at present, for a log that is written anew.
+func (l *Lender) Counted(now time.Time) map[string]int {
+	counted := map[string]int{}
+	for name, known := range l.counts {
+		if sum := known.sum(now); sum > 0 {
+			counted[name] = sum
+		} else if known.unsynced == 0 {
+			delete(l.counts, name)
+		}
 	}
-	if passed := now.Sub(known.at); passed > 0 {
-		known.tokens += rate * passed.Seconds()
-		known.at = now
+	return counted
+}
+
+func (l *Lender) countOf(name string) *count {
+	known := l.counts[name]
+	if known == nil {
+		known = &count{}
+		l.counts[name] = known
 	}
 	return known
 }
 
-// take takes up to so many whole tokens.
-func (b *bucket) take(asked int, most float64) int {
-	taken := max(0, int(math.Floor(min(float64(asked), b.tokens, most))))
-	b.tokens -= float64(taken)
-	return taken
+// most is what may count at once of a limit here: a share of the limit, half the overage and
+// half the slack. It is one request at least, or small limits could not be lent at all.
+func (l *Lender) most(limit tenant.Limit, share float64) float64 {
+	return max(1, (l.policy.inWindow(limit)*(1+l.policy.Overage/2)+l.policy.Slack/2)*share)
+}
+
+// credit returns how many allowances may be lent now.
+func (l *Lender) credit(now time.Time, limit tenant.Limit, share float64, known *count) int {
+	most := l.most(limit, share)
+	return int(math.Floor(most*(1-l.forgotten(now)))) - known.sum(now)
 }
 
-// outstanding returns what was lent ahead and may still be used.
-func (b *bucket) outstanding(now time.Time) int {
-	count := 0
-	kept := b.ahead[:0]
-	for _, lent := range b.ahead {
-		if now.Before(lent.expires) {
-			kept = append(kept, lent)
-			count += lent.count
+// forgotten returns the part of a limit that earlier voters, or an earlier disk of this one,
+// may have lent within the window: all of it at first, and less as the window passes.
+func (l *Lender) forgotten(now time.Time) float64 {
+	if l.remembers {
+		return 0
+	}
+	return max(0, 1-now.Sub(l.votesSince).Seconds()/l.policy.Window.Seconds())
+}
+
+// nextCredit returns how long it takes until some of what was lent no longer counts.
+func (l *Lender) nextCredit(now time.Time, known *count) time.Duration {
+	wait := l.policy.Window
+	for _, lent := range known.lent {
+		wait = min(wait, lent.until.Sub(now))
+	}
+	if l.forgotten(now) > 0 {
+		wait = min(wait, countStep)
+	}
+	return max(wait, time.Millisecond)
+}
+
+// add counts allowances until a time.
+func (c *count) add(allowances int, until time.Time) {
+	if allowances == 0 {
+		return
+	}
+	c.unsynced += allowances
+	for i := range c.lent {
+		known := &c.lent[i]
+		if until.Sub(known.until).Abs() < countStep {
+			known.count += allowances
+			if until.After(known.until) {
+				known.until = until
+			}
+			return
 		}
 	}
-	b.ahead = kept
-	return count
+	c.lent = append(c.lent, lending{count: allowances, until: until})
+}
+
+// sum returns what counts now.
+func (c *count) sum(now time.Time) int {
+	c.lent = slices.DeleteFunc(c.lent, func(lent lending) bool { return !now.Before(lent.until) })
+	sum := 0
+	for _, lent := range c.lent {
+		sum += lent.count
+	}
+	return sum
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,15 +1,14 @@
-// Package quota holds a fleet to the limits of its tenants. Each voter of a tenant's cell
-// lends a fixed share of the tenant's limit: its Lender is a token bucket for each tenant,
-// with an equal part of rate and burst. A gateway's Borrower asks lenders for allowances,
-// one for each request, and some ahead where many requests come. No lender needs to know of
-// the others, so cuts, restarts and losses make the fleet lend less, never more.
+// Package quota holds a fleet to the limits of its tenants: in any window of W seconds at most
+// rate x W + burst requests of a tenant go on, with the overage and the slack that the
+// operator grants. Each voter of a tenant's cell lends a fixed share of that: its Lender counts
+// what it lent in a sliding window. A gateway's Borrower asks lenders for allowances, one for
+// each request, and some ahead where many requests come. No lender needs to know of the others,
+// so cuts and losses make the fleet lend less, never more.
 //
-// What a fleet lends in any span W is at most rate x W + burst + slack/2 by the buckets.
-// What is used in the span was lent in it, or is one of the allowances lent before it that
-// were still good: those for requests that wait are good for overage x W / 2 only, and those
-// lent ahead are bounded to overage/2 of the limit in W. So at most
-// (rate x W + burst) x (1 + overage) + slack/2 requests go on; the other half of the slack is
-// kept for lenders that were restarted and for changes of the cell.
+// An allowance is good for a short life and counts from its lending until a window after the
+// end of that life. What is used in a window therefore counts at its end, and what counts is
+// bounded by the limit, half the overage and half the slack. A quarter of the slack is what
+// lenders may forget in a loss of power; the rest is kept for changes of the cell.
 //
 // Both types are pure state machines: time comes in with each call.
 package quota
@@ -58,8 +57,6 @@
 	// soon.
 	Waiting int
 	Ahead   int
-	// Returned is how many allowances that this lender lent ahead were not used in time.
-	Returned int
 }
 
 // Loan answers a Borrow.
--- a/internal/replica/lend.go
+++ b/internal/replica/lend.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/ledger"
+	"swiftbank.dev/swiftbank/internal/quota"
 	"swiftbank.dev/swiftbank/internal/route"
 )
 
@@ -15,13 +16,49 @@
 	})
 }
 
-// lend answers a gateway that asks for allowances.
-func (s *Server) lend(request ledger.Request) ledger.Reply {
+// resumeLending makes a voter that was restarted go on with what its disk says that it lent.
+func (s *Server) resumeLending(recent map[string]int) {
+	set := s.state.Set()
+	if set.Has(s.state.Disk()) {
+		s.lender.Resume(s.started, len(set.Voters), recent)
+	}
+}
+
+// lend answers a gateway that asks for allowances. What was lent goes to the disk; the answer
+// waits for that if much is not there yet.
+func (s *Server) lend(request ledger.Request, send func(ledger.Reply)) {
 	now := time.Now()
 	s.tellLender(now)
-	lent := s.lender.Lend(now, *request.Borrow)
+	tenant := request.Borrow.Tenant
+	lent, sync := s.lender.Lend(now, *request.Borrow)
 	s.options.Metrics.lent(lent)
-	return ledger.Reply{Number: request.Number, Disk: s.state.Disk(), Epoch: s.state.Set().Epoch, Loan: &lent}
+	reply := ledger.Reply{Number: request.Number, Disk: s.state.Disk(), Epoch: s.state.Set().Epoch, Loan: &lent}
+	if !sync {
+		send(reply)
+	}
+	allowances := lent.Waiting + lent.Ahead
+	if allowances == 0 {
+		return
+	}
+	s.persist([]ledger.Record{s.lendingRecord(now, tenant, allowances)}, func() {
+		if sync {
+			send(reply)
+		}
+		s.post(func() { s.lender.Synced(tenant, allowances) })
+	})
+}
+
+func (s *Server) lendingRecord(now time.Time, tenant string, allowances int) ledger.Record {
+	return ledger.Record{Lent: &quota.Lending{Tenant: tenant, Allowances: allowances, Life: s.life, Uptime: now.Sub(s.started)}}
+}
+
+// snapshot returns records that rebuild the ledger and what counts of the lendings.
+func (s *Server) snapshot(now time.Time) []ledger.Record {
+	records := s.state.Snapshot()
+	for tenant, allowances := range s.lender.Counted(now) {
+		records = append(records, s.lendingRecord(now, tenant, allowances))
+	}
+	return records
 }
 
 // tellLender gives the lender its share by the adopted set of voters.
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -70,7 +70,9 @@
 	// ended is closed when the loop takes no more work.
 	ended chan struct{}
 
-	started  time.Time
+	started time.Time
+	// life tells this life of the process from earlier ones.
+	life     string
 	purgedAt time.Time
 	rotating bool
 }
@@ -87,16 +89,25 @@
 	}
 	began := time.Now()
 	s.started = began
-	s.state = ledger.NewState("", uuid.NewString())
+	s.life = uuid.NewString()
+	s.state = ledger.NewState("", s.life)
+	lendings := quota.NewHistory(options.Quota)
 	folder := filepath.Join(options.DataFolder, "ledger")
-	disk, existed, err := wal.Open(folder, func(record ledger.Record) { s.state.Replay(began, record) })
+	disk, existed, err := wal.Open(folder, func(record ledger.Record) {
+		if record.Lent != nil {
+			lendings.Add(*record.Lent)
+			return
+		}
+		s.state.Replay(began, record)
+	})
 	if err != nil {
 		return nil, err
 	}
 	if !existed || s.state.Disk() == "" {
 		s.state.Replay(began, ledger.Record{Disk: uuid.NewString()})
 	}
-	if err := rotateAtStart(disk, s.state.Snapshot()); err != nil {
+	s.resumeLending(lendings.Recent())
+	if err := rotateAtStart(disk, s.snapshot(began)); err != nil {
 		return nil, err
 	}
 	s.members.pause = changePauseFirst
@@ -196,7 +207,7 @@
 	}
 	s.options.Metrics.count(request)
 	if request.Borrow != nil {
-		from.Send(s.lend(request))
+		s.lend(request, func(reply ledger.Reply) { from.Send(reply) })
 		return
 	}
 	output := s.state.Step(time.Now(), request)
@@ -256,7 +267,7 @@
 		return
 	}
 	s.rotating = true
-	s.syncer.submit(submission{snapshot: s.state.Snapshot(), after: func() {
+	s.syncer.submit(submission{snapshot: s.snapshot(time.Now()), after: func() {
 		s.post(func() { s.rotating = false })
 	}})
 	s.log.Info().Str("event", "log_rotated").Int64("bytes", s.syncer.size()).Msg("")
