A turn asks for its allowance after its reservation

Ruled out: asking beside the reservation (1.2 ms less a turn at the median, and the same waste). Change: plain calls ask first, turns once their budget and history are there. event limit_reached tells the limit, the lender and when there is credit. Test: 150 turns beyond their budget leave a small limit untouched; seen to fail with the old order.

--- a/internal/e2e/tenancy_test.go
+++ b/internal/e2e/tenancy_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"fmt"
 	"io"
 	"io/fs"
 	"net/http"
@@ -25,7 +26,7 @@
 func (f *fleet) turnAs(gateway *member, key string, turn turnRequest) answered {
 	header := http.Header{
 		"X-Program-Id": {turn.program}, "X-Program-Deadline-Ms": {"8000"},
-		"X-Token-Budget": {"5000"}, "X-Token-Count": {"100,50"}, "Authorization": {"Bearer " + key},
+		"X-Token-Budget": {"5000"}, "X-Token-Count": {fmt.Sprintf("100,%d", max(turn.most, 50))}, "Authorization": {"Bearer " + key},
 	}
 	if turn.previous != "" {
 		header.Set("X-Previous-Turn", turn.previous)
@@ -93,6 +94,10 @@
 	require.Eventually(t, func() bool {
 		return f.post(f.gateways[0], appsHost, "/charge/a", as(keyOfRiga), "x").status == http.StatusOK
 	}, 20*time.Second, 50*time.Millisecond)
+	for range requests {
+		spent := f.turnAs(f.gateways[0], keyOfRiga, turnRequest{path: "/chat/t", program: f.newID(), body: "x", most: 6000})
+		require.Equal(t, http.StatusPaymentRequired, spent.status, "what is refused for another reason uses nothing of the limit")
+	}
 	began := time.Now()
 	answers := make(chan answered, requests)
 	for number := range requests {
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -83,6 +83,7 @@
 		case !found && silent:
 			return refuseFor(verdict.CodeUnavailable, replicaRetry, "too few replicas answered on the tenant's limit")
 		case !found:
+			s.logBeyondLimit(r, wait)
 			return beyondLimit(max(wait, leastLimitRetry))
 		}
 		r.outcome.lender = lender
@@ -106,6 +107,14 @@
 	return cell.Borrow(ctx, name, asked)
 }
 
+// logBeyondLimit writes which limit a request is beyond, and when there is credit again.
+func (s *Server) logBeyondLimit(r *request, wait time.Duration) {
+	limit := r.tenant.Limit
+	s.log.Info().Str("event", "limit_reached").Str("id", r.id).Str("tenant", r.tenant.Name).Str("lender", r.outcome.lender).
+		Float64("limit_per_s", limit.PerSecond).Float64("limit_burst", limit.Burst).Dur("wait", wait).
+		Uint64("config", r.table.Version).Msg("")
+}
+
 // beyondLimit refuses a request beyond its tenant's limit until there is credit again.
 func beyondLimit(wait time.Duration) *refusal {
 	return &refusal{status: http.StatusTooManyRequests, code: verdict.CodeTenantLimit, retryAfter: wait, reason: "the tenant's limit is reached"}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -17,6 +17,10 @@
 
 // plain serves a request with one answer.
 func (s *Server) plain(ctx context.Context, w http.ResponseWriter, r *request) {
+	if failure := s.withinLimit(ctx, r); failure != nil {
+		s.refuse(w, r, failure)
+		return
+	}
 	demand := backend.Demand{Service: r.service.Name}
 	for runs := 0; ; {
 		sent, failure := s.sendUntilTaken(ctx, r, demand)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -190,10 +190,6 @@
 	}
 	ctx, cancel := context.WithDeadline(incoming.Context(), r.deadline)
 	defer cancel()
-	if failure := s.withinLimit(ctx, r); failure != nil {
-		s.refuse(w, r, failure)
-		return
-	}
 	if r.route.Kind == route.Streaming {
 		s.stream(ctx, w, r)
 		return
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -60,6 +60,12 @@
 	if t.reservation != nil {
 		defer t.reservation.End()
 	}
+	// A turn that is refused for other reasons must not use up the tenant's limit.
+	if failure := s.withinLimit(ctx, r); failure != nil {
+		s.settle(t)
+		s.refuse(w, r, failure)
+		return
+	}
 	failure := s.relay(ctx, w, t)
 	r.outcome.events = t.events
 	switch {
