The soak shows keys, and checks tenants and a limit

Cause: no run under faults exercised who is asking and how much of it goes on. Change: two tenants, one with a limit that its callers exceed all the time; callers forge X-Tenant.

--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -29,6 +29,8 @@
 	// proxied puts a proxy before each replica, each back end, and each process's way
 	// to the store.
 	proxied bool
+	// quotaSlack is how many requests a tenant's count may exceed its limit by.
+	quotaSlack int
 }
 
 // fleet is gateways and replicas as processes before the platform's stand-ins.
@@ -175,8 +177,8 @@
 func (f *fleet) newReplica(name, zone string, addresses []string) *member {
 	peer, metrics := addresses[0], addresses[1]
 	m := &member{name: name, verb: "replica", address: peer, metrics: metrics, copies: addresses[2], data: f.t.TempDir()}
-	m.settings = f.write(name, fmt.Sprintf("node: %s\nzone: %s\npeerAddress: %s\nmetricsAddress: %s\nmemoryMB: 256\ngrace: 5s\ntolerateMachines: 1\ndataFolder: %s\ndiskMB: 64\ncopyAddress: %s\n",
-		name, zone, peer, metrics, m.data, m.copies)+f.throughProxies(m, peer))
+	m.settings = f.write(name, fmt.Sprintf("node: %s\nzone: %s\npeerAddress: %s\nmetricsAddress: %s\nmemoryMB: 256\ngrace: 5s\ntolerateMachines: 1\ndataFolder: %s\ndiskMB: 64\ncopyAddress: %s\nquotaSlack: %d\n",
+		name, zone, peer, metrics, m.data, m.copies, f.layout.quotaSlack)+f.throughProxies(m, peer))
 	return m
 }
 
--- a/internal/e2e/soak_callers_test.go
+++ b/internal/e2e/soak_callers_test.go
@@ -29,16 +29,35 @@
 	previous keptTurn
 	input    string
 	gateway  string
-	sentAt   time.Duration
-	took     time.Duration
+	// tenant is the place of its tenant in soakTenants.
+	tenant int
+	sentAt time.Duration
+	took   time.Duration
 }
 
 // soakCaller runs one program after another.
 type soakCaller struct {
 	*soak
 	random *rand.Rand
+	// tenant is the place of its tenant in soakTenants.
+	tenant int
 }
 
+// soakSlack is how far a count of requests may exceed a limit.
+const soakSlack = 20
+
+// soakLimit is the limit of the last tenant, which its callers exceed.
+var soakLimit = struct{ perSecond, burst int }{30, 30}
+
+// soakTenants are whose callers run programs.
+var soakTenants = []map[string]any{
+	{"name": "riga", "api_keys": []string{keyOfRiga}},
+	{"name": "luzon", "api_keys": []string{keyOfLuzon}, "rate_per_s": soakLimit.perSecond, "burst": soakLimit.burst},
+}
+
+// keyOf returns the key of a tenant's callers.
+func keyOf(tenant int) string { return soakTenants[tenant]["api_keys"].([]string)[0] }
+
 const (
 	turnTokens     = 40 // four events of ten tokens each
 	turnMost       = 50
@@ -69,14 +88,17 @@
 	}
 }
 
-// anyKept returns a turn that some program got whole.
+// anyKept returns a turn that some program of the tenant got whole, or none.
 func (c *soakCaller) anyKept() keptTurn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.kept) == 0 {
 		return keptTurn{}
 	}
-	return c.kept[c.random.IntN(len(c.kept))]
+	if kept := c.kept[c.random.IntN(len(c.kept))]; kept.tenant == c.tenant {
+		return kept
+	}
+	return keptTurn{}
 }
 
 // turn asks for one turn until it is answered whole or was tried often enough.
@@ -99,7 +121,7 @@
 			return keptTurn{}, false
 		}
 		if got.whole() {
-			return keptTurn{id: got.id, history: line.history + got.input + c.engines[0].EventData(got.id)}, true
+			return keptTurn{id: got.id, history: line.history + got.input + c.engines[0].EventData(got.id), tenant: c.tenant}, true
 		}
 	}
 	return keptTurn{}, false
@@ -119,6 +141,9 @@
 	gateway := c.gateways[c.random.IntN(len(c.gateways))]
 	asked.gateway = gateway.name
 	id := c.nextID()
+	asked.tenant = c.tenant
+	header.Set("Authorization", "Bearer "+keyOf(c.tenant))
+	header.Set("X-Tenant", "forged")
 	asked.input = "input-" + id + "|"
 	asked.sentAt = time.Since(c.began)
 	asked.answered = exchange(gateway, id, host, path, header, asked.input)
@@ -127,7 +152,7 @@
 	defer c.mu.Unlock()
 	c.records = append(c.records, asked)
 	if asked.kind == retainedTurn && asked.whole() {
-		c.kept = append(c.kept, keptTurn{id: id, history: asked.previous.history + asked.input + c.engines[0].EventData(id)})
+		c.kept = append(c.kept, keptTurn{id: id, history: asked.previous.history + asked.input + c.engines[0].EventData(id), tenant: c.tenant})
 	}
 	return asked
 }
--- a/internal/e2e/soak_checks_test.go
+++ b/internal/e2e/soak_checks_test.go
@@ -74,7 +74,10 @@
 	}
 	assert.NotEqual(t, http.StatusNotFound, r.status, "a kept turn or a route is denied: %s", about)
 	assert.NotEqual(t, http.StatusGone, r.status, about)
+	assert.NotEqual(t, http.StatusUnauthorized, r.status, "a key of the configuration is denied: %s", about)
 	for _, run := range runs {
+		assert.Equal(t, []string{soakTenants[r.tenant]["name"].(string)}, run.Header.Values("X-Tenant"), "another tenant: %s", about)
+		assert.Empty(t, run.Header.Values("Authorization"), "the key went on: %s", about)
 		assert.Equal(t, r.previous.history+r.input, run.Body, "another prompt: %s", about)
 	}
 	if r.whole() {
@@ -85,6 +88,31 @@
 	}
 }
 
+// checkLimits counts the runs of the tenant with a limit in every span of a window.
+func (s *soak) checkLimits(t assert.TestingT, runs map[string][]platformtest.Run) {
+	const window, overage = 5 * time.Second, 0.1
+	allowed := float64(soakLimit.perSecond*5+soakLimit.burst)*(1+overage) + soakSlack
+	type span struct{ sent, ran time.Duration }
+	var spans []span
+	for _, r := range s.records {
+		if r.tenant == len(soakTenants)-1 && len(runs[r.id]) > 0 {
+			spans = append(spans, span{r.sentAt, runs[r.id][0].At.Sub(s.began)})
+		}
+	}
+	for _, first := range spans {
+		count := 0
+		for _, other := range spans {
+			if other.sent >= first.sent && other.ran <= first.sent+window {
+				count++
+			}
+		}
+		if float64(count) > allowed {
+			assert.Fail(t, "a limit is exceeded", "%d requests were sent and ran in the window from %.3f s on; %.0f are allowed", count, first.sent.Seconds(), allowed)
+			return
+		}
+	}
+}
+
 // checkAnswer checks that a success is the whole answer of an instance to this request.
 func (s *soak) checkAnswer(t assert.TestingT, r record, runs []platformtest.Run, about string) {
 	assert.NotEmpty(t, runs, "answered without a run: %s", about)
@@ -124,6 +152,7 @@
 	id := s.nextID()
 	got := exchange(s.gateways[0], id, agentHost, "/chat/after", http.Header{
 		"X-Program-Id": {"p-" + id}, "X-Token-Budget": {"1000"}, "X-Token-Count": {"100,50"}, "X-Previous-Turn": {turn.id},
+		"Authorization": {"Bearer " + keyOf(turn.tenant)},
 	}, "after|")
 	assert.NotEqual(t, http.StatusNotFound, got.status)
 	if got.err != nil || got.status != http.StatusOK {
@@ -139,12 +168,31 @@
 func (s *soak) checkConfiguration(t *testing.T) {
 	for _, gateway := range s.gateways {
 		require.Eventually(t, func() bool {
-			got := exchange(gateway, s.nextID(), appsHost, s.probePath(s.version), nil, "x")
+			got := exchange(gateway, s.newID(), appsHost, s.probePath(s.version), as(keyOfRiga), "x")
 			return got.err == nil && got.status == http.StatusOK
 		}, healLimit, 100*time.Millisecond, "%s lacks version %d", gateway.name, s.version)
 	}
 }
 
+func TestTheSoakFindsAnExceededLimit(t *testing.T) {
+	check := func(count int, pause time.Duration) int {
+		s := &soak{fleet: &fleet{}, began: time.Now()}
+		runs := map[string][]platformtest.Run{}
+		for number := range count {
+			id, at := fmt.Sprint(number), time.Duration(number)*pause
+			s.records = append(s.records, record{tenant: len(soakTenants) - 1, sentAt: at, answered: answered{id: id}})
+			runs[id] = []platformtest.Run{{ID: id, At: s.began.Add(at)}}
+		}
+		var found counter
+		s.checkLimits(&found, runs)
+		return found.failed
+	}
+	require.Zero(t, check(200, time.Millisecond))
+	require.Positive(t, check(230, time.Millisecond))
+	require.Zero(t, check(1000, 26*time.Millisecond))
+	require.Positive(t, check(1000, 20*time.Millisecond))
+}
+
 // counter counts the checks that failed.
 type counter struct{ failed int }
 
@@ -163,7 +211,7 @@
 		}
 		return body.String()
 	}
-	run := platformtest.Run{ID: id, Body: "in"}
+	run := platformtest.Run{ID: id, Body: "in", Header: http.Header{"X-Tenant": {"riga"}}}
 	turn := record{kind: retainedTurn, program: "p", budget: 100, input: "in", answered: answered{id: id, status: http.StatusOK, header: signed, body: stream(1, 2, 3, 4)}}
 	call := record{kind: unsafeCall, input: "in", answered: answered{id: id, status: http.StatusOK, header: signed, body: "answer to " + id + " by i-engine-1"}}
 	with := func(r record, change func(*record)) record { change(&r); return r }
@@ -188,7 +236,10 @@
 	require.Positive(t, check(with(turn, func(r *record) { r.body = stream(1, 2) }), run), "looks complete")
 	require.Positive(t, check(with(turn, func(r *record) { r.body = stream(1, 2, 2, 3) }), run), "an event twice")
 	require.Positive(t, check(with(turn, func(r *record) { r.body, r.err = stream(1, 3), io.ErrUnexpectedEOF }), run), "an event missing")
-	require.Positive(t, check(turn, platformtest.Run{ID: id, Body: "other"}), "another prompt")
+	require.Positive(t, check(turn, platformtest.Run{ID: id, Body: "other", Header: run.Header}), "another prompt")
+	require.Positive(t, check(turn, platformtest.Run{ID: id, Body: "in", Header: http.Header{"X-Tenant": {"luzon"}}}), "another tenant")
+	require.Positive(t, check(turn, platformtest.Run{ID: id, Body: "in", Header: http.Header{"X-Tenant": {"riga"}, "Authorization": {"Bearer x"}}}), "a key that went on")
+	require.Positive(t, check(with(call, func(r *record) { r.status = http.StatusUnauthorized })), "a key denied")
 	require.Positive(t, check(with(turn, func(r *record) { r.status = http.StatusNotFound })), "a kept turn denied")
 	require.Positive(t, check(with(turn, func(r *record) { r.budget = -20 }), run), "over budget")
 	require.Positive(t, check(with(turn, func(r *record) { r.answered.id = "0000000100000002" }), run), "nobody asked")
--- a/internal/e2e/soak_faults_test.go
+++ b/internal/e2e/soak_faults_test.go
@@ -263,13 +263,18 @@
 
 func (s *soak) configurationChanges() (string, func(), bool) {
 	s.version += 1 + s.random.IntN(3)
+	s.putConfiguration()
+	return fmt.Sprintf("version %d", s.version), func() {}, true
+}
+
+// putConfiguration writes the present version, with a route that tells it from others.
+func (s *soak) putConfiguration() {
 	next := s.config.Clone(s.version)
 	next.Routes = append(next.Routes, map[string]any{
 		"name": "probe", "host": appsHost, "path_prefix": s.probePath(s.version), "kind": "unsafe", "timeout_ms": 5000,
 		"target_latency_ms": 500, "priority": 2, "service": "apps", "attempts": 1,
 	})
 	s.store.Put("config", "main", next)
-	return fmt.Sprintf("version %d", s.version), func() {}, true
 }
 
 // leaves lets a back end drain and come back as a new one under another id.
--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -85,19 +85,25 @@
 // keptTurn is a turn that a caller got whole, with the text that later prompts hold.
 type keptTurn struct {
 	id, history string
+	// tenant is the place of its tenant in soakTenants.
+	tenant int
 }
 
 func runSoak(t *testing.T, seed uint64) {
-	fleet := startFleetOf(t, fleetLayout{gateways: 3, replicas: 4, engines: 4, apps: 3, proxied: true})
+	fleet := startFleetOf(t, fleetLayout{gateways: 3, replicas: 4, engines: 4, apps: 3, proxied: true, quotaSlack: soakSlack})
 	s := &soak{fleet: fleet, seed: seed, began: time.Now(), random: rand.New(rand.NewPCG(seed, 0)), touched: map[string]bool{}, version: fleet.config.Version}
 	t.Cleanup(s.keepLogs)
+	s.config.Tenants = soakTenants
+	s.version++
+	s.putConfiguration()
+	s.checkConfiguration(t) // before that, requests are nobody's
 	ctx, stop := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
 	for number := range uint64(soakCallers) {
 		callers.Add(1)
 		go func() {
 			defer callers.Done()
-			caller := &soakCaller{soak: s, random: rand.New(rand.NewPCG(seed, number+1))}
+			caller := &soakCaller{soak: s, random: rand.New(rand.NewPCG(seed, number+1)), tenant: int(number) % len(soakTenants)}
 			for ctx.Err() == nil {
 				caller.runProgram()
 			}
@@ -108,6 +114,7 @@
 	stop()
 	callers.Wait()
 	s.checkAll(t, s.runsByID())
+	s.checkLimits(t, s.runsByID())
 	s.checkKeptTurns(t)
 	s.checkConfiguration(t)
 	t.Logf("seed %d: %d requests, %d turns kept, faults:\n%s", seed, len(s.records), len(s.kept), strings.Join(s.story, "\n"))
