Try: a fifth of a limit is kept for programs that have begun; a resumed lender counts the lives too

Cause (first): a request refused in the middle of a program wastes what the program used before. Change: Borrow says whether its request is the first of a program; those find a fifth of the limit taken.

Two faults: a resumed voter counted what its disk says for a window only, though what it lent ahead may be used for a second more; and the test let an answer that came twice count twice, which the connection's owner does not.

--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -41,23 +41,24 @@
 }
 
 // next returns the lender to ask.
-func (a *allowances) next(tenant string, lenders []string) (lender string, asked quota.Borrow, wait time.Duration, found bool) {
+func (a *allowances) next(tenant string, starts bool, lenders []string) (lender string, asked quota.Borrow, wait time.Duration, found bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.borrower.Next(time.Now(), tenant, lenders)
+	return a.borrower.Next(time.Now(), tenant, starts, lenders)
 }
 
 // lent adds a loan and uses an allowance of it for the request that asked.
-func (a *allowances) lent(sentAt time.Time, tenant, lender string, lent quota.Loan) bool {
+func (a *allowances) lent(sentAt time.Time, lender string, asked quota.Borrow, lent quota.Loan) bool {
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.borrower.Lent(now, sentAt, tenant, lender, lent)
-	return a.borrower.Take(now, tenant)
+	a.borrower.Lent(now, sentAt, lender, asked, lent)
+	return a.borrower.Take(now, asked.Tenant)
 }
 
-// withinLimit lets the request go on if its tenant's limit allows that.
-func (s *Server) withinLimit(ctx context.Context, r *request) *refusal {
+// withinLimit lets the request go on if its tenant's limit allows that. starts says that it is
+// the first request of a program.
+func (s *Server) withinLimit(ctx context.Context, r *request, starts bool) *refusal {
 	if r.tenant == nil || !r.tenant.Limit.Limited() || s.allowances.arrive(r.tenant.Name) {
 		return nil
 	}
@@ -65,11 +66,11 @@
 	defer func() { r.outcome.limitMS = sinceMS(began) }()
 	ctx, cancel := context.WithTimeout(ctx, min(limitTimeout, time.Until(r.deadline)/waitShare))
 	defer cancel()
-	return s.borrow(ctx, r)
+	return s.borrow(ctx, r, starts)
 }
 
 // borrow asks the lenders of the tenant's cell one after another for an allowance.
-func (s *Server) borrow(ctx context.Context, r *request) *refusal {
+func (s *Server) borrow(ctx context.Context, r *request, starts bool) *refusal {
 	name := r.tenant.Name
 	cell := s.replicas.Of(name)
 	if cell == nil {
@@ -78,7 +79,7 @@
 	lenders := cell.Lenders(name)
 	silent := len(lenders) == 0
 	for {
-		lender, asked, wait, found := s.allowances.next(name, lenders)
+		lender, asked, wait, found := s.allowances.next(name, starts, lenders)
 		switch {
 		case !found && silent:
 			return refuseFor(verdict.CodeUnavailable, replicaRetry, "too few replicas answered on the tenant's limit")
@@ -95,7 +96,7 @@
 		case err != nil || lent.Unable:
 			silent = true
 			lenders = slices.DeleteFunc(lenders, func(other string) bool { return other == lender })
-		case lent.Unlimited || s.allowances.lent(sentAt, name, lender, lent):
+		case lent.Unlimited || s.allowances.lent(sentAt, lender, asked, lent):
 			return nil
 		}
 	}
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -47,6 +47,8 @@
 	// does not use, others miss until it counts no more. Returning it was weighed: a message
 	// that comes twice would return it twice.
 	aheadShare = 8
+	// keptShare is the part of a limit that is kept for programs that have begun.
+	keptShare = 0.2
 	// unsyncedShare is the part of the slack that may be forgotten in a loss of power.
 	unsyncedShare = 4
 )
@@ -60,12 +62,12 @@
 func (l *Lender) SetTenants(tenants *tenant.Index) { l.tenants = tenants }
 
 // Resume makes a voter that was restarted go on with what its disk says that it lent. All of
-// that may have been used just now.
+// that may have been lent just now and not be used yet.
 func (l *Lender) Resume(now time.Time, voters int, lent map[string]int) {
 	l.SetVoters(now, voters, true)
 	l.remembers = true
 	for name, allowances := range lent {
-		l.countOf(name).add(allowances, now.Add(l.policy.Window))
+		l.countOf(name).add(allowances, now.Add(aheadLife+l.policy.Window))
 	}
 }
 
@@ -113,7 +115,11 @@
 	known := l.countOf(asked.Tenant)
 	credit := l.credit(now, listed.Limit, share, known)
 	lent = Loan{Life: l.policy.life(), AheadLife: aheadLife}
-	lent.Waiting = max(0, min(asked.Waiting, credit))
+	usable := credit
+	if asked.Starts {
+		usable -= int(l.most(listed.Limit, share) * keptShare)
+	}
+	lent.Waiting = max(0, min(asked.Waiting, usable))
 	lent.Ahead = max(0, min(asked.Ahead, (credit-lent.Waiting)/aheadShare))
 	known.add(lent.Waiting, now.Add(lent.Life+l.policy.Window))
 	known.add(lent.Ahead, now.Add(lent.AheadLife+l.policy.Window))
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -68,7 +68,8 @@
 	other, _ := l.Lend(start, Borrow{Tenant: "t1", Waiting: 1000})
 	require.Equal(t, 60, other.Waiting)
 	require.Equal(t, map[string]int{"t0": 60, "t1": 60}, l.Counted(start))
-	require.Equal(t, 50, lend(l, 5*second))
+	require.Zero(t, lend(l, 5*second), "what was lent ahead before the restart may be used after it")
+	require.Equal(t, 60, lend(l, 6*second))
 	require.Empty(t, l.Counted(start.Add(time.Minute)))
 }
 
@@ -113,6 +114,24 @@
 	require.Equal(t, 48, lend(l, 80*second), "a smaller share holds at once")
 }
 
+// Near the limit the programs that have begun go before new ones.
+func TestAPartOfTheLimitIsKeptForProgramsThatHaveBegun(t *testing.T) {
+	l := lenderOf(4, tenant.Limit{PerSecond: 40, Burst: 20})
+	lent, _ := l.Lend(start.Add(10*second), Borrow{Tenant: "t0", Waiting: 1000, Starts: true})
+	require.Equal(t, 48, lent.Waiting)
+	b := NewBorrower()
+	b.Lent(start, start, "a", Borrow{Tenant: "t", Starts: true}, Loan{Wait: second})
+	_, _, wait, found := b.Next(start, "t", true, []string{"a"})
+	require.False(t, found)
+	require.Equal(t, second, wait)
+	_, _, _, found = b.Next(start, "t", false, []string{"a"})
+	require.True(t, found)
+	b.Lent(start, start, "a", Borrow{Tenant: "t"}, Loan{Wait: 2 * second})
+	_, _, wait, _ = b.Next(start, "t", true, []string{"a"})
+	require.Equal(t, 2*second, wait)
+	require.Equal(t, 12, lend(l, 10*second))
+}
+
 func TestALoweredLimitHoldsAtOnce(t *testing.T) {
 	l := lenderOf(1, tenant.Limit{PerSecond: 1000, Burst: 1000})
 	require.Equal(t, 6310, lend(l, 60*second))
@@ -136,20 +155,20 @@
 	lenders := []string{"a", "b"}
 	b.Arrived(start, "t")
 	require.False(t, b.Take(start, "t"))
-	name, asked, _, found := b.Next(start, "t", lenders)
+	name, asked, _, found := b.Next(start, "t", false, lenders)
 	require.True(t, found)
 	require.Equal(t, "a", name)
 	require.Equal(t, Borrow{Tenant: "t", Waiting: 1}, asked)
-	b.Lent(start, start, "t", "a", Loan{Wait: 300 * time.Millisecond})
-	name, _, _, _ = b.Next(start, "t", lenders)
+	b.Lent(start, start, "a", Borrow{Tenant: "t"}, Loan{Wait: 300 * time.Millisecond})
+	name, _, _, _ = b.Next(start, "t", false, lenders)
 	require.Equal(t, "b", name)
-	b.Lent(start, start, "t", "b", Loan{Wait: 200 * time.Millisecond})
-	_, _, wait, found := b.Next(start.Add(50*time.Millisecond), "t", lenders)
+	b.Lent(start, start, "b", Borrow{Tenant: "t"}, Loan{Wait: 200 * time.Millisecond})
+	_, _, wait, found := b.Next(start.Add(50*time.Millisecond), "t", false, lenders)
 	require.False(t, found)
 	require.Equal(t, 150*time.Millisecond, wait)
-	name, _, _, _ = b.Next(start.Add(250*time.Millisecond), "t", lenders)
+	name, _, _, _ = b.Next(start.Add(250*time.Millisecond), "t", false, lenders)
 	require.Equal(t, "b", name)
-	b.Lent(start, start, "t", "b", Loan{Waiting: 1, Life: time.Second})
+	b.Lent(start, start, "b", Borrow{Tenant: "t"}, Loan{Waiting: 1, Life: time.Second})
 	require.True(t, b.Take(start, "t"))
 	require.False(t, b.Take(start, "t"))
 }
@@ -158,9 +177,9 @@
 // gone.
 func TestAnAllowanceIsNotUsedAfterItsLife(t *testing.T) {
 	b := NewBorrower()
-	b.Lent(start.Add(240*time.Millisecond), start, "t", "a", Loan{Waiting: 1, Life: 250 * time.Millisecond})
+	b.Lent(start.Add(240*time.Millisecond), start, "a", Borrow{Tenant: "t"}, Loan{Waiting: 1, Life: 250 * time.Millisecond})
 	require.False(t, b.Take(start.Add(260*time.Millisecond), "t"), "its life began when it was asked for")
-	b.Lent(start.Add(240*time.Millisecond), start, "t", "a", Loan{Waiting: 1, Life: 250 * time.Millisecond, Ahead: 3, AheadLife: time.Second})
+	b.Lent(start.Add(240*time.Millisecond), start, "a", Borrow{Tenant: "t"}, Loan{Waiting: 1, Life: 250 * time.Millisecond, Ahead: 3, AheadLife: time.Second})
 	require.True(t, b.Take(start.Add(900*time.Millisecond), "t"))
 	require.False(t, b.Take(start.Add(time.Second), "t"))
 }
@@ -172,9 +191,9 @@
 		now = now.Add(10 * time.Millisecond)
 		b.Arrived(now, "t")
 	}
-	_, asked, _, _ := b.Next(now, "t", []string{"a"})
+	_, asked, _, _ := b.Next(now, "t", false, []string{"a"})
 	require.InDelta(t, 87, asked.Ahead, 10, "100 a second came for two spans")
-	_, asked, _, _ = b.Next(now.Add(time.Minute), "t", []string{"a"})
+	_, asked, _, _ = b.Next(now.Add(time.Minute), "t", false, []string{"a"})
 	require.Zero(t, asked.Ahead)
 }
 
@@ -306,23 +325,29 @@
 		s.used = append(s.used, now)
 		return
 	}
-	lender, asked, _, found := holder.Next(now, "t0", s.names)
+	lender, asked, _, found := holder.Next(now, "t0", s.chance(0.2), s.names)
 	if !found {
 		return
 	}
+	answered := false // the connection's owner takes the first answer to a question
 	s.fly(now, func(then time.Time) {
-		s.lend(then, lender, asked, func(answered time.Time, lent Loan) {
-			s.fly(answered, func(back time.Time) { s.lent(back, now, gateway, lender, lent) })
+		s.lend(then, lender, asked, func(answeredAt time.Time, lent Loan) {
+			s.fly(answeredAt, func(back time.Time) {
+				if !answered {
+					answered = true
+					s.lent(back, now, gateway, lender, asked, lent)
+				}
+			})
 		})
 	})
 }
 
-func (s *schedule) lent(now, sentAt time.Time, gateway int, lender string, lent Loan) {
+func (s *schedule) lent(now, sentAt time.Time, gateway int, lender string, asked Borrow, lent Loan) {
 	if now.Before(s.sleeps[gateway]) {
-		s.flying = append(s.flying, flight{at: s.sleeps[gateway], deliver: func(then time.Time) { s.lent(then, sentAt, gateway, lender, lent) }})
+		s.flying = append(s.flying, flight{at: s.sleeps[gateway], deliver: func(then time.Time) { s.lent(then, sentAt, gateway, lender, asked, lent) }})
 		return
 	}
-	s.gateways[gateway].Lent(now, sentAt, "t0", lender, lent)
+	s.gateways[gateway].Lent(now, sentAt, lender, asked, lent)
 	if s.gateways[gateway].Take(now, "t0") {
 		s.used = append(s.used, now)
 	}
@@ -399,10 +424,10 @@
 		for range 18 {
 			holder.Arrived(now, "t0")
 			for !holder.Take(now, "t0") {
-				name, borrow, _, found := holder.Next(now, "t0", names)
+				name, borrow, _, found := holder.Next(now, "t0", false, names)
 				require.True(t, found)
 				lent, _ := lenders[name].Lend(now, borrow)
-				holder.Lent(now, now, "t0", name, lent)
+				holder.Lent(now, now, name, borrow, lent)
 			}
 		}
 	}
@@ -415,7 +440,7 @@
 	now := start
 	for number := range names {
 		names[number] = fmt.Sprint("tenant-", number)
-		holder.Lent(now, now, names[number], "a", Loan{Ahead: math.MaxInt32, AheadLife: time.Hour})
+		holder.Lent(now, now, "a", Borrow{Tenant: names[number]}, Loan{Ahead: math.MaxInt32, AheadLife: time.Hour})
 	}
 	b.ResetTimer()
 	for number := range b.N {
