--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -41,10 +41,10 @@
 }
 
 // next returns the lender to ask.
-func (a *allowances) next(tenant string, starts bool, lenders []string) (lender string, asked quota.Borrow, wait time.Duration, found bool) {
+func (a *allowances) next(tenant string, lenders []string) (lender string, asked quota.Borrow, wait time.Duration, found bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.borrower.Next(time.Now(), tenant, starts, lenders)
+	return a.borrower.Next(time.Now(), tenant, lenders)
 }
 
 // lent adds a loan and uses an allowance of it for the request that asked.
@@ -56,9 +56,8 @@
 	return a.borrower.Take(now, asked.Tenant)
 }
 
-// withinLimit lets the request go on if its tenant's limit allows that. starts says that it is
-// the first request of a program.
-func (s *Server) withinLimit(ctx context.Context, r *request, starts bool) *refusal {
+// withinLimit lets the request go on if its tenant's limit allows that.
+func (s *Server) withinLimit(ctx context.Context, r *request) *refusal {
 	if r.tenant == nil || !r.tenant.Limit.Limited() || s.allowances.arrive(r.tenant.Name) {
 		return nil
 	}
@@ -66,11 +65,11 @@
 	defer func() { r.outcome.limitMS = sinceMS(began) }()
 	ctx, cancel := context.WithTimeout(ctx, min(limitTimeout, time.Until(r.deadline)/waitShare))
 	defer cancel()
-	return s.borrow(ctx, r, starts)
+	return s.borrow(ctx, r)
 }
 
 // borrow asks the lenders of the tenant's cell one after another for an allowance.
-func (s *Server) borrow(ctx context.Context, r *request, starts bool) *refusal {
+func (s *Server) borrow(ctx context.Context, r *request) *refusal {
 	name := r.tenant.Name
 	cell := s.replicas.Of(name)
 	if cell == nil {
@@ -79,7 +78,7 @@
 	lenders := cell.Lenders(name)
 	silent := len(lenders) == 0
 	for {
-		lender, asked, wait, found := s.allowances.next(name, starts, lenders)
+		lender, asked, wait, found := s.allowances.next(name, lenders)
 		switch {
 		case !found && silent:
 			return refuseFor(verdict.CodeUnavailable, replicaRetry, "too few replicas answered on the tenant's limit")
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -17,7 +17,7 @@
 
 // plain serves a request with one answer.
 func (s *Server) plain(ctx context.Context, w http.ResponseWriter, r *request) {
-	if failure := s.withinLimit(ctx, r, false); failure != nil {
+	if failure := s.withinLimit(ctx, r); failure != nil {
 		s.refuse(w, r, failure)
 		return
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -61,7 +61,7 @@
 		defer t.reservation.End()
 	}
 	// A turn that is refused for other reasons must not use up the tenant's limit.
-	if failure := s.withinLimit(ctx, r, t.startsProgram()); failure != nil {
+	if failure := s.withinLimit(ctx, r); failure != nil {
 		s.settle(t)
 		s.refuse(w, r, failure)
 		return
@@ -150,11 +150,6 @@
 	return text
 }
 
-// startsProgram reports whether no turn of the program was charged before.
-func (t *turn) startsProgram() bool {
-	return t.program != "" && t.reservation != nil && t.reservation.Others == 0
-}
-
 // settle replaces the reservation by what went to the caller.
 func (s *Server) settle(t *turn) {
 	if t.program == "" {
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -25,19 +25,12 @@
 type holdings struct {
 	held []allowance
 	// emptyUntil is when a lender that had nothing left has an allowance again.
-	emptyUntil map[use]time.Time
+	emptyUntil map[string]time.Time
 	// demand counts the requests of late, which lose their weight over demandSpan.
 	demand   float64
 	demandAt time.Time
 }
 
-// use is what a lender was asked for.
-type use struct {
-	lender string
-	// starts says that it was for the first request of a program.
-	starts bool
-}
-
 // allowance is a number of requests that may go on.
 type allowance struct {
 	count   int
@@ -51,7 +44,7 @@
 	b.tidy(now)
 	known := b.tenants[tenant]
 	if known == nil {
-		known = &holdings{emptyUntil: map[use]time.Time{}, demandAt: now}
+		known = &holdings{emptyUntil: map[string]time.Time{}, demandAt: now}
 		b.tenants[tenant] = known
 	}
 	return known
@@ -106,15 +99,12 @@
 // Next returns the first of the lenders that may have an allowance, and what to ask it for
 // on behalf of one request. It reports false if all said that they have none; wait is then
 // when the first of them has one again.
-func (b *Borrower) Next(now time.Time, tenant string, starts bool, lenders []string) (lender string, asked Borrow, wait time.Duration, found bool) {
+func (b *Borrower) Next(now time.Time, tenant string, lenders []string) (lender string, asked Borrow, wait time.Duration, found bool) {
 	known := b.of(now, tenant)
 	for _, name := range lenders {
-		empty := known.emptyUntil[use{name, false}].Sub(now)
-		if starts {
-			empty = max(empty, known.emptyUntil[use{name, true}].Sub(now))
-		}
+		empty := known.emptyUntil[name].Sub(now)
 		if empty <= 0 {
-			return name, Borrow{Tenant: tenant, Waiting: 1, Ahead: known.expected(now), Starts: starts}, 0, true
+			return name, Borrow{Tenant: tenant, Waiting: 1, Ahead: known.expected(now)}, 0, true
 		}
 		if wait == 0 || empty < wait {
 			wait = empty
@@ -134,7 +124,7 @@
 func (b *Borrower) Lent(now, sentAt time.Time, lender string, asked Borrow, lent Loan) {
 	known := b.of(now, asked.Tenant)
 	if lent.Wait > 0 {
-		known.emptyUntil[use{lender, asked.Starts}] = now.Add(lent.Wait)
+		known.emptyUntil[lender] = now.Add(lent.Wait)
 	}
 	if lent.Waiting > 0 {
 		known.held = append(known.held, allowance{count: lent.Waiting, expires: sentAt.Add(lent.Life)})
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -47,8 +47,6 @@
 	// does not use, others miss until it counts no more. Returning it was weighed: a message
 	// that comes twice would return it twice.
 	aheadShare = 8
-	// keptShare is the part of a limit that is kept for programs that have begun.
-	keptShare = 0.2
 	// unsyncedShare is the part of the slack that may be forgotten in a loss of power.
 	unsyncedShare = 4
 )
@@ -115,11 +113,7 @@
 	known := l.countOf(asked.Tenant)
 	credit := l.credit(now, listed.Limit, share, known)
 	lent = Loan{Life: l.policy.life(), AheadLife: aheadLife}
-	usable := credit
-	if asked.Starts {
-		usable -= int(l.most(listed.Limit, share) * keptShare)
-	}
-	lent.Waiting = max(0, min(asked.Waiting, usable))
+	lent.Waiting = max(0, min(asked.Waiting, credit))
 	lent.Ahead = max(0, min(asked.Ahead, (credit-lent.Waiting)/aheadShare))
 	known.add(lent.Waiting, now.Add(lent.Life+l.policy.Window))
 	known.add(lent.Ahead, now.Add(lent.AheadLife+l.policy.Window))
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -57,9 +57,6 @@
 	// soon.
 	Waiting int
 	Ahead   int
-	// Starts says that the request that waits is the first of a program. Those are refused
-	// first: a request refused later wastes what the program used before.
-	Starts bool
 }
 
 // Loan answers a Borrow.
