After an instance breaks a request off, its other kept connections are not used

An instance that crashed resets each kept connection when it is used; a gateway has up to three, and each cost a request that may have run. Ruled out: looking at the connection before its use (`quiet`): nothing has come on it yet. Change: a send that the instance, not the caller, broke off closes the other kept connections to it; a new one is refused, which is "not run". Test: of three kept connections only the first costs a request; seen to fail without the change.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -69,16 +69,24 @@
 	answer := &Answer{Connection: connection, pool: p, instance: instance, written: make(chan error, 1)}
 	answer.stop = context.AfterFunc(ctx, func() { _ = connection.Close() })
 	if err := answer.send(call); err != nil {
-		answer.Discard()
+		answer.brokeOff(ctx)
 		return nil, &Failure{Verdict: verdict.MayHaveRun, Reason: "send: " + err.Error()}
 	}
 	if err := answer.readHead(call); err != nil {
-		answer.Discard()
+		answer.brokeOff(ctx)
 		return nil, &Failure{Verdict: verdict.MayHaveRun, Reason: "read: " + err.Error()}
 	}
 	return answer, nil
 }
 
+// brokeOff ends an exchange that the instance, not the caller, broke off.
+func (a *Answer) brokeOff(ctx context.Context) {
+	a.Discard()
+	if ctx.Err() == nil {
+		a.pool.closeIdle(a.instance.ID)
+	}
+}
+
 func (a *Answer) send(call Call) error {
 	message := encode(call)
 	if len(call.Body) <= inlineBody {
--- a/internal/backend/exchange_test.go
+++ b/internal/backend/exchange_test.go
@@ -252,3 +252,42 @@
 	require.Equal(t, time.Duration(0), idleTime(http.Header{"Keep-Alive": {"timeout=0"}}))
 	require.Equal(t, idleDefault, idleTime(http.Header{}))
 }
+
+// An instance that crashed resets each kept connection when it is used: only the first request
+// may have run, the next one finds that nobody listens.
+func TestAfterAResetNoKeptConnectionIsUsed(t *testing.T) {
+	const together = 3
+	arrived := make(chan struct{}, together)
+	release := make(chan struct{})
+	s := startScripted(t, func(connection net.Conn, reader *bufio.Reader, number int) bool {
+		id, _, ok := readRequest(reader)
+		if !ok {
+			return false
+		}
+		if number > 1 { // the machine does not know the connection any more
+			_ = connection.(*net.TCPConn).SetLinger(0)
+			return false
+		}
+		arrived <- struct{}{}
+		<-release
+		_, _ = io.WriteString(connection, answerTo(id, "ok", ""))
+		return true
+	})
+	pool := NewPool(func() {})
+	done := make(chan *Failure, together)
+	for number := range together {
+		go func() { _, failure := do(t, pool, s, callWith(fmt.Sprint(number), "")); done <- failure }()
+	}
+	for range together {
+		<-arrived
+	}
+	close(release)
+	for range together {
+		require.Nil(t, <-done)
+	}
+	_ = s.listener.Close()
+	_, failure := do(t, pool, s, callWith("a", ""))
+	require.Equal(t, verdict.MayHaveRun, failure.Verdict)
+	_, failure = do(t, pool, s, callWith("b", ""))
+	require.Equal(t, verdict.NotRun, failure.Verdict)
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -142,10 +142,19 @@
 
 // Forget closes the kept connections of an instance that is gone.
 func (p *Pool) Forget(id string) {
+	p.mu.Lock()
+	delete(p.alive, id)
+	p.mu.Unlock()
+	p.closeIdle(id)
+}
+
+// closeIdle closes the kept connections to an instance. Those of one that broke a request off
+// are probably as dead as the one that was used: each would cost one more request that may
+// have run, where a new connection that is refused costs none.
+func (p *Pool) closeIdle(id string) {
 	p.mu.Lock()
 	kept := p.idle[id]
 	delete(p.idle, id)
-	delete(p.alive, id)
 	p.mu.Unlock()
 	for _, connection := range kept {
 		_ = connection.Close()
