--- /dev/null
+++ b/internal/ledger/wire_test.go
@@ -0,0 +1,32 @@
+package ledger
+
+import (
+	"bytes"
+	"encoding/gob"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"swiftbank.dev/swiftbank/internal/quota"
+)
+
+// A request of a tenant with a limit costs one question and one answer at most: what they
+// weigh is what the limits cost between the processes.
+func TestAQuestionForAnAllowanceIsSmall(t *testing.T) {
+	size := func(first, second any) int {
+		var wire bytes.Buffer
+		encoder := gob.NewEncoder(&wire)
+		require.NoError(t, encoder.Encode(first)) // types are described once a connection
+		described := wire.Len()
+		require.NoError(t, encoder.Encode(second))
+		return wire.Len() - described
+	}
+	question := Request{Number: 123456, Epoch: 7, Borrow: &quota.Borrow{Tenant: "tenant-of-twenty-bytes", Waiting: 1, Ahead: 2}}
+	answer := Reply{Number: 123456, Disk: "6c1f0c9e-3f63-4a55-9f0c-0a1b2c3d4e5f", Epoch: 7, Loan: &quota.Loan{
+		Waiting: 1, Ahead: 2, Life: 250 * time.Millisecond, AheadLife: time.Second,
+	}}
+	require.LessOrEqual(t, size(question, question), 60)
+	require.LessOrEqual(t, size(answer, answer), 90)
+	t.Logf("question %d bytes, answer %d bytes", size(question, question), size(answer, answer))
+}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -433,3 +433,14 @@
 		}
 	}
 }
+
+// BenchmarkLend lends to a tenant that asks a thousand times a second all the time.
+func BenchmarkLend(b *testing.B) {
+	l := lenderOf(4, tenant.Limit{PerSecond: 4000, Burst: 4000})
+	now := start.Add(time.Minute)
+	b.ResetTimer()
+	for range b.N {
+		now = now.Add(time.Millisecond)
+		l.Lend(now, Borrow{Tenant: "t0", Waiting: 1})
+	}
+}
