Names of the field, and one way to hand news to a replica that starts

Cause: reading: timeouts of the stand-alone nodes were called patience, handlers "take in"; a replica that starts kept three kinds of news in three fields with the same lines for each; a comment pointed to a page instead of saying what equal priorities bring. Change: names and comments; `startingReplica.tell`. Measured: tests of the packages pass.

--- a/internal/command/replica.go
+++ b/internal/command/replica.go
@@ -89,41 +89,31 @@
 // startingReplica keeps what the feed tells until the replica has read its log: what others
 // learn from this process does not wait for that.
 type startingReplica struct {
-	mu          sync.Mutex
-	server      *replica.Server
-	members     []registry.Object
-	retirements map[string]feed.RetirementState
-	table       *route.Table
+	mu     sync.Mutex
+	server *replica.Server
+	// waiting holds the newest news of each kind.
+	waiting [kindsOfNews]func(*replica.Server)
 }
 
-func (s *startingReplica) membersChanged(objects []registry.Object) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.server != nil {
-		s.server.MembersChanged(objects)
-		return
-	}
-	s.members = objects
-}
+// newsKind is a kind of news for a replica.
+type newsKind uint8
 
-func (s *startingReplica) retirementsChanged(states map[string]feed.RetirementState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.server != nil {
-		s.server.RetirementsChanged(states)
-		return
-	}
-	s.retirements = states
-}
+const (
+	newsOfMembers newsKind = iota
+	newsOfRetirements
+	newsOfConfiguration
+	kindsOfNews
+)
 
-func (s *startingReplica) configurationChanged(table *route.Table) {
+// tell hands news over, now or once the replica has started.
+func (s *startingReplica) tell(kind newsKind, news func(*replica.Server)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.server != nil {
-		s.server.ConfigurationChanged(table)
+	if s.server == nil {
+		s.waiting[kind] = news
 		return
 	}
-	s.table = table
+	news(s.server)
 }
 
 // started hands over what was told so far.
@@ -131,11 +121,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.server = server
-	if s.members != nil {
-		server.MembersChanged(s.members)
-	}
-	server.RetirementsChanged(s.retirements)
-	if s.table != nil {
-		server.ConfigurationChanged(s.table)
+	for _, news := range s.waiting {
+		if news != nil {
+			news(server)
+		}
 	}
 }
+
+func (s *startingReplica) membersChanged(objects []registry.Object) {
+	s.tell(newsOfMembers, func(server *replica.Server) { server.MembersChanged(objects) })
+}
+
+func (s *startingReplica) retirementsChanged(states map[string]feed.RetirementState) {
+	s.tell(newsOfRetirements, func(server *replica.Server) { server.RetirementsChanged(states) })
+}
+
+func (s *startingReplica) configurationChanged(table *route.Table) {
+	s.tell(newsOfConfiguration, func(server *replica.Server) { server.ConfigurationChanged(table) })
+}
--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -22,7 +22,7 @@
 	maxRetryTokens  = 50
 	retryTokenShare = 0.2
 	// dispatchWindow is how long after proposing an attempt its dispatcher may send
-	// it. It is shorter than the silence after which another member takes the call
+	// it. It is shorter than the time without a word after which another member takes the call
 	// over, less two heartbeats: a dispatcher that was paused wakes too late to send,
 	// and cannot begin a call after its successor has gone on with the session. Both
 	// times are measured on one machine, so clocks need not agree.
@@ -143,7 +143,7 @@
 	return shard.Outcome{Verdict: v, Code: code, Reason: reason, RetryAfter: failedRetry}
 }
 
-// attemptFinished takes in the outcome of an attempt and brings it to the leader.
+// attemptFinished handles the outcome of an attempt and brings it to the leader.
 func (n *Node) attemptFinished(now time.Time, event AttemptFinished) {
 	ended := n.attempts[event.Attempt]
 	if ended == nil || ended.outcome != nil {
@@ -174,7 +174,7 @@
 	})
 }
 
-// receiveReport takes in the answer to an AttemptQuery.
+// receiveReport handles the answer to an AttemptQuery.
 func (n *Node) receiveReport(now time.Time, report AttemptReport) {
 	if g := n.groups[report.Shard]; g != nil && g.leading {
 		n.settleAttempt(now, g, report)
@@ -196,7 +196,7 @@
 	})
 }
 
-// serveReport takes in an outcome at the leader. A leader that may decide holds
+// serveReport handles an outcome at the leader. A leader that may decide holds
 // every committed entry, so an attempt that is not the newest is settled.
 func (n *Node) serveReport(now time.Time, g *group, from waiter, report AttemptReport) {
 	settled := currentCall(g, report.Attempt) == nil
--- a/internal/core/budget.go
+++ b/internal/core/budget.go
@@ -12,8 +12,8 @@
 const (
 	// allowanceFactor is how many worst cases an allowance is asked for at once.
 	allowanceFactor = 4
-	// allowancePatience bounds a request to the ledger.
-	allowancePatience = 3 * time.Second
+	// allowanceTimeout bounds a request to the ledger.
+	allowanceTimeout = 3 * time.Second
 	// idleAllowanceLimit is how long an unused allowance is kept.
 	idleAllowanceLimit = 15 * time.Second
 )
@@ -27,7 +27,7 @@
 	g.requesting[tenant] = true
 	number := g.state.NextGrant(tenant)
 	payload := GrantPayload{Tenant: tenant, Shard: g.number, Number: number, Want: need * allowanceFactor}
-	n.submit(now, n.config.Topology.ShardOfTenant(tenant), payload, 0, now.Add(allowancePatience), func(now time.Time, reply Reply, _ bool) {
+	n.submit(now, n.config.Topology.ShardOfTenant(tenant), payload, 0, now.Add(allowanceTimeout), func(now time.Time, reply Reply, _ bool) {
 		n.allowanceAnswered(now, g, tenant, reply)
 	})
 }
@@ -159,7 +159,7 @@
 	}
 	g.returning[tenant] = true
 	payload := CreditPayload{Tenant: tenant, Shard: g.number, Number: number, Amount: amount}
-	n.submit(now, n.config.Topology.ShardOfTenant(tenant), payload, 0, now.Add(allowancePatience), func(now time.Time, reply Reply, _ bool) {
+	n.submit(now, n.config.Topology.ShardOfTenant(tenant), payload, 0, now.Add(allowanceTimeout), func(now time.Time, reply Reply, _ bool) {
 		delete(g.returning, tenant)
 		if reply.Error == nil {
 			n.propose(now, g, shard.ReturnDone{Tenant: tenant, Number: number}, nil)
--- a/internal/core/configuration.go
+++ b/internal/core/configuration.go
@@ -57,7 +57,7 @@
 	return false
 }
 
-// applyChanges takes in change sets from the store or a peer. The catalogue
+// applyChanges applies change sets from the store or a peer. The catalogue
 // ignores what is old and refuses gaps, so nothing here can turn it back.
 func (n *Node) applyChanges(now time.Time, changes []catalogue.Change) {
 	before := n.catalogue.Revision()
@@ -86,7 +86,7 @@
 	}
 }
 
-// machinesRead takes in the machine list as this node read it from the platform.
+// machinesRead applies the machine list as this node read it from the platform.
 func (n *Node) machinesRead(now time.Time, list []schedule.BackEnd) {
 	if reflect.DeepEqual(list, n.machines.BackEnds) {
 		return
@@ -95,7 +95,7 @@
 	n.adoptMachines(MachinesPush{Version: version, BackEnds: list})
 }
 
-// adoptMachines takes in a newer machine list.
+// adoptMachines applies a newer machine list.
 func (n *Node) adoptMachines(list MachinesPush) {
 	if list.Version <= n.machines.Version {
 		return
--- a/internal/core/liveness.go
+++ b/internal/core/liveness.go
@@ -115,7 +115,7 @@
 	}
 }
 
-// form takes in who founded the cell. A founder creates its replicas; any other
+// form applies who founded the cell. A founder creates its replicas; any other
 // node, as one that restarted without its state, is added by the shards' leaders.
 func (n *Node) form(founders []raft.MemberID) {
 	if n.formed {
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -152,9 +152,9 @@
 		payload := AnswerPayload{ID: e.ID, Caller: n.callerReference(e.RequestID, e.Stream, e.Offset), Wait: e.Wait}
 		n.submitCaller(now, e.RequestID, n.shardOf(e.ID.Key), payload, time.Time{})
 	case SessionWanted:
-		n.submitCaller(now, e.RequestID, n.shardOf(e.Key), SessionPayload{Key: e.Key}, now.Add(readPatience))
+		n.submitCaller(now, e.RequestID, n.shardOf(e.Key), SessionPayload{Key: e.Key}, now.Add(readTimeout))
 	case EndWanted:
-		n.submitCaller(now, e.RequestID, n.shardOf(e.Key), EndPayload{Key: e.Key}, now.Add(readPatience))
+		n.submitCaller(now, e.RequestID, n.shardOf(e.Key), EndPayload{Key: e.Key}, now.Add(readTimeout))
 	case CallerGone:
 		n.callerGone(e.RequestID)
 	case AttemptFinished:
--- a/internal/core/release.go
+++ b/internal/core/release.go
@@ -93,7 +93,7 @@
 func (n *Node) holdsReported(now time.Time, event HoldsReported) {
 	for _, key := range event.Keys {
 		payload := HoldPayload{Key: key, Engine: event.Engine}
-		n.submit(now, n.shardOf(key), payload, 0, now.Add(readPatience), func(time.Time, Reply, bool) {})
+		n.submit(now, n.shardOf(key), payload, 0, now.Add(readTimeout), func(time.Time, Reply, bool) {})
 	}
 }
 
--- a/internal/core/routing.go
+++ b/internal/core/routing.go
@@ -16,12 +16,12 @@
 	lastRecheck  = 8 * time.Second
 	// notLeaderDelay is how long to wait before asking again during an election.
 	notLeaderDelay = 100 * time.Millisecond
-	// defaultPatience bounds how long a request without deadline is routed.
-	defaultPatience = 15 * time.Minute
-	// readPatience bounds requests that read or end a session.
-	readPatience = 10 * time.Second
-	// relayPatience bounds a request passed on for another node.
-	relayPatience = 2 * time.Second
+	// defaultTimeout bounds how long a request without deadline is routed.
+	defaultTimeout = 15 * time.Minute
+	// readTimeout bounds requests that read or end a session.
+	readTimeout = 10 * time.Second
+	// relayTimeout bounds a request passed on for another node.
+	relayTimeout = 2 * time.Second
 	// deadlineGrace lets the leader's own refusal at the deadline arrive first.
 	deadlineGrace = 200 * time.Millisecond
 	// unavailableRetry is when a caller may come back after a shard had no leader.
@@ -81,7 +81,7 @@
 
 // submitCaller routes a request of a local caller.
 func (n *Node) submitCaller(now time.Time, requestID uint64, number uint32, payload any, deadline time.Time) {
-	giveUp := now.Add(defaultPatience)
+	giveUp := now.Add(defaultTimeout)
 	if !deadline.IsZero() {
 		giveUp = deadline.Add(deadlineGrace)
 	}
@@ -195,7 +195,7 @@
 		n.replyNotLeader(origin, leader)
 		return
 	}
-	n.submit(now, forward.Shard, forward.Payload, forward.Hops, now.Add(relayPatience), func(_ time.Time, reply Reply, settled bool) {
+	n.submit(now, forward.Shard, forward.Payload, forward.Hops, now.Add(relayTimeout), func(_ time.Time, reply Reply, settled bool) {
 		if reply.Error != nil && reply.Error.Code == verdict.CodeUnavailable {
 			if settled {
 				n.replyNotLeader(origin, "")
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -108,9 +108,10 @@
 	return parts
 }
 
-// equalPriority is given to all requests at an engine. An engine pushes running
-// requests out for more urgent ones and reads them again from the start, which
-// costs all of them more than the urgent ones gain (docs/EXPERIMENTS.md).
+// equalPriority is given to all requests at an engine, of whatever tenant and route. An engine
+// pushes running requests out for more urgent ones and reads them again from the start: with
+// one priority programs earn 0.763 of their worth, with the routes' 0.749 (mean of seven days
+// of high load).
 const equalPriority = "5"
 
 // passedToInstances returns the caller's headers that go on to an instance. Whose request it
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -128,8 +128,8 @@
 	return nil
 }
 
-// continuesForeign reports whether the previous turn is another tenant's, by the word of the
-// program's cell or of the cell that the turn was found in.
+// continuesForeign reports whether the previous turn is another tenant's, as a replica of the
+// program's cell or of the cell that holds the turn says.
 func (t *turn) continuesForeign() bool {
 	if t.reservation.Foreign {
 		return true
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -20,7 +20,7 @@
 const (
 	// HeartbeatInterval is how often a node sends to each member of its cell.
 	HeartbeatInterval = 250 * time.Millisecond
-	// SuspectAfter is the silence after which a cell member counts as dead.
+	// SuspectAfter is the time without a word after which a cell member counts as dead.
 	SuspectAfter = time.Second
 )
 
@@ -74,7 +74,7 @@
 // Advance tells the detector the time.
 func (d *Detector) Advance(now time.Time) { d.now = now }
 
-// Receive takes in a heartbeat. A heartbeat of an earlier incarnation that
+// Receive applies a heartbeat. A heartbeat of an earlier incarnation that
 // arrives late is ignored while the newer one is alive.
 func (d *Detector) Receive(node string, heartbeat Heartbeat) {
 	known := d.peers[node]
--- a/internal/schedule/admission.go
+++ b/internal/schedule/admission.go
@@ -71,7 +71,7 @@
 	return time.Duration(float64(work.PromptTokens-held) * prefillSecondsPerToken * float64(time.Second))
 }
 
-// noteFinish takes in that a call left its back end.
+// noteFinish records that a call left its back end.
 func (s *Scheduler) noteFinish(now time.Time, key poolKey) {
 	if s.finishes[key] == nil {
 		s.finishes[key] = &finishRate{}
--- a/internal/schedule/scheduler.go
+++ b/internal/schedule/scheduler.go
@@ -235,7 +235,7 @@
 	}
 }
 
-// Served takes in what an engine counted for a finished call: it now holds the
+// Served applies what an engine counted for a finished call: it now holds the
 // session's prompt and answer.
 func (s *Scheduler) Served(now time.Time, backEnd string, session shard.SessionKey, tokens int64) {
 	if state := s.backEnds[backEnd]; state != nil {
@@ -250,7 +250,7 @@
 	}
 }
 
-// Report takes in a back end's own load report.
+// Report applies a back end's own load report.
 func (s *Scheduler) Report(report LoadReport) {
 	if state := s.backEnds[report.BackEnd]; state != nil && report.MeasuredAt.After(state.report.MeasuredAt) {
 		state.report = report
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -44,7 +44,7 @@
 // as JSON of the shape of GET /load.
 const headerLoad = "X-Load"
 
-// noteLoad takes in the load that came with an answer, so that busy back ends need
+// noteLoad records the load that came with an answer, so that busy back ends need
 // not be asked.
 func (c *backEndClient) noteLoad(backEnd string, header http.Header) {
 	text := header.Get(headerLoad)
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -120,7 +120,7 @@
 	_ = t.listener.Close()
 }
 
-// read takes in the frames of one peer connection. A frame that cannot be
+// read handles the frames of one peer connection. A frame that cannot be
 // decoded ends the connection; the peer opens a new one.
 func (t *peerTransport) read(connection net.Conn) {
 	defer t.untrack(connection)
--- a/internal/simulate/callers.go
+++ b/internal/simulate/callers.go
@@ -17,8 +17,8 @@
 	reconnectDelay = 50 * time.Millisecond
 	// leastRetry is the least wait after a refusal.
 	leastRetry = 100 * time.Millisecond
-	// callerPatience is how long a caller goes on asking for one call.
-	callerPatience = 3 * time.Minute
+	// callerTimeout is how long a caller goes on asking for one call.
+	callerTimeout = 3 * time.Minute
 	// hurriedShare is the chance that a call has a deadline, of hurriedDeadline.
 	hurriedShare    = 0.05
 	hurriedDeadline = 15 * time.Second
--- a/internal/simulate/trace.go
+++ b/internal/simulate/trace.go
@@ -169,7 +169,7 @@
 // Outcomes state what a replay must show.
 type Outcomes struct {
 	// Calls maps "tenant/session#number" to the outcomes that may be: "ran",
-	// "not_run" or "may_have_run", alternatives parted by "|".
+	// "not_run" or "may_have_run", alternatives separated by "|".
 	Calls map[string]string `json:"calls"`
 	// Violations is how many broken properties may be reported.
 	Violations int `json:"violations"`
--- a/internal/simulate/tries.go
+++ b/internal/simulate/tries.go
@@ -13,7 +13,7 @@
 // ask sends the call to a node, as a new try.
 func (c *callRun) ask() {
 	w := c.run.callers.world
-	if w.now.Sub(c.began) > callerPatience {
+	if w.now.Sub(c.began) > callerTimeout {
 		c.giveUp()
 		return
 	}
@@ -167,7 +167,7 @@
 	}
 }
 
-// served takes in the engine's count for the cache figures.
+// served records the engine's count for the cache figures.
 func (c *callers) served(key shard.SessionKey, progress enginemodel.Progress) {
 	held := c.held[key] / enginemodel.BlockTokens * enginemodel.BlockTokens
 	c.stats.promptTokens += progress.PromptTokens
