A resumed stream stays with the instance that ran it

A stream whose answer was lost was resumed where it cost least: the failure itself made its own instance dear. Ruled out: a higher preference: suspected instances are left out of a placement altogether. Change: once as many instances ran the request as the route allows, only the last one may get it again, as long as it is listed, does not leave, takes connections, and does not give nothing twice in a row. Tests: streams cut once stay with their instance; one whose instance ends each further request goes on elsewhere; each seen to fail.

--- a/internal/backend/directory_test.go
+++ b/internal/backend/directory_test.go
@@ -255,3 +255,26 @@
 	d.Broke(start.Add(time.Minute), choice.Instance.ID, time.Second)
 	require.Empty(t, d.Loads(start.Add(time.Minute)), "it worked on the request before")
 }
+
+func TestARequestMayBeBoundToOneInstance(t *testing.T) {
+	d := NewDirectory("z")
+	instances := engines(3)
+	d.Update(start, instances, false)
+	d.Pick(start, Demand{Service: "llm"})
+	d.Broke(start, "e01", time.Millisecond)
+	bound := Demand{Service: "llm", Only: "e01"}
+	for range 20 {
+		choice, found := d.Pick(start, bound)
+		require.True(t, found)
+		require.Equal(t, "e01", choice.Instance.ID, "however loaded or suspected it is")
+	}
+	bound.Exclude = []string{"e01"}
+	_, found := d.Pick(start, bound)
+	require.False(t, found, "it had no room a moment ago: the request waits for it")
+	bound.Exclude = nil
+	instances[1].Leaving = true
+	d.Update(start, instances, false)
+	choice, found := d.Pick(start, bound)
+	require.True(t, found)
+	require.NotEqual(t, "e01", choice.Instance.ID, "one that leaves gets nothing new")
+}
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -39,8 +39,10 @@
 type Failure struct {
 	// Verdict says whether the request may have run.
 	Verdict verdict.Verdict
-	// Unreachable is set when no connection came up.
+	// Unreachable is set when no connection came up, or another instance has the address;
+	// Gone when the instance's machine was found not to answer in the middle of a request.
 	Unreachable bool
+	Gone        bool
 	Reason      string
 }
 
--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -51,6 +51,9 @@
 	Cached []Cached
 	// Preferred is the instance that ran the previous turn, or "".
 	Preferred string
+	// Only is the instance that alone may get the request as long as it may get new work; ""
+	// leaves the choice open.
+	Only string
 	// Exclude lists instances that were tried.
 	Exclude []string
 }
@@ -102,6 +105,10 @@
 func (d *Directory) candidates(now time.Time, demand Demand) []*member {
 	d.samples++
 	picked := sample{now: now, demand: demand, number: d.samples}
+	if only := d.members[demand.Only]; only != nil && only.mayServe(now) {
+		picked.add(only)
+		return append(picked.sound, picked.suspected...)
+	}
 	all, near := d.byService[demand.Service], d.near[demand.Service]
 	if len(all) > sampleSize {
 		for _, id := range d.likely(demand) {
--- a/internal/e2e/fleet_cases_test.go
+++ b/internal/e2e/fleet_cases_test.go
@@ -22,6 +22,8 @@
 	f := startFleet(t)
 	t.Run("a chain of turns forks and moves between gateways", f.testChain)
 	t.Run("a stream that breaks off is resumed within one answer", f.testResume)
+	t.Run("a stream is resumed by the instance that ran it", f.testResumeStays)
+	t.Run("a stream leaves an instance that gives nothing any more", f.testResumeLeaves)
 	t.Run("the configuration's limits hold", f.testLimits)
 	t.Run("a spent budget ends in 402 and the turn does not run", f.testBudget)
 	t.Run("an unsafe call whose answer is lost runs once", f.testLostAnswer)
@@ -92,6 +94,54 @@
 	require.Empty(t, end.body)
 }
 
+// testResumeStays cuts streams of a route that allows one instance for a request: it is the one
+// that ran it that goes on.
+func (f *fleet) testResumeStays(t *testing.T) {
+	for range 8 {
+		var once sync.Once
+		for _, engine := range f.engines {
+			engine.SetBehaviour(func(*http.Request) platformtest.Behaviour {
+				var behaviour platformtest.Behaviour
+				once.Do(func() { behaviour.CutAfter = 1 })
+				return behaviour
+			})
+			defer engine.SetBehaviour(nil)
+		}
+		got := f.turn(f.gateways[0], turnRequest{path: "/plan/t", program: f.newID(), budget: 5000, most: 50, body: "plan"})
+		require.Equal(t, http.StatusOK, got.status)
+		ran := 0
+		for _, engine := range f.engines {
+			if runs := runsOf(got.id, []*platformtest.Engine{engine}); len(runs) > 0 {
+				ran++
+				require.Len(t, runs, 2)
+			}
+		}
+		require.Equal(t, 1, ran, "another instance ran the request as well")
+	}
+}
+
+// testResumeLeaves cuts a stream at an instance that then ends each request without an answer,
+// as one does whose process has ended: the stream goes on elsewhere.
+func (f *fleet) testResumeLeaves(t *testing.T) {
+	var dead string
+	var mu sync.Mutex
+	for _, engine := range f.engines {
+		engine.SetBehaviour(func(*http.Request) platformtest.Behaviour {
+			mu.Lock()
+			defer mu.Unlock()
+			if dead == "" {
+				dead = engine.ID
+				return platformtest.Behaviour{CutAfter: 1}
+			}
+			return platformtest.Behaviour{LoseAnswer: dead == engine.ID}
+		})
+		defer engine.SetBehaviour(nil)
+	}
+	got := f.turn(f.gateways[0], turnRequest{path: "/plan/t", program: f.newID(), budget: 5000, most: 50, body: "plan"})
+	require.Equal(t, http.StatusOK, got.status)
+	require.Equal(t, f.engines[0].Events, strings.Count(got.body, "\n\n"))
+}
+
 func (f *fleet) testBudget(t *testing.T) {
 	program := f.newID()
 	const spent = 40 // four events of ten tokens
--- a/internal/gateway/livenesswatch.go
+++ b/internal/gateway/livenesswatch.go
@@ -69,5 +69,6 @@
 func (w *livenessWatch) explain(failure *backend.Failure) {
 	if w != nil && failure != nil && w.gone.Load() {
 		failure.Reason = "the instance's machine does not answer"
+		failure.Gone = true
 	}
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -79,6 +79,9 @@
 		}
 		last = failure
 		refused++
+		if failure.Unreachable {
+			demand.Only = "" // the instance that ran the request has ended or is cut off
+		}
 		demand.Exclude = append(demand.Exclude, choice.Instance.ID)
 	}
 }
@@ -119,7 +122,10 @@
 		answer.Finish()
 		release()
 		s.directory.End(time.Now(), choice.Instance.ID, backend.Full)
-		failure := &backend.Failure{Verdict: verdict.NotRun, Reason: "the instance refused with status " + strconv.Itoa(status)}
+		failure := &backend.Failure{
+			Verdict: verdict.NotRun, Unreachable: status == http.StatusMisdirectedRequest,
+			Reason: "the instance refused with status " + strconv.Itoa(status),
+		}
 		s.logSend(r, choice, failure)
 		return nil, failure
 	}
