--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -258,6 +258,9 @@
 			value("load"), orNone(value("reason")))
 	case "send_failed":
 		return fmt.Sprintf("send to %s failed after %s ms, verdict %s: %s", value("instance"), value("since_ms"), value("verdict"), value("reason"))
+	case "limit_reached":
+		return fmt.Sprintf("tenant %s is beyond its limit of %s a second and a burst of %s under configuration %s: %s, asked last, has an allowance in %s ms",
+			value("tenant"), value("limit_per_s"), value("limit_burst"), value("config"), value("lender"), value("wait"))
 	case "stream_resumed":
 		return fmt.Sprintf("stream taken up again behind event %q of %s: %s", value("last_event"), value("instance"), value("reason"))
 	case "history_missing":
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -48,3 +48,11 @@
 	require.False(t, report.Found)
 	require.Contains(t, report.Doubts[len(report.Doubts)-1], "no line names this id")
 }
+
+func TestALimitIsExplained(t *testing.T) {
+	const line = `{"time":90000,"node":"gateway-1","event":"limit_reached","id":"r9","tenant":"riga","lender":"replica-2","limit_per_s":12.5,"limit_burst":6,"wait":740,"config":4}`
+	var log Log
+	require.NoError(t, log.Read(strings.NewReader(line)))
+	require.Equal(t, "tenant riga is beyond its limit of 12.5 a second and a burst of 6 under configuration 4: replica-2, asked last, has an allowance in 740 ms",
+		log.Explain("r9").Steps[0].About)
+}
