--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -119,8 +119,8 @@
 	return max(0, int(h.present(now)*aheadLife.Seconds()/demandSpan.Seconds())-1)
 }
 
-// Lent adds a loan that was asked for. sentAt is when it was asked for: its life counts from then on, for the
-// lender's may have begun at that moment.
+// Lent adds a loan. sentAt is when it was asked for: its life counts from then on, for it may
+// have been lent at that moment.
 func (b *Borrower) Lent(now, sentAt time.Time, lender string, asked Borrow, lent Loan) {
 	known := b.of(now, asked.Tenant)
 	if lent.Wait > 0 {
