Revert "An instance that breaks requests off at once is told to other gateways as full"

Each lost answer that came quickly made its instance count as full at all gateways for a second, so half of the pool was left alone.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -33,10 +33,6 @@
 	// interval of its entry and a little more, and less than the two seconds within
 	// which an instance that did leave must get nothing new.
 	unlistedLife = 1500 * time.Millisecond
-	// brokenLife is how long an instance that breaks requests off at once is told to other
-	// gateways as full; brokenShare is the part of a request's usual time within which it does.
-	brokenLife  = time.Second
-	brokenShare = 4
 	// failureHalfLife is how long a failure counts for the half.
 	failureHalfLife = 2 * time.Second
 	// remoteLoadLimit is how long a report of load counts.
@@ -53,8 +49,6 @@
 	// failures counts failures to reach it in a row; avoidUntil is set by them.
 	failures   int
 	avoidUntil time.Time
-	// brokenUntil is set on an instance that broke a request off at once.
-	brokenUntil time.Time
 	// failing counts the failures of late, halved every failureHalfLife since failingAt.
 	failing   float64
 	failingAt time.Time
@@ -179,20 +173,14 @@
 	return len(d.members)
 }
 
-// Loads returns this gateway's requests in flight by instance, without zeros. An instance that
-// breaks requests off at once counts as full: it would seem idle to all, and each gateway would
-// lose requests to it.
-func (d *Directory) Loads(now time.Time) map[string]int {
+// Loads returns this gateway's requests in flight by instance, without zeros.
+func (d *Directory) Loads() map[string]int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	loads := map[string]int{}
 	for id, known := range d.members {
-		load := known.inFlight
-		if now.Before(known.brokenUntil) {
-			load += max(1, known.instance.Slots)
-		}
-		if load > 0 {
-			loads[id] = load
+		if known.inFlight > 0 {
+			loads[id] = known.inFlight
 		}
 	}
 	return loads
@@ -200,8 +188,8 @@
 
 // ZoneLoads returns the requests in flight of the own zone's gateways by instance, as
 // far as they are known here.
-func (d *Directory) ZoneLoads(now time.Time) map[string]int {
-	loads := d.Loads(now)
+func (d *Directory) ZoneLoads() map[string]int {
+	loads := d.Loads()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for source, report := range d.reports {
@@ -318,21 +306,6 @@
 	}
 }
 
-// Broke takes a request off an instance that broke it off, after so long.
-func (d *Directory) Broke(now time.Time, id string, took time.Duration) {
-	d.End(now, id, Unreachable)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	known := d.members[id]
-	if known == nil {
-		return
-	}
-	usual := time.Duration(d.paceOf(known.instance.Service).durationMS() * float64(time.Millisecond))
-	if took < usual/brokenShare {
-		known.brokenUntil = now.Add(brokenLife)
-	}
-}
-
 // recentFailures returns the failures of late, the older the less.
 func (m *member) recentFailures(now time.Time) float64 {
 	if m.failing == 0 {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -107,11 +107,11 @@
 	if failure != nil {
 		release()
 		watch.explain(failure)
-		if now := time.Now(); failure.Unreachable || ctx.Err() == nil {
-			s.directory.Broke(now, choice.Instance.ID, now.Sub(sentAt))
-		} else {
-			s.directory.End(now, choice.Instance.ID, backend.Answered)
+		ended := backend.Answered
+		if failure.Unreachable || ctx.Err() == nil {
+			ended = backend.Unreachable
 		}
+		s.directory.End(time.Now(), choice.Instance.ID, ended)
 		s.logSend(r, choice, failure)
 		return nil, failure
 	}
