Places: regions, homes and cold engines in the product's terms

Cause: two new deployments state terms on places (regions, evacuated zones, cold engines, homes); the code read none of them. Ruled out: a rule about places in each package that chooses a machine; one package answers for all. Change: internal/place (zones, regions, distances, homes); settings know zones, what is to be borne, the evacuation bound and the cold allowance; the adapter decodes homes, the cold limit of a service and the time that an instance is cold. Nothing decides by them yet. Measured: nothing; no behaviour changes.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"swiftbank.dev/swiftbank/internal/place"
 )
 
 // Instance is one running back end.
@@ -22,6 +24,9 @@
 	Slots   int
 	// Leaving instances finish what they have and get nothing new.
 	Leaving bool
+	// ColdFor is how much longer the instance is cold, as it said when it wrote its entry;
+	// 0 says that it is not.
+	ColdFor time.Duration
 }
 
 const (
@@ -79,6 +84,8 @@
 // Directory holds the instances of all services. It is safe for concurrent use.
 type Directory struct {
 	zone string
+	// places says how far the zones are apart.
+	places place.Map
 	// connected reports whether there is an idle connection to an instance, idle lists the
 	// instances with one; nil knows of none.
 	connected func(instance string) bool
@@ -115,6 +122,10 @@
 // called before the first Pick.
 func (d *Directory) UseConnections(pool *Pool) { d.connected, d.idle = pool.isIdle, pool.idleInstances }
 
+// UsePlaces tells the directory which regions the zones belong to. It must be called before
+// the first Pick.
+func (d *Directory) UsePlaces(places place.Map) { d.places = places }
+
 // SeedWith makes this gateway's choices among equal instances differ from those of
 // gateways with other names.
 func (d *Directory) SeedWith(node string) { d.seed = xxhash.Sum64String(node) }
--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"swiftbank.dev/swiftbank/internal/place"
 )
 
 // The predicted cost of a placement is in milliseconds. What depends on how fast the
@@ -56,6 +58,8 @@
 	Only string
 	// Exclude lists instances that were tried.
 	Exclude []string
+	// Homes limits the regions whose instances may get the request.
+	Homes place.Homes
 }
 
 // Choice is where a request goes and why.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"swiftbank.dev/swiftbank/internal/place"
 	"swiftbank.dev/swiftbank/internal/tenant"
 )
 
@@ -73,6 +74,8 @@
 	Resumable bool
 	// Public routes need no key.
 	Public bool
+	// Homes limits where the route's requests may be run, cached and stored.
+	Homes place.Homes
 }
 
 // Repeatable reports whether a request may run again after an unknown outcome.
@@ -91,6 +94,11 @@
 	TokensPerEvent int
 	// CacheTokens is the prompt memory of one engine, in tokens.
 	CacheTokens int
+	// ColdPerSecond is how many requests a second an instance withstands while it is cold,
+	// from all gateways together; 0 is no limit. ColdStart is how long it is cold after a
+	// start.
+	ColdPerSecond float64
+	ColdStart     time.Duration
 }
 
 // Limits bound what callers may send.
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	"swiftbank.dev/swiftbank/internal/place"
 	"swiftbank.dev/swiftbank/internal/quota"
 )
 
@@ -13,6 +14,8 @@
 type Member struct {
 	Node string `koanf:"node" validate:"required"`
 	Zone string `koanf:"zone" validate:"required"`
+	// Zones maps each zone of the deployment to its region; empty where there is one region.
+	Zones map[string]string `koanf:"zones"`
 	// PeerAddress is where this process listens for the product's other processes.
 	PeerAddress string `koanf:"peerAddress" validate:"required,hostname_port"`
 	// AdvertisedAddress is where the others reach it, when that is another address, as
@@ -27,10 +30,20 @@
 	// Grace is how long a planned stop may take.
 	Grace time.Duration `koanf:"grace" validate:"gt=0"`
 	// TolerateMachines is how many machines with disks may be lost at once.
-	TolerateMachines int    `koanf:"tolerateMachines" validate:"gte=0,lte=3"`
-	LogLevel         string `koanf:"logLevel" validate:"oneof=debug info warn error"`
+	TolerateMachines int `koanf:"tolerateMachines" validate:"gte=0,lte=3"`
+	// TolerateZones and TolerateRegions are how many zones or regions may be lost at once, as
+	// far as the operator asks for that.
+	TolerateZones   int `koanf:"tolerateZones" validate:"gte=0,lte=3"`
+	TolerateRegions int `koanf:"tolerateRegions" validate:"gte=0,lte=3"`
+	// EvacuationLimit is how soon after an operator's request no process may send to the
+	// instances of an evacuated zone; 0 where the operator makes no such requests.
+	EvacuationLimit time.Duration `koanf:"evacuationLimit" validate:"gte=0"`
+	LogLevel        string        `koanf:"logLevel" validate:"oneof=debug info warn error"`
 }
 
+// Places returns which regions the zones belong to.
+func (m Member) Places() place.Map { return place.Map(m.Zones) }
+
 // Gateway holds the settings of a gateway.
 type Gateway struct {
 	Member `koanf:",squash"`
@@ -43,6 +56,10 @@
 	// FirstStart says that the whole fleet starts for the first time: then a gateway waits
 	// longer for its seeds before it reads the store itself.
 	FirstStart bool `koanf:"firstStart"`
+	// ColdOverage is the factor, and ColdSlack the number of requests, by which a cold
+	// instance may get more in a second than its service's limit.
+	ColdOverage float64 `koanf:"coldOverage" validate:"gte=1"`
+	ColdSlack   float64 `koanf:"coldSlack" validate:"gte=0"`
 }
 
 // Replica holds the settings of a replica.
@@ -79,7 +96,7 @@
 
 // LoadGateway reads the settings of a gateway.
 func LoadGateway(path string, overrides []string) (Gateway, error) {
-	return loadFile(path, overrides, Gateway{Member: defaultMember()})
+	return loadFile(path, overrides, Gateway{Member: defaultMember(), ColdOverage: 1})
 }
 
 // LoadReplica reads the settings of a replica.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -164,13 +164,25 @@
 func unknownKeys(tree *koanf.Koanf, known []string) []string {
 	var unknown []string
 	for _, key := range tree.Keys() {
-		if !slices.Contains(known, key) {
+		if !slices.ContainsFunc(known, func(name string) bool { return isKey(name, key) }) {
 			unknown = append(unknown, key)
 		}
 	}
 	return unknown
 }
 
+// mapKey stands for any key of a map in the known keys.
+const mapKey = "*"
+
+// isKey reports whether a key of a file is the known one, or one within a known map.
+func isKey(known, key string) bool {
+	parent, isMap := strings.CutSuffix(known, mapKey)
+	if !isMap {
+		return known == key
+	}
+	return strings.HasPrefix(key, parent) || key+"." == parent
+}
+
 // knownKeys lists the keys of a struct with their path.
 func knownKeys(structure reflect.Type, prefix string) []string {
 	var keys []string
@@ -185,6 +197,9 @@
 			keys = append(keys, knownKeys(field.Type, name+".")...)
 			continue
 		}
+		if field.Type.Kind() == reflect.Map {
+			name += "." + mapKey
+		}
 		keys = append(keys, name)
 	}
 	return keys
--- a/internal/tenant/tenant.go
+++ b/internal/tenant/tenant.go
@@ -7,6 +7,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"strings"
+
+	"swiftbank.dev/swiftbank/internal/place"
 )
 
 // KeyDigest is the SHA-256 digest of a caller's key.
@@ -40,6 +42,8 @@
 	// Priority is the tenant's rank; 0 is the most urgent.
 	Priority int
 	Limit    Limit
+	// Homes limits where the tenant's requests may be run, cached and stored.
+	Homes place.Homes
 }
 
 // Index finds tenants by key and by name. It is immutable; nil stands for a configuration
