Placement prices the way to another region by its measured round trip

Cause: an instance in another region cost 6 ms like one in the next zone, so a third of the work crossed a link that all traffic shares. Change: the directory prices the way by zone, region and the mean of measured connection times, with a prior until three were opened; a large service is sampled in the own zone, the own region, then everywhere. TestAnotherRegionIsUsedOnceTheOwnOneIsFull and TestALargeServiceIsSampledInTheOwnRegionFirst need the change.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -84,8 +84,8 @@
 // Directory holds the instances of all services. It is safe for concurrent use.
 type Directory struct {
 	zone string
-	// places says how far the zones are apart.
-	places place.Map
+	// ways prices the way to other zones and regions.
+	ways ways
 	// connected reports whether there is an idle connection to an instance, idle lists the
 	// instances with one; nil knows of none.
 	connected func(instance string) bool
@@ -95,9 +95,11 @@
 	members map[string]*member
 	// byService lists the members of each service in the order of their ids.
 	byService map[string][]*member
-	// near lists those of the own zone among them.
-	near    map[string][]*member
-	reports map[LoadSource]remoteReport
+	// near lists those of the own zone among them; regional those of the own region, where
+	// there are others.
+	near     map[string][]*member
+	regional map[string][]*member
+	reports  map[LoadSource]remoteReport
 	// ranLast is the instance that had a prompt part last, for the parts of this
 	// gateway's own requests.
 	ranLast map[string]string
@@ -114,17 +116,20 @@
 	return &Directory{
 		zone: zone, members: map[string]*member{}, byService: map[string][]*member{},
 		reports: map[LoadSource]remoteReport{}, ranLast: map[string]string{},
-		paces: map[string]*pace{},
+		paces: map[string]*pace{}, ways: ways{zone: zone, roundTrips: map[string]*mean{}},
 	}
 }
 
 // UseConnections makes placements prefer instances with an idle connection. It must be
 // called before the first Pick.
-func (d *Directory) UseConnections(pool *Pool) { d.connected, d.idle = pool.isIdle, pool.idleInstances }
+func (d *Directory) UseConnections(pool *Pool) {
+	d.connected, d.idle = pool.isIdle, pool.idleInstances
+	pool.dialed = d.Dialed
+}
 
 // UsePlaces tells the directory which regions the zones belong to. It must be called before
 // the first Pick.
-func (d *Directory) UsePlaces(places place.Map) { d.places = places }
+func (d *Directory) UsePlaces(places place.Map) { d.ways.places = places }
 
 // SeedWith makes this gateway's choices among equal instances differ from those of
 // gateways with other names.
@@ -160,16 +165,34 @@
 			gone = append(gone, id)
 		}
 	}
-	d.byService, d.near = map[string][]*member{}, map[string][]*member{}
+	d.listMembers()
+	return gone
+}
+
+// listMembers lists the members by service and by how near they are. The caller holds the
+// lock.
+func (d *Directory) listMembers() {
+	d.byService, d.near, d.regional = map[string][]*member{}, map[string][]*member{}, map[string][]*member{}
+	regions := len(d.ways.places.Regions())
 	for _, id := range slices.Sorted(maps.Keys(d.members)) {
 		known := d.members[id]
 		service := known.instance.Service
 		d.byService[service] = append(d.byService[service], known)
-		if known.instance.Zone == d.zone {
+		distance := d.ways.places.Distance(d.zone, known.instance.Zone)
+		if distance == place.SameZone {
 			d.near[service] = append(d.near[service], known)
 		}
+		if regions > 1 && distance != place.OtherRegion {
+			d.regional[service] = append(d.regional[service], known)
+		}
 	}
-	return gone
+}
+
+// Dialed tells in what time a connection to an instance came up.
+func (d *Directory) Dialed(instance Instance, took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ways.dialed(instance.Zone, took)
 }
 
 // mayServe reports whether the instance may get new work.
--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -10,15 +10,15 @@
 // The predicted cost of a placement is in milliseconds. What depends on how fast the
 // instances work is learned (pace); these are prices of the way there.
 const (
-	// zoneCost is the way to another zone and back, and the bytes that go over it.
-	zoneCost = 6.0
 	// connectCost is a new connection: a round trip, the instance's time for it, and a
 	// place among the connections that the instance accepts from all gateways.
 	connectCost = 5.0
 	// sampleSize bounds the instances that one placement compares, besides those that are
-	// likely; up to nearShare of them come from the own zone first.
-	sampleSize = 24
-	nearShare  = sampleSize / 2
+	// likely; up to nearShare of them come from the own zone first, and up to regionShare
+	// from the own region.
+	sampleSize  = 24
+	nearShare   = sampleSize / 2
+	regionShare = sampleSize * 3 / 4
 	// failureCost is what each recent failure of an instance adds: one failure in
 	// passing moves little, an instance that fails time and again is left alone.
 	failureCost = 40.0
@@ -119,6 +119,8 @@
 			picked.add(d.members[id])
 		}
 		picked.addInTurn(near, d.firstOf(len(near)), nearShare)
+		region := d.regional[demand.Service]
+		picked.addInTurn(region, d.firstOf(len(region)), regionShare)
 	}
 	picked.addInTurn(all, d.firstOf(len(all)), sampleSize)
 	if len(picked.sound) == 0 {
@@ -214,12 +216,8 @@
 // cost predicts what a placement costs, in milliseconds, and the tokens to be read.
 func (d *Directory) cost(now time.Time, candidate *member, load int, demand Demand) (float64, int) {
 	cost := failureCost * candidate.recentFailures(now)
-	if candidate.instance.Zone != d.zone {
-		cost += zoneCost
-	}
-	if d.connected != nil && !d.connected(candidate.instance.ID) {
-		cost += connectCost
-	}
+	connected := d.connected == nil || d.connected(candidate.instance.ID)
+	cost += d.ways.cost(candidate.instance.Zone, connected)
 	known := d.paceOf(demand.Service)
 	slots := max(1, candidate.instance.Slots)
 	waiting := float64(max(0, load-slots+1))
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -37,6 +37,8 @@
 type Pool struct {
 	// Opened counts new connections, for the metrics.
 	Opened func()
+	// dialed is told in what time a connection came up, for the price of the way there.
+	dialed func(instance Instance, took time.Duration)
 
 	mu   sync.Mutex
 	idle map[string][]*connection
@@ -70,6 +72,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if p.dialed != nil {
+		p.dialed(instance, time.Since(now))
+	}
 	return newConnection(opened), nil
 }
 
--- /dev/null
+++ b/internal/backend/way_test.go
@@ -0,0 +1,68 @@
+package backend
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"swiftbank.dev/swiftbank/internal/place"
+)
+
+// twoRegions holds zones a1 and a2 in one region and b1 in another.
+var twoRegions = place.Map{"a1": "a", "a2": "a", "b1": "b"}
+
+func inZones(slots int, zones ...string) []Instance {
+	var instances []Instance
+	for index, zone := range zones {
+		instances = append(instances, Instance{ID: zone + "-" + string(rune('p'+index)), Service: "s", Zone: zone, Slots: slots})
+	}
+	return instances
+}
+
+func TestAnotherRegionIsUsedOnceTheOwnOneIsFull(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := NewDirectory("a1")
+	d.UsePlaces(twoRegions)
+	d.Update(now, inZones(2, "a1", "a2", "b1"), false)
+	var chosen []string
+	for range 6 {
+		choice, found := d.Pick(now, Demand{Service: "s", Generates: true})
+		require.True(t, found)
+		chosen = append(chosen, choice.Instance.Zone)
+	}
+	require.NotContains(t, chosen[:4], "b1")
+	require.Equal(t, []string{"b1", "b1"}, chosen[4:])
+}
+
+func TestAMeasuredRoundTripReplacesThePrior(t *testing.T) {
+	w := ways{zone: "a1", places: twoRegions, roundTrips: map[string]*mean{}}
+	require.Equal(t, zoneCost+priorRegionRoundTrip, w.cost("b1", true))
+	require.Equal(t, connectCost, w.cost("a1", false))
+	require.Equal(t, zoneCost, w.cost("a2", true))
+	for range fewestDials {
+		w.dialed("b1", 12*time.Millisecond)
+		w.dialed("a2", time.Second)
+	}
+	require.Equal(t, connectCost+zoneCost+24, w.cost("b1", false))
+	w.dialed("b1", time.Second) // a packet that was lost
+	require.Less(t, w.roundTrip("b"), 20.0)
+}
+
+func TestALargeServiceIsSampledInTheOwnRegionFirst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := NewDirectory("a1")
+	d.UsePlaces(twoRegions)
+	var zones []string
+	for range 8 {
+		zones = append(zones, "a1", "a2", "b1", "b1", "b1", "b1")
+	}
+	d.Update(now, inZones(6, zones...), false)
+	own := 0
+	for _, candidate := range d.candidates(now, Demand{Service: "s"}) {
+		if twoRegions.Region(candidate.instance.Zone) == "a" {
+			own++
+		}
+	}
+	require.Equal(t, 16, own, "all of the own region")
+}
