A lender that does not answer is asked last

Ruled out: taking the voter out of the set at once (it may come back), and asking by way of another gateway first (it is dead, not cut off). Change: the borrower asks a lender that did not answer of late last, and not at all once most lenders said that they have none left; the request is then refused as beyond the limit, with the time of the next credit. TestALenderThatDoesNotAnswerIsPassedOverOnceMostHaveNoneLeft is new with the method.

--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -40,8 +40,15 @@
 	return a.borrower.Take(now, tenant)
 }
 
+// unanswered notes that a lender did not answer.
+func (a *allowances) unanswered(lender string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.borrower.Unanswered(time.Now(), lender)
+}
+
 // next returns the lender to ask.
-func (a *allowances) next(tenant string, lenders []string) (lender string, asked quota.Borrow, wait time.Duration, found bool) {
+func (a *allowances) next(tenant string, lenders []string) quota.NextStep {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.borrower.Next(time.Now(), tenant, lenders)
@@ -68,7 +75,9 @@
 	return s.borrow(ctx, r)
 }
 
-// borrow asks the lenders of the tenant's cell one after another for an allowance.
+// borrow asks the lenders of the tenant's cell one after another for an allowance. A request is
+// beyond its tenant's limit once most of them say that they have none left: one voter that is
+// down must neither make each such request wait for it nor hide when there is credit again.
 func (s *Server) borrow(ctx context.Context, r *request) *refusal {
 	name := r.tenant.Name
 	cell := s.replicas.Of(name)
@@ -76,26 +85,28 @@
 		return refuseFor(verdict.CodeUnavailable, replicaRetry, "no replicas are known yet")
 	}
 	lenders := cell.Lenders(name)
-	silent := len(lenders) == 0
 	for {
-		lender, asked, wait, found := s.allowances.next(name, lenders)
+		step := s.allowances.next(name, lenders)
 		switch {
-		case !found && silent:
+		case step.Lender != "":
+		case step.Told > 0:
+			s.logBeyondLimit(r, step.Wait)
+			return beyondLimit(max(step.Wait, leastLimitRetry))
+		default:
 			return refuseFor(verdict.CodeUnavailable, replicaRetry, "too few replicas answered on the tenant's limit")
-		case !found:
-			s.logBeyondLimit(r, wait)
-			return beyondLimit(max(wait, leastLimitRetry))
 		}
-		r.outcome.lender = lender
+		r.outcome.lender = step.Lender
 		sentAt := time.Now()
-		lent, err := s.askLender(ctx, cell, lender, asked)
+		lent, err := s.askLender(ctx, cell, step.Lender, step.Asked)
 		switch {
 		case ctx.Err() != nil:
 			return refuseFor(verdict.CodeUnavailable, replicaRetry, "too few replicas answered on the tenant's limit")
-		case err != nil || lent.Unable:
-			silent = true
-			lenders = slices.DeleteFunc(lenders, func(other string) bool { return other == lender })
-		case lent.Unlimited || s.allowances.lent(sentAt, lender, asked, lent):
+		case err != nil:
+			s.allowances.unanswered(step.Lender)
+			s.log.Warn().Str("event", "lender_unanswered").Str("id", r.id).Str("tenant", name).Str("lender", step.Lender).Msg("")
+		case lent.Unable:
+			lenders = slices.DeleteFunc(lenders, func(other string) bool { return other == step.Lender })
+		case lent.Unlimited || s.allowances.lent(sentAt, step.Lender, step.Asked, lent):
 			return nil
 		}
 	}
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -11,6 +12,9 @@
 	demandSpan = 2 * time.Second
 	// restLimit is how long a tenant is remembered that sends nothing.
 	restLimit = 30 * time.Second
+	// unansweredPause is how long a lender that did not answer is asked last: long beside
+	// the wait for an answer, short beside the time in which a machine is replaced.
+	unansweredPause = time.Second
 )
 
 // Borrower keeps a gateway's allowances. It is a pure state machine and not safe for
@@ -19,6 +23,8 @@
 	tenants map[string]*holdings
 	// tidied is when tenants that rest were last dropped.
 	tidied time.Time
+	// unansweredUntil is until when a lender that did not answer is asked last.
+	unansweredUntil map[string]time.Time
 }
 
 // holdings are a tenant's allowances at this gateway.
@@ -38,7 +44,9 @@
 }
 
 // NewBorrower returns a borrower without allowances.
-func NewBorrower() *Borrower { return &Borrower{tenants: map[string]*holdings{}} }
+func NewBorrower() *Borrower {
+	return &Borrower{tenants: map[string]*holdings{}, unansweredUntil: map[string]time.Time{}}
+}
 
 func (b *Borrower) of(now time.Time, tenant string) *holdings {
 	b.tidy(now)
@@ -56,6 +64,7 @@
 		return
 	}
 	b.tidied = now
+	maps.DeleteFunc(b.unansweredUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
 	for name, known := range b.tenants {
 		if now.Sub(known.demandAt) >= restLimit {
 			delete(b.tenants, name)
@@ -96,21 +105,50 @@
 	h.held = slices.DeleteFunc(h.held, func(held allowance) bool { return !now.Before(held.expires) })
 }
 
+// NextStep is what a request without an allowance does.
+type NextStep struct {
+	// Lender is to be asked for Asked; "" if nobody is.
+	Lender string
+	Asked  Borrow
+	// Told is how many lenders said that they have no allowance, Wait when the first of
+	// these has one again.
+	Told int
+	Wait time.Duration
+}
+
 // Next returns the first of the lenders that may have an allowance, and what to ask it for
-// on behalf of one request. It reports false if all said that they have none; wait is then
-// when the first of them has one again.
-func (b *Borrower) Next(now time.Time, tenant string, lenders []string) (lender string, asked Borrow, wait time.Duration, found bool) {
+// on behalf of one request. A lender that did not answer of late comes last, and is passed
+// over where most lenders have said that they have none.
+func (b *Borrower) Next(now time.Time, tenant string, lenders []string) NextStep {
 	known := b.of(now, tenant)
+	ask := func(name string) NextStep {
+		return NextStep{Lender: name, Asked: Borrow{Tenant: tenant, Waiting: 1, Ahead: known.expected(now)}}
+	}
+	var step NextStep
+	unanswered := ""
 	for _, name := range lenders {
 		empty := known.emptyUntil[name].Sub(now)
-		if empty <= 0 {
-			return name, Borrow{Tenant: tenant, Waiting: 1, Ahead: known.expected(now)}, 0, true
-		}
-		if wait == 0 || empty < wait {
-			wait = empty
+		switch {
+		case now.Before(b.unansweredUntil[name]):
+			unanswered = name
+			continue
+		case empty <= 0:
+			return ask(name)
+		case step.Told == 0 || empty < step.Wait:
+			step.Wait = empty
 		}
+		step.Told++
+	}
+	if unanswered != "" && 2*step.Told <= len(lenders) {
+		return ask(unanswered)
 	}
-	return "", Borrow{}, wait, false
+	return step
+}
+
+// Unanswered notes that a lender did not answer in time: each request beyond the others'
+// credit would wait for it again.
+func (b *Borrower) Unanswered(now time.Time, lender string) {
+	b.unansweredUntil[lender] = now.Add(unansweredPause)
 }
 
 // expected returns how many requests will come while an allowance lent ahead is good,
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -137,19 +137,12 @@
 	lenders := []string{"a", "b"}
 	b.Arrived(start, "t")
 	require.False(t, b.Take(start, "t"))
-	name, asked, _, found := b.Next(start, "t", lenders)
-	require.True(t, found)
-	require.Equal(t, "a", name)
-	require.Equal(t, Borrow{Tenant: "t", Waiting: 1}, asked)
+	require.Equal(t, NextStep{Lender: "a", Asked: Borrow{Tenant: "t", Waiting: 1}}, b.Next(start, "t", lenders))
 	b.Lent(start, start, "a", Borrow{Tenant: "t"}, Loan{Wait: 300 * time.Millisecond})
-	name, _, _, _ = b.Next(start, "t", lenders)
-	require.Equal(t, "b", name)
+	require.Equal(t, "b", b.Next(start, "t", lenders).Lender)
 	b.Lent(start, start, "b", Borrow{Tenant: "t"}, Loan{Wait: 200 * time.Millisecond})
-	_, _, wait, found := b.Next(start.Add(50*time.Millisecond), "t", lenders)
-	require.False(t, found)
-	require.Equal(t, 150*time.Millisecond, wait)
-	name, _, _, _ = b.Next(start.Add(250*time.Millisecond), "t", lenders)
-	require.Equal(t, "b", name)
+	require.Equal(t, NextStep{Told: 2, Wait: 150 * time.Millisecond}, b.Next(start.Add(50*time.Millisecond), "t", lenders))
+	require.Equal(t, "b", b.Next(start.Add(250*time.Millisecond), "t", lenders).Lender)
 	b.Lent(start, start, "b", Borrow{Tenant: "t"}, Loan{Waiting: 1, Life: time.Second})
 	require.True(t, b.Take(start, "t"))
 	require.False(t, b.Take(start, "t"))
@@ -173,10 +166,24 @@
 		now = now.Add(10 * time.Millisecond)
 		b.Arrived(now, "t")
 	}
-	_, asked, _, _ := b.Next(now, "t", []string{"a"})
-	require.InDelta(t, 87, asked.Ahead, 10, "100 a second came for two spans")
-	_, asked, _, _ = b.Next(now.Add(time.Minute), "t", []string{"a"})
-	require.Zero(t, asked.Ahead)
+	require.InDelta(t, 87, b.Next(now, "t", []string{"a"}).Asked.Ahead, 10, "100 a second came for two spans")
+	require.Zero(t, b.Next(now.Add(time.Minute), "t", []string{"a"}).Asked.Ahead)
+}
+
+// A voter whose machine is gone must not make each request beyond the limit wait for it.
+func TestALenderThatDoesNotAnswerIsPassedOverOnceMostHaveNoneLeft(t *testing.T) {
+	b := NewBorrower()
+	lenders := []string{"a", "b", "c"}
+	b.Unanswered(start, "a")
+	require.Equal(t, "b", b.Next(start, "t", lenders).Lender)
+	b.Lent(start, start, "b", Borrow{Tenant: "t"}, Loan{Wait: 300 * time.Millisecond})
+	require.Equal(t, "c", b.Next(start, "t", lenders).Lender)
+	b.Unanswered(start, "c")
+	require.NotEmpty(t, b.Next(start, "t", lenders).Lender, "one of three does not speak for the limit")
+	b.Lent(start, start, "c", Borrow{Tenant: "t"}, Loan{Wait: 200 * time.Millisecond})
+	delete(b.unansweredUntil, "c")
+	require.Equal(t, NextStep{Told: 2, Wait: 200 * time.Millisecond}, b.Next(start, "t", lenders))
+	require.Equal(t, "a", b.Next(start.Add(unansweredPause), "t", lenders).Lender)
 }
 
 // flight is a message of the random schedules.
@@ -307,8 +314,9 @@
 		s.used = append(s.used, now)
 		return
 	}
-	lender, asked, _, found := holder.Next(now, "t0", s.names)
-	if !found {
+	step := holder.Next(now, "t0", s.names)
+	lender, asked := step.Lender, step.Asked
+	if lender == "" {
 		return
 	}
 	answered := false // the connection's owner takes the first answer to a question
@@ -406,10 +414,10 @@
 		for range 18 {
 			holder.Arrived(now, "t0")
 			for !holder.Take(now, "t0") {
-				name, borrow, _, found := holder.Next(now, "t0", names)
-				require.True(t, found)
-				lent, _ := lenders[name].Lend(now, borrow)
-				holder.Lent(now, now, name, borrow, lent)
+				step := holder.Next(now, "t0", names)
+				require.NotEmpty(t, step.Lender)
+				lent, _ := lenders[step.Lender].Lend(now, step.Asked)
+				holder.Lent(now, now, step.Lender, step.Asked, lent)
 			}
 		}
 	}
