A voter that stays away leaves its set

Cause: a voter whose machine was gone for good stayed in the set as long as the rest bore another loss. It held a share of every tenant's limit that nobody could lend, and each later loss found a smaller margin. Ruled out: taking it out after the 2 s that hold where the set needs it: a machine that starts again is back within that order of time. Change: after 8 s out of reach a voter is taken out wherever the rest bears the tolerated losses. TestPlan's case of five with one that stays away fails without it.

--- a/internal/replicaset/plan.go
+++ b/internal/replicaset/plan.go
@@ -7,6 +7,11 @@
 // returns.
 const unreachableLimit = 2 * time.Second
 
+// absentLimit is how long a voter must be out of reach before it is taken out even where the
+// set bears it: it holds its share of every tenant's limit and is one loss of those that the
+// set bears. Longer than a machine takes to start again.
+const absentLimit = 8 * time.Second
+
 // View is what a replica knows when it decides on the membership.
 type View struct {
 	// Own is this replica.
@@ -81,7 +86,8 @@
 
 // silentVoter returns a voter out of reach that should leave the set: with the
 // silent voters in it, the rest could not lose another one; without them, it could.
-// Where that gains nothing, a silent voter stays, for it may return before others go.
+// Where that gains nothing, a silent voter stays for absentLimit, for it may return before
+// others go.
 func silentVoter(view View) (Voter, bool) {
 	var silent []Voter
 	for _, voter := range view.Set.Voters {
@@ -95,7 +101,15 @@
 	present := len(view.Set.Voters) - len(silent)
 	rest := Set{Voters: make([]Voter, present)}
 	spare := present - view.Tolerate
-	return silent[0], spare < view.Set.Quorum() && spare >= rest.Quorum()
+	if spare < rest.Quorum() {
+		return Voter{}, false
+	}
+	for _, voter := range silent {
+		if view.Unreachable[voter.Disk] >= absentLimit {
+			return voter, true
+		}
+	}
+	return silent[0], spare < view.Set.Quorum()
 }
 
 func planJoin(view View) Change {
--- a/internal/replicaset/plan_test.go
+++ b/internal/replicaset/plan_test.go
@@ -62,6 +62,12 @@
 			View{Own: own, Tolerate: 1, Set: Set{3, voters("own", "b", "c", "d")}, Adopted: adopted("own", "b", "c"), Unreachable: unreachable(time.Second, "d")}, None, ""},
 		"of six with two dead, one leaves": {
 			View{Own: own, Tolerate: 1, Set: Set{3, voters("own", "b", "c", "d", "e", "f")}, Adopted: adopted("own", "b", "c", "d"), Unreachable: unreachable(long, "e", "f")}, Remove, "disk-e"},
+		"of five one that is silent for seconds stays, for the rest bears another loss": {
+			View{Own: own, Tolerate: 1, Set: Set{3, voters("own", "b", "c", "d", "e")}, Adopted: adopted("own", "b", "c"), Unreachable: unreachable(long, "e")}, None, ""},
+		"of five one that stays away leaves": {
+			View{Own: own, Tolerate: 1, Set: Set{3, voters("own", "b", "c", "d", "e")}, Adopted: adopted("own", "b", "c"), Unreachable: unreachable(2*long, "e")}, Remove, "disk-e"},
+		"of three one that stays away stays": {
+			View{Own: own, Tolerate: 1, Set: Set{3, voters("own", "b", "c")}, Adopted: adopted("own", "b"), Unreachable: unreachable(2*long, "c")}, None, ""},
 		"in a half no one is taken out": {
 			View{Own: own, Tolerate: 1, Set: Set{3, voters("own", "b", "c", "d")}, Adopted: adopted("own", "b"), Unreachable: unreachable(long, "c", "d")}, None, ""},
 		"a leaving voter takes itself out": {
