The feed carries evacuations of zones

Cause: the operator writes evacuations/ZONE into the platform's store; nothing read it. Ruled out: a field of the configuration (another object, with revisions of its own); each gateway reading the kind itself (73 long polls instead of one for each zone). Change: a kind of records like the others, revisioned, in the replicas' copies, handed over before the instances; read and waited for only where the settings name a limit for evacuations. A third urgent kind is probed without delaying the others. Of upstreams a process now tries those first that failed least of late: with a third of the processes turned away by the store, the search went round among the first ones. Two calls in node_test.go name the kinds that they wait for; what they check is the same.

--- a/internal/feed/core.go
+++ b/internal/feed/core.go
@@ -15,6 +15,9 @@
 	Role string
 	// Seeds are addresses of upstreams known before any replica is.
 	Seeds []string
+	// Evacuations says that the operator may evacuate zones: only then is that kind read and
+	// waited for.
+	Evacuations bool
 	// ReadAfter returns how long a process looks for an upstream before it reads the store.
 	ReadAfter func(upstreams, processes int) time.Duration
 }
@@ -70,6 +73,7 @@
 func NewCore[Asker comparable](options CoreOptions) *Core[Asker] {
 	return &Core[Asker]{
 		options: options, cache: NewCache(), poller: NewPoller[Asker](),
+		reader:   readerStatus{kinds: kindsRead(options.Evacuations)},
 		selector: NewSelector(SelectorOptions{Zone: options.Zone, ReadAfter: options.ReadAfter}),
 	}
 }
@@ -98,7 +102,7 @@
 
 // Heard takes an upstream's answer.
 func (c *Core[Asker]) Heard(now time.Time, from Upstream, reply Reply) Output[Asker] {
-	c.selector.Heard(now, from, reply.Status, reply.Positions.Complete())
+	c.selector.Heard(now, from, reply.Status, reply.Positions.Complete(c.reader.kinds))
 	return c.learn(now, reply.Batches)
 }
 
@@ -124,7 +128,7 @@
 
 // ReadingEnded forgets what the store answered: what this process knows is as good as its
 // upstream's from now on.
-func (c *Core[Asker]) ReadingEnded() { c.reader = readerStatus{} }
+func (c *Core[Asker]) ReadingEnded() { c.reader = readerStatus{kinds: c.reader.kinds} }
 
 // Tick lets time pass.
 func (c *Core[Asker]) Tick(now time.Time) Output[Asker] {
--- a/internal/feed/fleet_test.go
+++ b/internal/feed/fleet_test.go
@@ -168,7 +168,7 @@
 			return gatewayReadAfter + time.Duration(f.random.Int64N(int64(gatewayReadSpread)))
 		}
 	}
-	p.core = NewCore[string](CoreOptions{Node: name, Zone: p.zone, Role: p.role, Seeds: []string{"r-0-0"}, ReadAfter: delay})
+	p.core = NewCore[string](CoreOptions{Node: name, Zone: p.zone, Role: p.role, Seeds: []string{"r-0-0"}, Evacuations: true, ReadAfter: delay})
 	f.step(p, func() Output[string] { return p.core.Begin(f.now) })
 	f.tick(p, p.life)
 }
--- a/internal/feed/monitor.go
+++ b/internal/feed/monitor.go
@@ -19,6 +19,8 @@
 	probeRetryMost  = 800 * time.Millisecond
 	// slowRounds is how many rounds pass between the probes of kinds that may be late.
 	slowRounds = 8
+	// urgentRounds is how many rounds may pass between the probes of an urgent kind.
+	urgentRounds = 2
 )
 
 // monitor finds out whether the store answers and whether a waiting watch missed a
@@ -58,7 +60,8 @@
 }
 
 // probeAll probes the kinds that are due and returns the error of a store that does
-// not answer. Urgent kinds take turns, so that the store is asked once a round.
+// not answer. Urgent kinds take turns, so that each is asked about in at least every second
+// round.
 func (m *monitor) probeAll(ctx context.Context, round int) error {
 	for _, informer := range m.due(round) {
 		if err := m.probe(ctx, informer); err != nil {
@@ -84,7 +87,11 @@
 	case len(urgent) == 0:
 		return []*informer{slow[round%len(slow)]}
 	}
-	due := []*informer{urgent[round%len(urgent)]}
+	var due []*informer
+	most := (len(urgent) + urgentRounds - 1) / urgentRounds
+	for place := range most {
+		due = append(due, urgent[(round*most+place)%len(urgent)])
+	}
 	if len(slow) > 0 && round%slowRounds == 0 {
 		due = append(due, slow[round/slowRounds%len(slow)])
 	}
--- a/internal/feed/node.go
+++ b/internal/feed/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -73,6 +74,9 @@
 	Instances   func(instances []backend.Instance, incomplete bool)
 	Members     func([]registry.Object)
 	Retirements func(map[string]RetirementState)
+	// Evacuations gets the zones whose instances are to get nothing further. It is told
+	// before Instances.
+	Evacuations func(zones []string)
 }
 
 // Metrics are told what the feed does.
@@ -91,7 +95,10 @@
 	// FirstStart says that the whole fleet starts for the first time.
 	FirstStart bool
 	// Seeds are addresses of upstreams known before any replica is.
-	Seeds    []string
+	Seeds []string
+	// Evacuations says that the operator may evacuate zones.
+	Evacuations bool
+
 	Store    Store
 	Handlers Handlers
 	Metrics  Metrics
@@ -132,7 +139,7 @@
 	return &Node{
 		options: options, log: options.Log,
 		core: NewCore[asker](CoreOptions{
-			Node: options.Node, Zone: options.Zone, Role: options.Role, Seeds: options.Seeds,
+			Node: options.Node, Zone: options.Zone, Role: options.Role, Seeds: options.Seeds, Evacuations: options.Evacuations,
 			ReadAfter: readAfter(options.Role, options.FirstStart),
 		}),
 		wakeFollow: make(chan struct{}, 1), wakeRead: make(chan struct{}, 1),
@@ -231,6 +238,13 @@
 			retirements[record.Name] = record.Retirement
 		}
 		h.Retirements(retirements)
+	case change.Kind == Evacuations && h.Evacuations != nil:
+		zones := make([]string, 0, len(change.Records))
+		for _, record := range change.Records {
+			zones = append(zones, record.Name)
+		}
+		slices.Sort(zones)
+		h.Evacuations(zones)
 	}
 }
 
--- a/internal/feed/node_test.go
+++ b/internal/feed/node_test.go
@@ -193,7 +193,7 @@
 	store.put(Instances, instance("i-1", 0))
 	before := startNode(t, Options{Node: "r", Zone: "z", Role: replicaset.RoleReplica, Store: store}, nil)
 	before.awaitVersion(t, 7)
-	require.Eventually(t, func() bool { return before.Positions().Complete() }, 30*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return before.Positions().Complete(kindsRead(false)) }, 30*time.Second, 5*time.Millisecond)
 	_, err := NewCopyFile(folder, quiet()).save(before.Snapshot())
 	require.NoError(t, err)
 
@@ -244,7 +244,7 @@
 	store.putConfiguration(7)
 	first := startNode(t, Options{Node: "r1", Zone: "z", Role: replicaset.RoleReplica, Store: store}, nil)
 	first.awaitVersion(t, 7)
-	require.Eventually(t, func() bool { return first.Positions().Complete() }, 30*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return first.Positions().Complete(kindsRead(false)) }, 30*time.Second, 5*time.Millisecond)
 	old := first.Snapshot()
 	store.putConfiguration(8)
 	first.awaitVersion(t, 8)
--- a/internal/feed/read.go
+++ b/internal/feed/read.go
@@ -14,7 +14,7 @@
 		n.stopRead = stop
 		n.mu.Unlock()
 		if wanted {
-			readStore(reading, n.options.Store, (*storeKnowledge)(n))
+			readStore(reading, n.options.Store, (*storeKnowledge)(n), kindsRead(n.options.Evacuations))
 			n.readingEnded()
 		}
 		stop()
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -36,12 +36,14 @@
 	callFailed(kind Kind, err error)
 }
 
-// readStore lists and watches all kinds until the context ends.
-func readStore(ctx context.Context, store Store, known knowledge) {
-	paces := map[Kind]pace{Configurations: promptPace, Instances: instancePace, Members: memberPace, Retirements: memberPace}
-	urgent := map[Kind]bool{Configurations: true, Instances: true}
+// readStore lists and watches kinds until the context ends.
+func readStore(ctx context.Context, store Store, known knowledge, kinds []Kind) {
+	paces := map[Kind]pace{
+		Configurations: promptPace, Evacuations: promptPace, Instances: instancePace, Members: memberPace, Retirements: memberPace,
+	}
+	urgent := map[Kind]bool{Configurations: true, Evacuations: true, Instances: true}
 	watcher := &monitor{store: store, known: known}
-	for _, kind := range Kinds() {
+	for _, kind := range kinds {
 		watcher.informers = append(watcher.informers, &informer{
 			store: store, known: known, kind: kind, urgent: urgent[kind], pacer: pacer{pace: paces[kind]},
 		})
--- a/internal/feed/record.go
+++ b/internal/feed/record.go
@@ -1,6 +1,8 @@
 package feed
 
 import (
+	"slices"
+
 	"swiftbank.dev/swiftbank/internal/backend"
 	"swiftbank.dev/swiftbank/internal/registry"
 	"swiftbank.dev/swiftbank/internal/route"
@@ -20,15 +22,27 @@
 	Members
 	// Retirements holds the operator's requests to empty machines.
 	Retirements
+	// Evacuations holds the operator's requests to send nothing further to the instances of a
+	// zone. It is read only where the operator makes such requests.
+	Evacuations
 	kindCount
 )
 
-// Kinds lists all kinds.
-func Kinds() []Kind { return []Kind{Configurations, Instances, Members, Retirements} }
+// Kinds lists all kinds in the order in which changes are handed over. Evacuations come
+// before instances, so that a process that starts never places work on an evacuated zone.
+func Kinds() []Kind { return []Kind{Configurations, Evacuations, Instances, Members, Retirements} }
+
+// kindsRead lists the kinds that are read from the store and waited for.
+func kindsRead(evacuations bool) []Kind {
+	if evacuations {
+		return Kinds()
+	}
+	return slices.DeleteFunc(Kinds(), func(kind Kind) bool { return kind == Evacuations })
+}
 
 // String returns the name used in logs.
 func (k Kind) String() string {
-	names := [kindCount]string{"configuration", "instances", "members", "retirements"}
+	names := [kindCount]string{"configuration", "instances", "members", "retirements", "evacuations"}
 	if k >= kindCount {
 		return "unknown"
 	}
@@ -47,6 +61,8 @@
 	Instance      *backend.Instance
 	Member        []byte
 	Retirement    RetirementState
+	// Evacuated is set on the record of a zone that is to get nothing further.
+	Evacuated bool
 }
 
 // valid reports whether the field of the kind is set.
@@ -63,6 +79,8 @@
 		return r.Member != nil
 	case Retirements:
 		return r.Retirement != NotRetiring
+	case Evacuations:
+		return r.Evacuated
 	default:
 		return false
 	}
@@ -139,10 +157,10 @@
 // Positions holds the position of each kind.
 type Positions [kindCount]Position
 
-// Complete reports whether all kinds were listed.
-func (p Positions) Complete() bool {
-	for _, position := range p {
-		if !position.Known {
+// Complete reports whether all the given kinds were listed.
+func (p Positions) Complete(kinds []Kind) bool {
+	for _, kind := range kinds {
+		if !p[kind].Known {
 			return false
 		}
 	}
--- a/internal/feed/selector.go
+++ b/internal/feed/selector.go
@@ -69,6 +69,15 @@
 	failures int
 }
 
+// lately returns the failures in a row, 0 once the upstream could have been tried again for
+// moveHome: then it is as good as any other.
+func (a avoidance) lately(now time.Time) int {
+	if now.Sub(a.until) >= moveHome {
+		return 0
+	}
+	return a.failures
+}
+
 // Decision is what the process does now.
 type Decision struct {
 	// Follow is nil when there is no upstream to follow.
@@ -157,8 +166,7 @@
 	if s.current.Zone == s.options.Zone || now.Sub(s.followedAt) < moveHome {
 		return
 	}
-	next := s.next(now)
-	if next != nil && next.Zone == s.options.Zone {
+	if next := s.next(now, s.options.Zone); next != nil {
 		s.follow(now, next)
 	}
 }
@@ -170,7 +178,7 @@
 	if s.current != nil && s.onTrial(now) {
 		return
 	}
-	next := s.next(now)
+	next := s.next(now, "")
 	if s.current != nil && (next != nil || s.current.hasSeveral()) {
 		s.avoid(now)
 	}
@@ -188,17 +196,23 @@
 	return now.Sub(s.followedAt) < trialLimit
 }
 
-// next returns the first candidate that is neither followed nor avoided.
-func (s *Selector) next(now time.Time) *Upstream {
+// next returns the candidate that failed least often of late, of those that are neither
+// followed nor avoided, and of equals the first. While the store turns many processes away,
+// those that were not tried yet thus come before those that had nothing fresh a moment ago.
+// A zone limits the choice to its candidates; "" does not.
+func (s *Selector) next(now time.Time, zone string) *Upstream {
+	var best *Upstream
+	fewest := 0
 	for _, candidate := range s.candidates {
-		if s.current != nil && candidate == *s.current {
-			continue
-		}
-		if !now.Before(s.avoided[candidate.Address].until) {
-			return &candidate
+		avoided := s.avoided[candidate.Address]
+		switch {
+		case s.current != nil && candidate == *s.current:
+		case now.Before(avoided.until) || zone != "" && candidate.Zone != zone:
+		case best == nil || avoided.lately(now) < fewest:
+			best, fewest = &candidate, avoided.lately(now)
 		}
 	}
-	return nil
+	return best
 }
 
 func (s *Selector) follow(now time.Time, upstream *Upstream) {
--- a/internal/feed/status.go
+++ b/internal/feed/status.go
@@ -49,6 +49,8 @@
 
 // readerStatus follows what the store answers a process that reads it.
 type readerStatus struct {
+	// kinds are those that are read.
+	kinds []Kind
 	// confirmed holds the kinds that the store has told of since reading began.
 	confirmed   [kindCount]bool
 	confirmedAt time.Time
@@ -72,8 +74,8 @@
 
 // status returns the status of what this process read itself.
 func (r *readerStatus) status(now time.Time) Status {
-	for _, confirmed := range r.confirmed {
-		if !confirmed {
+	for _, kind := range r.kinds {
+		if !r.confirmed[kind] {
 			return Status{}
 		}
 	}
