Evacuated zones and homes bind every choice of an instance

Ruled out: a check at the send (a choice refused there counts as load and as an attempt); taking an evacuation as advice once the other zones are lost. Change: one check where candidates are added; a request that no place may serve is refused before it is counted or its body sent, with reasons of its own; a gateway is ready once it knows which zones are evacuated. Sends are counted by zone, requests that still run in evacuated zones are a gauge: the operator sees that a zone is empty. Tests seen to fail with each guard removed: evacuation in the choice, at an instance that starts later, homes in the choice, the instance a stream is bound to, the refusal before the limit, the tenant's homes, the wait to hear of evacuations.

--- /dev/null
+++ b/internal/backend/barred.go
@@ -0,0 +1,113 @@
+package backend
+
+import (
+	"slices"
+	"time"
+
+	"swiftbank.dev/swiftbank/internal/place"
+)
+
+// Bar is why no instance of a service may get a request though some are there. Waiting for
+// room changes nothing about it.
+type Bar uint8
+
+const (
+	// NotBarred means that some instance may get the request, now or once it has room, or
+	// that none is listed.
+	NotBarred Bar = iota
+	// BarredByHomes means that no instance stands in a region where the request may run.
+	BarredByHomes
+	// BarredByEvacuation means that all that might run it stand in evacuated zones.
+	BarredByEvacuation
+)
+
+// String returns the reason in the words of the log and of refusals.
+func (b Bar) String() string {
+	switch b {
+	case BarredByHomes:
+		return "no instance is in a region where the request may run"
+	case BarredByEvacuation:
+		return "the zones of all instances that may run it are evacuated"
+	default:
+		return "not barred"
+	}
+}
+
+// SetEvacuated replaces the list of zones whose instances are to get nothing further, and
+// returns the zones that may get work again since now. What runs in an evacuated zone goes
+// on to its end.
+//
+// The list always binds, whatever else is lost: an operator who evacuates every zone gets
+// refusals, for only the operator knows what those zones are about to lose.
+func (d *Directory) SetEvacuated(zones []string) (returned []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before := d.evacuated
+	d.evacuated = map[string]bool{}
+	for _, zone := range zones {
+		d.evacuated[zone] = true
+	}
+	for zone := range before {
+		if !d.evacuated[zone] {
+			returned = append(returned, zone)
+		}
+	}
+	slices.Sort(returned)
+	for _, known := range d.members {
+		known.evacuated = d.evacuated[known.instance.Zone]
+	}
+	return returned
+}
+
+// EvacuatedInFlight returns this gateway's requests in flight in evacuated zones.
+func (d *Directory) EvacuatedInFlight() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	running := 0
+	for _, known := range d.members {
+		if known.evacuated {
+			running += known.inFlight
+		}
+	}
+	return running
+}
+
+// Barred returns why no instance may get the request, if that is a rule about places. It
+// looks at all instances of the service: callers ask only once Pick has found none.
+func (d *Directory) Barred(now time.Time, demand Demand) Bar {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if only := d.members[demand.Only]; only != nil && only.isStaying(now) {
+		return d.barOf(only, demand)
+	}
+	bar := NotBarred
+	for _, known := range d.byService[demand.Service] {
+		if !known.isStaying(now) {
+			continue
+		}
+		each := d.barOf(known, demand)
+		if each == NotBarred {
+			return NotBarred
+		}
+		bar = max(bar, each)
+	}
+	return bar
+}
+
+// barOf returns why an instance may not get the request, if that is a rule about places. The
+// caller holds the lock.
+func (d *Directory) barOf(known *member, demand Demand) Bar {
+	switch {
+	case !demand.isHome(known, d.places):
+		return BarredByHomes
+	case known.evacuated:
+		return BarredByEvacuation
+	default:
+		return NotBarred
+	}
+}
+
+// isHome reports whether the request may run where the instance stands.
+func (d Demand) isHome(known *member, places place.Map) bool {
+	return d.Homes.Allow(places.Region(known.instance.Zone))
+}
--- /dev/null
+++ b/internal/backend/barred_test.go
@@ -0,0 +1,129 @@
+package backend
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"swiftbank.dev/swiftbank/internal/place"
+)
+
+// inZones returns instances of one service that stand in the zones in turn.
+func inZones(count int, zones ...string) []Instance {
+	all := engines(count)
+	for i := range all {
+		all[i].Zone = zones[i%len(zones)]
+	}
+	return all
+}
+
+// byEveryPath returns demands that reach each source of candidates: the own zone, the
+// instance of the previous turn, reported and remembered prompts, the instance bound to.
+func byEveryPath(instance string) []Demand {
+	parts := []Part{{ID: "p", Tokens: 100}}
+	demands := []Demand{
+		{},
+		{Preferred: instance},
+		{Parts: parts, Cached: []Cached{{Instance: instance, Tokens: 100}}},
+		{Parts: parts},
+		{Only: instance},
+	}
+	for i := range demands {
+		demands[i].Service, demands[i].Generates = "llm", true
+	}
+	return demands
+}
+
+// What an evacuation or a home forbids must be out of reach on every path, at a service that
+// is compared whole and at one that is sampled.
+func TestNoPathLeadsRoundARuleOnPlaces(t *testing.T) {
+	regions := place.Map{"a": "north", "b": "south"}
+	for _, size := range []int{4, 3 * sampleSize} {
+		for rule := range 2 {
+			d := NewDirectory("a")
+			d.UsePlaces(regions)
+			d.Update(start, inZones(size, "a", "b"), false)
+			d.remember("e00", []Part{{ID: "p", Tokens: 100}})
+			homes := place.Homes{}
+			if rule == 0 {
+				require.Empty(t, d.SetEvacuated([]string{"a"}))
+			} else {
+				homes = place.HomesOf([]string{"south"})
+			}
+			for number, demand := range byEveryPath("e00") {
+				demand.Homes = homes
+				for range 2 * sampleSize {
+					choice, found := d.Pick(start, demand)
+					require.False(t, found && choice.Instance.Zone == "a", "size %d, rule %d, demand %d", size, rule, number)
+					require.True(t, found || demand.Only != "", "size %d, rule %d, demand %d", size, rule, number)
+				}
+			}
+		}
+	}
+}
+
+// An instance that starts in an evacuated zone, one that the list lacks for a moment, and a
+// retry that has tried all others get nothing there either.
+func TestAnEvacuationOutlastsWhatHappensMeanwhile(t *testing.T) {
+	d := NewDirectory("a")
+	d.SetEvacuated([]string{"a"})
+	d.Update(start, inZones(2, "a", "b"), false)
+	d.Update(start, inZones(4, "a", "b")[:3], true)
+	_, found := d.Pick(start, Demand{Service: "llm", Exclude: []string{"e01"}})
+	require.False(t, found)
+	require.Equal(t, NotBarred, d.Barred(start, Demand{Service: "llm", Exclude: []string{"e01"}}), "the other one may have room again")
+}
+
+func TestAnEndedEvacuationReturnsItsZones(t *testing.T) {
+	d := NewDirectory("a")
+	d.Update(start, inZones(3, "a", "b", "c"), false)
+	require.Empty(t, d.SetEvacuated([]string{"a", "b"}))
+	choice, found := d.Pick(start, Demand{Service: "llm"})
+	require.True(t, found)
+	require.Equal(t, "c", choice.Instance.Zone)
+	require.Equal(t, []string{"a"}, d.SetEvacuated([]string{"b", "c"}), "a second zone goes as the first comes back")
+	choice, found = d.Pick(start, Demand{Service: "llm"})
+	require.True(t, found)
+	require.Equal(t, "a", choice.Instance.Zone)
+	require.Equal(t, 1, d.EvacuatedInFlight(), "what ran in c goes on")
+	d.End(start, "e02", Answered)
+	require.Zero(t, d.EvacuatedInFlight())
+	require.Equal(t, []string{"b", "c"}, d.SetEvacuated(nil))
+}
+
+func TestWhyNoPlaceMayServe(t *testing.T) {
+	leaving := inZones(2, "a", "b")
+	leaving[1].Leaving = true
+	south, north := place.HomesOf([]string{"south"}), place.HomesOf([]string{"north"})
+	cases := []struct {
+		instances []Instance
+		evacuated []string
+		demand    Demand
+		expected  Bar
+	}{
+		{inZones(2, "a", "b"), []string{"a"}, Demand{}, NotBarred},
+		{inZones(2, "a", "b"), []string{"a", "b"}, Demand{}, BarredByEvacuation},
+		{leaving, []string{"a"}, Demand{}, BarredByEvacuation},
+		{nil, []string{"a", "b"}, Demand{}, NotBarred},
+		{inZones(2, "a", "b"), nil, Demand{Homes: south}, NotBarred},
+		{inZones(2, "a"), nil, Demand{Homes: south}, BarredByHomes},
+		{inZones(2, "unlisted"), nil, Demand{Homes: south}, BarredByHomes},
+		{inZones(2, "a", "b"), nil, Demand{Homes: south.And(north)}, BarredByHomes},
+		{inZones(2, "a", "b"), []string{"b"}, Demand{Homes: south}, BarredByEvacuation},
+		{inZones(2, "a", "b"), []string{"a"}, Demand{Only: "e00"}, BarredByEvacuation},
+		{inZones(2, "a", "b"), []string{"a"}, Demand{Only: "gone"}, NotBarred},
+	}
+	for number, c := range cases {
+		t.Run(fmt.Sprint(number), func(t *testing.T) {
+			d := NewDirectory("a")
+			d.UsePlaces(place.Map{"a": "north", "b": "south"})
+			d.Update(start, c.instances, false)
+			d.SetEvacuated(c.evacuated)
+			c.demand.Service = "llm"
+			require.Equal(t, c.expected, d.Barred(start, c.demand))
+			_, found := d.Pick(start, c.demand)
+			require.Equal(t, c.expected == NotBarred && len(c.instances) > 0, found)
+		})
+	}
+}
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -60,6 +60,8 @@
 	// unlistedUntil is set on an instance that the list lacks, while the list may be
 	// wrong: it serves on until then.
 	unlistedUntil time.Time
+	// evacuated is set while the instance's zone is to get nothing further.
+	evacuated bool
 	// sampled is the number of the last placement that looked at it.
 	sampled  uint64
 	cache    promptCache
@@ -86,6 +88,8 @@
 	zone string
 	// places says how far the zones are apart.
 	places place.Map
+	// evacuated lists the zones whose instances are to get nothing further.
+	evacuated map[string]bool
 	// connected reports whether there is an idle connection to an instance, idle lists the
 	// instances with one; nil knows of none.
 	connected func(instance string) bool
@@ -147,6 +151,7 @@
 		}
 		known.instance = instance
 		known.unlistedUntil = time.Time{}
+		known.evacuated = d.evacuated[instance.Zone]
 	}
 	for id, known := range d.members {
 		if listed[id] {
@@ -172,9 +177,14 @@
 	return gone
 }
 
+// isStaying reports whether the instance serves on, as far as its entry says.
+func (m *member) isStaying(now time.Time) bool {
+	return !m.instance.Leaving && (m.unlistedUntil.IsZero() || now.Before(m.unlistedUntil))
+}
+
 // mayServe reports whether the instance may get new work.
 func (m *member) mayServe(now time.Time) bool {
-	return !m.instance.Leaving && (m.unlistedUntil.IsZero() || now.Before(m.unlistedUntil))
+	return !m.evacuated && m.isStaying(now)
 }
 
 // Size returns the number of instances.
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -43,7 +43,9 @@
 	// Gone when the instance's machine was found not to answer in the middle of a request.
 	Unreachable bool
 	Gone        bool
-	Reason      string
+	// Bar is set when a rule about places leaves no instance for the request.
+	Bar    Bar
+	Reason string
 }
 
 // Error implements error.
--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -53,8 +53,8 @@
 	Cached []Cached
 	// Preferred is the instance that ran the previous turn, or "".
 	Preferred string
-	// Only is the instance that alone may get the request as long as it may get new work; ""
-	// leaves the choice open.
+	// Only is the instance that alone may get the request as long as it stays; "" leaves the
+	// choice open. While its zone is evacuated nothing may get the request.
 	Only string
 	// Exclude lists instances that were tried.
 	Exclude []string
@@ -108,8 +108,8 @@
 // excluded ones are left out, suspected ones too unless there are no others.
 func (d *Directory) candidates(now time.Time, demand Demand) []*member {
 	d.samples++
-	picked := sample{now: now, demand: demand, number: d.samples}
-	if only := d.members[demand.Only]; only != nil && only.mayServe(now) {
+	picked := sample{now: now, demand: demand, number: d.samples, places: d.places}
+	if only := d.members[demand.Only]; only != nil && only.isStaying(now) {
 		picked.add(only)
 		return append(picked.sound, picked.suspected...)
 	}
@@ -144,6 +144,7 @@
 type sample struct {
 	now    time.Time
 	demand Demand
+	places place.Map
 	// number marks the instances that were looked at.
 	number           uint64
 	sound, suspected []*member
@@ -157,6 +158,7 @@
 	known.sampled = s.number
 	switch {
 	case !known.mayServe(s.now) || slices.Contains(s.demand.Exclude, known.instance.ID):
+	case !s.demand.isHome(known, s.places): // never a spill: the request's data stays at its homes
 	case s.now.Before(known.avoidUntil):
 		s.suspected = append(s.suspected, known)
 	default:
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -64,16 +64,19 @@
 	server := gateway.New(gateway.Options{
 		Node: config.Node, Zone: config.Zone, Dialect: platform.Dialect(), Directory: directory, Replicas: replicas,
 		Log: process.log, Metrics: metrics, Copies: config.TolerateMachines + 1,
+		Evacuations: config.EvacuationLimit > 0,
 	})
 	gossip := gateway.NewGossip(config.Node, config.Zone, directory)
 	store := platform.NewStore(config.StoreAddress, metrics.StoreCall, process.storeCallFailed)
 	knowledge := feed.NewNode(feed.Options{
 		Node: config.Node, Zone: config.Zone, Role: replicaset.RoleGateway, Seeds: config.Seeds, FirstStart: config.FirstStart, Store: store,
-		Metrics: metrics, Log: process.log, StoreFailed: process.storeCallFailed,
+		Evacuations: config.EvacuationLimit > 0,
+		Metrics:     metrics, Log: process.log, StoreFailed: process.storeCallFailed,
 		StoreContact: func(err error) { process.contact("store", err) },
 		Handlers: feed.Handlers{
 			Status: server.KnowledgeChanged, Configuration: server.ConfigurationChanged, Instances: server.InstancesChanged,
-			Members: func(objects []registry.Object) { server.MembersChanged(objects, gossip, relays) },
+			Evacuations: server.EvacuationsChanged,
+			Members:     func(objects []registry.Object) { server.MembersChanged(objects, gossip, relays) },
 		},
 	})
 	process.log.Info().Str("event", "start").Str("role", "gateway").Str("zone", config.Zone).
--- a/internal/command/replica.go
+++ b/internal/command/replica.go
@@ -52,7 +52,8 @@
 	starting := &startingReplica{}
 	knowledge := feed.NewNode(feed.Options{
 		Node: config.Node, Zone: config.Zone, Role: replicaset.RoleReplica, Store: store,
-		Metrics: metrics, Log: process.log, StoreFailed: process.storeCallFailed,
+		Evacuations: config.EvacuationLimit > 0,
+		Metrics:     metrics, Log: process.log, StoreFailed: process.storeCallFailed,
 		StoreContact: func(err error) { process.contact("store", err) },
 		Handlers: feed.Handlers{
 			Members: starting.membersChanged, Retirements: starting.retirementsChanged, Configuration: starting.configurationChanged,
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -26,7 +26,7 @@
 		return refuseFor(verdict.CodeUnavailable, configurationRetry, "the gateway is about to end")
 	}
 	r.table = s.table.Load()
-	if r.table == nil || !s.known.Load() {
+	if r.table == nil || !s.isInformed() {
 		return refuseFor(verdict.CodeUnavailable, configurationRetry, "no configuration is known yet")
 	}
 	r.route = r.table.Match(r.host, incoming.URL.Path)
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -46,6 +46,7 @@
 		s.pool.Forget(id)
 	}
 	s.listedAt.Store(int64(time.Since(s.started)))
+	s.knownAt.CompareAndSwap(0, int64(time.Since(s.started)))
 	s.known.Store(true)
 	leaving := 0
 	for _, instance := range instances {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,12 +10,14 @@
 // Metrics are a gateway's counters in the Prometheus format.
 type Metrics struct {
 	Registry    *prometheus.Registry
+	labels      prometheus.Labels
 	requests    *prometheus.CounterVec
 	latency     *prometheus.HistogramVec
 	reserve     prometheus.Histogram
 	commit      prometheus.Histogram
 	connections prometheus.Counter
-	sends       prometheus.Counter
+	sends       *prometheus.CounterVec
+	evacuated   prometheus.Gauge
 	relayed     prometheus.Counter
 	store       *prometheus.CounterVec
 	feedAge     prometheus.Gauge
@@ -31,7 +33,7 @@
 		}
 	}
 	m := &Metrics{
-		Registry: prometheus.NewRegistry(),
+		Registry: prometheus.NewRegistry(), labels: labels,
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "swiftbank_requests_total", Help: "Requests by status and result.", ConstLabels: labels,
 		}, []string{"status", "result"}),
@@ -41,9 +43,9 @@
 		connections: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "swiftbank_backend_connections_total", Help: "Connections opened to instances.", ConstLabels: labels,
 		}),
-		sends: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "swiftbank_backend_sends_total", Help: "Requests sent to instances.", ConstLabels: labels,
-		}),
+		sends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "swiftbank_backend_sends_total", Help: "Requests sent to instances by their zone.", ConstLabels: labels,
+		}, []string{"zone"}),
 		relayed: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "swiftbank_relayed_requests_total", Help: "Requests to replicas sent by other gateways.", ConstLabels: labels,
 		}),
@@ -53,10 +55,21 @@
 	}
 	m.feedAge = prometheus.NewGauge(prometheus.GaugeOpts{Name: "swiftbank_feed_age_seconds", Help: "Age of what is known of the shared store.", ConstLabels: labels})
 	m.feedReading = prometheus.NewGauge(prometheus.GaugeOpts{Name: "swiftbank_feed_reading", Help: "1 while this process reads the shared store itself.", ConstLabels: labels})
-	m.Registry.MustRegister(m.feedAge, m.feedReading, m.requests, m.latency, m.reserve, m.commit, m.connections, m.sends, m.relayed, m.store)
+	m.evacuated = prometheus.NewGauge(prometheus.GaugeOpts{Name: "swiftbank_evacuated_zones", Help: "Zones whose instances get nothing further.", ConstLabels: labels})
+	m.Registry.MustRegister(m.evacuated, m.feedAge, m.feedReading, m.requests, m.latency, m.reserve, m.commit, m.connections, m.sends, m.relayed, m.store)
 	return m
 }
 
+// sent counts a request that goes to an instance of a zone.
+func (m *Metrics) sent(zone string) { m.sends.WithLabelValues(zone).Inc() }
+
+// countEvacuated shows how many requests still run in evacuated zones.
+func (m *Metrics) countEvacuated(running func() int) {
+	m.Registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "swiftbank_evacuated_requests", Help: "Requests of this gateway that still run in evacuated zones.", ConstLabels: m.labels,
+	}, func() float64 { return float64(running()) }))
+}
+
 // FeedAge notes how old the knowledge of the shared store is, and whether this process
 // reads the store itself.
 func (m *Metrics) FeedAge(seconds float64, reading bool) {
--- /dev/null
+++ b/internal/gateway/places_test.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"swiftbank.dev/swiftbank/internal/backend"
+	"swiftbank.dev/swiftbank/internal/place"
+	"swiftbank.dev/swiftbank/internal/route"
+	"swiftbank.dev/swiftbank/internal/tenant"
+)
+
+// placed returns a gateway with one instance in zone a of region north, and the number of
+// requests that reached it. Its routes are limited to homes.
+func placed(t *testing.T, homes ...string) (*Server, *atomic.Int64) {
+	arrived := &atomic.Int64{}
+	instance := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, incoming *http.Request) {
+		arrived.Add(1)
+		w.Header().Set("X-Test-Id", incoming.Header.Get("X-Test-Id"))
+		w.WriteHeader(http.StatusTeapot)
+	}))
+	t.Cleanup(instance.Close)
+	s := gatewayOf(t)
+	s.dialect.Authorization, s.dialect.Signature = "Authorization", "X-Test-Signature"
+	s.dialect.ExpectedInstance, s.dialect.Tenant = "X-Test-Instance", "X-Test-Tenant"
+	s.directory.UsePlaces(place.Map{"a": "north", "b": "south"})
+	routes := []*route.Route{}
+	for prefix, kind := range map[string]route.Kind{"/call/": route.Unsafe, "/look/": route.Safe, "/stream/": route.Streaming} {
+		routes = append(routes, &route.Route{
+			Name: prefix, Host: "apps.test", Prefix: prefix, Kind: kind, Attempts: 2, Timeout: time.Minute, Homes: place.HomesOf(homes),
+			Targets: []route.Target{{Service: "apps", Weight: 1}},
+		})
+	}
+	table := route.NewTable(2, routes, []route.Service{{Name: "apps"}}, route.Limits{})
+	table.Tenants = tenant.NewIndex([]tenant.Tenant{
+		{Name: "free", Keys: []tenant.KeyDigest{tenant.DigestOf("free")}},
+		{Name: "south", Keys: []tenant.KeyDigest{tenant.DigestOf("south")}, Homes: place.HomesOf([]string{"south"}), Limit: tenant.Limit{PerSecond: 1}},
+	})
+	s.ConfigurationChanged(table)
+	address := strings.TrimPrefix(instance.URL, "http://")
+	s.InstancesChanged([]backend.Instance{{ID: "i", Service: "apps", Address: address, Zone: "a", Slots: 4}}, false)
+	return s, arrived
+}
+
+// askPlaced sends a request with a deadline far beyond the test's patience: one that waited
+// for an instance would hold it up.
+func askPlaced(s *Server, path, key string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(http.MethodPost, "http://apps.test"+path, nil)
+	request.Header.Set(deadlineHeader, "3600000")
+	request.Header.Set("X-Test-Id", "r")
+	request.Header.Set("Authorization", "Bearer "+key)
+	recorder := httptest.NewRecorder()
+	s.handle(recorder, request)
+	return recorder
+}
+
+// A request that no place may serve is refused at once, is not counted against its tenant's
+// limit, and reaches no instance.
+func TestARequestThatNoPlaceMayServeIsRefusedAtOnce(t *testing.T) {
+	cases := []struct {
+		name      string
+		homes     []string
+		key       string
+		evacuated []string
+		refused   string
+	}{
+		{name: "no rule", key: "free"},
+		{name: "another zone evacuated", key: "free", evacuated: []string{"b"}},
+		{name: "all evacuated", key: "free", evacuated: []string{"a"}, refused: "zones_evacuated"},
+		{name: "route's home", homes: []string{"north"}, key: "free"},
+		{name: "not the route's home", homes: []string{"south"}, key: "free", refused: "no_instance_in_allowed_regions"},
+		{name: "not the tenant's home", key: "south", refused: "no_instance_in_allowed_regions"},
+		{name: "homes without a common region", homes: []string{"north"}, key: "south", refused: "no_instance_in_allowed_regions"},
+	}
+	for _, c := range cases {
+		for _, path := range []string{"/call/1", "/look/1", "/stream/1"} {
+			t.Run(c.name+path, func(t *testing.T) {
+				s, arrived := placed(t, c.homes...)
+				s.EvacuationsChanged(c.evacuated)
+				answer := askPlaced(s, path, c.key)
+				if c.refused == "" {
+					require.Equal(t, int64(1), arrived.Load())
+					return
+				}
+				require.Zero(t, arrived.Load())
+				require.Equal(t, http.StatusServiceUnavailable, answer.Code)
+				require.Contains(t, answer.Body.String(), c.refused)
+				require.Equal(t, "1", answer.Header().Get("Retry-After"))
+			})
+		}
+	}
+}
+
+// A gateway that was restarted must not use an evacuated zone before it hears of that; one
+// that can't hear of it, as from copies of an older version, serves after a while.
+func TestAGatewayWaitsToHearOfEvacuations(t *testing.T) {
+	s, arrived := placed(t)
+	require.True(t, s.Ready(), "without evacuations nothing is waited for")
+	s.options.Evacuations = true
+	require.False(t, s.Ready())
+	require.Contains(t, askPlaced(s, "/call/1", "free").Body.String(), "unavailable")
+	require.Zero(t, arrived.Load())
+	s.EvacuationsChanged(nil)
+	require.True(t, s.Ready())
+
+	late, _ := placed(t)
+	late.options.Evacuations = true
+	late.started = late.started.Add(-evacuationsWait)
+	require.True(t, late.Ready())
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -21,7 +21,7 @@
 		s.refuse(w, r, failure)
 		return
 	}
-	demand := backend.Demand{Service: r.service.Name}
+	demand := backend.Demand{Service: r.service.Name, Homes: r.homes()}
 	for runs := 0; ; {
 		sent, failure := s.sendUntilTaken(ctx, r, demand)
 		if failure == nil {
@@ -46,6 +46,8 @@
 func (s *Server) failed(ctx context.Context, r *request, failure *backend.Failure, ran bool) *refusal {
 	late := ctx.Err() != nil || !time.Now().Before(r.deadline)
 	switch {
+	case !ran && failure.Bar != backend.NotBarred:
+		return refuseBarred(failure.Bar)
 	case !ran && failure.Verdict == verdict.NotRun:
 		return refuseFor(verdict.CodeOverloaded, fullRetry, failure.Reason)
 	case late:
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -59,6 +59,9 @@
 	last := &backend.Failure{Verdict: verdict.NotRun, Reason: "no instance is known to be sound"}
 	for {
 		choice, found := s.directory.Pick(time.Now(), demand)
+		if failure := s.barred(demand, found); failure != nil {
+			return nil, failure
+		}
 		if !found || refused >= maxRefusals {
 			if found {
 				s.directory.End(time.Now(), choice.Instance.ID, backend.Answered)
@@ -92,7 +95,7 @@
 	r.outcome.sends++
 	r.outcome.instance = choice.Instance.ID
 	r.outcome.load, r.outcome.cost, r.outcome.candidates = choice.Load, choice.Cost, choice.Candidates
-	s.metrics.sends.Inc()
+	s.metrics.sent(choice.Instance.Zone)
 	sendCtx, release := context.WithCancel(ctx)
 	var watch *livenessWatch
 	if r.route.Kind == route.Streaming {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -47,6 +47,9 @@
 	Replicas  *quorum.Cells
 	Log       *log.Logger
 	Metrics   *Metrics
+	// Evacuations says that the operator may evacuate zones: then nothing is served before
+	// it is known which ones are.
+	Evacuations bool
 	// Copies is how many disks must hold a turn before it counts.
 	Copies int
 }
@@ -63,6 +66,10 @@
 
 	table atomic.Pointer[route.Table]
 	known atomic.Bool
+	// knownAt is when the first list of instances came, since the start; evacuationsKnown is
+	// set once it is known which zones are evacuated.
+	knownAt          atomic.Int64
+	evacuationsKnown atomic.Bool
 	// gateways is how many the registry lists.
 	gateways atomic.Int64
 	// stopping ends readiness; ending refuses what is not yet passed on.
@@ -98,12 +105,13 @@
 	}
 	s.pool = backend.NewPool(s.metrics.connections.Inc)
 	s.directory.UseConnections(s.pool)
+	s.metrics.countEvacuated(s.directory.EvacuatedInFlight)
 	return s
 }
 
 // Ready reports whether new callers may come.
 func (s *Server) Ready() bool {
-	return !s.stopping.Load() && s.table.Load() != nil && s.known.Load() && !s.isolated()
+	return !s.stopping.Load() && s.table.Load() != nil && s.isInformed() && !s.isolated()
 }
 
 // isolated reports whether this gateway reaches neither a quorum of replicas nor another
@@ -188,6 +196,10 @@
 		s.refuse(w, r, failure)
 		return
 	}
+	if failure := s.placeRefusal(r); failure != nil {
+		s.refuse(w, r, failure)
+		return
+	}
 	ctx, cancel := context.WithDeadline(incoming.Context(), r.deadline)
 	defer cancel()
 	if r.route.Kind == route.Streaming {
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -53,6 +53,8 @@
 	CodeOverloaded        Code = "overloaded"
 	CodeDeadline          Code = "deadline_exceeded"
 	CodeNoBackEnd         Code = "no_back_end"
+	CodeEvacuated         Code = "zones_evacuated"
+	CodeNoHome            Code = "no_instance_in_allowed_regions"
 	CodeBackEndFailed     Code = "back_end_failed"
 	CodeOutcomeUnknown    Code = "outcome_unknown"
 	CodeUnavailable       Code = "unavailable"
