--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -29,6 +29,8 @@
 	// proxied puts a proxy before each replica, each back end, and each process's way
 	// to the store.
 	proxied bool
+	// settings are lines that are added to the settings of every process.
+	settings string
 	// quotaSlack is how many requests a tenant's count may exceed its limit by.
 	quotaSlack int
 }
@@ -178,14 +180,14 @@
 	peer, metrics := addresses[0], addresses[1]
 	m := &member{name: name, verb: "replica", address: peer, metrics: metrics, copies: addresses[2], data: f.t.TempDir()}
 	m.settings = f.write(name, fmt.Sprintf("node: %s\nzone: %s\npeerAddress: %s\nmetricsAddress: %s\nmemoryMB: 256\ngrace: 5s\ntolerateMachines: 1\ndataFolder: %s\ndiskMB: 64\ncopyAddress: %s\nquotaSlack: %d\n",
-		name, zone, peer, metrics, m.data, m.copies, f.layout.quotaSlack)+f.throughProxies(m, peer))
+		name, zone, peer, metrics, m.data, m.copies, f.layout.quotaSlack)+f.layout.settings+f.throughProxies(m, peer))
 	return m
 }
 
 func (f *fleet) newGateway(name, zone string, addresses []string) *member {
 	m := &member{name: name, verb: "gateway", address: addresses[0], ready: addresses[1], metrics: addresses[3]}
 	m.settings = f.write(name, fmt.Sprintf("node: %s\nzone: %s\ncallerAddress: %s\nreadyAddress: %s\npeerAddress: %s\nmetricsAddress: %s\nmemoryMB: 256\ngrace: 8s\ntolerateMachines: 1\n",
-		name, zone, addresses[0], addresses[1], addresses[2], addresses[3])+f.throughProxies(m, addresses[2]))
+		name, zone, addresses[0], addresses[1], addresses[2], addresses[3])+f.layout.settings+f.throughProxies(m, addresses[2]))
 	return m
 }
 
