--- a/internal/backend/way_test.go
+++ b/internal/backend/way_test.go
@@ -12,7 +12,7 @@
 // twoRegions holds zones a1 and a2 in one region and b1 in another.
 var twoRegions = place.Map{"a1": "a", "a2": "a", "b1": "b"}
 
-func inZones(slots int, zones ...string) []Instance {
+func instancesIn(slots int, zones ...string) []Instance {
 	var instances []Instance
 	for index, zone := range zones {
 		instances = append(instances, Instance{ID: zone + "-" + string(rune('p'+index)), Service: "s", Zone: zone, Slots: slots})
@@ -24,7 +24,7 @@
 	now := time.Unix(1000, 0)
 	d := NewDirectory("a1")
 	d.UsePlaces(twoRegions)
-	d.Update(now, inZones(2, "a1", "a2", "b1"), false)
+	d.Update(now, instancesIn(2, "a1", "a2", "b1"), false)
 	var chosen []string
 	for range 6 {
 		choice, found := d.Pick(now, Demand{Service: "s", Generates: true})
@@ -57,7 +57,7 @@
 	for range 8 {
 		zones = append(zones, "a1", "a2", "b1", "b1", "b1", "b1")
 	}
-	d.Update(now, inZones(6, zones...), false)
+	d.Update(now, instancesIn(6, zones...), false)
 	own := 0
 	for _, candidate := range d.candidates(now, Demand{Service: "s"}) {
 		if twoRegions.Region(candidate.instance.Zone) == "a" {
