Cold instances get a bounded rate from the whole fleet

Cause: instances that have just started withstand a fraction of their usual rate and collapse above it; every gateway that saw one idle sent to it, and nothing bounded the sum. Ruled out: an equal part of the limit for each gateway, a fraction of a request where there are many; half of the limit for each window, which gives half of it away: a place that is held until a second after the answer is exact however late requests arrive. Change: internal/coldstart, a pure package: places of a cold instance at gateways chosen by rendezvous hashing, taken at the choice, checked again just before the send, held until a second after the answer, given back if another incarnation had the address. The directory leaves out cold instances without a free place, prices the others for urgent kinds and long prompts, and tells when a place is free where only cold ones serve; the gateway refuses then at once. Log lines and metrics for it. Directory, pool and gateway tests fail without the change: what they call did not exist.

--- /dev/null
+++ b/internal/backend/cold.go
@@ -0,0 +1,162 @@
+package backend
+
+import (
+	"time"
+
+	"swiftbank.dev/swiftbank/internal/coldstart"
+)
+
+const (
+	// coldShare is the part of a usual request's time that a placement on a cold instance
+	// costs the most urgent kind of request; the n-th kind below it pays an n-th of that.
+	// What may go to a cold instance in a second is little, and is best spent on requests
+	// that lose least if the instance is slow.
+	coldShare = 0.5
+	// coldReading is how many times the reading of its prompt is added: a long prompt goes to
+	// a warm instance that has as few requests running, rather than use up a cold one's start.
+	coldReading = 3.0
+)
+
+// ColdObserver is told what the directory believes of cold instances. It is called with the
+// directory locked and must not call back.
+type ColdObserver interface {
+	// ColdChanged says that an instance became cold or warm, ColdCount how many are cold.
+	ColdChanged(change coldstart.Change)
+	ColdCount(cold int)
+	// ColdSent counts a request to a cold instance, ColdWithheld one for which no instance
+	// was found but cold ones in which this gateway has no free place.
+	ColdSent()
+	ColdWithheld()
+}
+
+// LimitColdStarts makes the directory keep what cold instances withstand as one of the
+// fleet's gateways. It must be called before the first Update.
+func (d *Directory) LimitColdStarts(gateway string, policy coldstart.Policy, observer ColdObserver) {
+	d.cold, d.coldObserver = coldstart.NewGate(gateway, policy), observer
+}
+
+// SetColdServices replaces what the configuration says of cold instances, by service.
+func (d *Directory) SetColdServices(now time.Time, services map[string]coldstart.Service) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cold.SetServices(services)
+	d.reportCold(now)
+}
+
+// SetGateways replaces the list of gateways, this one included, among which the places of
+// cold instances are divided.
+func (d *Directory) SetGateways(now time.Time, names []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cold.SetGateways(now, names)
+}
+
+// AssumeColdIn takes the instances of a zone for cold, as after a start, until their entries
+// say something newer. An operator who ends a zone's evacuation may have restarted them.
+func (d *Directory) AssumeColdIn(now time.Time, zone string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cold.AssumeCold(now, zone)
+	d.reportCold(now)
+}
+
+// listCold tells the gate of the list of instances. The caller holds the lock.
+func (d *Directory) listCold(now time.Time, instances []Instance) {
+	entries := make([]coldstart.Entry, 0, len(instances))
+	for _, instance := range instances {
+		entries = append(entries, coldstart.Entry{
+			ID: instance.ID, Service: instance.Service, Zone: instance.Zone, ColdFor: instance.ColdFor,
+		})
+	}
+	d.cold.List(now, entries)
+	d.reportCold(now)
+}
+
+// reportCold tells the observer what changed. The caller holds the lock.
+func (d *Directory) reportCold(now time.Time) {
+	changes, cold := d.cold.Changes(now)
+	d.nextColdChange = d.cold.NextChange()
+	if d.coldObserver == nil {
+		return
+	}
+	d.coldObserver.ColdCount(cold)
+	for _, change := range changes {
+		d.coldObserver.ColdChanged(change)
+	}
+}
+
+// reportColdIfDue does so if an instance became warm since. The caller holds the lock.
+func (d *Directory) reportColdIfDue(now time.Time) {
+	if !d.nextColdChange.IsZero() && !now.Before(d.nextColdChange) {
+		d.reportCold(now)
+	}
+}
+
+// withheld notes a placement that found no instance for want of a place.
+func (d *Directory) withheld() {
+	if d.coldObserver != nil {
+		d.coldObserver.ColdWithheld()
+	}
+}
+
+// MaySend reports whether a request may be sent now by a choice made before, and must be asked
+// just before the send: the process may have been suspended since.
+func (d *Directory) MaySend(now time.Time, choice Choice) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.cold.Send(now, choice.permit) {
+		return false
+	}
+	if d.coldObserver != nil && d.cold.Cold(now, choice.Instance.ID) {
+		d.coldObserver.ColdSent()
+	}
+	return true
+}
+
+// Arrived notes that the answer to a request begins.
+func (d *Directory) Arrived(now time.Time, choice Choice) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cold.Answered(now, choice.permit)
+}
+
+// Misdirected notes that a request went to another instance, which has the address now and
+// refused it.
+func (d *Directory) Misdirected(choice Choice) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cold.NotCounted(choice.permit)
+}
+
+// GivenUp notes that no answer to a request is awaited any more, or that it was never sent.
+func (d *Directory) GivenUp(now time.Time, choice Choice) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cold.Unanswered(now, choice.permit)
+}
+
+// OnlyCold reports whether a service has instances that may get new work, and all of them
+// are cold. If so, wait is when one of them has a place for this gateway, and shared is false
+// if none ever has.
+func (d *Directory) OnlyCold(now time.Time, service string) (wait time.Duration, shared, only bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	serving := 0
+	for _, known := range d.byService[service] {
+		if !known.mayServe(now) {
+			continue
+		}
+		if !d.cold.Cold(now, known.instance.ID) {
+			return 0, false, false
+		}
+		serving++
+	}
+	wait, shared = d.cold.NextPlace(now, service)
+	return wait, shared, serving > 0
+}
+
+// coldCost is what the choice of a cold instance costs, in milliseconds.
+func (d *Directory) coldCost(demand Demand, missing int) float64 {
+	known := d.paceOf(demand.Service)
+	return coldShare*known.durationMS()/float64(1+demand.Priority) + coldReading*float64(missing)*known.readingMS()
+}
--- /dev/null
+++ b/internal/backend/cold_test.go
@@ -0,0 +1,155 @@
+package backend
+
+import (
+	"bufio"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"swiftbank.dev/swiftbank/internal/coldstart"
+	"swiftbank.dev/swiftbank/internal/verdict"
+)
+
+// coldSettled is long enough after start for the only gateway to use its places.
+var coldSettled = start.Add(time.Minute)
+
+// coldDirectory knows one warm engine, e00, and others that have just said that they are cold,
+// each with so many places for this gateway.
+func coldDirectory(cold, places int) *Directory {
+	d := NewDirectory("z")
+	d.LimitColdStarts("g", coldstart.Policy{Overage: 1}, nil)
+	d.SetColdServices(start, map[string]coldstart.Service{"llm": {Limit: coldstart.Limit{PerSecond: float64(places)}, Start: time.Second}})
+	d.SetGateways(start, []string{"g"})
+	all := engines(1 + cold)
+	for number := range cold {
+		all[1+number].ColdFor = time.Hour
+	}
+	d.Update(start, all, false)
+	return d
+}
+
+func TestColdInstancesGetWhatTheirPlacesAllow(t *testing.T) {
+	d := coldDirectory(2, 1)
+	now := coldSettled
+	taken := map[string]int{}
+	for range 60 {
+		choice, found := d.Pick(now, Demand{Service: "llm"})
+		require.True(t, found)
+		require.True(t, d.MaySend(now, choice))
+		taken[choice.Instance.ID]++
+	}
+	require.Equal(t, map[string]int{"e00": 58, "e01": 1, "e02": 1}, taken, "both are warmed up")
+}
+
+func TestAPlaceComesBackIfTheInstanceDidNotGetTheRequest(t *testing.T) {
+	for name, test := range map[string]struct {
+		end   func(d *Directory, now time.Time, choice Choice)
+		again time.Duration
+	}{
+		"misdirected":   {func(d *Directory, _ time.Time, choice Choice) { d.Misdirected(choice) }, 0},
+		"answered":      {func(d *Directory, now time.Time, choice Choice) { d.Arrived(now, choice) }, time.Second},
+		"no connection": {func(d *Directory, now time.Time, choice Choice) { d.GivenUp(now, choice) }, 0},
+	} {
+		d := coldDirectory(1, 1)
+		demand := Demand{Service: "llm", Only: "e01"}
+		choice, found := d.Pick(coldSettled, demand)
+		require.True(t, found)
+		if name != "no connection" {
+			require.True(t, d.MaySend(coldSettled, choice))
+		}
+		_, found = d.Pick(coldSettled, demand)
+		require.False(t, found)
+		test.end(d, coldSettled, choice)
+		if test.again > 0 {
+			_, found = d.Pick(coldSettled.Add(test.again-1), demand)
+			require.False(t, found, name)
+		}
+		_, found = d.Pick(coldSettled.Add(test.again), demand)
+		require.True(t, found, name)
+	}
+}
+
+func TestASuspendedProcessDoesNotSendByAnOldChoice(t *testing.T) {
+	d := coldDirectory(1, 1)
+	choice, _ := d.Pick(coldSettled, Demand{Service: "llm", Only: "e01"})
+	require.False(t, d.MaySend(coldSettled.Add(5*time.Second), choice))
+
+	s := startScripted(t, func(net.Conn, *bufio.Reader, int) bool { return false })
+	pool := NewPool(func() {})
+	call := callWith("a", "")
+	call.MaySend = func() bool { return false }
+	_, failure := do(t, pool, s, call)
+	require.Equal(t, verdict.NotRun, failure.Verdict)
+	require.NotNil(t, pool.pop("i"), "the connection serves the next request")
+}
+
+// The most urgent requests and long prompts take a warm instance that has room; others share
+// the cold ones.
+func TestWhoGoesToAColdInstance(t *testing.T) {
+	long := []Part{{ID: "long", Tokens: 40_000}}
+	for name, test := range map[string]struct {
+		demand  Demand
+		running int
+		cold    bool
+	}{
+		"urgent, warm has room":     {Demand{Service: "llm", Generates: true}, 6, false},
+		"urgent, warm is full":      {Demand{Service: "llm", Generates: true}, 40, true},
+		"less urgent":               {Demand{Service: "llm", Generates: true, Priority: 9}, 6, true},
+		"less urgent, long prompt":  {Demand{Service: "llm", Generates: true, Priority: 9, Parts: long}, 2, false},
+		"warm is full, long prompt": {Demand{Service: "llm", Generates: true, Priority: 9, Parts: long}, 80, true},
+	} {
+		d := coldDirectory(1, 100)
+		d.members["e00"].inFlight = test.running
+		choice, found := d.Pick(coldSettled, test.demand)
+		require.True(t, found)
+		require.Equal(t, test.cold, choice.Instance.ID == "e01", name)
+	}
+}
+
+func TestWhereOnlyColdInstancesServeTheNextPlaceIsKnown(t *testing.T) {
+	d := coldDirectory(1, 1)
+	_, _, only := d.OnlyCold(coldSettled, "llm")
+	require.False(t, only)
+	all := engines(2)
+	all[0].Leaving, all[1].ColdFor = true, time.Hour
+	d.Update(coldSettled, all, false)
+	_, shared, only := d.OnlyCold(coldSettled, "llm")
+	require.True(t, shared && only)
+	choice, _ := d.Pick(coldSettled, Demand{Service: "llm"})
+	d.MaySend(coldSettled, choice)
+	d.Arrived(coldSettled.Add(100*time.Millisecond), choice)
+	wait, shared, _ := d.OnlyCold(coldSettled.Add(200*time.Millisecond), "llm")
+	require.True(t, shared)
+	require.Equal(t, 900*time.Millisecond, wait)
+	d.SetGateways(coldSettled, []string{"another"})
+	_, shared, only = d.OnlyCold(coldSettled, "llm")
+	require.True(t, only && !shared)
+}
+
+// An operator who ends an evacuation may have restarted the zone's instances.
+func TestAnEvacuatedZoneComesBackCold(t *testing.T) {
+	d := coldDirectory(0, 1)
+	d.AssumeColdIn(coldSettled, "z")
+	_, _, only := d.OnlyCold(coldSettled, "llm")
+	require.True(t, only)
+	_, _, only = d.OnlyCold(coldSettled.Add(time.Second), "llm")
+	require.False(t, only)
+}
+
+// BenchmarkPickCold places requests before a large service of which half is cold.
+func BenchmarkPickCold(b *testing.B) {
+	d := coldDirectory(0, 100)
+	all := engines(10_000)
+	for number := range all {
+		all[number].ColdFor = time.Duration(number%2) * time.Hour
+	}
+	d.Update(start, all, false)
+	b.ResetTimer()
+	for range b.N {
+		choice, _ := d.Pick(coldSettled, Demand{Service: "llm", Generates: true})
+		d.End(coldSettled, choice.Instance.ID, Answered)
+		d.Misdirected(choice)
+	}
+}
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"swiftbank.dev/swiftbank/internal/coldstart"
 	"swiftbank.dev/swiftbank/internal/place"
 )
 
@@ -107,6 +108,11 @@
 	samples uint64
 	// paces is what is known of how fast each service works.
 	paces map[string]*pace
+	// cold bounds what goes to cold instances; nextColdChange is when the first of them becomes
+	// warm. coldObserver may be nil.
+	cold           *coldstart.Gate
+	nextColdChange time.Time
+	coldObserver   ColdObserver
 }
 
 // NewDirectory returns an empty directory of a gateway in the zone.
@@ -114,7 +120,7 @@
 	return &Directory{
 		zone: zone, members: map[string]*member{}, byService: map[string][]*member{},
 		reports: map[LoadSource]remoteReport{}, ranLast: map[string]string{},
-		paces: map[string]*pace{},
+		paces: map[string]*pace{}, cold: coldstart.NewGate("", coldstart.Policy{}),
 	}
 }
 
@@ -137,6 +143,7 @@
 func (d *Directory) Update(now time.Time, instances []Instance, incomplete bool) (gone []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.listCold(now, instances)
 	listed := map[string]bool{}
 	for _, instance := range instances {
 		listed[instance.ID] = true
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -33,6 +33,9 @@
 	Body   []byte
 	// IDHeader names the header by which an answer is matched with its request.
 	IDHeader string
+	// MaySend is asked once a connection is there, just before the request is sent; the
+	// request is given up if it says no. Nil says yes.
+	MaySend func() bool
 }
 
 // Failure is an exchange without a usable answer.
@@ -44,6 +47,8 @@
 	Unreachable bool
 	Gone        bool
 	Reason      string
+	// RetryAfter is when an instance may take the request; zero if that is not known.
+	RetryAfter time.Duration
 }
 
 // Error implements error.
@@ -68,6 +73,10 @@
 	if err != nil {
 		return nil, &Failure{Verdict: verdict.NotRun, Unreachable: ctx.Err() == nil, Reason: "connect: " + err.Error()}
 	}
+	if call.MaySend != nil && !call.MaySend() {
+		p.putBack(instance, connection)
+		return nil, &Failure{Verdict: verdict.NotRun, Reason: "the leave to send to the instance ended before the send"}
+	}
 	answer := &Answer{Connection: connection, pool: p, instance: instance, written: make(chan error, 1)}
 	answer.stop = context.AfterFunc(ctx, func() { _ = connection.Close() })
 	if err := answer.send(call); err != nil {
--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"swiftbank.dev/swiftbank/internal/coldstart"
 	"swiftbank.dev/swiftbank/internal/place"
 )
 
@@ -60,6 +61,8 @@
 	Exclude []string
 	// Homes limits the regions whose instances may get the request.
 	Homes place.Homes
+	// Priority is the rank of the request's route; 0 is the most urgent.
+	Priority int
 }
 
 // Choice is where a request goes and why.
@@ -72,6 +75,8 @@
 	Missing int
 	// Candidates is how many instances were compared.
 	Candidates int
+	// permit is the leave to send there once, where the instance's service limits that.
+	permit coldstart.Permit
 }
 
 // Pick chooses the instance with the least predicted cost and counts the request
@@ -80,6 +85,7 @@
 func (d *Directory) Pick(now time.Time, demand Demand) (Choice, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.reportColdIfDue(now)
 	candidates := d.candidates(now, demand)
 	if len(candidates) == 0 {
 		return Choice{}, false
@@ -98,6 +104,7 @@
 	best.cache.add(now, demand.Parts)
 	d.remember(best.instance.ID, demand.Parts)
 	choice.Instance = best.instance
+	choice.permit = d.cold.Take(now, best.instance.ID)
 	return choice, true
 }
 
@@ -108,7 +115,7 @@
 // excluded ones are left out, suspected ones too unless there are no others.
 func (d *Directory) candidates(now time.Time, demand Demand) []*member {
 	d.samples++
-	picked := sample{now: now, demand: demand, number: d.samples}
+	picked := sample{now: now, demand: demand, number: d.samples, cold: d.cold}
 	if only := d.members[demand.Only]; only != nil && only.mayServe(now) {
 		picked.add(only)
 		return append(picked.sound, picked.suspected...)
@@ -121,6 +128,9 @@
 		picked.addInTurn(near, d.firstOf(len(near)), nearShare)
 	}
 	picked.addInTurn(all, d.firstOf(len(all)), sampleSize)
+	if len(picked.sound) == 0 && len(picked.suspected) == 0 && picked.withheld {
+		d.withheld()
+	}
 	if len(picked.sound) == 0 {
 		return picked.suspected
 	}
@@ -147,6 +157,9 @@
 	// number marks the instances that were looked at.
 	number           uint64
 	sound, suspected []*member
+	cold             *coldstart.Gate
+	// withheld is set if a cold instance was left out that has no free place.
+	withheld bool
 }
 
 // add takes an instance if it may get the request.
@@ -157,6 +170,8 @@
 	known.sampled = s.number
 	switch {
 	case !known.mayServe(s.now) || slices.Contains(s.demand.Exclude, known.instance.ID):
+	case !s.cold.Admits(s.now, known.instance.ID):
+		s.withheld = true
 	case s.now.Before(known.avoidUntil):
 		s.suspected = append(s.suspected, known)
 	default:
@@ -220,6 +235,10 @@
 	if d.connected != nil && !d.connected(candidate.instance.ID) {
 		cost += connectCost
 	}
+	missing := d.missing(now, candidate, demand)
+	if d.cold.Cold(now, candidate.instance.ID) {
+		cost += d.coldCost(demand, missing)
+	}
 	known := d.paceOf(demand.Service)
 	slots := max(1, candidate.instance.Slots)
 	waiting := float64(max(0, load-slots+1))
@@ -227,7 +246,6 @@
 	if !demand.Generates {
 		return cost + float64(load) + known.durationMS()*waiting, 0
 	}
-	missing := d.missing(now, candidate, demand)
 	running := float64(min(load, slots))
 	// Each request there reads its prompt between the steps of the others: this one waits
 	// for theirs, and all wait for this one's.
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -132,6 +132,15 @@
 	}
 }
 
+// putBack keeps a connection that was taken and not used.
+func (p *Pool) putBack(instance Instance, unused *connection) {
+	rest := idleDefault
+	if unused.reused {
+		rest = time.Until(unused.idleUntil)
+	}
+	p.put(instance, unused, rest)
+}
+
 // SetIdleLimit bounds the connections that may rest to each instance of a service:
 // an instance accepts so many from all gateways together, resting ones included.
 func (p *Pool) SetIdleLimit(service string, limit int) {
--- /dev/null
+++ b/internal/coldstart/gate.go
@@ -0,0 +1,345 @@
+package coldstart
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// Window is the span in which requests are counted.
+	Window = time.Second
+	// permitLife is how long a permit may wait for its send, a new connection included. A
+	// process that was suspended must not send by shares that may have moved since.
+	permitLife = 400 * time.Millisecond
+	// settleTime is how long a gateway must have been entitled to a place before it uses it:
+	// the window in which what it sent before a restart, or what the place's earlier holder
+	// sent, may still arrive, and the time in which the holder hears of the change.
+	settleTime = 3 * time.Second
+	// unansweredTime is how long a send without an answer may still arrive after it was given
+	// up: a machine that is cut off for moments retransmits what it was given.
+	unansweredTime = 5 * time.Second
+	// forgetTime is how long an instance is remembered that the list lacks. Entries lapse for
+	// other reasons than an end; one that comes back under its id did not start again.
+	forgetTime = time.Minute
+)
+
+// Permit is the leave to send one request to an instance. The zero value is for instances
+// without a limit.
+type Permit struct {
+	instance string
+	number   uint64
+}
+
+// Gate decides what one gateway may send to cold instances. It is a pure state machine and
+// not safe for concurrent use.
+type Gate struct {
+	self   uint64
+	policy Policy
+	limits map[string]Service
+	// rosters are the lists of gateways in force within settleTime, the newest last; version
+	// counts their changes, and those of the limits.
+	rosters   []roster
+	version   uint64
+	instances map[string]*instance
+	// cold are the instances last reported as cold by Changes.
+	cold map[string]*instance
+	// listed is set once there was a list of instances.
+	listed  bool
+	permits uint64
+}
+
+// Service is what the configuration says of a service.
+type Service struct {
+	Limit
+	// Start is how long an instance is cold after it started.
+	Start time.Duration
+}
+
+// roster is a list of gateways, as hashes of their names, and since when it is in force.
+type roster struct {
+	gateways []uint64
+	since    time.Time
+}
+
+// Entry is an instance as it is listed.
+type Entry struct {
+	ID      string
+	Service string
+	Zone    string
+	// ColdFor is how much longer it is cold as it says; 0 says that it is not.
+	ColdFor time.Duration
+}
+
+// instance is what is known of an instance.
+type instance struct {
+	entry Entry
+	hash  uint64
+	// startedAt is when it first appeared; zero if it stood in the first list.
+	startedAt time.Time
+	// saidUntil is until when it is cold by its own word, or by what is assumed of its zone.
+	saidUntil time.Time
+	// missingSince is when the list began to lack it; zero while it is listed.
+	missingSince time.Time
+	places       []place
+	// leastShare is the share by the rosters of the version.
+	leastShare   int
+	shareVersion uint64
+}
+
+// place is one that a send holds.
+type place struct {
+	number uint64
+	// sent is set once the request was handed to the connection.
+	sent bool
+	// freeAt is when it is free again; zero while an answer is awaited.
+	freeAt time.Time
+}
+
+// NewGate returns a gate of the named gateway that knows nothing, and thus lets nothing go to
+// cold instances.
+func NewGate(self string, policy Policy) *Gate {
+	return &Gate{self: xxhash.Sum64String(self), policy: policy, instances: map[string]*instance{}, cold: map[string]*instance{}}
+}
+
+// SetServices replaces what the configuration says, by service.
+func (g *Gate) SetServices(services map[string]Service) {
+	g.limits = services
+	g.version++
+}
+
+// SetGateways replaces the list of gateways.
+func (g *Gate) SetGateways(now time.Time, names []string) {
+	gateways := make([]uint64, 0, len(names))
+	for _, name := range names {
+		gateways = append(gateways, xxhash.Sum64String(name))
+	}
+	slices.Sort(gateways)
+	if last := len(g.rosters) - 1; last >= 0 && slices.Equal(g.rosters[last].gateways, gateways) {
+		return
+	}
+	g.rosters = append(g.rosters, roster{gateways: gateways, since: now})
+	g.version++
+	g.dropRosters(now)
+}
+
+// dropRosters forgets lists that were replaced longer than settleTime ago.
+func (g *Gate) dropRosters(now time.Time) {
+	for len(g.rosters) > 1 && now.Sub(g.rosters[1].since) >= settleTime {
+		g.rosters = g.rosters[1:]
+		g.version++
+	}
+}
+
+// List replaces the list of instances. Those of the first list were there before this process
+// and are not new; they are cold if they say so.
+func (g *Gate) List(now time.Time, entries []Entry) {
+	listed := map[string]bool{}
+	for _, entry := range entries {
+		listed[entry.ID] = true
+		g.hear(now, entry)
+	}
+	for id, known := range g.instances {
+		switch {
+		case listed[id]:
+			known.missingSince = time.Time{}
+		case known.missingSince.IsZero():
+			known.missingSince = now
+		case now.Sub(known.missingSince) >= forgetTime:
+			delete(g.instances, id)
+			delete(g.cold, id)
+		}
+	}
+	g.listed = true
+}
+
+// hear takes what an instance says. The same value delivered again starts nothing anew, unless
+// its entry had been away: it may have started again meanwhile.
+func (g *Gate) hear(now time.Time, entry Entry) {
+	known := g.instances[entry.ID]
+	appeared := known == nil
+	if appeared {
+		known = &instance{hash: xxhash.Sum64String(entry.ID)}
+		g.instances[entry.ID] = known
+		if g.listed {
+			known.startedAt = now
+		}
+	}
+	if appeared || !known.missingSince.IsZero() || known.entry.ColdFor != entry.ColdFor {
+		known.saidUntil = now.Add(entry.ColdFor)
+	}
+	known.entry = entry
+}
+
+// AssumeCold takes the instances of a zone as just started, until they say otherwise.
+func (g *Gate) AssumeCold(now time.Time, zone string) {
+	for _, known := range g.instances {
+		until := now.Add(g.limits[known.entry.Service].Start)
+		if known.entry.Zone == zone && until.After(known.saidUntil) {
+			known.saidUntil = until
+		}
+	}
+}
+
+// coldUntil returns until when an instance is cold; a time in the past if it is not.
+func (g *Gate) coldUntil(known *instance) time.Time {
+	until := known.saidUntil
+	if started := known.startedAt.Add(g.limits[known.entry.Service].Start); !known.startedAt.IsZero() && started.After(until) {
+		until = started
+	}
+	return until
+}
+
+// limited reports whether a limit holds for the service's cold instances.
+func (g *Gate) limited(service string) bool { return g.limits[service].PerSecond > 0 }
+
+func (g *Gate) isCold(now time.Time, known *instance) bool {
+	return g.limited(known.entry.Service) && now.Before(g.coldUntil(known))
+}
+
+// Cold reports whether an instance is cold and has a limit.
+func (g *Gate) Cold(now time.Time, id string) bool {
+	known := g.instances[id]
+	return known != nil && g.isCold(now, known)
+}
+
+// Admits reports whether a request may go to an instance.
+func (g *Gate) Admits(now time.Time, id string) bool {
+	known := g.instances[id]
+	if known == nil || !g.isCold(now, known) {
+		return true
+	}
+	known.release(now)
+	return len(known.places) < g.share(now, known)
+}
+
+// share returns the places of an instance that this gateway may use: the least by any list of
+// gateways that was in force of late, none before a list was in force for settleTime.
+func (g *Gate) share(now time.Time, known *instance) int {
+	g.dropRosters(now)
+	if len(g.rosters) == 0 || now.Sub(g.rosters[0].since) < settleTime {
+		return 0
+	}
+	if known.shareVersion == g.version {
+		return known.leastShare
+	}
+	bound := g.policy.InSecond(g.limits[known.entry.Service].Limit)
+	known.leastShare, known.shareVersion = bound, g.version
+	for _, list := range g.rosters {
+		known.leastShare = min(known.leastShare, Share(list.gateways, g.self, known.hash, bound))
+	}
+	return known.leastShare
+}
+
+// release frees the places whose time is over.
+func (i *instance) release(now time.Time) {
+	i.places = slices.DeleteFunc(i.places, func(held place) bool {
+		return !held.freeAt.IsZero() && !now.Before(held.freeAt)
+	})
+}
+
+// Take takes a place for a request that Admits let through. Sends to instances that are warm
+// take places as well: they count if the instance becomes cold within the window.
+func (g *Gate) Take(now time.Time, id string) Permit {
+	known := g.instances[id]
+	if known == nil || !g.limited(known.entry.Service) {
+		return Permit{}
+	}
+	known.release(now)
+	g.permits++
+	known.places = append(known.places, place{number: g.permits, freeAt: now.Add(permitLife)})
+	return Permit{instance: id, number: g.permits}
+}
+
+// Send reports whether the request may be sent now, and is asked just before it is. It must
+// not be sent if not.
+func (g *Gate) Send(now time.Time, permit Permit) bool {
+	held := g.held(permit)
+	if held == nil {
+		return permit == Permit{}
+	}
+	if !now.Before(held.freeAt) {
+		return false
+	}
+	held.sent, held.freeAt = true, time.Time{}
+	return true
+}
+
+// held returns the place that a permit holds, nil if it has none.
+func (g *Gate) held(permit Permit) *place {
+	known := g.instances[permit.instance]
+	if known == nil {
+		return nil
+	}
+	index := slices.IndexFunc(known.places, func(held place) bool { return held.number == permit.number })
+	if index < 0 {
+		return nil
+	}
+	return &known.places[index]
+}
+
+// Answered notes that the answer to a request begins: the request arrived before.
+func (g *Gate) Answered(now time.Time, permit Permit) {
+	if held := g.held(permit); held != nil && held.freeAt.IsZero() {
+		held.freeAt = now.Add(Window)
+	}
+}
+
+// Unanswered notes that a request was given up, sent or not.
+func (g *Gate) Unanswered(now time.Time, permit Permit) {
+	held := g.held(permit)
+	switch {
+	case held == nil:
+	case !held.sent:
+		g.NotCounted(permit)
+	case held.freeAt.IsZero():
+		held.freeAt = now.Add(unansweredTime + Window)
+	}
+}
+
+// NotCounted gives a place back at once: the request was not sent, or went to another
+// instance that has the address now.
+func (g *Gate) NotCounted(permit Permit) {
+	if known := g.instances[permit.instance]; known != nil {
+		known.places = slices.DeleteFunc(known.places, func(held place) bool { return held.number == permit.number })
+	}
+}
+
+// NextPlace returns when a place of a cold instance of the service is free for this gateway,
+// and false if it has none in any.
+func (g *Gate) NextPlace(now time.Time, service string) (time.Duration, bool) {
+	next, found := time.Duration(0), false
+	for _, known := range g.instances {
+		if known.entry.Service != service || !known.missingSince.IsZero() || !g.isCold(now, known) {
+			continue
+		}
+		share := g.share(now, known)
+		if share == 0 {
+			continue
+		}
+		if wait := min(known.nextFree(now, share), g.coldUntil(known).Sub(now)); !found || wait < next {
+			next, found = wait, true
+		}
+	}
+	return next, found
+}
+
+// nextFree returns when less than so many places are held. A send whose answer is awaited
+// holds its place for the window at least.
+func (i *instance) nextFree(now time.Time, share int) time.Duration {
+	i.release(now)
+	if len(i.places) < share {
+		return 0
+	}
+	var waits []time.Duration
+	for _, held := range i.places {
+		wait := Window
+		if !held.freeAt.IsZero() {
+			wait = held.freeAt.Sub(now)
+		}
+		waits = append(waits, wait)
+	}
+	slices.Sort(waits)
+	return waits[len(waits)-share]
+}
--- /dev/null
+++ b/internal/coldstart/gate_test.go
@@ -0,0 +1,156 @@
+package coldstart
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/require"
+)
+
+// coldStart is how long instances of the tests' service are cold after a start.
+const coldStart = 3 * time.Second
+
+// newGate rechanges the only gateway of a fleet: it has all places but the margin.
+func newGate(entries ...Entry) *Gate {
+	gate := NewGate("a", Policy{Overage: 1})
+	gate.SetServices(map[string]Service{"engines": {Limit: Limit{PerSecond: 2}, Start: coldStart}})
+	gate.SetGateways(begin.Add(-settleTime), []string{"a"})
+	gate.List(begin, entries)
+	return gate
+}
+
+func entry(coldFor time.Duration) Entry {
+	return Entry{ID: "i", Service: "engines", Zone: "z", ColdFor: coldFor}
+}
+
+func TestWhenAnInstanceIsCold(t *testing.T) {
+	const s = time.Second
+	heard := func(coldFor time.Duration) func(*Gate, time.Time) {
+		return func(g *Gate, now time.Time) { g.List(now, []Entry{entry(coldFor)}) }
+	}
+	gone := func(g *Gate, now time.Time) { g.List(now, nil) }
+	evacuated := func(zone string) func(*Gate, time.Time) {
+		return func(g *Gate, now time.Time) { g.AssumeCold(now, zone) }
+	}
+	type happening struct {
+		at time.Duration
+		do func(*Gate, time.Time)
+	}
+	for name, test := range map[string]struct {
+		first      []Entry
+		happenings []happening
+		// until is when it is warm again.
+		until time.Duration
+	}{
+		"in the first list":                {first: []Entry{entry(0)}},
+		"in the first list, and says so":   {first: []Entry{entry(2 * s)}, until: 2 * s},
+		"first appears":                    {happenings: []happening{{s, heard(0)}}, until: s + coldStart},
+		"the same value again":             {happenings: []happening{{s, heard(5 * s)}, {3 * s, heard(5 * s)}}, until: 6 * s},
+		"a later value replaces":           {first: []Entry{entry(9 * s)}, happenings: []happening{{s, heard(2 * s)}}, until: 3 * s},
+		"says that it is warm":             {first: []Entry{entry(9 * s)}, happenings: []happening{{s, heard(0)}}},
+		"new ones are cold whatever later": {happenings: []happening{{s, heard(9 * s)}, {2 * s, heard(0)}}, until: s + coldStart},
+		"changes cold again":               {first: []Entry{entry(0)}, happenings: []happening{{20 * s, heard(4 * s)}}, until: 24 * s},
+		"its entry lapsed":                 {first: []Entry{entry(0)}, happenings: []happening{{s, gone}, {4 * s, heard(0)}}},
+		"away, and cold as before":         {first: []Entry{entry(s)}, happenings: []happening{{4 * s, gone}, {8 * s, heard(s)}}, until: 9 * s},
+		"its zone was evacuated":           {first: []Entry{entry(0)}, happenings: []happening{{5 * s, evacuated("z")}}, until: 5*s + coldStart},
+		"it says newer":                    {first: []Entry{entry(0)}, happenings: []happening{{5 * s, evacuated("z")}, {6 * s, heard(s)}}, until: 7 * s},
+		"another zone was evacuated":       {first: []Entry{entry(0)}, happenings: []happening{{5 * s, evacuated("y")}}},
+	} {
+		gate, now := newGate(test.first...), begin
+		for _, happening := range test.happenings {
+			now = begin.Add(happening.at)
+			happening.do(gate, now)
+		}
+		if begin.Add(test.until).After(now) {
+			require.True(t, gate.Cold(begin.Add(test.until-1), "i"), name)
+		}
+		require.False(t, gate.Cold(begin.Add(max(test.until, now.Sub(begin))), "i"), name)
+	}
+}
+
+func TestAPlaceIsFreeASecondAfterTheAnswer(t *testing.T) {
+	gate := newGate(entry(time.Minute))
+	gate.policy.Slack = 1 // three places, none of them for disagreement
+	at := func(milliseconds int) time.Time { return begin.Add(time.Duration(milliseconds) * time.Millisecond) }
+	answered, misdirected, refused := gate.Take(at(0), "i"), gate.Take(at(0), "i"), gate.Take(at(0), "i")
+	require.False(t, gate.Admits(at(100), "i"))
+	require.True(t, gate.Send(at(100), answered) && gate.Send(at(100), misdirected))
+	gate.NotCounted(misdirected)
+	gate.Unanswered(at(100), refused) // no connection came up
+	require.True(t, gate.Admits(at(100), "i"))
+	lost, lapsed := gate.Take(at(100), "i"), gate.Take(at(100), "i")
+	gate.Answered(at(200), answered)
+	require.True(t, gate.Send(at(499), lost))
+	gate.Unanswered(at(500), lost)
+	require.False(t, gate.Send(at(500), lapsed), "a permit is good for a short time")
+	wait, shared := gate.NextPlace(at(500), "engines")
+	require.True(t, shared)
+	require.Zero(t, wait)
+	gate.Take(at(900), "i")
+	gate.Take(at(900), "i")
+	wait, _ = gate.NextPlace(at(1000), "engines")
+	require.Equal(t, 300*time.Millisecond, wait, "the third send more than there are places waits for two")
+	require.False(t, gate.Admits(at(1299), "i"))
+	require.True(t, gate.Admits(at(1300), "i"))
+	require.Len(t, gate.instances["i"].places, 1, "what was sent and has no answer may still arrive")
+	require.True(t, gate.Admits(at(6500), "i"))
+	require.Empty(t, gate.instances["i"].places)
+}
+
+func TestAGatewayWithoutAShareSendsNothing(t *testing.T) {
+	for name, prepare := range map[string]func(*Gate){
+		"knows no list":       func(g *Gate) { g.rosters = nil },
+		"just started":        func(g *Gate) { g.rosters[0].since = begin },
+		"is not listed":       func(g *Gate) { g.SetGateways(begin, []string{"b"}) },
+		"was not listed late": func(g *Gate) { g.SetGateways(begin, []string{"b"}); g.SetGateways(begin, []string{"a"}) },
+	} {
+		gate := newGate(entry(time.Minute))
+		require.True(t, gate.Admits(begin, "i"))
+		prepare(gate)
+		require.False(t, gate.Admits(begin, "i"), name)
+		_, shared := gate.NextPlace(begin, "engines")
+		require.False(t, shared, name)
+	}
+}
+
+// Lists that differ by a few members give places that sum to no more than the bound, and use
+// most of it where they agree.
+func TestSharesSumToTheBound(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for round := range 400 {
+		count, bound, instance := 1+random.IntN(100), 1+random.IntN(120), xxhash.Sum64String(fmt.Sprint(round))
+		var all []uint64
+		for number := range count + disagreement(count, bound) {
+			all = append(all, xxhash.Sum64String(fmt.Sprint("gateway-", number)))
+		}
+		agreed, differing := 0, 0
+		for _, gateway := range all {
+			agreed += Share(all[:count], gateway, instance, bound)
+			most := 0
+			for first := range len(all) - count + 1 {
+				most = max(most, Share(all[first:first+count], gateway, instance, bound))
+			}
+			differing += most
+		}
+		require.LessOrEqual(t, differing, bound, "%d gateways", count)
+		require.Positive(t, agreed)
+	}
+}
+
+func TestChangesAreToldOnce(t *testing.T) {
+	gate := newGate()
+	gate.List(begin, []Entry{entry(0)})
+	changes, cold := gate.Changes(begin)
+	require.Equal(t, []Change{{Instance: "i", Service: "engines", Cold: true, Remaining: coldStart, Share: 2}}, changes)
+	require.Equal(t, 1, cold)
+	require.Equal(t, begin.Add(coldStart), gate.NextChange())
+	changes, _ = gate.Changes(begin.Add(coldStart - 1))
+	require.Empty(t, changes)
+	changes, cold = gate.Changes(begin.Add(coldStart))
+	require.Equal(t, []Change{{Instance: "i", Service: "engines"}}, changes)
+	require.Zero(t, cold)
+	require.Zero(t, gate.NextChange())
+}
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"swiftbank.dev/swiftbank/internal/backend"
+	"swiftbank.dev/swiftbank/internal/coldstart"
 	"swiftbank.dev/swiftbank/internal/feed"
 	"swiftbank.dev/swiftbank/internal/gateway"
 	"swiftbank.dev/swiftbank/internal/quorum"
@@ -64,6 +65,7 @@
 	server := gateway.New(gateway.Options{
 		Node: config.Node, Zone: config.Zone, Dialect: platform.Dialect(), Directory: directory, Replicas: replicas,
 		Log: process.log, Metrics: metrics, Copies: config.TolerateMachines + 1,
+		ColdStarts: coldstart.Policy{Overage: config.ColdOverage, Slack: config.ColdSlack},
 	})
 	gossip := gateway.NewGossip(config.Node, config.Zone, directory)
 	store := platform.NewStore(config.StoreAddress, metrics.StoreCall, process.storeCallFailed)
--- /dev/null
+++ b/internal/gateway/coldstart.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"swiftbank.dev/swiftbank/internal/backend"
+	"swiftbank.dev/swiftbank/internal/coldstart"
+	"swiftbank.dev/swiftbank/internal/route"
+	"swiftbank.dev/swiftbank/internal/verdict"
+)
+
+// coldWaitShare is the part of its objective that a request waits for a place at a cold
+// instance: after a longer wait its answer would probably be late, and its caller does better
+// to come back when a place is free, or to another gateway.
+const coldWaitShare = 4
+
+// coldServices returns what the configuration says of cold instances, by service.
+func coldServices(table *route.Table) map[string]coldstart.Service {
+	services := map[string]coldstart.Service{}
+	for name, service := range table.Services {
+		if service.ColdPerSecond > 0 {
+			services[name] = coldstart.Service{Limit: coldstart.Limit{PerSecond: service.ColdPerSecond}, Start: service.ColdStart}
+		}
+	}
+	return services
+}
+
+// awaitWarmth decides whether a request waits for which no instance was found. Where only cold
+// instances serve, it is refused at once unless this gateway has a place soon.
+func (s *Server) awaitWarmth(r *request, service string) *backend.Failure {
+	wait, shared, only := s.directory.OnlyCold(time.Now(), service)
+	switch {
+	case !only:
+		return nil
+	case !shared:
+		wait = elsewhereRetry
+	case wait <= r.route.Objective/coldWaitShare:
+		return nil
+	}
+	s.log.Info().Str("event", "cold_withheld").Str("id", r.id).Str("service", service).Bool("shared", shared).
+		Dur("wait", wait).Int64("list_age_ms", s.listAge().Milliseconds()).Msg("")
+	return &backend.Failure{Verdict: verdict.NotRun, RetryAfter: wait, Reason: "all instances are cold and have no place for this gateway"}
+}
+
+// coldReport logs and counts what the directory believes of cold instances.
+type coldReport struct {
+	log     *log.Logger
+	metrics *Metrics
+}
+
+// ColdChanged implements backend.ColdObserver.
+func (c coldReport) ColdChanged(change coldstart.Change) {
+	c.log.Info().Str("event", "cold_changed").Str("instance", change.Instance).Str("service", change.Service).
+		Bool("cold", change.Cold).Dur("remaining", change.Remaining).Int("places", change.Share).Msg("")
+}
+
+// ColdCount implements backend.ColdObserver.
+func (c coldReport) ColdCount(cold int) { c.metrics.cold.Set(float64(cold)) }
+
+// ColdSent implements backend.ColdObserver.
+func (c coldReport) ColdSent() { c.metrics.coldSends.Inc() }
+
+// ColdWithheld implements backend.ColdObserver.
+func (c coldReport) ColdWithheld() { c.metrics.coldWithheld.Inc() }
+
+// addCold registers the metrics of cold instances.
+func (m *Metrics) addCold(labels prometheus.Labels) {
+	m.cold = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "swiftbank_cold_instances", Help: "Instances that are cold and get a limited rate.", ConstLabels: labels,
+	})
+	m.coldSends = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "swiftbank_cold_sends_total", Help: "Requests sent to cold instances.", ConstLabels: labels,
+	})
+	m.coldWithheld = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "swiftbank_cold_withheld_total", Help: "Placements that found only cold instances without a free place.", ConstLabels: labels,
+	})
+	m.Registry.MustRegister(m.cold, m.coldSends, m.coldWithheld)
+}
--- /dev/null
+++ b/internal/gateway/coldstart_test.go
@@ -0,0 +1,24 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"swiftbank.dev/swiftbank/internal/backend"
+	"swiftbank.dev/swiftbank/internal/route"
+)
+
+// Where a whole service was just replaced, a gateway without a place says so at once and
+// truthfully, instead of holding requests until their time is over.
+func TestOnlyColdInstancesWithoutAPlaceRefuseAtOnce(t *testing.T) {
+	s := gatewayOf(t)
+	services := []route.Service{{Name: "apps", ColdPerSecond: 10, ColdStart: time.Hour}}
+	s.directory.SetColdServices(time.Now(), coldServices(route.NewTable(2, nil, services, route.Limits{})))
+	s.InstancesChanged([]backend.Instance{{ID: "i", Service: "apps", Slots: 1}}, false)
+	answer := ask(s, "60000")
+	require.Equal(t, http.StatusServiceUnavailable, answer.Code)
+	require.Equal(t, "0.02", answer.Header().Get("Retry-After"), "other gateways have places")
+}
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/backend"
@@ -19,6 +21,7 @@
 	}
 	s.table.Store(table)
 	s.boundIdle()
+	s.directory.SetColdServices(time.Now(), coldServices(table))
 	s.log.Info().Str("event", "configuration_changed").Uint64("version", table.Version).Int("routes", table.RouteCount()).
 		Dur("age", s.knowledgeAge()).Msg("")
 }
@@ -66,6 +69,7 @@
 	s.gossip.Store(gossip)
 	relays.SetGateways(membership.Gateways)
 	s.gateways.Store(int64(len(membership.Gateways)))
+	s.directory.SetGateways(time.Now(), slices.Collect(maps.Keys(membership.Gateways)))
 	s.boundIdle()
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -19,7 +19,12 @@
 	relayed     prometheus.Counter
 	store       *prometheus.CounterVec
 	feedAge     prometheus.Gauge
-	feedReading prometheus.Gauge
+	// cold is how many instances are cold; coldSends counts requests to them, coldWithheld
+	// placements that found no other instance and no place at a cold one.
+	cold         prometheus.Gauge
+	coldSends    prometheus.Counter
+	coldWithheld prometheus.Counter
+	feedReading  prometheus.Gauge
 }
 
 // NewMetrics registers a gateway's metrics.
@@ -53,6 +58,7 @@
 	}
 	m.feedAge = prometheus.NewGauge(prometheus.GaugeOpts{Name: "swiftbank_feed_age_seconds", Help: "Age of what is known of the shared store.", ConstLabels: labels})
 	m.feedReading = prometheus.NewGauge(prometheus.GaugeOpts{Name: "swiftbank_feed_reading", Help: "1 while this process reads the shared store itself.", ConstLabels: labels})
+	m.addCold(labels)
 	m.Registry.MustRegister(m.feedAge, m.feedReading, m.requests, m.latency, m.reserve, m.commit, m.connections, m.sends, m.relayed, m.store)
 	return m
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -21,7 +22,7 @@
 		s.refuse(w, r, failure)
 		return
 	}
-	demand := backend.Demand{Service: r.service.Name}
+	demand := backend.Demand{Service: r.service.Name, Priority: r.route.Priority}
 	for runs := 0; ; {
 		sent, failure := s.sendUntilTaken(ctx, r, demand)
 		if failure == nil {
@@ -47,7 +48,7 @@
 	late := ctx.Err() != nil || !time.Now().Before(r.deadline)
 	switch {
 	case !ran && failure.Verdict == verdict.NotRun:
-		return refuseFor(verdict.CodeOverloaded, fullRetry, failure.Reason)
+		return refuseFor(verdict.CodeOverloaded, cmp.Or(failure.RetryAfter, fullRetry), failure.Reason)
 	case late:
 		return uncertain(http.StatusGatewayTimeout, failure.Reason)
 	default:
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -62,6 +62,9 @@
 		if !found || refused >= maxRefusals {
 			if found {
 				s.directory.End(time.Now(), choice.Instance.ID, backend.Answered)
+				s.directory.GivenUp(time.Now(), choice)
+			} else if failure := s.awaitWarmth(r, demand.Service); failure != nil {
+				return nil, failure
 			}
 			if time.Now().After(giveUp) || !wait.For(ctx, refusalPause) {
 				return nil, last
@@ -102,9 +105,12 @@
 	}
 	answerTimer := time.AfterFunc(s.answerTimeout(r), release)
 	sentAt := time.Now()
-	answer, failure := s.pool.Do(sendCtx, choice.Instance, s.call(r, choice.Instance))
+	call := s.call(r, choice.Instance)
+	call.MaySend = func() bool { return s.directory.MaySend(time.Now(), choice) }
+	answer, failure := s.pool.Do(sendCtx, choice.Instance, call)
 	answerTimer.Stop()
 	if failure != nil {
+		s.directory.GivenUp(time.Now(), choice)
 		release()
 		watch.explain(failure)
 		ended := backend.Answered
@@ -116,7 +122,11 @@
 		return nil, failure
 	}
 	s.pool.Heard(time.Now(), choice.Instance.ID)
+	s.directory.Arrived(time.Now(), choice)
 	status := answer.Response.StatusCode
+	if status == http.StatusMisdirectedRequest {
+		s.directory.Misdirected(choice)
+	}
 	if answer.Response.Header.Get(s.dialect.NotExecuted) != "" || status == http.StatusMisdirectedRequest {
 		_, _ = io.Copy(io.Discard, answer.Body())
 		answer.Finish()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 
 	"swiftbank.dev/swiftbank/internal/backend"
+	"swiftbank.dev/swiftbank/internal/coldstart"
 	"swiftbank.dev/swiftbank/internal/peer"
 	"swiftbank.dev/swiftbank/internal/quorum"
 	"swiftbank.dev/swiftbank/internal/route"
@@ -49,6 +50,8 @@
 	Metrics   *Metrics
 	// Copies is how many disks must hold a turn before it counts.
 	Copies int
+	// ColdStarts is by how much cold instances may get more than their limit.
+	ColdStarts coldstart.Policy
 }
 
 // Server is one gateway.
@@ -98,6 +101,7 @@
 	}
 	s.pool = backend.NewPool(s.metrics.connections.Inc)
 	s.directory.UseConnections(s.pool)
+	s.directory.LimitColdStarts(options.Node, options.ColdStarts, coldReport{log: s.log, metrics: s.metrics})
 	return s
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -190,6 +190,7 @@
 func (s *Server) relay(ctx context.Context, w http.ResponseWriter, t *turn) *backend.Failure {
 	demand := backend.Demand{
 		Service: t.service.Name, Generates: t.service.Generates, Parts: t.parts, Cached: t.cached(),
+		Priority: t.route.Priority,
 	}
 	if t.reservation != nil {
 		demand.Preferred = t.reservation.Instance
