--- a/internal/coldstart/schedule_test.go
+++ b/internal/coldstart/schedule_test.go
@@ -42,12 +42,6 @@
 	restarts    int
 }
 
-// event is something that happens later.
-type event struct {
-	at time.Time
-	do func(now time.Time)
-}
-
 // schedule is one random run of a fleet before one instance that turns cold.
 type schedule struct {
 	random   *rand.Rand
@@ -58,7 +52,8 @@
 	// names is the registry's list of gateways, changes how often it may change.
 	names   []string
 	changes int
-	events  []event
+	// events is what happens at later steps.
+	events map[int][]func(now time.Time)
 	// listing is the list of instances; coldFrom and coldUntil are when arrivals count.
 	// knownBefore is set if the instance was listed as warm before it turned cold.
 	listing             []Entry
@@ -76,7 +71,7 @@
 func newSchedule(seed uint64, without removed) *schedule {
 	random := rand.New(rand.NewPCG(seed, 7))
 	s := &schedule{
-		random: random, without: without, policy: Policy{Overage: 1.5, Slack: 5},
+		random: random, without: without, policy: Policy{Overage: 1.5, Slack: 5}, events: map[int][]func(time.Time){},
 		services: map[string]Service{"engines": {Limit: Limit{PerSecond: float64(2 + random.IntN(40))}, Start: 6 * time.Second}},
 	}
 	for number := range 2 + random.IntN(50) {
@@ -122,7 +117,8 @@
 }
 
 func (s *schedule) later(at time.Time, do func(time.Time)) {
-	s.events = append(s.events, event{at: at, do: do})
+	due := int((at.Sub(begin) + step - 1) / step)
+	s.events[due] = append(s.events[due], do)
 }
 
 // start begins a process of a gateway, which reads both lists.
@@ -282,14 +278,12 @@
 	const steps, coldAt = 1100, 400
 	for number := range steps {
 		now := begin.Add(time.Duration(number) * step)
-		due := s.events
-		s.events = nil
-		for _, happening := range due {
-			if happening.at.After(now) {
-				s.events = append(s.events, happening)
-				continue
+		for len(s.events[number]) > 0 { // an event may bring others about at once
+			due := s.events[number]
+			delete(s.events, number)
+			for _, happen := range due {
+				happen(now)
 			}
-			happening.do(now)
 		}
 		s.disturb(now)
 		if number == coldAt {
