The price of a cold instance only decides between equals

Cause: with a price of half a request's time and three times the reading of its prompt, gateways used a fraction of their places at cold instances, and the warm ones served the rest late: three gateways sent 15 in 100 of a burst's turns to a third of the instances (log of a zone back cold). Ruled out: the places themselves: three gateways had 8 of 15 instances open and sent 2 to 6 requests a second there. Change: 0.06 of a request's time and 0.1 of the reading.

--- a/internal/backend/cold.go
+++ b/internal/backend/cold.go
@@ -8,13 +8,13 @@
 
 const (
 	// coldShare is the part of a usual request's time that a placement on a cold instance
-	// costs the most urgent kind of request; the n-th kind below it pays an n-th of that.
-	// What may go to a cold instance in a second is little, and is best spent on requests
-	// that lose least if the instance is slow.
-	coldShare = 0.5
-	// coldReading is how many times the reading of its prompt is added: a long prompt goes to
-	// a warm instance that has as few requests running, rather than use up a cold one's start.
-	coldReading = 3.0
+	// costs the most urgent kind of request; the n-th kind below it pays an n-th of that. It
+	// is less than one more request on a warm instance costs: cold instances must get what
+	// they withstand, or the warm ones have to serve it.
+	coldShare = 0.06
+	// coldReading is the part of the reading of its prompt that is added: of instances with
+	// as many requests running, a long prompt goes to a warm one.
+	coldReading = 0.1
 )
 
 // ColdObserver is told what the directory believes of cold instances. It is called with the
