Requests do not wait long for a place at a cold instance

Cause: a request whose place was taken by others each time waited for half of its time. Change: it is refused once it has waited for a quarter of its objective; what was sent before, such as a stream to be resumed, waits on. Tests: the refusal of a gateway whose place is taken names when it is free.

--- a/internal/gateway/coldstart.go
+++ b/internal/gateway/coldstart.go
@@ -12,9 +12,9 @@
 	"swiftbank.dev/swiftbank/internal/verdict"
 )
 
-// coldWaitShare is the part of its objective that a request waits for a place at a cold
-// instance: after a longer wait its answer would probably be late, and its caller does better
-// to come back when a place is free, or to another gateway.
+// coldWaitShare is the part of its objective that a request may have waited for a place at a
+// cold instance: after a longer wait its answer would probably be late, and its caller does
+// better to come back when a place is free, or to another gateway.
 const coldWaitShare = 4
 
 // coldServices returns what the configuration says of cold instances, by service.
@@ -29,15 +29,16 @@
 }
 
 // awaitWarmth decides whether a request waits for which no instance was found. Where only cold
-// instances serve, it is refused at once unless this gateway has a place soon.
+// instances serve, it is refused at once unless this gateway has a place soon. One that was
+// sent before waits on: it may be a stream of which its caller has a part.
 func (s *Server) awaitWarmth(r *request, service string) *backend.Failure {
 	wait, shared, only := s.directory.OnlyCold(time.Now(), service)
 	switch {
-	case !only:
+	case !only || r.outcome.sends > 0:
 		return nil
 	case !shared:
 		wait = elsewhereRetry
-	case wait <= r.route.Objective/coldWaitShare:
+	case time.Since(r.arrived)+wait <= r.route.Objective/coldWaitShare:
 		return nil
 	}
 	s.log.Info().Str("event", "cold_withheld").Str("id", r.id).Str("service", service).Bool("shared", shared).
--- a/internal/gateway/coldstart_test.go
+++ b/internal/gateway/coldstart_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"swiftbank.dev/swiftbank/internal/backend"
+	"swiftbank.dev/swiftbank/internal/coldstart"
 	"swiftbank.dev/swiftbank/internal/route"
 )
 
@@ -21,4 +23,16 @@
 	answer := ask(s, "60000")
 	require.Equal(t, http.StatusServiceUnavailable, answer.Code)
 	require.Equal(t, "0.02", answer.Header().Get("Retry-After"), "other gateways have places")
+
+	s.directory.SetGateways(time.Now().Add(-time.Minute), []string{"g", "h", "i", "j", "k", "l"})
+	choice, found := s.directory.Pick(time.Now(), backend.Demand{Service: "apps"})
+	require.True(t, found, "this gateway has one place")
+	require.True(t, s.directory.MaySend(time.Now(), choice))
+	s.directory.Arrived(time.Now(), choice)
+	answer = ask(s, "60000")
+	require.Equal(t, http.StatusServiceUnavailable, answer.Code)
+	seconds, err := strconv.ParseFloat(answer.Header().Get("Retry-After"), 64)
+	require.NoError(t, err)
+	require.Greater(t, seconds, elsewhereRetry.Seconds(), "when the place is free again")
+	require.LessOrEqual(t, seconds, coldstart.Window.Seconds())
 }
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"swiftbank.dev/swiftbank/internal/backend"
+	"swiftbank.dev/swiftbank/internal/coldstart"
 	"swiftbank.dev/swiftbank/internal/quorum"
 	"swiftbank.dev/swiftbank/internal/route"
 )
@@ -23,7 +24,7 @@
 	s := New(Options{
 		Node: "g", Zone: "z", Dialect: Dialect{Deadline: deadlineHeader, RequestID: "X-Test-Id"},
 		Directory: backend.NewDirectory("z"), Replicas: quorum.NewCells(t.Context(), "z", quiet),
-		Log: quiet, Metrics: NewMetrics("g"),
+		Log: quiet, Metrics: NewMetrics("g"), ColdStarts: coldstart.Policy{Overage: 1},
 	})
 	table := route.NewTable(1, []*route.Route{{
 		Name: "call", Host: "apps.test", Prefix: "/call/", Kind: route.Unsafe, Attempts: 1, Timeout: 3 * time.Second,
