--- a/internal/backend/barred.go
+++ b/internal/backend/barred.go
@@ -35,11 +35,12 @@
 
 // SetEvacuated replaces the list of zones whose instances are to get nothing further, and
 // returns the zones that may get work again since now. What runs in an evacuated zone goes
-// on to its end.
+// on to its end. The instances of a zone that returns may have turned cold meanwhile, and
+// count as cold until their entries say otherwise.
 //
 // The list always binds, whatever else is lost: an operator who evacuates every zone gets
 // refusals, for only the operator knows what those zones are about to lose.
-func (d *Directory) SetEvacuated(zones []string) (returned []string) {
+func (d *Directory) SetEvacuated(now time.Time, zones []string) (returned []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	before := d.evacuated
@@ -50,12 +51,14 @@
 	for zone := range before {
 		if !d.evacuated[zone] {
 			returned = append(returned, zone)
+			d.cold.AssumeCold(now, zone)
 		}
 	}
 	slices.Sort(returned)
 	for _, known := range d.members {
 		known.evacuated = d.evacuated[known.instance.Zone]
 	}
+	d.reportCold(now)
 	return returned
 }
 
--- a/internal/backend/barred_test.go
+++ b/internal/backend/barred_test.go
@@ -47,7 +47,7 @@
 			d.remember("e00", []Part{{ID: "p", Tokens: 100}})
 			homes := place.Homes{}
 			if rule == 0 {
-				require.Empty(t, d.SetEvacuated([]string{"a"}))
+				require.Empty(t, d.SetEvacuated(start, []string{"a"}))
 			} else {
 				homes = place.HomesOf([]string{"south"})
 			}
@@ -67,7 +67,7 @@
 // retry that has tried all others get nothing there either.
 func TestAnEvacuationOutlastsWhatHappensMeanwhile(t *testing.T) {
 	d := NewDirectory("a")
-	d.SetEvacuated([]string{"a"})
+	d.SetEvacuated(start, []string{"a"})
 	d.Update(start, inZones(2, "a", "b"), false)
 	d.Update(start, inZones(4, "a", "b")[:3], true)
 	_, found := d.Pick(start, Demand{Service: "llm", Exclude: []string{"e01"}})
@@ -78,18 +78,18 @@
 func TestAnEndedEvacuationReturnsItsZones(t *testing.T) {
 	d := NewDirectory("a")
 	d.Update(start, inZones(3, "a", "b", "c"), false)
-	require.Empty(t, d.SetEvacuated([]string{"a", "b"}))
+	require.Empty(t, d.SetEvacuated(start, []string{"a", "b"}))
 	choice, found := d.Pick(start, Demand{Service: "llm"})
 	require.True(t, found)
 	require.Equal(t, "c", choice.Instance.Zone)
-	require.Equal(t, []string{"a"}, d.SetEvacuated([]string{"b", "c"}), "a second zone goes as the first comes back")
+	require.Equal(t, []string{"a"}, d.SetEvacuated(start, []string{"b", "c"}), "a second zone goes as the first comes back")
 	choice, found = d.Pick(start, Demand{Service: "llm"})
 	require.True(t, found)
 	require.Equal(t, "a", choice.Instance.Zone)
 	require.Equal(t, 1, d.EvacuatedInFlight(), "what ran in c goes on")
 	d.End(start, "e02", Answered)
 	require.Zero(t, d.EvacuatedInFlight())
-	require.Equal(t, []string{"b", "c"}, d.SetEvacuated(nil))
+	require.Equal(t, []string{"b", "c"}, d.SetEvacuated(start, nil))
 }
 
 func TestWhyNoPlaceMayServe(t *testing.T) {
@@ -119,7 +119,7 @@
 			d := NewDirectory("a")
 			d.UsePlaces(place.Map{"a": "north", "b": "south"})
 			d.Update(start, c.instances, false)
-			d.SetEvacuated(c.evacuated)
+			d.SetEvacuated(start, c.evacuated)
 			c.demand.Service = "llm"
 			require.Equal(t, c.expected, d.Barred(start, c.demand))
 			_, found := d.Pick(start, c.demand)
--- a/internal/gateway/places.go
+++ b/internal/gateway/places.go
@@ -62,7 +62,7 @@
 
 // EvacuationsChanged replaces the zones whose instances are to get nothing further.
 func (s *Server) EvacuationsChanged(zones []string) {
-	returned := s.directory.SetEvacuated(zones)
+	returned := s.directory.SetEvacuated(time.Now(), zones)
 	s.evacuationsKnown.Store(true)
 	s.metrics.evacuated.Set(float64(len(zones)))
 	s.log.Info().Str("event", "evacuations_changed").Strs("zones", zones).Strs("returned", returned).
