--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -58,8 +58,8 @@
 	directory := backend.NewDirectory(config.Zone)
 	directory.SeedWith(config.Node)
 	directory.UsePlaces(config.Places())
-	replicas := quorum.NewCells(life, config.Zone, process.log)
-	relays := quorum.NewRelays(life, config.Node, config.Zone, process.log, metrics.Relayed)
+	replicas := quorum.NewCells(life, config.Zone, config.Places(), process.log)
+	relays := quorum.NewRelays(life, config.Node, config.Zone, config.Places(), process.log, metrics.Relayed)
 	replicas.UseRelays(relays)
 	server := gateway.New(gateway.Options{
 		Node: config.Node, Zone: config.Zone, Dialect: platform.Dialect(), Directory: directory, Replicas: replicas,
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -71,7 +71,7 @@
 // borrow asks the lenders of the tenant's cell one after another for an allowance.
 func (s *Server) borrow(ctx context.Context, r *request) *refusal {
 	name := r.tenant.Name
-	cell := s.replicas.Of(name)
+	cell := s.replicas.OfTenant(name)
 	if cell == nil {
 		return refuseFor(verdict.CodeUnavailable, replicaRetry, "no replicas are known yet")
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"swiftbank.dev/swiftbank/internal/quorum"
 )
 
 // Metrics are a gateway's counters in the Prometheus format.
@@ -20,6 +22,7 @@
 	store       *prometheus.CounterVec
 	feedAge     prometheus.Gauge
 	feedReading prometheus.Gauge
+	budgets     *prometheus.CounterVec
 }
 
 // NewMetrics registers a gateway's metrics.
@@ -53,6 +56,10 @@
 	}
 	m.feedAge = prometheus.NewGauge(prometheus.GaugeOpts{Name: "swiftbank_feed_age_seconds", Help: "Age of what is known of the shared store.", ConstLabels: labels})
 	m.feedReading = prometheus.NewGauge(prometheus.GaugeOpts{Name: "swiftbank_feed_reading", Help: "1 while this process reads the shared store itself.", ConstLabels: labels})
+	m.budgets = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "swiftbank_budget_decisions_total", Help: "Turns checked against their program's budget, by the regions asked and the outcome.", ConstLabels: labels,
+	}, []string{"asked", "grant"})
+	m.Registry.MustRegister(m.budgets)
 	m.Registry.MustRegister(m.feedAge, m.feedReading, m.requests, m.latency, m.reserve, m.commit, m.connections, m.sends, m.relayed, m.store)
 	return m
 }
@@ -75,6 +82,15 @@
 // Relayed counts a request to a replica that was sent by another gateway.
 func (m *Metrics) Relayed() { m.relayed.Inc() }
 
+// escrow counts a decision on a turn's budget.
+func (m *Metrics) escrow(grant quorum.Grant, everywhere bool) {
+	asked := "own_region"
+	if everywhere {
+		asked = "every_region"
+	}
+	m.budgets.WithLabelValues(asked, grant.String()).Inc()
+}
+
 func (m *Metrics) request(o *outcome, took time.Duration) {
 	m.requests.WithLabelValues(strconv.Itoa(o.status), o.result).Inc()
 	m.latency.WithLabelValues(o.result).Observe(took.Seconds())
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -52,6 +52,8 @@
 	// others is what the program's other turns were charged, epoch the replica set's.
 	others int64
 	epoch  uint64
+	// everywhere is set when all regions were asked on the program's budget.
+	everywhere bool
 }
 
 // hopHeaders concern one connection only and are not passed on.
--- /dev/null
+++ b/internal/gateway/reserve.go
@@ -0,0 +1,133 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"swiftbank.dev/swiftbank/internal/ledger"
+	"swiftbank.dev/swiftbank/internal/place"
+	"swiftbank.dev/swiftbank/internal/quorum"
+	"swiftbank.dev/swiftbank/internal/verdict"
+)
+
+// reserveTimeout is how long a turn waits for the replicas before it is refused. It holds
+// two round trips between distant regions (60 ms each), with a connection opened for them,
+// and a try by another gateway.
+const reserveTimeout = 900 * time.Millisecond
+
+// homes returns the regions in which the request may be handled.
+func (r *request) homes() place.Homes {
+	if r.tenant == nil {
+		return r.route.Homes
+	}
+	return r.route.Homes.And(r.tenant.Homes)
+}
+
+// reserve counts the turn against its program's budget and reads its history.
+func (s *Server) reserve(ctx context.Context, t *turn) *refusal {
+	if t.program == "" && t.previous == "" {
+		return nil
+	}
+	t.cell = s.replicas.Of(t.header.Get(s.dialect.Program), t.homes())
+	if t.cell == nil {
+		return refuseFor(verdict.CodeUnavailable, replicaRetry, "no replicas are known where the turn may be kept")
+	}
+	if s.isolated() {
+		return refuseFor(verdict.CodeUnavailable, elsewhereRetry, "this gateway reaches neither replicas nor other gateways")
+	}
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	asked := ledger.Reserve{
+		Program: t.program, Charge: ledger.Charge{Turn: t.id, Tokens: t.most},
+		Retention: t.route.Retention, History: t.previous, Tenant: t.tenantName(),
+	}
+	failure := s.reserveHistory(ctx, t, asked)
+	if failure == nil && t.program != "" {
+		failure = s.reserveBudget(ctx, t, asked)
+	}
+	t.outcome.reserveMS = sinceMS(began)
+	s.metrics.reserve.Observe(time.Since(began).Seconds())
+	if failure != nil {
+		s.settle(t)
+		return failure
+	}
+	t.body = append(t.history(), t.input...)
+	return nil
+}
+
+// reserveHistory reserves the turn in its program's cell and finds its history, there or in
+// another cell.
+func (s *Server) reserveHistory(ctx context.Context, t *turn, asked ledger.Reserve) *refusal {
+	reservation, err := t.cell.Reserve(ctx, asked)
+	if err != nil {
+		return refuseFor(verdict.CodeUnavailable, replicaRetry, "too few replicas answered")
+	}
+	t.reservation = reservation
+	t.outcome.others = reservation.Others
+	t.outcome.epoch = t.cell.Epoch()
+	if t.previous != "" && !reservation.Found && !reservation.Foreign {
+		t.ancestors = s.replicas.ChainElsewhere(ctx, t.header.Get(s.dialect.Program), t.previous, t.homes())
+	}
+	if t.continuesForeign() {
+		return &refusal{status: http.StatusNotFound, code: verdict.CodeNotFound, reason: "the previous turn is another tenant's"}
+	}
+	if t.previous != "" && !reservation.Found && len(t.ancestors) == 0 {
+		// A cell out of reach may have it, so this is never a word that there is none.
+		return refuseFor(verdict.CodeUnavailable, replicaRetry, "the previous turn is not to be found now")
+	}
+	return nil
+}
+
+// reserveBudget lets the turn run if the program's budget holds it: by the own region's share
+// alone, or by the charges of all regions.
+func (s *Server) reserveBudget(ctx context.Context, t *turn, asked ledger.Reserve) *refusal {
+	budget, _ := strconv.ParseInt(t.header.Get(s.dialect.TokenBudget), 10, 64)
+	escrow := quorum.Escrow{Budget: budget, Most: t.most, Regions: len(s.replicas.OfAllRegions(t.program))}
+	grant := escrow.InOwnRegion(t.reservation.Others)
+	if grant == quorum.AskEveryRegion {
+		t.everywhere, t.outcome.everywhere = true, true
+		if err := s.replicas.ReserveElsewhere(ctx, t.reservation, asked); err != nil {
+			return refuseFor(verdict.CodeUnavailable, replicaRetry, "too few replicas of other regions answered on the program's budget")
+		}
+		t.outcome.others = t.reservation.Others
+		grant = escrow.InEveryRegion(t.reservation.Others)
+	}
+	s.metrics.escrow(grant, t.everywhere)
+	if grant == quorum.Exhausted {
+		return &refusal{status: http.StatusPaymentRequired, code: verdict.CodeBudgetExhausted, reason: "the program's budget holds no further turn"}
+	}
+	return nil
+}
+
+// settle replaces the reservation by what went to the caller.
+func (s *Server) settle(t *turn) {
+	if t.program == "" {
+		return
+	}
+	t.cell.Settle(t.program, t.finalCharge(), t.route.Retention)
+	s.settleElsewhere(t)
+}
+
+// settleElsewhere replaces the reservations in other regions, if there are any.
+func (s *Server) settleElsewhere(t *turn) {
+	if t.everywhere {
+		s.replicas.SettleElsewhere(t.cell, ledger.Commit{Program: t.program, Charge: t.finalCharge(), Retention: t.route.Retention})
+	}
+}
+
+// awaitReservation holds the first event back until a quorum, in each region where the turn is
+// reserved, has synced the reservation: tokens that reach a caller must be counted whatever
+// is lost.
+func (s *Server) awaitReservation(ctx context.Context, t *turn) error {
+	if t.durable || t.program == "" {
+		return nil
+	}
+	if err := t.reservation.Durable(ctx); err != nil {
+		return err
+	}
+	t.durable = true
+	return nil
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -212,7 +212,7 @@
 		Int("status", o.status).Str("result", o.result).Str("reason", o.reason).
 		Str("instance", o.instance).Int("sends", o.sends).Int("load", o.load).Float64("cost", o.cost).
 		Int("candidates", o.candidates).Str("lender", o.lender).Float64("limit_ms", o.limitMS).Float64("reserve_ms", o.reserveMS).Float64("first_ms", o.firstMS).
-		Float64("commit_ms", o.commitMS).Int("events", o.events).Int64("charged", o.others).Uint64("epoch", o.epoch).
+		Float64("commit_ms", o.commitMS).Int("events", o.events).Int64("charged", o.others).Bool("asked_regions", o.everywhere).Uint64("epoch", o.epoch).
 		Str("previous", r.header.Get(s.dialect.PreviousTurn)).Int64("list_age_ms", s.listAge().Milliseconds()).
 		Int64("took_ms", took.Milliseconds()).Msg("")
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/backend"
@@ -14,9 +13,6 @@
 	"swiftbank.dev/swiftbank/internal/verdict"
 )
 
-// reserveTimeout is how long a turn waits for the replicas before it is refused.
-const reserveTimeout = 900 * time.Millisecond
-
 // turn is a streamed request on its way.
 type turn struct {
 	*request
@@ -26,8 +22,10 @@
 	previous    string
 	input       []byte
 	reservation *quorum.Reservation
-	// cell keeps the program's turns and charges.
-	cell *quorum.Client
+	// cell keeps the program's turns and charges; everywhere is set once the charge is in
+	// the cells of other regions as well.
+	cell       *quorum.Client
+	everywhere bool
 	// parts are the parts of the prompt.
 	parts []backend.Part
 	// ancestors are the turns before this one, where another cell keeps them.
@@ -80,54 +78,6 @@
 	}
 }
 
-// reserve counts the turn against its program's budget and reads its history.
-func (s *Server) reserve(ctx context.Context, t *turn) *refusal {
-	if t.program == "" && t.previous == "" {
-		return nil
-	}
-	t.cell = s.replicas.Of(t.header.Get(s.dialect.Program))
-	if t.cell == nil {
-		return refuseFor(verdict.CodeUnavailable, replicaRetry, "no replicas are known yet")
-	}
-	if s.isolated() {
-		return refuseFor(verdict.CodeUnavailable, elsewhereRetry, "this gateway reaches neither replicas nor other gateways")
-	}
-	began := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
-	defer cancel()
-	reservation, err := t.cell.Reserve(ctx, ledger.Reserve{
-		Program: t.program, Charge: ledger.Charge{Turn: t.id, Tokens: t.most},
-		Retention: t.route.Retention, History: t.previous, Tenant: t.tenantName(),
-	})
-	t.outcome.reserveMS = sinceMS(began)
-	s.metrics.reserve.Observe(time.Since(began).Seconds())
-	if err != nil {
-		s.settle(t)
-		return refuseFor(verdict.CodeUnavailable, replicaRetry, "too few replicas answered")
-	}
-	t.reservation = reservation
-	t.outcome.others = reservation.Others
-	t.outcome.epoch = t.cell.Epoch()
-	if t.previous != "" && !reservation.Found && !reservation.Foreign {
-		t.ancestors = s.replicas.ChainElsewhere(ctx, t.header.Get(s.dialect.Program), t.previous)
-	}
-	if t.continuesForeign() {
-		s.settle(t)
-		return &refusal{status: http.StatusNotFound, code: verdict.CodeNotFound, reason: "the previous turn is another tenant's"}
-	}
-	if t.previous != "" && !reservation.Found && len(t.ancestors) == 0 {
-		s.settle(t)
-		return refuseFor(verdict.CodeUnavailable, replicaRetry, "the previous turn is not to be found now")
-	}
-	budget, _ := strconv.ParseInt(t.header.Get(s.dialect.TokenBudget), 10, 64)
-	if t.program != "" && reservation.Others+t.most > budget {
-		s.settle(t)
-		return &refusal{status: http.StatusPaymentRequired, code: verdict.CodeBudgetExhausted, reason: "the program's budget holds no further turn"}
-	}
-	t.body = append(t.history(), t.input...)
-	return nil
-}
-
 // continuesForeign reports whether the previous turn is another tenant's, as a replica of the
 // program's cell or of the cell that holds the turn says.
 func (t *turn) continuesForeign() bool {
@@ -150,14 +100,6 @@
 	return text
 }
 
-// settle replaces the reservation by what went to the caller.
-func (s *Server) settle(t *turn) {
-	if t.program == "" {
-		return
-	}
-	t.cell.Settle(t.program, t.finalCharge(), t.route.Retention)
-}
-
 func (t *turn) finalCharge() ledger.Charge {
 	generated := t.events * t.service.TokensPerEvent
 	charge := ledger.Charge{Turn: t.id, Tokens: int64(generated), Final: true}
@@ -326,19 +268,6 @@
 	t.output = append(t.output, '\n')
 }
 
-// awaitReservation holds the first event back until a quorum has synced the
-// reservation: tokens that reach a caller must be counted whatever is lost.
-func (s *Server) awaitReservation(ctx context.Context, t *turn) error {
-	if t.durable || t.program == "" {
-		return nil
-	}
-	if err := t.reservation.Durable(ctx); err != nil {
-		return err
-	}
-	t.durable = true
-	return nil
-}
-
 // complete makes the finished turn durable before the stream's end is passed on.
 func (s *Server) complete(ctx context.Context, t *turn) *backend.Failure {
 	t.outcome.status, t.outcome.result = http.StatusOK, "answered"
@@ -353,11 +282,12 @@
 	}}
 	cell := t.cell
 	if cell == nil {
-		cell = s.replicas.Of(t.header.Get(s.dialect.Program))
+		cell = s.replicas.Of(t.header.Get(s.dialect.Program), t.homes())
 	}
 	if cell == nil {
 		return &backend.Failure{Verdict: verdict.Ran, Reason: "no replicas are known"}
 	}
+	s.settleElsewhere(t)
 	err := cell.Commit(ctx, commit, s.options.Copies)
 	t.outcome.commitMS = sinceMS(began)
 	s.metrics.commit.Observe(time.Since(began).Seconds())
--- a/internal/quorum/borrow.go
+++ b/internal/quorum/borrow.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"swiftbank.dev/swiftbank/internal/ledger"
+	"swiftbank.dev/swiftbank/internal/place"
 	"swiftbank.dev/swiftbank/internal/quota"
 )
 
@@ -23,7 +24,7 @@
 	type candidate struct {
 		name     string
 		silent   bool
-		distance int
+		distance place.Distance
 		turn     uint64
 	}
 	var candidates []candidate
--- a/internal/quorum/cells.go
+++ b/internal/quorum/cells.go
@@ -2,29 +2,34 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/phuslu/log"
 
 	"swiftbank.dev/swiftbank/internal/ledger"
+	"swiftbank.dev/swiftbank/internal/place"
 	"swiftbank.dev/swiftbank/internal/replicaset"
 )
 
 // Cells holds a client for each cell of replicas. A program's turns and charges
-// are kept in the cell that it hashes to. It is safe for concurrent use.
+// are kept in the cell that it hashes to, among those of the region where it runs. It is
+// safe for concurrent use.
 type Cells struct {
 	context context.Context
 	zone    string
+	places  place.Map
 	log     *log.Logger
 	relays  *Relays
 
-	mu    sync.RWMutex
-	cells []*Client
+	mu     sync.RWMutex
+	cells  []*Client
+	layout replicaset.Layout
 }
 
-// NewCells returns clients for no cells yet.
-func NewCells(ctx context.Context, zone string, logger *log.Logger) *Cells {
-	return &Cells{context: ctx, zone: zone, log: logger}
+// NewCells returns clients for no cells yet, for a gateway in the zone.
+func NewCells(ctx context.Context, zone string, places place.Map, logger *log.Logger) *Cells {
+	return &Cells{context: ctx, zone: zone, places: places, log: logger}
 }
 
 // UseRelays makes the clients go by other gateways where their own way to a replica is
@@ -63,12 +68,9 @@
 		return
 	}
 	c.mu.Lock()
+	c.layout = membership.Layout
 	for len(c.cells) < membership.Layout.Cells {
-		client := NewClient(c.context, c.zone, c.log)
-		if c.relays != nil {
-			client.useRelays(c.relays, len(c.cells))
-		}
-		c.cells = append(c.cells, client)
+		c.cells = append(c.cells, c.newClient(len(c.cells)))
 	}
 	cells := c.cells
 	c.mu.Unlock()
@@ -83,36 +85,97 @@
 	}
 }
 
-// Of returns the client of the program's cell, or nil while no cell is known.
-func (c *Cells) Of(program string) *Client {
+// newClient returns the client of a cell. Another region's cell is connected to when it is
+// needed, as long as there is one in the own region. The caller holds the lock.
+func (c *Cells) newClient(cell int) *Client {
+	client := NewClient(c.context, c.zone, c.log)
+	client.places = c.places
+	own := c.places.Region(c.zone)
+	client.onDemand = len(c.layout.CellsIn(own)) > 0 && c.layout.Region(cell) != own
+	if c.relays != nil {
+		client.useRelays(c.relays, cell)
+	}
+	return client
+}
+
+// Of returns the client of the program's cell: one of the own region, or of the first region
+// within the homes where the own one has none or is not within them. It returns nil while
+// no cell is known, and where no region within the homes has one.
+func (c *Cells) Of(program string, homes place.Homes) *Client {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	own := c.places.Region(c.zone)
+	if len(c.layout.Regions) == 0 {
+		if len(c.cells) == 0 || !homes.Allow(own) {
+			return nil
+		}
+		return c.cells[replicaset.CellOf(program, len(c.cells))]
+	}
+	for _, region := range append([]string{own}, c.regions()...) {
+		if client := c.inRegion(program, region); client != nil && homes.Allow(region) {
+			return client
+		}
+	}
+	return nil
+}
+
+// regions returns the regions that have cells, by name. The caller holds the lock.
+func (c *Cells) regions() []string {
+	return slices.Compact(slices.Sorted(slices.Values(c.layout.Regions)))
+}
+
+// inRegion returns the client of the program's cell in a region, or nil. The caller holds
+// the lock.
+func (c *Cells) inRegion(program, region string) *Client {
+	cells := c.layout.CellsIn(region)
+	if len(cells) == 0 {
+		return nil
+	}
+	return c.cells[cells[replicaset.CellOf(program, len(cells))]]
+}
+
+// OfAllRegions returns the program's cell in each region that has cells.
+func (c *Cells) OfAllRegions(program string) []*Client {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	if len(c.cells) == 0 {
 		return nil
 	}
-	return c.cells[replicaset.CellOf(program, len(c.cells))]
+	if len(c.layout.Regions) == 0 {
+		return []*Client{c.cells[replicaset.CellOf(program, len(c.cells))]}
+	}
+	var clients []*Client
+	for _, region := range c.regions() {
+		clients = append(clients, c.inRegion(program, region))
+	}
+	return clients
+}
+
+// OfTenant returns the client of the cell that lends a tenant's allowances, or nil. A limit
+// holds over all regions, so it lies in one cell of the whole fleet.
+func (c *Cells) OfTenant(tenant string) *Client {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if len(c.cells) == 0 {
+		return nil
+	}
+	return c.cells[replicaset.CellOf(tenant, len(c.cells))]
 }
 
 // Reachable reports whether a quorum of some cell is connected directly.
 func (c *Cells) Reachable() bool {
-	for _, client := range c.clients() {
-		if client.Ready() {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(c.clients(), (*Client).Ready)
 }
 
-// ChainElsewhere looks for a turn in the cells other than the program's own, and
-// returns it with all turns before it, newest first: a program may go on from a
-// turn of another one.
-func (c *Cells) ChainElsewhere(ctx context.Context, program, turn string) []ledger.Turn {
-	own := c.Of(program)
-	c.mu.RLock()
-	cells := c.cells
-	c.mu.RUnlock()
+// ChainElsewhere looks for a turn in the cells other than the program's own, in regions
+// within the homes, and returns it with all turns before it, newest first: a program may go
+// on from a turn of another one, or come from another region. None does not mean that there
+// is none.
+func (c *Cells) ChainElsewhere(ctx context.Context, program, turn string, homes place.Homes) []ledger.Turn {
+	own := c.Of(program, homes)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	cells := c.within(homes)
 	results := make(chan []ledger.Turn, len(cells))
 	asked := 0
 	for _, client := range cells {
@@ -129,3 +192,16 @@
 	}
 	return nil
 }
+
+// within returns the clients of the cells in regions within the homes.
+func (c *Cells) within(homes place.Homes) []*Client {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	var clients []*Client
+	for cell, client := range c.cells {
+		if len(c.layout.Regions) == 0 || homes.Allow(c.layout.Region(cell)) {
+			clients = append(clients, client)
+		}
+	}
+	return clients
+}
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -11,14 +11,15 @@
 	"github.com/phuslu/log"
 
 	"swiftbank.dev/swiftbank/internal/ledger"
-	"swiftbank.dev/swiftbank/internal/peer"
+	"swiftbank.dev/swiftbank/internal/place"
 	"swiftbank.dev/swiftbank/internal/quota"
 	"swiftbank.dev/swiftbank/internal/replicaset"
 )
 
 const (
 	// historyTimeout is how long the nearest replica may take to hand over a
-	// history before the others are asked as well.
+	// history before the others are asked as well. It holds within a region, where a round
+	// trip takes a few milliseconds; to another one the measured round trip decides.
 	historyTimeout = 25 * time.Millisecond
 	// settleLimit is how long a final charge without a waiting caller is repeated. It
 	// outlasts a recovery: a reservation that nobody settles counts at its most.
@@ -34,6 +35,10 @@
 	context context.Context
 	zone    string
 	log     *log.Logger
+	places  place.Map
+	// onDemand connections to the replicas are opened for a request and closed when there
+	// was none for a while.
+	onDemand bool
 
 	mu         sync.Mutex
 	set        replicaset.Set
@@ -98,7 +103,7 @@
 	}
 	for _, old := range c.replicas {
 		if !slices.Contains(kept, old) {
-			old.link.Abandon()
+			old.close()
 		}
 	}
 	slices.SortStableFunc(kept, func(a, b *replicaLink) int {
@@ -111,11 +116,8 @@
 	c.adopt(set)
 }
 
-func (c *Client) distance(replica *replicaLink) int {
-	if replica.node.Zone == c.zone {
-		return 0
-	}
-	return 1
+func (c *Client) distance(replica *replicaLink) place.Distance {
+	return c.places.Distance(replica.node.Zone, c.zone)
 }
 
 // linkTo returns the present link to the node, or a new one.
@@ -127,7 +129,9 @@
 		}
 	}
 	fresh := &replicaLink{client: c, node: node}
-	fresh.link = peer.NewLink[ledger.Request, ledger.Reply](c.context, node.Address, fresh)
+	if !c.onDemand {
+		fresh.open(time.Now())
+	}
 	return fresh
 }
 
@@ -141,7 +145,7 @@
 		Int("voters", len(set.Voters)).Msg("")
 	c.set = set
 	for _, replica := range c.replicas {
-		replica.link.Send(ledger.Request{Adopt: &ledger.Adopt{Set: set}})
+		replica.send(ledger.Request{Adopt: &ledger.Adopt{Set: set}})
 	}
 	for _, pending := range c.operations {
 		pending.resent = true
@@ -203,12 +207,15 @@
 }
 
 // Chain returns a turn and all before it, newest first, or none when every replica
-// in reach lacks it or too little time is left.
+// in reach lacks it or too little time is left. The nearest replica is asked first: a chain is
+// long, and may come from another region.
 func (c *Client) Chain(ctx context.Context, id string) []ledger.Turn {
 	pending := &operation{request: ledger.Request{Chain: &ledger.Chain{ID: id}}}
 	number := c.begin(pending)
 	defer c.end(number)
 	var found []ledger.Turn
+	fallback := time.AfterFunc(c.nearestTimeout(), func() { c.askEverywhere(pending) })
+	defer fallback.Stop()
 	_ = c.await(ctx, pending, func() bool {
 		answered := 0
 		for _, replica := range c.replicas {
@@ -217,7 +224,10 @@
 				found = turns
 				return true
 			}
-			if said || !replica.up {
+			if said && !pending.everywhere {
+				c.askEverywhereLocked(pending)
+			}
+			if said || !replica.up && !replica.opening(time.Now()) {
 				answered++
 			}
 		}
@@ -299,11 +309,22 @@
 	if c.relays != nil && !c.responsive(now, replica) {
 		c.sendByRelay(replica, request)
 	}
-	if replica.link.Send(request) {
+	replica.open(now)
+	if replica.send(request) {
 		replica.expect(now)
 	}
 }
 
+// nearestTimeout is how long the nearest replica may take to hand over turns.
+func (c *Client) nearestTimeout() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.replicas) > 0 && c.distance(c.replicas[0]) == place.OtherRegion {
+		return c.answers.timeout() + connectAllowance
+	}
+	return historyTimeout
+}
+
 func (c *Client) sendByRelay(replica *replicaLink, request ledger.Request) {
 	c.relays.send(RelayRequest{Cell: c.cell, Replica: replica.node.Name, Request: request}, c.answers.timeout())
 }
@@ -317,6 +338,9 @@
 	if pending.only != "" {
 		return request, replica.node.Name == pending.only
 	}
+	if request.Chain != nil {
+		return request, pending.everywhere || replica == pending.nearest
+	}
 	if request.Reserve != nil {
 		reserve := *request.Reserve
 		if reserve.History != "" && !pending.everywhere && replica != pending.nearest {
--- a/internal/quorum/client_test.go
+++ b/internal/quorum/client_test.go
@@ -13,6 +13,7 @@
 
 	"swiftbank.dev/swiftbank/internal/ledger"
 	"swiftbank.dev/swiftbank/internal/peer"
+	"swiftbank.dev/swiftbank/internal/place"
 	"swiftbank.dev/swiftbank/internal/replicaset"
 )
 
@@ -192,8 +193,8 @@
 	a, b := startReplica(t, "a", "127.0.0.1:0"), startReplica(t, "b", "127.0.0.1:0")
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	cells := NewCells(ctx, "a", quiet())
-	require.Nil(t, cells.Of("p"))
+	cells := NewCells(ctx, "a", nil, quiet())
+	require.Nil(t, cells.Of("p", place.Homes{}))
 	membership := replicaset.Membership{
 		HasLayout: true, Layout: replicaset.Layout{Cells: 2}, Sets: []replicaset.Set{setOf(1, a), setOf(1, b)},
 		Replicas: map[string]replicaset.Node{"a": a.node, "b": b.node},
@@ -207,17 +208,17 @@
 	for _, turn := range []ledger.Turn{{ID: "t1", Retention: time.Minute}, {ID: "t2", Previous: "t1", Retention: time.Minute}} {
 		other.step(ledger.Request{Commit: &ledger.Commit{Turn: &turn}})
 	}
-	require.Eventually(t, func() bool { return cells.Of("p").Ready() }, 20*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return cells.Of("p", place.Homes{}).Ready() }, 20*time.Second, time.Millisecond)
 	var chain []ledger.Turn
 	require.Eventually(t, func() bool {
-		chain = cells.ChainElsewhere(limited(t, 5*time.Second), program, "t2")
+		chain = cells.ChainElsewhere(limited(t, 5*time.Second), program, "t2", place.Homes{})
 		return len(chain) == 2
 	}, 20*time.Second, 5*time.Millisecond)
 	require.Equal(t, "t2", chain[0].ID)
-	require.Empty(t, cells.ChainElsewhere(limited(t, 5*time.Second), program, "unknown"))
+	require.Empty(t, cells.ChainElsewhere(limited(t, 5*time.Second), program, "unknown", place.Homes{}))
 
 	commit := ledger.Commit{Turn: &ledger.Turn{ID: "t3", Previous: "t2", Retention: time.Minute}, Ancestors: chain}
-	require.NoError(t, cells.Of(program).Commit(limited(t, 20*time.Second), commit, 1))
+	require.NoError(t, cells.Of(program, place.Homes{}).Commit(limited(t, 20*time.Second), commit, 1))
 	whole := own.step(ledger.Request{Chain: &ledger.Chain{ID: "t3"}}).Now[0]
 	require.Len(t, whole.Turns, 3, "the ancestors are kept in the program's own cell")
 }
--- a/internal/quorum/forward.go
+++ b/internal/quorum/forward.go
@@ -63,7 +63,8 @@
 		if replica.node.Name != request.Replica {
 			continue
 		}
-		if !c.responsive(now, replica) || !c.roomToForward(now) {
+		replica.open(now)
+		if !replica.up || !c.responsive(now, replica) || !c.roomToForward(now) {
 			return false
 		}
 		c.number++
@@ -71,7 +72,7 @@
 		passed := request.Request
 		passed.Number = c.number
 		replica.expect(now)
-		return replica.link.Send(passed)
+		return replica.send(passed)
 	}
 	return false
 }
--- a/internal/quorum/link.go
+++ b/internal/quorum/link.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"slices"
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/ledger"
@@ -19,9 +20,74 @@
 	unansweredSince time.Time
 	// relaying is set while requests go by another gateway.
 	relaying bool
+	// openedAt is when the connection was last asked for, usedAt when a request last was.
+	openedAt, usedAt time.Time
+	// idle closes a connection on demand.
+	idle *time.Timer
 }
 
-// expect notes that a request was sent. The client's lock is held.
+const (
+	// connectAllowance is how long a new connection to a replica may take before the replica
+	// counts as out of reach: two round trips between distant regions.
+	connectAllowance = 150 * time.Millisecond
+	// onDemandIdle is how long a connection on demand stays without use. Programs beyond
+	// their region's share come every few seconds, and opening costs a round trip.
+	onDemandIdle = 10 * time.Second
+)
+
+// open asks for the connection if there is none. The client's lock is held, as for all
+// methods here but those of peer.Handler.
+func (r *replicaLink) open(now time.Time) {
+	r.usedAt = now
+	if r.link != nil {
+		return
+	}
+	r.openedAt = now
+	r.link = peer.NewLink[ledger.Request, ledger.Reply](r.client.context, r.node.Address, r)
+	if r.client.onDemand {
+		r.idle = time.AfterFunc(onDemandIdle, r.closeIdle)
+	}
+}
+
+// opening reports whether the replica may yet be reached: it was not tried, or just now.
+func (r *replicaLink) opening(now time.Time) bool {
+	return r.client.onDemand && !r.up && (r.link == nil || now.Sub(r.openedAt) <= connectAllowance)
+}
+
+// send reports whether the message was queued on a connection.
+func (r *replicaLink) send(request ledger.Request) bool {
+	return r.link != nil && r.link.Send(request)
+}
+
+// closeIdle closes a connection on demand that was not used for a while. Another link takes
+// this one's place, for this one may yet hear of its connection's end.
+func (r *replicaLink) closeIdle() {
+	c := r.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	place := slices.Index(c.replicas, r)
+	if place < 0 {
+		return
+	}
+	if rest := time.Until(r.usedAt.Add(onDemandIdle)); rest > 0 {
+		r.idle.Reset(rest)
+		return
+	}
+	r.close()
+	c.replicas[place] = &replicaLink{client: c, node: r.node}
+}
+
+// close ends the connection for good.
+func (r *replicaLink) close() {
+	if r.idle != nil {
+		r.idle.Stop()
+	}
+	if r.link != nil {
+		r.link.Abandon()
+	}
+}
+
+// expect notes that a request was sent.
 func (r *replicaLink) expect(now time.Time) {
 	if r.unansweredSince.IsZero() {
 		r.unansweredSince = now
@@ -37,7 +103,7 @@
 	r.unansweredSince = time.Time{}
 	c.log.Info().Str("event", "dependency_regained").Str("dependency", "replica").Str("peer", r.node.Name).Msg("")
 	if c.set.Epoch > 0 {
-		r.link.Send(ledger.Request{Adopt: &ledger.Adopt{Set: c.set}})
+		r.send(ledger.Request{Adopt: &ledger.Adopt{Set: c.set}})
 	}
 	for _, pending := range c.operations {
 		pending.resent = true
--- /dev/null
+++ b/internal/quorum/regions_test.go
@@ -0,0 +1,135 @@
+package quorum
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"swiftbank.dev/swiftbank/internal/ledger"
+	"swiftbank.dev/swiftbank/internal/place"
+	"swiftbank.dev/swiftbank/internal/replicaset"
+)
+
+// regionFleet is one replica in each of two regions, with the cells as gateways of both
+// regions, and of a third one without replicas, know them.
+type regionFleet struct {
+	east, west              *standReplica
+	inEast, inWest, inNorth *Cells
+}
+
+func startRegions(t *testing.T) *regionFleet {
+	places := place.Map{"e": "east", "w": "west", "n": "north"}
+	f := &regionFleet{east: startReplica(t, "e", "127.0.0.1:0"), west: startReplica(t, "w", "127.0.0.1:0")}
+	membership := replicaset.Membership{
+		HasLayout: true, Layout: replicaset.Layout{Cells: 2, Regions: []string{"east", "west"}},
+		Sets:     []replicaset.Set{setOf(1, f.east), setOf(1, f.west)},
+		Replicas: map[string]replicaset.Node{"e": f.east.node, "w": f.west.node},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	gateway := func(zone string) *Cells {
+		cells := NewCells(ctx, zone, places, quiet())
+		cells.SetMembership(membership)
+		return cells
+	}
+	f.inEast, f.inWest, f.inNorth = gateway("e"), gateway("w"), gateway("n")
+	return f
+}
+
+// regionOf returns the region of the cell that a gateway chooses.
+func regionOf(cells *Cells, homes place.Homes) string {
+	client := cells.Of("p", homes)
+	for cell, known := range cells.clients() {
+		if known == client {
+			return cells.layout.Region(cell)
+		}
+	}
+	return ""
+}
+
+func TestAProgramIsKeptInTheRegionWhereItRuns(t *testing.T) {
+	f := startRegions(t)
+	require.Equal(t, "east", regionOf(f.inEast, place.Homes{}))
+	require.Equal(t, "west", regionOf(f.inWest, place.Homes{}))
+	require.Equal(t, "east", regionOf(f.inNorth, place.Homes{}), "a region without cells")
+	require.Equal(t, "west", regionOf(f.inEast, place.HomesOf([]string{"west"})))
+	require.Empty(t, regionOf(f.inEast, place.HomesOf([]string{"north"})), "no cell within the homes")
+	require.Len(t, f.inEast.OfAllRegions("p"), 2)
+	require.Same(t, f.inEast.clients()[0], f.inEast.OfAllRegions("p")[0])
+}
+
+func reserveIn(t *testing.T, cells *Cells, turn string) (*Reservation, ledger.Reserve) {
+	asked := ledger.Reserve{Program: "p", Charge: ledger.Charge{Turn: turn, Tokens: modelMost}, Retention: time.Minute}
+	reservation, err := cells.Of("p", place.Homes{}).Reserve(limited(t, 20*time.Second), asked)
+	require.NoError(t, err)
+	t.Cleanup(reservation.End)
+	return reservation, asked
+}
+
+func TestABudgetIsCountedOverRegions(t *testing.T) {
+	f := startRegions(t)
+	reserveIn(t, f.inWest, "west-1")
+	reservation, asked := reserveIn(t, f.inEast, "east-1")
+	require.Zero(t, reservation.Others, "the own region's cell knows its own turns")
+	require.NoError(t, f.inEast.ReserveElsewhere(limited(t, 20*time.Second), reservation, asked))
+	require.Equal(t, int64(modelMost), reservation.Others, "with the other region's")
+	require.NoError(t, reservation.Durable(limited(t, 20*time.Second)))
+	later, _ := reserveIn(t, f.inWest, "west-2")
+	require.Equal(t, int64(2*modelMost), later.Others, "the other region counts a turn beyond the share")
+
+	settled := ledger.Charge{Turn: "east-1", Tokens: 1, Final: true}
+	f.inEast.SettleElsewhere(f.inEast.Of("p", place.Homes{}), ledger.Commit{Program: "p", Charge: settled})
+	require.Eventually(t, func() bool {
+		last, _ := reserveIn(t, f.inWest, "west-3")
+		return last.Others == 2*modelMost+settled.Tokens
+	}, 20*time.Second, 5*time.Millisecond)
+}
+
+func TestABudgetBeyondTheShareNeedsEveryRegion(t *testing.T) {
+	f := startRegions(t)
+	f.west.server.Close()
+	reservation, asked := reserveIn(t, f.inEast, "east-1")
+	require.ErrorIs(t, f.inEast.ReserveElsewhere(limited(t, 300*time.Millisecond), reservation, asked), ErrNoQuorum)
+}
+
+func TestDurableIsSoInEveryRegion(t *testing.T) {
+	f := startRegions(t)
+	f.west.mu.Lock()
+	f.west.holdDurable = true
+	f.west.mu.Unlock()
+	reservation, asked := reserveIn(t, f.inEast, "east-1")
+	require.NoError(t, f.inEast.ReserveElsewhere(limited(t, 20*time.Second), reservation, asked))
+	require.Error(t, reservation.Durable(limited(t, 100*time.Millisecond)))
+}
+
+func TestATurnOfAnotherRegionIsFound(t *testing.T) {
+	f := startRegions(t)
+	f.west.step(ledger.Request{Commit: &ledger.Commit{Turn: &ledger.Turn{ID: "t1", Retention: time.Minute}}})
+	find := func(homes place.Homes) []ledger.Turn {
+		return f.inEast.ChainElsewhere(limited(t, 20*time.Second), "p", "t1", homes)
+	}
+	require.Len(t, find(place.Homes{}), 1)
+	require.Empty(t, find(place.HomesOf([]string{"east"})), "a region that is no home is not asked")
+}
+
+func TestAnotherRegionIsConnectedToWhenItIsNeeded(t *testing.T) {
+	f := startRegions(t)
+	remote := f.inEast.clients()[1]
+	require.True(t, remote.onDemand)
+	require.False(t, f.inEast.clients()[0].onDemand)
+	require.False(t, f.inNorth.clients()[1].onDemand, "without cells of its own a gateway keeps its connections")
+	require.Nil(t, remote.replicas[0].link)
+	for _, turn := range []string{"east-1", "east-2"} {
+		reservation, asked := reserveIn(t, f.inEast, turn)
+		require.NoError(t, f.inEast.ReserveElsewhere(limited(t, 20*time.Second), reservation, asked))
+		used := remote.replicas[0]
+		require.NotNil(t, used.link)
+		remote.mu.Lock()
+		used.usedAt = time.Now().Add(-onDemandIdle)
+		remote.mu.Unlock()
+		used.closeIdle()
+		require.Nil(t, remote.replicas[0].link, "closed without use")
+	}
+}
--- a/internal/quorum/relay.go
+++ b/internal/quorum/relay.go
@@ -10,6 +10,7 @@
 	"github.com/phuslu/log"
 
 	"swiftbank.dev/swiftbank/internal/peer"
+	"swiftbank.dev/swiftbank/internal/place"
 	"swiftbank.dev/swiftbank/internal/replicaset"
 )
 
@@ -22,6 +23,7 @@
 	context context.Context
 	node    string
 	zone    string
+	places  place.Map
 	log     *log.Logger
 	// replied hands over a replica's reply; reopened says that there is a way now, and
 	// what was sent before may be lost. Both are set before first use.
@@ -40,9 +42,9 @@
 }
 
 // NewRelays returns the relays of a gateway. counted is called for each request sent.
-func NewRelays(ctx context.Context, node, zone string, logger *log.Logger, counted func()) *Relays {
+func NewRelays(ctx context.Context, node, zone string, places place.Map, logger *log.Logger, counted func()) *Relays {
 	return &Relays{
-		context: ctx, node: node, zone: zone, log: logger, counted: counted,
+		context: ctx, node: node, zone: zone, places: places, log: logger, counted: counted,
 		replied: func(RelayReply) {}, reopened: func() {},
 		nodes: map[string]replicaset.Node{}, order: newRelayOrder(), links: map[string]*relayLink{},
 		probedAt: map[string]time.Time{},
@@ -83,11 +85,8 @@
 	}
 }
 
-func (r *Relays) distance(name string) int {
-	if r.nodes[name].Zone == r.zone {
-		return 0
-	}
-	return 1
+func (r *Relays) distance(name string) place.Distance {
+	return r.places.Distance(r.nodes[name].Zone, r.zone)
 }
 
 // send asks other gateways to pass a request on. Nothing is promised: the caller sends
--- a/internal/quorum/relay_test.go
+++ b/internal/quorum/relay_test.go
@@ -10,6 +10,7 @@
 
 	"swiftbank.dev/swiftbank/internal/ledger"
 	"swiftbank.dev/swiftbank/internal/peer"
+	"swiftbank.dev/swiftbank/internal/place"
 	"swiftbank.dev/swiftbank/internal/replicaset"
 )
 
@@ -55,8 +56,8 @@
 		node.Address = deadAddress(t)
 		cutNodes = append(cutNodes, node)
 	}
-	f.relays = NewRelays(ctx, "cut", "r0", quiet(), func() {})
-	f.cut = NewCells(ctx, "r0", quiet())
+	f.relays = NewRelays(ctx, "cut", "r0", nil, quiet(), func() {})
+	f.cut = NewCells(ctx, "r0", nil, quiet())
 	f.cut.UseRelays(f.relays)
 	f.cut.SetMembership(membershipOf(cutNodes, setOf(1, f.replicas...)))
 	return f
@@ -66,7 +67,7 @@
 func (f *relayFleet) addGateway(t *testing.T, name string, reaches bool) *Cells {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	cells := NewCells(ctx, "r0", quiet())
+	cells := NewCells(ctx, "r0", nil, quiet())
 	nodes := nodesOf(f.replicas...)
 	if !reaches {
 		for i := range nodes {
@@ -80,7 +81,7 @@
 	go server.Run()
 	t.Cleanup(server.Close)
 	if reaches {
-		require.Eventually(t, cells.Of("p").Ready, 20*time.Second, time.Millisecond)
+		require.Eventually(t, cells.Of("p", place.Homes{}).Ready, 20*time.Second, time.Millisecond)
 	}
 	f.gateways[name] = replicaset.Node{Name: name, Role: replicaset.RoleGateway, Address: listener.Addr().String(), Zone: "r0"}
 	f.relays.SetGateways(f.gateways)
@@ -88,7 +89,7 @@
 }
 
 func (f *relayFleet) reserve(t *testing.T, turn string, tokens int64) (*Reservation, error) {
-	return f.cut.Of("p").Reserve(limited(t, 20*time.Second), ledger.Reserve{
+	return f.cut.Of("p", place.Homes{}).Reserve(limited(t, 20*time.Second), ledger.Reserve{
 		Program: "p", Charge: ledger.Charge{Turn: turn, Tokens: tokens}, Retention: time.Minute,
 	})
 }
@@ -108,7 +109,7 @@
 
 func TestWithoutRelaysACutGatewayReservesNothing(t *testing.T) {
 	f := startRelayFleet(t)
-	_, err := f.cut.Of("p").Reserve(limited(t, 300*time.Millisecond), ledger.Reserve{
+	_, err := f.cut.Of("p", place.Homes{}).Reserve(limited(t, 300*time.Millisecond), ledger.Reserve{
 		Program: "p", Charge: ledger.Charge{Turn: "t1", Tokens: 10},
 	})
 	require.ErrorIs(t, err, ErrNoQuorum)
@@ -119,8 +120,8 @@
 	f.addGateway(t, "g1", true)
 	turn := &ledger.Turn{ID: "t1", Input: []byte("in"), Output: []byte("out"), Instance: "i-1", Retention: time.Minute}
 	commit := ledger.Commit{Program: "p", Charge: ledger.Charge{Turn: "t1", Tokens: 3, Final: true}, Retention: time.Minute, Turn: turn}
-	require.NoError(t, f.cut.Of("p").Commit(limited(t, 20*time.Second), commit, 2))
-	reservation, err := f.cut.Of("p").Reserve(limited(t, 20*time.Second), ledger.Reserve{
+	require.NoError(t, f.cut.Of("p", place.Homes{}).Commit(limited(t, 20*time.Second), commit, 2))
+	reservation, err := f.cut.Of("p", place.Homes{}).Reserve(limited(t, 20*time.Second), ledger.Reserve{
 		Program: "p", Charge: ledger.Charge{Turn: "t2", Tokens: 10}, History: "t1",
 	})
 	require.NoError(t, err)
@@ -140,8 +141,8 @@
 	}
 	reservation, err := f.reserve(t, "t1", 10)
 	require.NoError(t, err)
-	require.Equal(t, uint64(2), f.cut.Of("p").Epoch())
-	require.Equal(t, uint64(1), relaying.Of("p").Epoch())
+	require.Equal(t, uint64(2), f.cut.Of("p", place.Homes{}).Epoch())
+	require.Equal(t, uint64(1), relaying.Of("p", place.Homes{}).Epoch())
 	reservation.End()
 }
 
--- a/internal/quorum/relayretry.go
+++ b/internal/quorum/relayretry.go
@@ -14,7 +14,7 @@
 // no answer is overdue. The caller holds the lock.
 func (c *Client) responsive(now time.Time, replica *replicaLink) bool {
 	if !replica.up {
-		return false
+		return replica.opening(now)
 	}
 	return replica.unansweredSince.IsZero() || now.Sub(replica.unansweredSince) <= c.answers.timeout()
 }
--- a/internal/quorum/reserve.go
+++ b/internal/quorum/reserve.go
@@ -23,6 +23,8 @@
 	Foreign bool
 	// Found is false when every replica that answered lacks the history.
 	Found bool
+	// elsewhere holds the reservations of the same charge in other regions.
+	elsewhere []*Reservation
 }
 
 // Reserve adds a reservation at a quorum and reads a history. Program "" reserves
@@ -35,7 +37,7 @@
 	}
 	number := c.begin(pending)
 	reservation := &Reservation{client: c, number: number, operation: pending}
-	timeout := time.NewTimer(historyTimeout)
+	timeout := time.NewTimer(c.nearestTimeout())
 	defer timeout.Stop()
 	retry := c.newRelayRetry(callerRelayPause)
 	defer retry.stop()
@@ -95,7 +97,7 @@
 	asked := 0
 	for _, replica := range c.replicas {
 		missing := pending.tally.missing[replica.node.Disk]
-		if !replica.up && !missing {
+		if !replica.up && !replica.opening(time.Now()) && !missing {
 			continue
 		}
 		asked++
@@ -113,7 +115,7 @@
 }
 
 func (c *Client) askEverywhereLocked(pending *operation) {
-	if pending.everywhere || pending.request.Reserve.History == "" || pending.tally.Found {
+	if pending.everywhere || pending.tally.Found || pending.request.Reserve != nil && pending.request.Reserve.History == "" {
 		return
 	}
 	pending.everywhere = true
@@ -124,10 +126,21 @@
 	}
 }
 
-// Durable waits until the reservation is on the disks of a quorum.
+// Durable waits until the reservation is on the disks of a quorum, in each region where it
+// was made.
 func (r *Reservation) Durable(ctx context.Context) error {
+	for _, other := range r.elsewhere {
+		if err := other.Durable(ctx); err != nil {
+			return err
+		}
+	}
 	return r.client.await(ctx, r.operation, func() bool { return r.operation.tally.Durable(r.client.set) })
 }
 
 // End stops repeating the reservation to replicas that were out of reach.
-func (r *Reservation) End() { r.client.end(r.number) }
+func (r *Reservation) End() {
+	r.client.end(r.number)
+	for _, other := range r.elsewhere {
+		other.End()
+	}
+}
--- a/internal/quorum/tally.go
+++ b/internal/quorum/tally.go
@@ -86,13 +86,7 @@
 // Others returns the tokens charged to the program by all turns but one: final
 // charges as they are, reservations at their most.
 func (t *Tally) Others(turn string) int64 {
-	var sum int64
-	for _, charge := range t.charges {
-		if charge.Turn != turn {
-			sum += charge.Tokens
-		}
-	}
-	return sum
+	return sumOthers(turn, t.charges)
 }
 
 // Cached returns the prompts that the program's turns left in the memory of instances.
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -81,8 +81,10 @@
 	for name, node := range s.members.read.Replicas {
 		zones[name] = node.Zone
 	}
-	s.members.cell = replicaset.ChooseCell(own, s.members.read.Sets, zones)
-	s.log.Info().Str("event", "cell_found").Int("cell", s.members.cell).Int("cells", len(s.members.read.Sets)).Msg("")
+	layout, ownRegion := s.members.read.Layout, s.options.Places.Region(s.options.Zone)
+	s.members.cell = replicaset.ChooseCell(own, ownRegion, layout, s.members.read.Sets, zones)
+	s.log.Info().Str("event", "cell_found").Int("cell", s.members.cell).Int("cells", len(s.members.read.Sets)).
+		Str("region", layout.Region(s.members.cell)).Str("own_region", ownRegion).Msg("")
 	if !own.HasCell() || *own.Cell != s.members.cell {
 		s.register()
 	}
@@ -97,7 +99,7 @@
 	}
 	s.members.set = set
 	s.log.Info().Str("event", "set_changed").Int("cell", s.members.cell).Uint64("epoch", set.Epoch).
-		Int("voters", len(set.Voters)).Bool("voter", set.Has(s.state.Disk())).Msg("")
+		Int("voters", len(set.Voters)).Int("losses_borne", set.LossesBorne()).Bool("voter", set.Has(s.state.Disk())).Msg("")
 	output := s.state.Step(time.Now(), ledger.Request{Adopt: &ledger.Adopt{Set: set}})
 	s.persist(output.Records, nil)
 }
@@ -147,8 +149,12 @@
 	for _, node := range s.members.read.Replicas {
 		nodes = append(nodes, node)
 	}
-	layout := replicaset.NewLayout(nodes, s.options.Tolerate)
+	layout := replicaset.NewLayout(nodes, s.options.Tolerate, s.options.Places)
 	s.log.Info().Str("event", "layout_founded").Int("replicas", len(nodes)).Int("cells", layout.Cells).Msg("")
+	for cell, set := range layout.Founding {
+		s.log.Info().Str("event", "cell_founded").Int("cell", cell).Str("region", layout.Region(cell)).Int("voters", len(set.Voters)).
+			Int("losses_borne", set.LossesBorne()).Int("losses_asked", s.options.Tolerate).Msg("")
+	}
 	s.write("layout", func(ctx context.Context) error {
 		return s.options.Registry.Create(ctx, replicaset.LayoutName, layout.Encode())
 	})
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -14,6 +14,7 @@
 
 	"swiftbank.dev/swiftbank/internal/ledger"
 	"swiftbank.dev/swiftbank/internal/peer"
+	"swiftbank.dev/swiftbank/internal/place"
 	"swiftbank.dev/swiftbank/internal/quota"
 	"swiftbank.dev/swiftbank/internal/registry"
 	"swiftbank.dev/swiftbank/internal/replicaset"
@@ -46,6 +47,8 @@
 	DiskMB     int
 	// Tolerate is how many machines with disks may be lost at once.
 	Tolerate int
+	// Places says which regions the zones belong to; nil where cells are not bound to regions.
+	Places   place.Map
 	Registry registry.Registry
 	// Known returns a registry object as far as it is known here without a call.
 	Known       func(name string) (registry.Object, bool)
--- /dev/null
+++ b/internal/replicaset/founding_test.go
@@ -0,0 +1,76 @@
+package replicaset
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"swiftbank.dev/swiftbank/internal/place"
+)
+
+var twoRegions = place.Map{"x": "east", "y": "east", "z": "east", "u": "west", "v": "west", "w": "west"}
+
+func TestALayoutFoundsCellsForEachRegion(t *testing.T) {
+	cases := map[string]struct {
+		zones    []string
+		tolerate int
+		places   place.Map
+		// regions and voters of each cell; losses that each bears without a stop.
+		regions []string
+		voters  []int
+		losses  []int
+	}{
+		"five and four":              {[]string{"x", "x", "y", "y", "z", "u", "u", "v", "w"}, 2, twoRegions, []string{"east", "west"}, []int{5, 4}, []int{2, 1}},
+		"one and eight":              {[]string{"x", "u", "u", "u", "v", "v", "v", "w", "w"}, 2, twoRegions, []string{"east", "west"}, []int{1, 8}, []int{0, 3}},
+		"several cells in a region":  {[]string{"x", "y", "z", "x", "y", "z", "x", "y", "u", "v"}, 1, twoRegions, []string{"east", "east", "west"}, []int{4, 4, 2}, []int{1, 1, 0}},
+		"a zone of unknown region":   {[]string{"x", "y", "z", "u", "?"}, 1, twoRegions, []string{"east", "west"}, []int{3, 2}, []int{1, 0}},
+		"machines in one region":     {[]string{"x", "y", "z", "x"}, 1, twoRegions, nil, []int{4}, []int{1}},
+		"cells not bound to regions": {[]string{"x", "y", "z", "u", "v", "w"}, 1, nil, nil, []int{6}, []int{2}},
+		"no zone of a known region":  {[]string{"?", "!", "?"}, 1, twoRegions, nil, []int{3}, []int{1}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			nodes := nodesIn(c.zones...)
+			layout := NewLayout(nodes, c.tolerate, c.places)
+			require.Equal(t, c.regions, layout.Regions)
+			zoneOf := map[string]string{}
+			for _, node := range nodes {
+				zoneOf[node.Name] = node.Zone
+			}
+			for cell, set := range layout.Founding {
+				require.Len(t, set.Voters, c.voters[cell])
+				require.Equal(t, c.losses[cell], set.LossesBorne())
+				for _, voter := range set.Voters {
+					region := c.places.Region(zoneOf[voter.Node])
+					require.True(t, region == "" || layout.Region(cell) == "" || region == layout.Region(cell))
+				}
+			}
+			slices.Reverse(nodes)
+			require.Equal(t, layout, NewLayout(nodes, c.tolerate, c.places), "whoever founds them, the cells are the same")
+			decoded, err := DecodeLayout(layout.Encode())
+			require.NoError(t, err)
+			require.Equal(t, layout, decoded)
+		})
+	}
+}
+
+func TestALayoutWithoutRegionsIsRead(t *testing.T) {
+	earlier, err := DecodeLayout([]byte(`{"cells":1,"founding":[{"epoch":1,"voters":[{"node":"a","disk":"d"}]}]}`))
+	require.NoError(t, err)
+	require.Empty(t, earlier.Region(0))
+	require.Empty(t, earlier.CellsIn("east"))
+	_, err = DecodeLayout([]byte(`{"cells":1,"founding":[{}],"regions":["east","west"]}`))
+	require.Error(t, err, "a region for each cell")
+}
+
+func TestANewcomerJoinsACellOfItsRegion(t *testing.T) {
+	layout := Layout{Cells: 2, Regions: []string{"east", "west"}}
+	sets := []Set{{Voters: voters("a", "b", "c", "d", "e")}, {Voters: voters("f")}}
+	fresh := Node{Name: "new", Disk: "new", Zone: "x"}
+	require.Equal(t, 0, ChooseCell(fresh, "east", layout, sets, nil), "though the other one has fewer voters")
+	require.Equal(t, 1, ChooseCell(fresh, "west", layout, sets, nil))
+	require.Equal(t, 1, ChooseCell(fresh, "north", layout, sets, nil), "a region without a cell helps where the fewest are")
+	returned := Node{Name: "f", Disk: "new", Zone: "x"}
+	require.Equal(t, 1, ChooseCell(returned, "east", layout, sets, nil), "a machine stays where it was")
+}
--- a/internal/replicaset/layout.go
+++ b/internal/replicaset/layout.go
@@ -1,7 +1,6 @@
 package replicaset
 
 import (
-	"cmp"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -33,6 +32,8 @@
 	Cells int `json:"cells"`
 	// Founding holds the first set of each cell.
 	Founding []Set `json:"founding"`
+	// Regions holds the region of each cell; empty where cells are not bound to regions.
+	Regions []string `json:"regions,omitempty"`
 }
 
 // SetName returns the name of the object that holds a cell's set.
@@ -45,27 +46,6 @@
 	return cell, isSet && err == nil
 }
 
-// NewLayout deals the machines to cells so that each cell has machines of as many
-// zones as possible, and enough of them to lose the tolerated number.
-func NewLayout(nodes []Node, tolerate int) Layout {
-	nodes = slices.Clone(nodes)
-	slices.SortFunc(nodes, func(a, b Node) int {
-		if zone := cmp.Compare(a.Zone, b.Zone); zone != 0 {
-			return zone
-		}
-		return cmp.Compare(a.Name, b.Name)
-	})
-	size := max(smallestCell, 2*tolerate+2)
-	layout := Layout{Cells: max(1, len(nodes)/size)}
-	layout.Founding = make([]Set, layout.Cells)
-	for place, node := range nodes {
-		set := &layout.Founding[place%layout.Cells]
-		set.Epoch = 1
-		set.Voters = append(set.Voters, Voter{Node: node.Name, Disk: node.Disk})
-	}
-	return layout
-}
-
 // Encode returns the form kept in the registry.
 func (l Layout) Encode() []byte {
 	content, _ := json.Marshal(l) // plain strings and numbers always encode
@@ -81,6 +61,9 @@
 	if layout.Cells < 1 || len(layout.Founding) != layout.Cells {
 		return Layout{}, fmt.Errorf("replica layout: %d cells with %d founding sets", layout.Cells, len(layout.Founding))
 	}
+	if len(layout.Regions) != 0 && len(layout.Regions) != layout.Cells {
+		return Layout{}, fmt.Errorf("replica layout: %d cells with %d regions", layout.Cells, len(layout.Regions))
+	}
 	return layout, nil
 }
 
@@ -91,8 +74,9 @@
 
 // ChooseCell returns the cell that a replica belongs to: the one whose set names
 // its disk or its machine, else the one it registered for before, else the one with
-// the fewest voters, preferring one without a machine of its zone.
-func ChooseCell(own Node, sets []Set, zones map[string]string) int {
+// the fewest voters, preferring one without a machine of its zone. Where cells are bound
+// to regions, a newcomer joins one of its own region, if there is one.
+func ChooseCell(own Node, ownRegion string, layout Layout, sets []Set, zones map[string]string) int {
 	for cell, set := range sets {
 		if slices.ContainsFunc(set.Voters, func(v Voter) bool { return v.Disk == own.Disk || v.Node == own.Name }) {
 			return cell
@@ -101,8 +85,12 @@
 	if own.HasCell() && *own.Cell < len(sets) {
 		return *own.Cell
 	}
-	best, bestRank := 0, [2]int{}
+	candidates := layout.CellsIn(ownRegion)
+	best, bestRank := NoCell, [2]int{}
 	for cell, set := range sets {
+		if len(candidates) > 0 && !slices.Contains(candidates, cell) {
+			continue
+		}
 		neighbours := 0
 		for _, voter := range set.Voters {
 			if zones[voter.Node] == own.Zone {
@@ -110,11 +98,11 @@
 			}
 		}
 		rank := [2]int{len(set.Voters), neighbours}
-		if cell == 0 || slices.Compare(rank[:], bestRank[:]) < 0 {
+		if best == NoCell || slices.Compare(rank[:], bestRank[:]) < 0 {
 			best, bestRank = cell, rank
 		}
 	}
-	return best
+	return max(best, 0)
 }
 
 // Membership is the registry's content in the product's terms.
--- a/internal/replicaset/plan_test.go
+++ b/internal/replicaset/plan_test.go
@@ -112,10 +112,10 @@
 }
 
 func TestALayoutSpreadsEachCellOverTheZones(t *testing.T) {
-	require.Equal(t, 1, NewLayout(nodesIn("x", "y", "z"), 1).Cells)
-	require.Equal(t, 1, NewLayout(nodesIn("x", "y", "z", "x", "y", "z", "x"), 1).Cells)
+	require.Equal(t, 1, NewLayout(nodesIn("x", "y", "z"), 1, nil).Cells)
+	require.Equal(t, 1, NewLayout(nodesIn("x", "y", "z", "x", "y", "z", "x"), 1, nil).Cells)
 	nodes := nodesIn("x", "x", "y", "y", "z", "z", "w", "w")
-	layout := NewLayout(nodes, 1)
+	layout := NewLayout(nodes, 1, nil)
 	require.Equal(t, 2, layout.Cells)
 	zoneOf := map[string]string{}
 	for _, node := range nodes {
@@ -138,17 +138,17 @@
 func TestAReplicaFindsItsCell(t *testing.T) {
 	sets := []Set{{Epoch: 3, Voters: voters("a", "b", "c")}, {Epoch: 1, Voters: voters("d", "e")}}
 	registered := 0
-	require.Equal(t, 1, ChooseCell(Node{Name: "other", Disk: "disk-d"}, sets, nil), "by its disk")
-	require.Equal(t, 0, ChooseCell(Node{Name: "b", Disk: "new"}, sets, nil), "by its machine")
-	require.Equal(t, 0, ChooseCell(Node{Name: "f", Disk: "new", Cell: &registered}, sets, nil), "as it registered")
-	require.Equal(t, 1, ChooseCell(Node{Name: "f", Disk: "new"}, sets, nil), "where the fewest are")
+	require.Equal(t, 1, ChooseCell(Node{Name: "other", Disk: "disk-d"}, "", Layout{}, sets, nil), "by its disk")
+	require.Equal(t, 0, ChooseCell(Node{Name: "b", Disk: "new"}, "", Layout{}, sets, nil), "by its machine")
+	require.Equal(t, 0, ChooseCell(Node{Name: "f", Disk: "new", Cell: &registered}, "", Layout{}, sets, nil), "as it registered")
+	require.Equal(t, 1, ChooseCell(Node{Name: "f", Disk: "new"}, "", Layout{}, sets, nil), "where the fewest are")
 	sets[1].Voters = voters("d", "e", "f")
 	zones := map[string]string{"a": "x", "d": "y"}
-	require.Equal(t, 1, ChooseCell(Node{Name: "g", Disk: "new", Zone: "x"}, sets, zones), "where its zone is missing")
+	require.Equal(t, 1, ChooseCell(Node{Name: "g", Disk: "new", Zone: "x"}, "", Layout{}, sets, zones), "where its zone is missing")
 }
 
 func TestReadPrefersACellsSetToTheFoundingOne(t *testing.T) {
-	layout := NewLayout(nodesIn("x", "x", "y", "y", "z", "z", "w", "w"), 1)
+	layout := NewLayout(nodesIn("x", "x", "y", "y", "z", "z", "w", "w"), 1, nil)
 	changed := layout.Founding[1].Without(layout.Founding[1].Voters[0].Disk)
 	read := Read([]registry.Object{
 		{Name: SetName(1), Revision: 9, Value: changed.Encode()}, {Name: LayoutName, Revision: 3, Value: layout.Encode()},
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -44,6 +44,15 @@
 // Places returns which regions the zones belong to.
 func (m Member) Places() place.Map { return place.Map(m.Zones) }
 
+// CellPlaces returns the places that bind each cell of replicas to one region, or nil where
+// the loss of a whole region is to be borne: then a cell's voters stand in several.
+func (m Member) CellPlaces() place.Map {
+	if m.TolerateRegions > 0 {
+		return nil
+	}
+	return m.Places()
+}
+
 // Gateway holds the settings of a gateway.
 type Gateway struct {
 	Member `koanf:",squash"`
