Bytes sent between processes are counted by kind of message and distance

Cause: an operator could not see what crosses zones and regions.

Change: internal/traffic counts what replicas, gateways, relays, the feed and load reports send; swiftbank_peer_sent_bytes_total. Processes are found by the addresses that the registry lists.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -16,6 +16,7 @@
 	"swiftbank.dev/swiftbank/internal/registry"
 	"swiftbank.dev/swiftbank/internal/replicaset"
 	"swiftbank.dev/swiftbank/internal/settings"
+	"swiftbank.dev/swiftbank/internal/traffic"
 	"swiftbank.dev/swiftbank/platform"
 )
 
@@ -61,15 +62,17 @@
 	replicas := quorum.NewCells(life, config.Zone, config.Places(), process.log)
 	relays := quorum.NewRelays(life, config.Node, config.Zone, config.Places(), process.log, metrics.Relayed)
 	replicas.UseRelays(relays)
+	sent := traffic.NewCounter(config.Node, config.Zone, config.Places(), metrics.Registry)
+	replicas.CountTraffic(sent)
 	server := gateway.New(gateway.Options{
 		Node: config.Node, Zone: config.Zone, Dialect: platform.Dialect(), Directory: directory, Replicas: replicas,
 		Log: process.log, Metrics: metrics, Copies: config.TolerateMachines + 1,
 	})
-	gossip := gateway.NewGossip(config.Node, config.Zone, directory)
+	gossip := gateway.NewGossip(config.Node, config.Zone, directory, sent)
 	store := platform.NewStore(config.StoreAddress, metrics.StoreCall, process.storeCallFailed)
 	knowledge := feed.NewNode(feed.Options{
 		Node: config.Node, Zone: config.Zone, Role: replicaset.RoleGateway, Seeds: config.Seeds, FirstStart: config.FirstStart, Store: store,
-		Metrics: metrics, Log: process.log, StoreFailed: process.storeCallFailed,
+		Metrics: metrics, Traffic: sent, Log: process.log, StoreFailed: process.storeCallFailed,
 		StoreContact: func(err error) { process.contact("store", err) },
 		Handlers: feed.Handlers{
 			Status: server.KnowledgeChanged, Configuration: server.ConfigurationChanged, Instances: server.InstancesChanged,
--- a/internal/command/replica.go
+++ b/internal/command/replica.go
@@ -15,6 +15,7 @@
 	"swiftbank.dev/swiftbank/internal/replicaset"
 	"swiftbank.dev/swiftbank/internal/route"
 	"swiftbank.dev/swiftbank/internal/settings"
+	"swiftbank.dev/swiftbank/internal/traffic"
 	"swiftbank.dev/swiftbank/platform"
 )
 
@@ -48,11 +49,12 @@
 	process := newProcess(config.Member)
 	defer process.close()
 	metrics := replica.NewMetrics(config.Node)
+	sent := traffic.NewCounter(config.Node, config.Zone, config.Places(), metrics.Registry)
 	store := platform.NewStore(config.StoreAddress, metrics.StoreCall, process.storeCallFailed)
 	starting := &startingReplica{}
 	knowledge := feed.NewNode(feed.Options{
 		Node: config.Node, Zone: config.Zone, Role: replicaset.RoleReplica, Store: store,
-		Metrics: metrics, Log: process.log, StoreFailed: process.storeCallFailed,
+		Metrics: metrics, Traffic: sent, Log: process.log, StoreFailed: process.storeCallFailed,
 		StoreContact: func(err error) { process.contact("store", err) },
 		Handlers: feed.Handlers{
 			Members: starting.membersChanged, Retirements: starting.retirementsChanged, Configuration: starting.configurationChanged,
@@ -69,7 +71,7 @@
 		Node: config.Node, Zone: config.Zone, Address: config.PeerAddress, Advertised: config.Advertised(), Feed: config.CopyAddress,
 		DataFolder: config.DataFolder, DiskMB: config.DiskMB, Tolerate: config.TolerateMachines,
 		Places: config.CellPlaces(), Registry: store,
-		Known: knowledge.Member, Retirements: store, Log: process.log, Metrics: metrics, Quota: config.Quota(),
+		Known: knowledge.Member, Retirements: store, Log: process.log, Metrics: metrics, Traffic: sent, Quota: config.Quota(),
 	})
 	if err != nil {
 		process.log.Error().Str("event", "start_failed").Err(err).Msg("")
--- a/internal/feed/node.go
+++ b/internal/feed/node.go
@@ -15,6 +15,7 @@
 	"swiftbank.dev/swiftbank/internal/registry"
 	"swiftbank.dev/swiftbank/internal/replicaset"
 	"swiftbank.dev/swiftbank/internal/route"
+	"swiftbank.dev/swiftbank/internal/traffic"
 	"swiftbank.dev/swiftbank/internal/wait"
 )
 
@@ -95,7 +96,9 @@
 	Store    Store
 	Handlers Handlers
 	Metrics  Metrics
-	Log      *log.Logger
+	// Traffic counts what is sent to processes that follow this one.
+	Traffic *traffic.Counter
+	Log     *log.Logger
 	// StoreContact is told that the store is lost to this process while it reads it, or
 	// reached again; StoreFailed of each call to the store that failed.
 	StoreContact func(err error)
@@ -285,6 +288,7 @@
 
 func (n *Node) serve(ctx context.Context, listener net.Listener) {
 	server := peer.NewServer(listener, n.asked)
+	server.CountSent(func(to net.Addr, _ Reply, bytes int) { n.options.Traffic.SentTo("feed", to, bytes) })
 	stop := context.AfterFunc(ctx, server.Close)
 	defer stop()
 	server.Run()
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -16,6 +16,7 @@
 
 	"swiftbank.dev/swiftbank/internal/backend"
 	"swiftbank.dev/swiftbank/internal/replicaset"
+	"swiftbank.dev/swiftbank/internal/traffic"
 )
 
 const (
@@ -48,6 +49,7 @@
 	node      string
 	zone      string
 	directory *backend.Directory
+	traffic   *traffic.Counter
 
 	// heardAt is when a report last came, since started; others is how many gateways
 	// there are besides this one.
@@ -87,8 +89,8 @@
 }
 
 // NewGossip returns the gossip of a gateway.
-func NewGossip(node, zone string, directory *backend.Directory) *Gossip {
-	return &Gossip{node: node, zone: zone, directory: directory, started: time.Now()}
+func NewGossip(node, zone string, directory *backend.Directory, counter *traffic.Counter) *Gossip {
+	return &Gossip{node: node, zone: zone, directory: directory, traffic: counter, started: time.Now()}
 }
 
 // SetGateways replaces the other gateways by those that the registry lists.
@@ -144,19 +146,21 @@
 			g.mu.Lock()
 			neighbours, remotes := g.neighbours.take(neighbourFanout), g.remotes.take(remoteFanout)
 			g.mu.Unlock()
-			sendTo(socket, neighbours, loadReport{Gateway: g.node, Loads: loads})
-			sendTo(socket, remotes, loadReport{Gateway: g.node, Zone: g.zone, Loads: g.directory.ZoneLoads()})
+			g.sendTo(socket, neighbours, loadReport{Gateway: g.node, Loads: loads})
+			g.sendTo(socket, remotes, loadReport{Gateway: g.node, Zone: g.zone, Loads: g.directory.ZoneLoads()})
 		}
 	}
 }
 
-func sendTo(socket net.PacketConn, peers []net.Addr, report loadReport) {
+func (g *Gossip) sendTo(socket net.PacketConn, peers []net.Addr, report loadReport) {
 	var message bytes.Buffer
 	if len(peers) == 0 || gob.NewEncoder(&message).Encode(report) != nil {
 		return
 	}
 	for _, peer := range peers {
-		_, _ = socket.WriteTo(message.Bytes(), peer)
+		if sent, err := socket.WriteTo(message.Bytes(), peer); err == nil {
+			g.traffic.SentTo("load", peer, sent)
+		}
 	}
 }
 
--- a/internal/gateway/gossip_test.go
+++ b/internal/gateway/gossip_test.go
@@ -14,7 +14,7 @@
 func gossipOf(node, zone string) *Gossip {
 	directory := backend.NewDirectory(zone)
 	directory.Update(time.Unix(1000, 0), []backend.Instance{{ID: "e", Service: "llm", Slots: 8}}, false)
-	return NewGossip(node, zone, directory)
+	return NewGossip(node, zone, directory, nil)
 }
 
 // believedLoad returns the load that a placement finds at the only instance.
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -87,6 +87,30 @@
 	Borrow *quota.Borrow
 }
 
+// Kind names what is asked, for metrics.
+func (r Request) Kind() string {
+	switch {
+	case r.Reserve != nil:
+		return "reserve"
+	case r.Commit != nil && r.Commit.Turn != nil:
+		return "commit"
+	case r.Commit != nil:
+		return "settle"
+	case r.Adopt != nil:
+		return "adopt"
+	case r.Inventory != nil:
+		return "inventory"
+	case r.Fetch != nil:
+		return "fetch"
+	case r.Chain != nil:
+		return "chain"
+	case r.Borrow != nil:
+		return "borrow"
+	default:
+		return "hello"
+	}
+}
+
 // Reserve asks for a reservation, for a turn's history, or for both.
 type Reserve struct {
 	// Program is "" when there is no budget to count against.
@@ -161,6 +185,28 @@
 	Loan *quota.Loan
 }
 
+// Kind names what is answered, for metrics.
+func (r Reply) Kind() string {
+	switch {
+	case r.Stale != nil:
+		return "stale_reply"
+	case r.Reserve != nil:
+		return "reserve_reply"
+	case r.Chain:
+		return "chain_reply"
+	case r.Turns != nil:
+		return "fetch_reply"
+	case r.Charges != nil:
+		return "charges_reply"
+	case r.Inventory != nil:
+		return "inventory_reply"
+	case r.Loan != nil:
+		return "loan_reply"
+	default:
+		return "durable_reply"
+	}
+}
+
 // ReserveReply is what a replica knows when it accepts a reservation.
 type ReserveReply struct {
 	// Recorded says that the reservation is part of this replica's state.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/gob"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -36,6 +37,12 @@
 	Received(message Receive)
 }
 
+// SentCounter is what a Handler may be as well: it is told of the size of each message that
+// was written, from the connection's writer.
+type SentCounter[Send any] interface {
+	Sent(to net.Addr, message Send, bytes int)
+}
+
 // Link keeps a connection to one peer and dials again when it ends.
 type Link[Send, Receive any] struct {
 	address string
@@ -89,7 +96,11 @@
 func (l *Link[Send, Receive]) serve(ctx context.Context, connection net.Conn) error {
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	defer stop()
-	sender := newSender[Send](connection)
+	var sent func(net.Addr, Send, int)
+	if counter, counts := l.handler.(SentCounter[Send]); counts {
+		sent = counter.Sent
+	}
+	sender := newSender(connection, sent)
 	l.setSender(sender)
 	defer l.setSender(nil)
 	defer sender.close()
@@ -113,6 +124,8 @@
 // sender encodes queued messages and writes all that wait in one call.
 type sender[Send any] struct {
 	connection net.Conn
+	// sent is told of each message's size, or nil.
+	sent func(to net.Addr, message Send, bytes int)
 	// wake is signalled when messages wait.
 	wake   chan struct{}
 	closed chan struct{}
@@ -124,8 +137,8 @@
 	spare []Send
 }
 
-func newSender[Send any](connection net.Conn) *sender[Send] {
-	s := &sender[Send]{connection: connection, wake: make(chan struct{}, 1), closed: make(chan struct{})}
+func newSender[Send any](connection net.Conn, sent func(net.Addr, Send, int)) *sender[Send] {
+	s := &sender[Send]{connection: connection, sent: sent, wake: make(chan struct{}, 1), closed: make(chan struct{})}
 	go s.run()
 	return s
 }
@@ -162,7 +175,8 @@
 func (s *sender[Send]) run() {
 	defer s.close()
 	buffer := bufio.NewWriterSize(s.connection, bufferBytes)
-	encoder := gob.NewEncoder(buffer)
+	counted := &countingWriter{to: buffer}
+	encoder := gob.NewEncoder(counted)
 	for {
 		select {
 		case <-s.closed:
@@ -174,6 +188,9 @@
 				if encoder.Encode(message) != nil {
 					return
 				}
+				if s.sent != nil {
+					s.sent(s.connection.RemoteAddr(), message, counted.take())
+				}
 			}
 			s.giveBack(batch)
 		}
@@ -202,3 +219,22 @@
 	s.spare = batch[:0]
 	s.mu.Unlock()
 }
+
+// countingWriter counts the bytes of a message.
+type countingWriter struct {
+	to    io.Writer
+	bytes int
+}
+
+// Write implements io.Writer.
+func (w *countingWriter) Write(part []byte) (int, error) {
+	w.bytes += len(part)
+	return w.to.Write(part)
+}
+
+// take returns what was written since the last call.
+func (w *countingWriter) take() int {
+	bytes := w.bytes
+	w.bytes = 0
+	return bytes
+}
--- a/internal/peer/sender_test.go
+++ b/internal/peer/sender_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/gob"
+	"io"
 	"net"
 	"runtime"
 	"testing"
@@ -18,7 +19,7 @@
 // pipe returns a sender and the decoder at its other end.
 func pipe(t *testing.T) (*sender[message], *gob.Decoder) {
 	near, far := net.Pipe()
-	s := newSender[message](near)
+	s := newSender[message](near, nil)
 	t.Cleanup(func() { s.close(); _ = far.Close() })
 	return s, gob.NewDecoder(far)
 }
@@ -36,6 +37,18 @@
 	}
 }
 
+func TestTheSizeOfEachMessageIsTold(t *testing.T) {
+	near, far := net.Pipe()
+	sizes := make(chan int, 2)
+	s := newSender(near, func(_ net.Addr, _ message, bytes int) { sizes <- bytes })
+	t.Cleanup(func() { s.close(); _ = far.Close() })
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	require.True(t, s.send(message{Number: 1}))
+	first := <-sizes
+	require.True(t, s.send(message{Number: 1}))
+	require.Less(t, <-sizes, first, "the first message carries the type's description")
+}
+
 func TestAPeerThatReadsNothingBoundsTheQueue(t *testing.T) {
 	s, _ := pipe(t)
 	accepted := 0
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -11,6 +11,7 @@
 type Server[Receive, Send any] struct {
 	listener net.Listener
 	receive  func(from *Connection[Send], message Receive)
+	sent     func(to net.Addr, message Send, bytes int)
 
 	mu     sync.Mutex
 	open   map[net.Conn]bool
@@ -31,6 +32,12 @@
 	return &Server[Receive, Send]{listener: listener, receive: receive, open: map[net.Conn]bool{}}
 }
 
+// CountSent makes the server tell of the size of each message that was written. It must be
+// called before Run.
+func (s *Server[Receive, Send]) CountSent(sent func(to net.Addr, message Send, bytes int)) {
+	s.sent = sent
+}
+
 // Run accepts connections until Close.
 func (s *Server[Receive, Send]) Run() {
 	for {
@@ -77,7 +84,7 @@
 }
 
 func (s *Server[Receive, Send]) read(connection net.Conn) {
-	way := &Connection[Send]{sender: newSender[Send](connection)}
+	way := &Connection[Send]{sender: newSender(connection, s.sent)}
 	defer func() {
 		way.sender.close()
 		s.mu.Lock()
--- a/internal/quorum/cells.go
+++ b/internal/quorum/cells.go
@@ -10,6 +10,7 @@
 	"swiftbank.dev/swiftbank/internal/ledger"
 	"swiftbank.dev/swiftbank/internal/place"
 	"swiftbank.dev/swiftbank/internal/replicaset"
+	"swiftbank.dev/swiftbank/internal/traffic"
 )
 
 // Cells holds a client for each cell of replicas. A program's turns and charges
@@ -21,6 +22,7 @@
 	places  place.Map
 	log     *log.Logger
 	relays  *Relays
+	traffic *traffic.Counter
 
 	mu     sync.RWMutex
 	cells  []*Client
@@ -40,6 +42,15 @@
 	relays.reopened = c.relayReopened
 }
 
+// CountTraffic makes the clients and relays count what they send. It must be called before
+// SetMembership.
+func (c *Cells) CountTraffic(counter *traffic.Counter) {
+	c.traffic = counter
+	if c.relays != nil {
+		c.relays.traffic = counter
+	}
+}
+
 // relayed applies a reply that came by another gateway.
 func (c *Cells) relayed(reply RelayReply) {
 	for cell, client := range c.clients() {
@@ -67,6 +78,7 @@
 	if !membership.HasLayout {
 		return
 	}
+	c.traffic.SetMembers(membership)
 	c.mu.Lock()
 	c.layout = membership.Layout
 	for len(c.cells) < membership.Layout.Cells {
@@ -89,7 +101,7 @@
 // needed, as long as there is one in the own region. The caller holds the lock.
 func (c *Cells) newClient(cell int) *Client {
 	client := NewClient(c.context, c.zone, c.log)
-	client.places = c.places
+	client.places, client.traffic = c.places, c.traffic
 	own := c.places.Region(c.zone)
 	client.onDemand = len(c.layout.CellsIn(own)) > 0 && c.layout.Region(cell) != own
 	if c.relays != nil {
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -14,6 +14,7 @@
 	"swiftbank.dev/swiftbank/internal/place"
 	"swiftbank.dev/swiftbank/internal/quota"
 	"swiftbank.dev/swiftbank/internal/replicaset"
+	"swiftbank.dev/swiftbank/internal/traffic"
 )
 
 const (
@@ -36,6 +37,7 @@
 	zone    string
 	log     *log.Logger
 	places  place.Map
+	traffic *traffic.Counter
 	// onDemand connections to the replicas are opened for a request and closed when there
 	// was none for a while.
 	onDemand bool
--- a/internal/quorum/link.go
+++ b/internal/quorum/link.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"net"
 	"slices"
 	"time"
 
@@ -94,6 +95,11 @@
 	}
 }
 
+// Sent implements peer.SentCounter.
+func (r *replicaLink) Sent(_ net.Addr, request ledger.Request, bytes int) {
+	r.client.traffic.SentToZone(request.Kind(), r.node.Zone, bytes)
+}
+
 // LinkUp implements peer.Handler: it repeats what this replica has not answered.
 func (r *replicaLink) LinkUp() {
 	c := r.client
--- a/internal/quorum/relay.go
+++ b/internal/quorum/relay.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 	"swiftbank.dev/swiftbank/internal/peer"
 	"swiftbank.dev/swiftbank/internal/place"
 	"swiftbank.dev/swiftbank/internal/replicaset"
+	"swiftbank.dev/swiftbank/internal/traffic"
 )
 
 // relayIdle is how long a connection to a relaying gateway stays without use.
@@ -31,6 +33,7 @@
 	reopened func()
 	// counted is told of each request that went by a relay.
 	counted func()
+	traffic *traffic.Counter
 
 	mu    sync.Mutex
 	nodes map[string]replicaset.Node
@@ -138,6 +141,11 @@
 	r.log.Info().Str("event", "relay_closed").Str("gateway", name).Msg("")
 }
 
+// Sent implements peer.SentCounter.
+func (l *relayLink) Sent(_ net.Addr, _ RelayRequest, bytes int) {
+	l.relays.traffic.SentToZone("relay", l.node.Zone, bytes)
+}
+
 // LinkUp implements peer.Handler.
 func (l *relayLink) LinkUp() { l.relays.reopened() }
 
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -58,6 +58,7 @@
 	}
 	s.members.read = read
 	s.members.fresh = true
+	s.options.Traffic.SetMembers(read)
 	if !read.HasLayout {
 		return
 	}
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"net"
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/ledger"
@@ -67,6 +68,11 @@
 	p.server.post(func() { p.receive(reply) })
 }
 
+// Sent implements peer.SentCounter.
+func (p *peerState) Sent(_ net.Addr, request ledger.Request, bytes int) {
+	p.server.options.Traffic.SentToZone(request.Kind(), p.node.Zone, bytes)
+}
+
 func (p *peerState) receive(reply ledger.Reply) {
 	p.heardAt = time.Now()
 	p.disk = reply.Disk
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -18,6 +18,7 @@
 	"swiftbank.dev/swiftbank/internal/quota"
 	"swiftbank.dev/swiftbank/internal/registry"
 	"swiftbank.dev/swiftbank/internal/replicaset"
+	"swiftbank.dev/swiftbank/internal/traffic"
 	"swiftbank.dev/swiftbank/internal/wait"
 	"swiftbank.dev/swiftbank/internal/wal"
 )
@@ -55,6 +56,8 @@
 	Retirements Retirements
 	Log         *log.Logger
 	Metrics     *Metrics
+	// Traffic counts what is sent to other processes.
+	Traffic *traffic.Counter
 	// Quota is how exactly the limits of tenants must hold.
 	Quota quota.Policy
 }
@@ -182,9 +185,11 @@
 }
 
 func (s *Server) serve(listener net.Listener) *peer.Server[ledger.Request, ledger.Reply] {
-	return peer.NewServer(listener, func(from *peer.Connection[ledger.Reply], request ledger.Request) {
+	server := peer.NewServer(listener, func(from *peer.Connection[ledger.Reply], request ledger.Request) {
 		s.post(func() { s.receive(from, request) })
 	})
+	server.CountSent(func(to net.Addr, reply ledger.Reply, bytes int) { s.options.Traffic.SentTo(reply.Kind(), to, bytes) })
+	return server
 }
 
 func (s *Server) loop(ctx context.Context) {
