A region whose replicas have no quorum leaves its turns to another region's cell

Cause: four replicas of a region have no quorum without two of them, and two losses are to be borne. The region's turns were refused until one returned.

A region with fewer replicas than twice the tolerated number founds no cell, for what its quorum accepted could be lost. A stream's first event waits for one disk more than may be lost.

--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -125,7 +125,7 @@
 	if t.durable || t.program == "" {
 		return nil
 	}
-	if err := t.reservation.Durable(ctx); err != nil {
+	if err := t.reservation.Durable(ctx, s.options.Copies); err != nil {
 		return err
 	}
 	t.durable = true
--- a/internal/quorum/cells.go
+++ b/internal/quorum/cells.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/phuslu/log"
 
@@ -111,8 +112,9 @@
 }
 
 // Of returns the client of the program's cell: one of the own region, or of the first region
-// within the homes where the own one has none or is not within them. It returns nil while
-// no cell is known, and where no region within the homes has one.
+// within the homes where the own one has none, is not within them, or has been without a
+// quorum for a while. It returns nil while no cell is known, and where no region within the
+// homes has one. Wherever a turn is kept, the escrow holds the program's budget.
 func (c *Cells) Of(program string, homes place.Homes) *Client {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
@@ -123,12 +125,21 @@
 		}
 		return c.cells[replicaset.CellOf(program, len(c.cells))]
 	}
+	now := time.Now()
+	var first *Client
 	for _, region := range append([]string{own}, c.regions()...) {
-		if client := c.inRegion(program, region); client != nil && homes.Allow(region) {
+		client := c.inRegion(program, region)
+		if client == nil || !homes.Allow(region) {
+			continue
+		}
+		if client.serves(now) {
 			return client
 		}
+		if first == nil {
+			first = client
+		}
 	}
-	return nil
+	return first
 }
 
 // regions returns the regions that have cells, by name. The caller holds the lock.
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -53,6 +53,8 @@
 	// forwards are the requests of other gateways that were passed on, by their number
 	// on the links here.
 	forwards map[uint64]forward
+	// reach says whether the cell may serve.
+	reach quorumReach
 	// answers estimates how long a replica takes to answer.
 	answers roundTrip
 }
@@ -158,19 +160,6 @@
 	}
 }
 
-// Ready reports whether a quorum of the replica set is connected.
-func (c *Client) Ready() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	up := 0
-	for _, replica := range c.replicas {
-		if replica.up && c.set.Has(replica.node.Disk) {
-			up++
-		}
-	}
-	return len(c.set.Voters) > 0 && up >= c.set.Quorum()
-}
-
 // Epoch returns the epoch of the newest known replica set.
 func (c *Client) Epoch() uint64 {
 	c.mu.Lock()
--- a/internal/quorum/link.go
+++ b/internal/quorum/link.go
@@ -21,6 +21,8 @@
 	unansweredSince time.Time
 	// relaying is set while requests go by another gateway.
 	relaying bool
+	// relayedAt is when an answer last came by another gateway.
+	relayedAt time.Time
 	// openedAt is when the connection was last asked for, usedAt when a request last was.
 	openedAt, usedAt time.Time
 	// idle closes a connection on demand.
--- a/internal/quorum/relayretry.go
+++ b/internal/quorum/relayretry.go
@@ -98,6 +98,7 @@
 	defer c.mu.Unlock()
 	for _, replica := range c.replicas {
 		if replica.node.Name == reply.Replica {
+			replica.relayedAt = time.Now()
 			c.receive(replica, reply.Reply)
 		}
 	}
--- a/internal/quorum/reserve.go
+++ b/internal/quorum/reserve.go
@@ -126,15 +126,15 @@
 	}
 }
 
-// Durable waits until the reservation is on the disks of a quorum, in each region where it
-// was made.
-func (r *Reservation) Durable(ctx context.Context) error {
+// Durable waits until the reservation is on the disks of a quorum, and on at least so many
+// disks, in each region where it was made.
+func (r *Reservation) Durable(ctx context.Context, copies int) error {
 	for _, other := range r.elsewhere {
-		if err := other.Durable(ctx); err != nil {
+		if err := other.Durable(ctx, copies); err != nil {
 			return err
 		}
 	}
-	return r.client.await(ctx, r.operation, func() bool { return r.operation.tally.Durable(r.client.set) })
+	return r.client.await(ctx, r.operation, func() bool { return r.operation.tally.DurableAt(r.client.set, copies) })
 }
 
 // End stops repeating the reservation to replicas that were out of reach.
--- a/internal/quorum/tally.go
+++ b/internal/quorum/tally.go
@@ -73,6 +73,13 @@
 	return len(set.Voters) > 0 && count(t.durable, set) >= set.Quorum()
 }
 
+// DurableAt reports whether the reservation is on the disks of a quorum, and on at least so
+// many disks, as far as the set has them: a small quorum alone may be lost with the number of
+// disks that is to be borne.
+func (t *Tally) DurableAt(set replicaset.Set, copies int) bool {
+	return len(set.Voters) > 0 && count(t.durable, set) >= max(set.Quorum(), min(copies, len(set.Voters)))
+}
+
 // Answered reports whether the disk has said all that the request waits for: a
 // reservation is answered for good once it is durable.
 func (t *Tally) Answered(disk string) bool {
--- a/internal/replicaset/founding.go
+++ b/internal/replicaset/founding.go
@@ -10,13 +10,15 @@
 
 // NewLayout deals the machines to cells so that each cell has machines of as many
 // zones as possible, and enough of them to lose the tolerated number. With places of two
-// regions or more, each region's machines found cells of their own: a quorum is then
-// reached without the way between regions. The nil map binds no cell to a region.
+// regions or more, the machines of each region found cells of their own: a quorum is then
+// reached without the way between regions. A region with too few of them for that founds
+// none, and its machines go to the cells of the region that has the most. The nil map binds
+// no cell to a region.
 func NewLayout(nodes []Node, tolerate int, places place.Map) Layout {
-	byRegion := dealToRegions(nodes, places)
-	if len(byRegion) < 2 {
+	if len(places.Regions()) < 2 {
 		return deal(nodes, tolerate)
 	}
+	byRegion := dealToRegions(nodes, tolerate, places)
 	var layout Layout
 	for _, region := range slices.Sorted(maps.Keys(byRegion)) {
 		part := deal(byRegion[region], tolerate)
@@ -24,30 +26,39 @@
 		layout.Founding = append(layout.Founding, part.Founding...)
 		layout.Regions = append(layout.Regions, slices.Repeat([]string{region}, part.Cells)...)
 	}
+	if layout.Cells == 0 {
+		return deal(nodes, tolerate)
+	}
 	return layout
 }
 
-// dealToRegions groups the machines. Those in a zone of unknown region go to the region
-// with the fewest machines: only a known boundary is one.
-func dealToRegions(nodes []Node, places place.Map) map[string][]Node {
+// fewestForCells is how many machines a region needs for cells of its own: with twice the
+// tolerated number, a quorum has one disk more than may be lost, so what it accepted
+// outlasts that loss, though the cell may rest until a machine returns.
+func fewestForCells(tolerate int) int { return max(1, 2*tolerate) }
+
+// dealToRegions groups the machines by the region whose cells they found. Those of a region
+// that founds none, or of no known region, go to the one with the most machines.
+func dealToRegions(nodes []Node, tolerate int, places place.Map) map[string][]Node {
 	byRegion := map[string][]Node{}
-	var unknown []Node
 	for _, node := range sorted(nodes) {
-		if region := places.Region(node.Zone); region != "" {
-			byRegion[region] = append(byRegion[region], node)
-		} else {
-			unknown = append(unknown, node)
+		region := places.Region(node.Zone)
+		byRegion[region] = append(byRegion[region], node)
+	}
+	var others []Node
+	for region, part := range byRegion {
+		if region == "" || len(part) < fewestForCells(tolerate) {
+			others = append(others, part...)
+			delete(byRegion, region)
 		}
 	}
 	if len(byRegion) == 0 {
 		return nil
 	}
-	for _, node := range unknown {
-		fewest := slices.MinFunc(slices.Sorted(maps.Keys(byRegion)), func(a, b string) int {
-			return cmp.Compare(len(byRegion[a]), len(byRegion[b]))
-		})
-		byRegion[fewest] = append(byRegion[fewest], node)
-	}
+	most := slices.MaxFunc(slices.Sorted(maps.Keys(byRegion)), func(a, b string) int {
+		return cmp.Compare(len(byRegion[a]), len(byRegion[b]))
+	})
+	byRegion[most] = append(byRegion[most], others...)
 	return byRegion
 }
 
