Other regions hear of a zone's load by two of its gateways

Change: two gateways of each zone tell one gateway of each zone of other regions twice a second, and that one tells its neighbours.

Tests: how many speak, and that a report is passed on once.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -68,7 +68,7 @@
 		Node: config.Node, Zone: config.Zone, Dialect: platform.Dialect(), Directory: directory, Replicas: replicas,
 		Log: process.log, Metrics: metrics, Copies: config.TolerateMachines + 1,
 	})
-	gossip := gateway.NewGossip(config.Node, config.Zone, directory, sent)
+	gossip := gateway.NewGossip(config.Node, config.Zone, config.Places(), directory, sent)
 	store := platform.NewStore(config.StoreAddress, metrics.StoreCall, process.storeCallFailed)
 	knowledge := feed.NewNode(feed.Options{
 		Node: config.Node, Zone: config.Zone, Role: replicaset.RoleGateway, Seeds: config.Seeds, FirstStart: config.FirstStart, Store: store,
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 
 	"swiftbank.dev/swiftbank/internal/backend"
+	"swiftbank.dev/swiftbank/internal/place"
 	"swiftbank.dev/swiftbank/internal/replicaset"
 	"swiftbank.dev/swiftbank/internal/traffic"
 )
@@ -24,11 +25,17 @@
 	// changed; gossipRefresh is when it does so anyway.
 	gossipInterval = 50 * time.Millisecond
 	gossipRefresh  = 500 * time.Millisecond
-	// neighbourFanout and remoteFanout bound the gateways of the own zone and of other
-	// zones that hear of it each time; the others hear the next ones. So a gateway sends
+	// neighbourFanout and remoteFanout bound the gateways of the own zone and of the region's
+	// other zones that hear of it each time; the others hear the next ones. So a gateway sends
 	// at most 60 datagrams a second, however many gateways there are.
 	neighbourFanout = 2
 	remoteFanout    = 1
+	// distantInterval is how often a zone is told of in each zone of other regions, where its
+	// load matters to a program that must leave its own region; speakers is how many gateways
+	// of the zone do so, for one may be cut off. Over a link that all regions share, a report
+	// to any gateway by any other would cost more than all turns do.
+	distantInterval = 500 * time.Millisecond
+	speakers        = 2
 	// datagramBytes bounds one datagram.
 	datagramBytes = 60 << 10
 )
@@ -41,6 +48,8 @@
 	// Zone is set in a report of a whole zone.
 	Zone  string
 	Loads map[string]int
+	// Passed is set in a report of another region that a neighbour hands on.
+	Passed bool
 }
 
 // Gossip shares the load that each gateway puts on the instances, so that gateways
@@ -48,6 +57,7 @@
 type Gossip struct {
 	node      string
 	zone      string
+	places    place.Map
 	directory *backend.Directory
 	traffic   *traffic.Counter
 
@@ -60,6 +70,10 @@
 	mu         sync.Mutex
 	neighbours rotation
 	remotes    rotation
+	// distant holds the gateways of each zone of other regions; speaks is set on the
+	// gateways that report there.
+	distant map[string]*rotation
+	speaks  bool
 }
 
 // gossipTimeout is how long no gateway may be heard of before all are out of reach:
@@ -89,28 +103,42 @@
 }
 
 // NewGossip returns the gossip of a gateway.
-func NewGossip(node, zone string, directory *backend.Directory, counter *traffic.Counter) *Gossip {
-	return &Gossip{node: node, zone: zone, directory: directory, traffic: counter, started: time.Now()}
+func NewGossip(node, zone string, places place.Map, directory *backend.Directory, counter *traffic.Counter) *Gossip {
+	return &Gossip{node: node, zone: zone, places: places, directory: directory, traffic: counter, started: time.Now()}
 }
 
 // SetGateways replaces the other gateways by those that the registry lists.
 func (g *Gossip) SetGateways(nodes map[string]replicaset.Node) {
 	var neighbours, remotes []net.Addr
+	distant := map[string]*rotation{}
+	others, rank := 0, 0
 	for _, name := range slices.Sorted(maps.Keys(nodes)) {
 		node := nodes[name]
 		address, err := net.ResolveUDPAddr("udp", node.Address)
-		switch {
-		case err != nil || name == g.node:
-		case node.Zone == g.zone:
+		if err != nil || name == g.node {
+			continue
+		}
+		others++
+		switch g.places.Distance(g.zone, node.Zone) {
+		case place.SameZone:
 			neighbours = append(neighbours, address)
-		default:
+			if name < g.node {
+				rank++
+			}
+		case place.SameRegion:
 			remotes = append(remotes, address)
+		default:
+			if distant[node.Zone] == nil {
+				distant[node.Zone] = &rotation{}
+			}
+			distant[node.Zone].addresses = append(distant[node.Zone].addresses, address)
 		}
 	}
-	g.others.Store(int64(len(neighbours) + len(remotes)))
+	g.others.Store(int64(others))
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.neighbours.addresses, g.remotes.addresses = neighbours, remotes
-	g.mu.Unlock()
+	g.distant, g.speaks = distant, rank < speakers
 }
 
 // Run sends and receives until the context ends.
@@ -132,12 +160,16 @@
 	ticker := time.NewTicker(gossipInterval)
 	defer ticker.Stop()
 	var last map[string]int
-	var sentAt time.Time
+	var sentAt, distantAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			if now.Sub(distantAt) >= distantInterval {
+				distantAt = now
+				g.sendTo(socket, g.takeDistant(), loadReport{Gateway: g.node, Zone: g.zone, Loads: g.directory.ZoneLoads()})
+			}
 			loads := g.directory.Loads()
 			if maps.Equal(loads, last) && now.Sub(sentAt) < gossipRefresh {
 				continue
@@ -152,6 +184,33 @@
 	}
 }
 
+// takeDistant returns one gateway of each zone of other regions, if this one reports there.
+func (g *Gossip) takeDistant() []net.Addr {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.speaks {
+		return nil
+	}
+	var taken []net.Addr
+	for _, zone := range slices.Sorted(maps.Keys(g.distant)) {
+		taken = append(taken, g.distant[zone].take(1)...)
+	}
+	return taken
+}
+
+// passOn hands a report of another region to all gateways of the own zone: one of them was
+// told for all.
+func (g *Gossip) passOn(socket net.PacketConn, report loadReport) {
+	if report.Passed || report.Zone == "" || g.places.Distance(g.zone, report.Zone) != place.OtherRegion {
+		return
+	}
+	g.mu.Lock()
+	neighbours := slices.Clone(g.neighbours.addresses)
+	g.mu.Unlock()
+	report.Passed = true
+	g.sendTo(socket, neighbours, report)
+}
+
 func (g *Gossip) sendTo(socket net.PacketConn, peers []net.Addr, report loadReport) {
 	var message bytes.Buffer
 	if len(peers) == 0 || gob.NewEncoder(&message).Encode(report) != nil {
@@ -177,6 +236,7 @@
 		var report loadReport
 		if gob.NewDecoder(bytes.NewReader(buffer[:size])).Decode(&report) == nil {
 			g.take(time.Now(), report)
+			g.passOn(socket, report)
 		}
 	}
 }
--- a/internal/gateway/gossip_test.go
+++ b/internal/gateway/gossip_test.go
@@ -2,19 +2,21 @@
 
 import (
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"swiftbank.dev/swiftbank/internal/backend"
+	"swiftbank.dev/swiftbank/internal/place"
 	"swiftbank.dev/swiftbank/internal/replicaset"
 )
 
 func gossipOf(node, zone string) *Gossip {
 	directory := backend.NewDirectory(zone)
 	directory.Update(time.Unix(1000, 0), []backend.Instance{{ID: "e", Service: "llm", Slots: 8}}, false)
-	return NewGossip(node, zone, directory, nil)
+	return NewGossip(node, zone, nil, directory, nil)
 }
 
 // believedLoad returns the load that a placement finds at the only instance.
@@ -68,3 +70,52 @@
 	g.take(now.Add(2*gossipTimeout), loadReport{Gateway: "b1", Zone: "b"})
 	require.False(t, g.Alone(now.Add(2*gossipTimeout+gossipRefresh)))
 }
+
+func TestAnotherRegionHearsOfAZoneByFewGateways(t *testing.T) {
+	places := place.Map{"a": "east", "b": "east", "c": "west", "d": "west"}
+	nodes := map[string]replicaset.Node{}
+	for i := range 40 {
+		name := fmt.Sprintf("g%02d", i)
+		nodes[name] = replicaset.Node{Name: name, Zone: string("abcd"[i%4]), Address: fmt.Sprintf("127.0.0.1:%d", 1000+i)}
+	}
+	speaking := 0
+	for name, node := range nodes {
+		g := gossipOf(name, node.Zone)
+		g.places = places
+		g.SetGateways(nodes)
+		require.Len(t, g.remotes.addresses, 10, "the region's other zone")
+		if reached := g.takeDistant(); len(reached) > 0 {
+			speaking++
+			require.Len(t, reached, 2, "one in each zone of the other region")
+			require.NotEqual(t, reached, g.takeDistant(), "each in its turn")
+		}
+	}
+	require.Equal(t, 4*speakers, speaking)
+}
+
+// datagrams keeps what is sent.
+type datagrams struct {
+	net.PacketConn
+	to []string
+}
+
+func (d *datagrams) WriteTo(content []byte, to net.Addr) (int, error) {
+	d.to = append(d.to, to.String())
+	return len(content), nil
+}
+
+func TestAReportOfAnotherRegionIsPassedOnOnce(t *testing.T) {
+	g := gossipOf("a1", "a")
+	g.places = place.Map{"a": "east", "b": "east", "c": "west"}
+	g.SetGateways(map[string]replicaset.Node{
+		"a1": {Name: "a1", Zone: "a", Address: "127.0.0.1:1"}, "a2": {Name: "a2", Zone: "a", Address: "127.0.0.1:2"},
+		"b1": {Name: "b1", Zone: "b", Address: "127.0.0.1:3"}, "c1": {Name: "c1", Zone: "c", Address: "127.0.0.1:4"},
+	})
+	socket := &datagrams{}
+	g.passOn(socket, loadReport{Gateway: "c1", Zone: "c"})
+	require.Equal(t, []string{"127.0.0.1:2"}, socket.to, "to the own zone")
+	g.passOn(socket, loadReport{Gateway: "c1", Zone: "c", Passed: true})
+	g.passOn(socket, loadReport{Gateway: "b1", Zone: "b"})
+	g.passOn(socket, loadReport{Gateway: "a2"})
+	require.Len(t, socket.to, 1, "neither twice, nor what its own region hears itself")
+}
