Gateways follow replicas of their region before others for news of the store

A zone whose only replica is lost followed replicas of any zone, half of them 30 ms away over the shared link. Test: the order of upstreams, seen to fail without the places.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -71,7 +71,7 @@
 	gossip := gateway.NewGossip(config.Node, config.Zone, config.Places(), directory, sent)
 	store := platform.NewStore(config.StoreAddress, metrics.StoreCall, process.storeCallFailed)
 	knowledge := feed.NewNode(feed.Options{
-		Node: config.Node, Zone: config.Zone, Role: replicaset.RoleGateway, Seeds: config.Seeds, FirstStart: config.FirstStart, Store: store,
+		Node: config.Node, Zone: config.Zone, Places: config.Places(), Role: replicaset.RoleGateway, Seeds: config.Seeds, FirstStart: config.FirstStart, Store: store,
 		Metrics: metrics, Traffic: sent, Log: process.log, StoreFailed: process.storeCallFailed,
 		StoreContact: func(err error) { process.contact("store", err) },
 		Handlers: feed.Handlers{
--- a/internal/command/replica.go
+++ b/internal/command/replica.go
@@ -53,7 +53,7 @@
 	store := platform.NewStore(config.StoreAddress, metrics.StoreCall, process.storeCallFailed)
 	starting := &startingReplica{}
 	knowledge := feed.NewNode(feed.Options{
-		Node: config.Node, Zone: config.Zone, Role: replicaset.RoleReplica, Store: store,
+		Node: config.Node, Zone: config.Zone, Places: config.Places(), Role: replicaset.RoleReplica, Store: store,
 		Metrics: metrics, Traffic: sent, Log: process.log, StoreFailed: process.storeCallFailed,
 		StoreContact: func(err error) { process.contact("store", err) },
 		Handlers: feed.Handlers{
--- a/internal/feed/candidates.go
+++ b/internal/feed/candidates.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"swiftbank.dev/swiftbank/internal/place"
 	"swiftbank.dev/swiftbank/internal/replicaset"
 )
 
@@ -46,9 +47,9 @@
 }
 
 // GatewayUpstreams returns the upstreams of a gateway: the replicas of its zone, then some
-// of other zones. Each gateway has an order of its own, so that they spread. Before it
-// knows of any replica these are its seeds.
-func GatewayUpstreams(node, zone string, replicas map[string]replicaset.Node, seeds []string) []Upstream {
+// of other zones, those of its region first. Each gateway has an order of its own, so that
+// they spread. Before it knows of any replica these are its seeds.
+func GatewayUpstreams(node, zone string, places place.Map, replicas map[string]replicaset.Node, seeds []string) []Upstream {
 	var near, far []Upstream
 	for _, other := range replicas {
 		switch {
@@ -64,6 +65,9 @@
 	}
 	sortFor(node, near)
 	sortFor(node, far)
+	slices.SortStableFunc(far, func(a, b Upstream) int {
+		return cmp.Compare(places.Distance(zone, a.Zone), places.Distance(zone, b.Zone))
+	})
 	return append(near, far[:min(otherUpstreams, len(far))]...)
 }
 
--- a/internal/feed/core.go
+++ b/internal/feed/core.go
@@ -3,14 +3,16 @@
 import (
 	"time"
 
+	"swiftbank.dev/swiftbank/internal/place"
 	"swiftbank.dev/swiftbank/internal/registry"
 	"swiftbank.dev/swiftbank/internal/replicaset"
 )
 
 // CoreOptions say whose knowledge a Core keeps.
 type CoreOptions struct {
-	Node string
-	Zone string
+	Node   string
+	Zone   string
+	Places place.Map
 	// Role is replicaset.RoleReplica or replicaset.RoleGateway.
 	Role string
 	// Seeds are addresses of upstreams known before any replica is.
@@ -207,7 +209,7 @@
 	if c.options.Role == replicaset.RoleReplica {
 		upstreams = ReplicaUpstreams(c.options.Node, c.options.Zone, members.Replicas)
 	} else {
-		upstreams = GatewayUpstreams(c.options.Node, c.options.Zone, members.Replicas, c.options.Seeds)
+		upstreams = GatewayUpstreams(c.options.Node, c.options.Zone, c.options.Places, members.Replicas, c.options.Seeds)
 	}
 	c.selector.SetCandidates(now, upstreams, len(members.Replicas)+len(members.Gateways))
 }
--- a/internal/feed/node.go
+++ b/internal/feed/node.go
@@ -12,6 +12,7 @@
 
 	"swiftbank.dev/swiftbank/internal/backend"
 	"swiftbank.dev/swiftbank/internal/peer"
+	"swiftbank.dev/swiftbank/internal/place"
 	"swiftbank.dev/swiftbank/internal/registry"
 	"swiftbank.dev/swiftbank/internal/replicaset"
 	"swiftbank.dev/swiftbank/internal/route"
@@ -85,8 +86,9 @@
 
 // Options are what a Node is made of.
 type Options struct {
-	Node string
-	Zone string
+	Node   string
+	Zone   string
+	Places place.Map
 	// Role is replicaset.RoleReplica or replicaset.RoleGateway.
 	Role string
 	// FirstStart says that the whole fleet starts for the first time.
@@ -135,7 +137,7 @@
 	return &Node{
 		options: options, log: options.Log,
 		core: NewCore[asker](CoreOptions{
-			Node: options.Node, Zone: options.Zone, Role: options.Role, Seeds: options.Seeds,
+			Node: options.Node, Zone: options.Zone, Places: options.Places, Role: options.Role, Seeds: options.Seeds,
 			ReadAfter: readAfter(options.Role, options.FirstStart),
 		}),
 		wakeFollow: make(chan struct{}, 1), wakeRead: make(chan struct{}, 1),
--- a/internal/feed/selector_test.go
+++ b/internal/feed/selector_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"swiftbank.dev/swiftbank/internal/place"
 	"swiftbank.dev/swiftbank/internal/replicaset"
 )
 
@@ -195,19 +196,21 @@
 	}
 	require.Empty(t, ReplicaUpstreams("r1", "zone-r", nodes))
 	require.Equal(t, []string{"r1", "r2"}, names(ReplicaUpstreams("r3", "zone-r", nodes)))
-	upstreams := names(GatewayUpstreams("g", "zone-r", nodes, []string{"seed:1"}))
+	upstreams := names(GatewayUpstreams("g", "zone-r", nil, nodes, []string{"seed:1"}))
 	require.Len(t, upstreams, 6)
 	require.ElementsMatch(t, []string{"r1", "r2", "r3"}, upstreams[:3])
 	leaving := nodes["r2"]
 	leaving.Leaving = true
 	nodes["r2"] = leaving
-	require.NotContains(t, names(GatewayUpstreams("g", "zone-r", nodes, nil)), "r2")
-	require.Equal(t, []Upstream{{Address: "seed:1,seed:2"}}, GatewayUpstreams("g", "zone-r", nil, []string{"seed:1", "seed:2"}))
-	require.Empty(t, GatewayUpstreams("g", "zone-r", nil, nil))
+	require.NotContains(t, names(GatewayUpstreams("g", "zone-r", nil, nodes, nil)), "r2")
+	require.Equal(t, []Upstream{{Address: "seed:1,seed:2"}}, GatewayUpstreams("g", "zone-r", nil, nil, []string{"seed:1", "seed:2"}))
+	require.Empty(t, GatewayUpstreams("g", "zone-r", nil, nil, nil))
+	regions := place.Map{"zone-r": "east", "zone-s": "west", "zone-t": "east"}
+	require.Equal(t, "t1", names(GatewayUpstreams("g", "zone-r", regions, nodes, nil))[2], "the own region before another")
 	// Gateways spread over the replicas of their zone.
 	first := map[string]int{}
 	for i := range 60 {
-		first[GatewayUpstreams(string(rune('a'+i)), "zone-r", nodes, nil)[0].Node]++
+		first[GatewayUpstreams(string(rune('a'+i)), "zone-r", nil, nodes, nil)[0].Node]++
 	}
 	require.Greater(t, first["r1"], 15)
 	require.Greater(t, first["r3"], 15)
