Relays stay in their region; a lender in another one has time for a new connection

Cause: requests that a gateway relays carry turns, and were sent by gateways of any region; a tenant's cell in another region is connected to on demand, which takes one round trip more than a lender was given.

Test: the candidates to relay, with and without another gateway in the region.

--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -102,7 +102,7 @@
 }
 
 func (s *Server) askLender(ctx context.Context, cell *quorum.Client, name string, asked quota.Borrow) (quota.Loan, error) {
-	ctx, cancel := context.WithTimeout(ctx, lenderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, lenderTimeout+cell.ConnectAllowance())
 	defer cancel()
 	return cell.Borrow(ctx, name, asked)
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -60,6 +60,9 @@
 		Name: "swiftbank_budget_decisions_total", Help: "Turns checked against their program's budget, by the regions asked and the outcome.", ConstLabels: labels,
 	}, []string{"asked", "grant"})
 	m.Registry.MustRegister(m.budgets)
+	// A rate needs both from the start.
+	m.budgets.WithLabelValues(askedOwnRegion, quorum.Granted.String())
+	m.budgets.WithLabelValues(askedEveryRegion, quorum.Granted.String())
 	m.Registry.MustRegister(m.feedAge, m.feedReading, m.requests, m.latency, m.reserve, m.commit, m.connections, m.sends, m.relayed, m.store)
 	return m
 }
@@ -82,11 +85,17 @@
 // Relayed counts a request to a replica that was sent by another gateway.
 func (m *Metrics) Relayed() { m.relayed.Inc() }
 
+// The regions asked for a decision on a turn's budget, as metrics name them.
+const (
+	askedOwnRegion   = "own_region"
+	askedEveryRegion = "every_region"
+)
+
 // escrow counts a decision on a turn's budget.
 func (m *Metrics) escrow(grant quorum.Grant, everywhere bool) {
-	asked := "own_region"
+	asked := askedOwnRegion
 	if everywhere {
-		asked = "every_region"
+		asked = askedEveryRegion
 	}
 	m.budgets.WithLabelValues(asked, grant.String()).Inc()
 }
--- a/internal/quorum/link.go
+++ b/internal/quorum/link.go
@@ -38,6 +38,15 @@
 	onDemandIdle = 10 * time.Second
 )
 
+// ConnectAllowance is how much longer an answer of the cell may take because a connection is
+// opened for the request: zero where connections are kept.
+func (c *Client) ConnectAllowance() time.Duration {
+	if c.onDemand {
+		return connectAllowance
+	}
+	return 0
+}
+
 // open asks for the connection if there is none. The client's lock is held, as for all
 // methods here but those of peer.Handler.
 func (r *replicaLink) open(now time.Time) {
--- a/internal/quorum/regions_test.go
+++ b/internal/quorum/regions_test.go
@@ -96,6 +96,18 @@
 	require.Eventually(t, func() bool { return regionOf(f.inEast, place.Homes{}) == "east" }, 20*time.Second, 5*time.Millisecond)
 }
 
+func TestRelaysStayInTheirRegion(t *testing.T) {
+	places := place.Map{"e": "east", "w": "west", "n": "north"}
+	nodes := map[string]replicaset.Node{
+		"e1": {Name: "e1", Zone: "e"}, "e2": {Name: "e2", Zone: "e"}, "w1": {Name: "w1", Zone: "w"}, "n1": {Name: "n1", Zone: "n"},
+	}
+	for own, want := range map[string][]string{"e1": {"e2"}, "w1": {"e1", "e2", "n1"}} {
+		relays := NewRelays(t.Context(), own, nodes[own].Zone, places, quiet(), func() {})
+		relays.SetGateways(nodes)
+		require.Equal(t, want, relays.order.candidates)
+	}
+}
+
 func reserveIn(t *testing.T, cells *Cells, turn string) (*Reservation, ledger.Reserve) {
 	asked := ledger.Reserve{Program: "p", Charge: ledger.Charge{Turn: turn, Tokens: modelMost}, Retention: time.Minute}
 	reservation, err := cells.Of("p", place.Homes{}).Reserve(limited(t, 20*time.Second), asked)
--- a/internal/quorum/relay.go
+++ b/internal/quorum/relay.go
@@ -68,12 +68,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.nodes = nodes
-	var names []string
-	for name, node := range nodes {
-		if name != r.node && !node.Leaving {
-			names = append(names, name)
-		}
-	}
+	names := r.candidates(nodes)
 	slices.SortFunc(names, func(a, b string) int {
 		if near := cmp.Compare(r.distance(a), r.distance(b)); near != 0 {
 			return near
@@ -88,6 +83,26 @@
 	}
 }
 
+// candidates returns the gateways that may relay: those of the own region, or all where it has
+// no other. Requests carry turns, and the way to another region is long. The caller holds
+// the lock.
+func (r *Relays) candidates(nodes map[string]replicaset.Node) []string {
+	var near, far []string
+	for name, node := range nodes {
+		switch {
+		case name == r.node || node.Leaving:
+		case r.distance(name) == place.OtherRegion:
+			far = append(far, name)
+		default:
+			near = append(near, name)
+		}
+	}
+	if len(near) == 0 {
+		return far
+	}
+	return near
+}
+
 func (r *Relays) distance(name string) place.Distance {
 	return r.places.Distance(r.nodes[name].Zone, r.zone)
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -63,3 +63,10 @@
 		}
 	}
 }
+
+func TestCellsAreBoundToRegionsUnlessOneMayBeLost(t *testing.T) {
+	member := Member{Zones: map[string]string{"a": "east", "b": "west"}}
+	require.Equal(t, member.Places(), member.CellPlaces())
+	member.TolerateRegions = 1
+	require.Nil(t, member.CellPlaces())
+}
