A silent replica is out of reach, and a turn that waits for a lost quorum is kept elsewhere

Cause: machines without power are noticed by the end of their connections after 1.5 s; turns that came meanwhile waited 0.9 s and were refused, as were those that needed the lost region on their budget.

Change: a replica that leaves requests without any reply for 0.5 s is out of reach for the choice of a cell. A turn that its cell does not answer in 0.6 s, with too few replicas in reach, is reserved in another region's. A region known to be lost refuses turns beyond a share at once.

Tests: each over sockets; the choice fails without the silence.

--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -17,6 +17,11 @@
 // and a try by another gateway.
 const reserveTimeout = 900 * time.Millisecond
 
+// nearTimeout is how long the own region's replicas may take where those of another region
+// could take the turn: a replica is known to be silent after 500 ms, and the rest of
+// reserveTimeout holds the other region's round trips.
+const nearTimeout = 600 * time.Millisecond
+
 // homes returns the regions in which the request may be handled.
 func (r *request) homes() place.Homes {
 	if r.tenant == nil {
@@ -61,7 +66,7 @@
 // reserveHistory reserves the turn in its program's cell and finds its history, there or in
 // another cell.
 func (s *Server) reserveHistory(ctx context.Context, t *turn, asked ledger.Reserve) *refusal {
-	reservation, err := t.cell.Reserve(ctx, asked)
+	reservation, err := s.reserveNear(ctx, t, asked)
 	if err != nil {
 		return refuseFor(verdict.CodeUnavailable, replicaRetry, "too few replicas answered")
 	}
@@ -81,6 +86,28 @@
 	return nil
 }
 
+// reserveNear reserves the turn in its program's cell, or in another region's if that one has
+// just lost its quorum.
+func (s *Server) reserveNear(ctx context.Context, t *turn, asked ledger.Reserve) (*quorum.Reservation, error) {
+	program := t.header.Get(s.dialect.Program)
+	if len(s.replicas.OfAllRegions(program)) < 2 {
+		return t.cell.Reserve(ctx, asked)
+	}
+	near, cancel := context.WithTimeout(ctx, nearTimeout)
+	defer cancel()
+	reservation, err := t.cell.Reserve(near, asked)
+	if err == nil {
+		return reservation, nil
+	}
+	other := s.replicas.Instead(t.cell, program, t.homes())
+	if other == nil {
+		return t.cell.Reserve(ctx, asked)
+	}
+	s.log.Info().Str("event", "turn_kept_elsewhere").Str("id", t.id).Str("program", program).Msg("")
+	t.cell, t.everywhere = other, true // the charge may be recorded in the first cell
+	return t.cell.Reserve(ctx, asked)
+}
+
 // reserveBudget lets the turn run if the program's budget holds it: by the own region's share
 // alone, or by the charges of all regions.
 func (s *Server) reserveBudget(ctx context.Context, t *turn, asked ledger.Reserve) *refusal {
@@ -95,7 +122,7 @@
 		t.outcome.others = t.reservation.Others
 		grant = escrow.InEveryRegion(t.reservation.Others)
 	}
-	s.metrics.escrow(grant, t.everywhere)
+	s.metrics.escrow(grant, t.outcome.everywhere)
 	if grant == quorum.Exhausted {
 		return &refusal{status: http.StatusPaymentRequired, code: verdict.CodeBudgetExhausted, reason: "the program's budget holds no further turn"}
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -22,8 +22,8 @@
 	previous    string
 	input       []byte
 	reservation *quorum.Reservation
-	// cell keeps the program's turns and charges; everywhere is set once the charge is in
-	// the cells of other regions as well.
+	// cell keeps the program's turns and charges; everywhere is set once the charge may be
+	// in the cells of other regions as well.
 	cell       *quorum.Client
 	everywhere bool
 	// parts are the parts of the prompt.
--- a/internal/quorum/budget.go
+++ b/internal/quorum/budget.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"time"
 
 	"swiftbank.dev/swiftbank/internal/ledger"
 )
@@ -10,10 +11,16 @@
 // ReserveElsewhere reserves an accepted reservation's charge in the program's cells of the
 // other regions as well, and makes Others the sum over all regions. From then on the
 // reservation is durable once it is so in all of them. After an error the charge may be
-// recorded in some: Settle it everywhere.
+// recorded in some: Settle it everywhere. It fails at once if a region's cell is known to have
+// no quorum.
 func (c *Cells) ReserveElsewhere(ctx context.Context, r *Reservation, asked ledger.Reserve) error {
 	asked.History = ""
 	others := c.otherRegions(asked.Program, r.client)
+	for _, client := range others {
+		if !client.serves(time.Now()) {
+			return ErrNoQuorum
+		}
+	}
 	reservations := make([]*Reservation, len(others))
 	failed := make(chan error, len(others))
 	for place, client := range others {
--- a/internal/quorum/cells.go
+++ b/internal/quorum/cells.go
@@ -142,6 +142,24 @@
 	return first
 }
 
+// Instead returns the program's cell of another region within the homes for a cell that has no
+// quorum in reach at this moment, or nil if it has, or there is no other.
+func (c *Cells) Instead(of *Client, program string, homes place.Homes) *Client {
+	now := time.Now()
+	if of.reaches(now) {
+		return nil
+	}
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	for _, region := range c.regions() {
+		client := c.inRegion(program, region)
+		if client != of && homes.Allow(region) && client.serves(now) {
+			return client
+		}
+	}
+	return nil
+}
+
 // regions returns the regions that have cells, by name. The caller holds the lock.
 func (c *Cells) regions() []string {
 	return slices.Compact(slices.Sorted(slices.Values(c.layout.Regions)))
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -132,7 +132,7 @@
 			return present
 		}
 	}
-	fresh := &replicaLink{client: c, node: node}
+	fresh := &replicaLink{client: c, node: node, zone: node.Zone}
 	if !c.onDemand {
 		fresh.open(time.Now())
 	}
--- a/internal/quorum/link.go
+++ b/internal/quorum/link.go
@@ -14,8 +14,10 @@
 type replicaLink struct {
 	client *Client
 	node   replicaset.Node
-	link   *peer.Link[ledger.Request, ledger.Reply]
-	up     bool
+	// zone is the node's, and never changes: it is read without the lock.
+	zone string
+	link *peer.Link[ledger.Request, ledger.Reply]
+	up   bool
 	// unansweredSince is when the oldest request was sent that no reply has followed;
 	// zero while there is none.
 	unansweredSince time.Time
@@ -86,7 +88,7 @@
 		return
 	}
 	r.close()
-	c.replicas[place] = &replicaLink{client: c, node: r.node}
+	c.replicas[place] = &replicaLink{client: c, node: r.node, zone: r.zone}
 }
 
 // close ends the connection for good.
@@ -108,7 +110,7 @@
 
 // Sent implements peer.SentCounter.
 func (r *replicaLink) Sent(_ net.Addr, request ledger.Request, bytes int) {
-	r.client.traffic.SentToZone(request.Kind(), r.node.Zone, bytes)
+	r.client.traffic.SentToZone(request.Kind(), r.zone, bytes)
 }
 
 // LinkUp implements peer.Handler: it repeats what this replica has not answered.
--- a/internal/quorum/reach.go
+++ b/internal/quorum/reach.go
@@ -7,6 +7,10 @@
 	// go to another region's: a restart of a replica is over, or a lost connection made anew,
 	// within it.
 	quorumLostAfter = 300 * time.Millisecond
+	// silentAfter is how long a connected replica may leave all requests without any reply
+	// before it counts as out of reach. One that is merely slow goes on replying; the end of a
+	// connection to a machine without power is seen after 1.5 s only.
+	silentAfter = 500 * time.Millisecond
 	// relayedLife is how long a replica counts as connected after an answer by another
 	// gateway: a gateway that is cut from its region's replicas keeps to them by that way.
 	relayedLife = 2 * time.Second
@@ -47,9 +51,7 @@
 func (c *Client) serves(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	enough := c.quorumOf(func(r *replicaLink) bool {
-		return r.up || r.opening(now) || now.Sub(r.relayedAt) < relayedLife
-	})
+	enough := c.reachesLocked(now)
 	serves, changed := c.reach.observe(now, enough)
 	if changed {
 		c.log.Warn().Str("event", "quorum_reach_changed").Int("cell", c.cell).Bool("lost", !serves).Uint64("epoch", c.set.Epoch).Msg("")
@@ -57,6 +59,19 @@
 	return serves
 }
 
+// reaches reports whether a quorum is in reach at this moment, or was not tried.
+func (c *Client) reaches(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reachesLocked(now)
+}
+
+func (c *Client) reachesLocked(now time.Time) bool {
+	return c.quorumOf(func(r *replicaLink) bool {
+		return r.up && !r.silent(now) || r.opening(now) || now.Sub(r.relayedAt) < relayedLife
+	})
+}
+
 // quorumOf reports whether a quorum of voters meets a condition. The caller holds the lock.
 func (c *Client) quorumOf(met func(*replicaLink) bool) bool {
 	count := 0
@@ -67,3 +82,8 @@
 	}
 	return len(c.set.Voters) > 0 && count >= c.set.Quorum()
 }
+
+// silent reports whether the replica has left requests without any reply for long.
+func (r *replicaLink) silent(now time.Time) bool {
+	return !r.unansweredSince.IsZero() && now.Sub(r.unansweredSince) > silentAfter
+}
--- a/internal/quorum/regions_test.go
+++ b/internal/quorum/regions_test.go
@@ -87,8 +87,12 @@
 // from any disk, and the escrow holds the budgets.
 func TestARegionWithoutAQuorumIsServedByAnother(t *testing.T) {
 	f := startRegions(t)
-	require.Eventually(t, f.inEast.clients()[0].Ready, 20*time.Second, time.Millisecond)
+	near := f.inEast.clients()[0]
+	require.Eventually(t, near.Ready, 20*time.Second, time.Millisecond)
+	require.Nil(t, f.inEast.Instead(near, "p", place.Homes{}), "it has a quorum")
 	f.east.server.Close()
+	require.Eventually(t, func() bool { return f.inEast.Instead(near, "p", place.Homes{}) != nil }, 20*time.Second, time.Millisecond)
+	require.Nil(t, f.inEast.Instead(near, "p", place.HomesOf([]string{"east"})))
 	require.Eventually(t, func() bool { return regionOf(f.inEast, place.Homes{}) == "west" }, 20*time.Second, 5*time.Millisecond)
 	require.Equal(t, "east", regionOf(f.inEast, place.HomesOf([]string{"east"})), "not beyond the homes")
 	reserveIn(t, f.inEast, "east-1")
@@ -96,6 +100,20 @@
 	require.Eventually(t, func() bool { return regionOf(f.inEast, place.Homes{}) == "east" }, 20*time.Second, 5*time.Millisecond)
 }
 
+func TestASilentReplicaIsOutOfReach(t *testing.T) {
+	f := startRegions(t)
+	near := f.inEast.clients()[0]
+	require.Eventually(t, near.Ready, 20*time.Second, time.Millisecond)
+	now := time.Now()
+	near.mu.Lock()
+	near.replicas[0].unansweredSince = now
+	near.mu.Unlock()
+	require.True(t, near.serves(now.Add(silentAfter)))
+	require.True(t, near.serves(now.Add(silentAfter+time.Millisecond)), "for a while")
+	require.False(t, near.serves(now.Add(2*silentAfter+quorumLostAfter)))
+	require.True(t, near.Ready(), "the connection stands")
+}
+
 func TestRelaysStayInTheirRegion(t *testing.T) {
 	places := place.Map{"e": "east", "w": "west", "n": "north"}
 	nodes := map[string]replicaset.Node{
@@ -140,6 +158,9 @@
 	f.west.server.Close()
 	reservation, asked := reserveIn(t, f.inEast, "east-1")
 	require.ErrorIs(t, f.inEast.ReserveElsewhere(limited(t, 300*time.Millisecond), reservation, asked), ErrNoQuorum)
+	remote := f.inEast.clients()[1]
+	require.Eventually(t, func() bool { return !remote.serves(time.Now()) }, 20*time.Second, 5*time.Millisecond)
+	require.ErrorIs(t, f.inEast.ReserveElsewhere(context.Background(), reservation, asked), ErrNoQuorum, "at once")
 }
 
 func TestDurableIsSoInEveryRegion(t *testing.T) {
