--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -31,6 +31,20 @@
 	proxied bool
 	// quotaSlack is how many requests a tenant's count may exceed its limit by.
 	quotaSlack int
+	// regions maps the zones to regions; nil names none.
+	regions map[string]string
+}
+
+// regionSettings returns the settings that name the regions.
+func (l fleetLayout) regionSettings() string {
+	if l.regions == nil {
+		return ""
+	}
+	settings := "zones:\n"
+	for zone, region := range l.regions {
+		settings += fmt.Sprintf("  %s: %s\n", zone, region)
+	}
+	return settings
 }
 
 // fleet is gateways and replicas as processes before the platform's stand-ins.
@@ -178,14 +192,14 @@
 	peer, metrics := addresses[0], addresses[1]
 	m := &member{name: name, verb: "replica", address: peer, metrics: metrics, copies: addresses[2], data: f.t.TempDir()}
 	m.settings = f.write(name, fmt.Sprintf("node: %s\nzone: %s\npeerAddress: %s\nmetricsAddress: %s\nmemoryMB: 256\ngrace: 5s\ntolerateMachines: 1\ndataFolder: %s\ndiskMB: 64\ncopyAddress: %s\nquotaSlack: %d\n",
-		name, zone, peer, metrics, m.data, m.copies, f.layout.quotaSlack)+f.throughProxies(m, peer))
+		name, zone, peer, metrics, m.data, m.copies, f.layout.quotaSlack)+f.throughProxies(m, peer)+f.layout.regionSettings())
 	return m
 }
 
 func (f *fleet) newGateway(name, zone string, addresses []string) *member {
 	m := &member{name: name, verb: "gateway", address: addresses[0], ready: addresses[1], metrics: addresses[3]}
 	m.settings = f.write(name, fmt.Sprintf("node: %s\nzone: %s\ncallerAddress: %s\nreadyAddress: %s\npeerAddress: %s\nmetricsAddress: %s\nmemoryMB: 256\ngrace: 8s\ntolerateMachines: 1\n",
-		name, zone, addresses[0], addresses[1], addresses[2], addresses[3])+f.throughProxies(m, addresses[2]))
+		name, zone, addresses[0], addresses[1], addresses[2], addresses[3])+f.throughProxies(m, addresses[2])+f.layout.regionSettings())
 	return m
 }
 
