--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -6,12 +6,14 @@
 	"encoding/gob"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc"
 
 	"swiftbank.dev/swiftbank/internal/backend"
@@ -132,8 +134,14 @@
 				distant[node.Zone] = &rotation{}
 			}
 			distant[node.Zone].addresses = append(distant[node.Zone].addresses, address)
+			// It has a turn among the others that sends nothing: without, those of the own
+			// region would be told more often than their decisions need.
+			remotes = append(remotes, nil)
 		}
 	}
+	if len(distant) > 0 {
+		g.spread(remotes)
+	}
 	g.others.Store(int64(others))
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -141,6 +149,13 @@
 	g.distant, g.speaks = distant, rank < speakers
 }
 
+// spread puts the turns that send nothing between the others, in an order of this gateway's
+// own: gateways that are all silent at the same time would be believed to have no load.
+func (g *Gossip) spread(remotes []net.Addr) {
+	random := rand.New(rand.NewPCG(xxhash.Sum64String(g.node), uint64(len(remotes))))
+	random.Shuffle(len(remotes), func(i, j int) { remotes[i], remotes[j] = remotes[j], remotes[i] })
+}
+
 // Run sends and receives until the context ends.
 func (g *Gossip) Run(ctx context.Context, address string) error {
 	var config net.ListenConfig
@@ -217,6 +232,9 @@
 		return
 	}
 	for _, peer := range peers {
+		if peer == nil {
+			continue
+		}
 		if sent, err := socket.WriteTo(message.Bytes(), peer); err == nil {
 			g.traffic.SentTo("load", peer, sent)
 		}
--- a/internal/gateway/gossip_test.go
+++ b/internal/gateway/gossip_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -83,7 +84,9 @@
 		g := gossipOf(name, node.Zone)
 		g.places = places
 		g.SetGateways(nodes)
-		require.Len(t, g.remotes.addresses, 10, "the region's other zone")
+		told := slices.DeleteFunc(slices.Clone(g.remotes.addresses), func(a net.Addr) bool { return a == nil })
+		require.Len(t, told, 10, "the region's other zone")
+		require.Len(t, g.remotes.addresses, 30, "as often as among all zones")
 		if reached := g.takeDistant(); len(reached) > 0 {
 			speaking++
 			require.Len(t, reached, 2, "one in each zone of the other region")
