--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -17,6 +17,7 @@
 	"swiftbank.dev/swiftbank/internal/registry"
 	"swiftbank.dev/swiftbank/internal/replicaset"
 	"swiftbank.dev/swiftbank/internal/settings"
+	"swiftbank.dev/swiftbank/internal/traffic"
 	"swiftbank.dev/swiftbank/platform"
 )
 
@@ -59,21 +60,23 @@
 	directory := backend.NewDirectory(config.Zone)
 	directory.SeedWith(config.Node)
 	directory.UsePlaces(config.Places())
-	replicas := quorum.NewCells(life, config.Zone, process.log)
-	relays := quorum.NewRelays(life, config.Node, config.Zone, process.log, metrics.Relayed)
+	replicas := quorum.NewCells(life, config.Zone, config.Places(), process.log)
+	relays := quorum.NewRelays(life, config.Node, config.Zone, config.Places(), process.log, metrics.Relayed)
 	replicas.UseRelays(relays)
+	sent := traffic.NewCounter(config.Node, config.Zone, config.Places(), metrics.Registry)
+	replicas.CountTraffic(sent)
 	server := gateway.New(gateway.Options{
 		Node: config.Node, Zone: config.Zone, Dialect: platform.Dialect(), Directory: directory, Replicas: replicas,
 		Log: process.log, Metrics: metrics, Copies: config.TolerateMachines + 1,
 		Evacuations: config.EvacuationLimit > 0,
 		ColdStarts:  coldstart.Policy{Overage: config.ColdOverage, Slack: config.ColdSlack},
 	})
-	gossip := gateway.NewGossip(config.Node, config.Zone, directory)
+	gossip := gateway.NewGossip(config.Node, config.Zone, config.Places(), directory, sent)
 	store := platform.NewStore(config.StoreAddress, metrics.StoreCall, process.storeCallFailed)
 	knowledge := feed.NewNode(feed.Options{
-		Node: config.Node, Zone: config.Zone, Role: replicaset.RoleGateway, Seeds: config.Seeds, FirstStart: config.FirstStart, Store: store,
-		Evacuations: config.EvacuationLimit > 0,
-		Metrics:     metrics, Log: process.log, StoreFailed: process.storeCallFailed,
+		Node: config.Node, Zone: config.Zone, Places: config.Places(), Role: replicaset.RoleGateway, Seeds: config.Seeds, FirstStart: config.FirstStart, Store: store,
+		Metrics: metrics, Traffic: sent, Log: process.log, StoreFailed: process.storeCallFailed,
+		Evacuations:  config.EvacuationLimit > 0,
 		StoreContact: func(err error) { process.contact("store", err) },
 		Handlers: feed.Handlers{
 			Status: server.KnowledgeChanged, Configuration: server.ConfigurationChanged, Instances: server.InstancesChanged,
--- a/internal/e2e/places_test.go
+++ b/internal/e2e/places_test.go
@@ -15,8 +15,8 @@
 	"swiftbank.dev/swiftbank/platform/platformtest"
 )
 
-// placesSettings put the first zone of two into one region and the second into another one.
-var placesSettings = fmt.Sprintf("evacuationLimit: 5s\nzones:\n  %s: north\n  %s: south\n", zones[0], zones[1])
+// placesSettings put the first zone into one region and the others into another one.
+var placesSettings = fmt.Sprintf("evacuationLimit: 5s\nzones:\n  %s: north\n  %s: south\n  %s: south\n", zones[0], zones[1], zones[2])
 
 // TestPlaces evacuates zones and limits a route to a region, on processes whose two engines
 // and two applications stand in two zones of two regions.
--- a/internal/feed/node.go
+++ b/internal/feed/node.go
@@ -13,9 +13,11 @@
 
 	"swiftbank.dev/swiftbank/internal/backend"
 	"swiftbank.dev/swiftbank/internal/peer"
+	"swiftbank.dev/swiftbank/internal/place"
 	"swiftbank.dev/swiftbank/internal/registry"
 	"swiftbank.dev/swiftbank/internal/replicaset"
 	"swiftbank.dev/swiftbank/internal/route"
+	"swiftbank.dev/swiftbank/internal/traffic"
 	"swiftbank.dev/swiftbank/internal/wait"
 )
 
@@ -88,8 +90,9 @@
 
 // Options are what a Node is made of.
 type Options struct {
-	Node string
-	Zone string
+	Node   string
+	Zone   string
+	Places place.Map
 	// Role is replicaset.RoleReplica or replicaset.RoleGateway.
 	Role string
 	// FirstStart says that the whole fleet starts for the first time.
@@ -102,7 +105,9 @@
 	Store    Store
 	Handlers Handlers
 	Metrics  Metrics
-	Log      *log.Logger
+	// Traffic counts what is sent to processes that follow this one.
+	Traffic *traffic.Counter
+	Log     *log.Logger
 	// StoreContact is told that the store is lost to this process while it reads it, or
 	// reached again; StoreFailed of each call to the store that failed.
 	StoreContact func(err error)
@@ -139,8 +144,9 @@
 	return &Node{
 		options: options, log: options.Log,
 		core: NewCore[asker](CoreOptions{
-			Node: options.Node, Zone: options.Zone, Role: options.Role, Seeds: options.Seeds, Evacuations: options.Evacuations,
-			ReadAfter: readAfter(options.Role, options.FirstStart),
+			Node: options.Node, Zone: options.Zone, Places: options.Places, Role: options.Role, Seeds: options.Seeds,
+			Evacuations: options.Evacuations,
+			ReadAfter:   readAfter(options.Role, options.FirstStart),
 		}),
 		wakeFollow: make(chan struct{}, 1), wakeRead: make(chan struct{}, 1),
 		stopFollow: func() {}, stopRead: func() {},
@@ -299,6 +305,7 @@
 
 func (n *Node) serve(ctx context.Context, listener net.Listener) {
 	server := peer.NewServer(listener, n.asked)
+	server.CountSent(func(to net.Addr, _ Reply, bytes int) { n.options.Traffic.SentTo("feed", to, bytes) })
 	stop := context.AfterFunc(ctx, server.Close)
 	defer stop()
 	server.Run()
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -6,16 +6,20 @@
 	"encoding/gob"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc"
 
 	"swiftbank.dev/swiftbank/internal/backend"
+	"swiftbank.dev/swiftbank/internal/place"
 	"swiftbank.dev/swiftbank/internal/replicaset"
+	"swiftbank.dev/swiftbank/internal/traffic"
 )
 
 const (
@@ -23,11 +27,17 @@
 	// changed; gossipRefresh is when it does so anyway.
 	gossipInterval = 50 * time.Millisecond
 	gossipRefresh  = 500 * time.Millisecond
-	// neighbourFanout and remoteFanout bound the gateways of the own zone and of other
-	// zones that hear of it each time; the others hear the next ones. So a gateway sends
+	// neighbourFanout and remoteFanout bound the gateways of the own zone and of the region's
+	// other zones that hear of it each time; the others hear the next ones. So a gateway sends
 	// at most 60 datagrams a second, however many gateways there are.
 	neighbourFanout = 2
 	remoteFanout    = 1
+	// distantInterval is how often a zone is told of in each zone of other regions, where its
+	// load matters to a program that must leave its own region; speakers is how many gateways
+	// of the zone do so, for one may be cut off. Over a link that all regions share, a report
+	// to any gateway by any other would cost more than all turns do.
+	distantInterval = 500 * time.Millisecond
+	speakers        = 2
 	// datagramBytes bounds one datagram.
 	datagramBytes = 60 << 10
 )
@@ -40,6 +50,8 @@
 	// Zone is set in a report of a whole zone.
 	Zone  string
 	Loads map[string]int
+	// Passed is set in a report of another region that a neighbour hands on.
+	Passed bool
 }
 
 // Gossip shares the load that each gateway puts on the instances, so that gateways
@@ -47,7 +59,9 @@
 type Gossip struct {
 	node      string
 	zone      string
+	places    place.Map
 	directory *backend.Directory
+	traffic   *traffic.Counter
 
 	// heardAt is when a report last came, since started; others is how many gateways
 	// there are besides this one.
@@ -58,6 +72,10 @@
 	mu         sync.Mutex
 	neighbours rotation
 	remotes    rotation
+	// distant holds the gateways of each zone of other regions; speaks is set on the
+	// gateways that report there.
+	distant map[string]*rotation
+	speaks  bool
 }
 
 // gossipTimeout is how long no gateway may be heard of before all are out of reach:
@@ -87,28 +105,55 @@
 }
 
 // NewGossip returns the gossip of a gateway.
-func NewGossip(node, zone string, directory *backend.Directory) *Gossip {
-	return &Gossip{node: node, zone: zone, directory: directory, started: time.Now()}
+func NewGossip(node, zone string, places place.Map, directory *backend.Directory, counter *traffic.Counter) *Gossip {
+	return &Gossip{node: node, zone: zone, places: places, directory: directory, traffic: counter, started: time.Now()}
 }
 
 // SetGateways replaces the other gateways by those that the registry lists.
 func (g *Gossip) SetGateways(nodes map[string]replicaset.Node) {
 	var neighbours, remotes []net.Addr
+	distant := map[string]*rotation{}
+	others, rank := 0, 0
 	for _, name := range slices.Sorted(maps.Keys(nodes)) {
 		node := nodes[name]
 		address, err := net.ResolveUDPAddr("udp", node.Address)
-		switch {
-		case err != nil || name == g.node:
-		case node.Zone == g.zone:
+		if err != nil || name == g.node {
+			continue
+		}
+		others++
+		switch g.places.Distance(g.zone, node.Zone) {
+		case place.SameZone:
 			neighbours = append(neighbours, address)
-		default:
+			if name < g.node {
+				rank++
+			}
+		case place.SameRegion:
 			remotes = append(remotes, address)
+		default:
+			if distant[node.Zone] == nil {
+				distant[node.Zone] = &rotation{}
+			}
+			distant[node.Zone].addresses = append(distant[node.Zone].addresses, address)
+			// It has a turn among the others that sends nothing: without, those of the own
+			// region would be told more often than their decisions need.
+			remotes = append(remotes, nil)
 		}
 	}
-	g.others.Store(int64(len(neighbours) + len(remotes)))
+	if len(distant) > 0 {
+		g.spread(remotes)
+	}
+	g.others.Store(int64(others))
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.neighbours.addresses, g.remotes.addresses = neighbours, remotes
-	g.mu.Unlock()
+	g.distant, g.speaks = distant, rank < speakers
+}
+
+// spread puts the turns that send nothing between the others, in an order of this gateway's
+// own: gateways that are all silent at the same time would be believed to have no load.
+func (g *Gossip) spread(remotes []net.Addr) {
+	random := rand.New(rand.NewPCG(xxhash.Sum64String(g.node), uint64(len(remotes))))
+	random.Shuffle(len(remotes), func(i, j int) { remotes[i], remotes[j] = remotes[j], remotes[i] })
 }
 
 // Run sends and receives until the context ends.
@@ -130,12 +175,16 @@
 	ticker := time.NewTicker(gossipInterval)
 	defer ticker.Stop()
 	var last map[string]int
-	var sentAt time.Time
+	var sentAt, distantAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
+			if now.Sub(distantAt) >= distantInterval {
+				distantAt = now
+				g.sendTo(socket, g.takeDistant(), loadReport{Gateway: g.node, Zone: g.zone, Loads: g.directory.ZoneLoads()})
+			}
 			loads := g.directory.Loads()
 			if maps.Equal(loads, last) && now.Sub(sentAt) < gossipRefresh {
 				continue
@@ -144,19 +193,51 @@
 			g.mu.Lock()
 			neighbours, remotes := g.neighbours.take(neighbourFanout), g.remotes.take(remoteFanout)
 			g.mu.Unlock()
-			sendTo(socket, neighbours, loadReport{Gateway: g.node, Loads: loads})
-			sendTo(socket, remotes, loadReport{Gateway: g.node, Zone: g.zone, Loads: g.directory.ZoneLoads()})
+			g.sendTo(socket, neighbours, loadReport{Gateway: g.node, Loads: loads})
+			g.sendTo(socket, remotes, loadReport{Gateway: g.node, Zone: g.zone, Loads: g.directory.ZoneLoads()})
 		}
 	}
 }
 
-func sendTo(socket net.PacketConn, peers []net.Addr, report loadReport) {
+// takeDistant returns one gateway of each zone of other regions, if this one reports there.
+func (g *Gossip) takeDistant() []net.Addr {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.speaks {
+		return nil
+	}
+	var taken []net.Addr
+	for _, zone := range slices.Sorted(maps.Keys(g.distant)) {
+		taken = append(taken, g.distant[zone].take(1)...)
+	}
+	return taken
+}
+
+// passOn hands a report of another region to all gateways of the own zone: one of them was
+// told for all.
+func (g *Gossip) passOn(socket net.PacketConn, report loadReport) {
+	if report.Passed || report.Zone == "" || g.places.Distance(g.zone, report.Zone) != place.OtherRegion {
+		return
+	}
+	g.mu.Lock()
+	neighbours := slices.Clone(g.neighbours.addresses)
+	g.mu.Unlock()
+	report.Passed = true
+	g.sendTo(socket, neighbours, report)
+}
+
+func (g *Gossip) sendTo(socket net.PacketConn, peers []net.Addr, report loadReport) {
 	var message bytes.Buffer
 	if len(peers) == 0 || gob.NewEncoder(&message).Encode(report) != nil {
 		return
 	}
 	for _, peer := range peers {
-		_, _ = socket.WriteTo(message.Bytes(), peer)
+		if peer == nil {
+			continue
+		}
+		if sent, err := socket.WriteTo(message.Bytes(), peer); err == nil {
+			g.traffic.SentTo("load", peer, sent)
+		}
 	}
 }
 
@@ -173,6 +254,7 @@
 		var report loadReport
 		if gob.NewDecoder(bytes.NewReader(buffer[:size])).Decode(&report) == nil {
 			g.take(time.Now(), report)
+			g.passOn(socket, report)
 		}
 	}
 }
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -80,7 +80,7 @@
 // down must neither make each such request wait for it nor hide when there is credit again.
 func (s *Server) borrow(ctx context.Context, r *request) *refusal {
 	name := r.tenant.Name
-	cell := s.replicas.Of(name)
+	cell := s.replicas.OfTenant(name)
 	if cell == nil {
 		return refuseFor(verdict.CodeUnavailable, replicaRetry, "no replicas are known yet")
 	}
@@ -113,7 +113,7 @@
 }
 
 func (s *Server) askLender(ctx context.Context, cell *quorum.Client, name string, asked quota.Borrow) (quota.Loan, error) {
-	ctx, cancel := context.WithTimeout(ctx, lenderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, lenderTimeout+cell.ConnectAllowance())
 	defer cancel()
 	return cell.Borrow(ctx, name, asked)
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"swiftbank.dev/swiftbank/internal/quorum"
 )
 
 // Metrics are a gateway's counters in the Prometheus format.
@@ -27,6 +29,7 @@
 	coldSends    prometheus.Counter
 	coldWithheld prometheus.Counter
 	feedReading  prometheus.Gauge
+	budgets      *prometheus.CounterVec
 }
 
 // NewMetrics registers a gateway's metrics.
@@ -60,6 +63,13 @@
 	}
 	m.feedAge = prometheus.NewGauge(prometheus.GaugeOpts{Name: "swiftbank_feed_age_seconds", Help: "Age of what is known of the shared store.", ConstLabels: labels})
 	m.feedReading = prometheus.NewGauge(prometheus.GaugeOpts{Name: "swiftbank_feed_reading", Help: "1 while this process reads the shared store itself.", ConstLabels: labels})
+	m.budgets = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "swiftbank_budget_decisions_total", Help: "Turns checked against their program's budget, by the regions asked and the outcome.", ConstLabels: labels,
+	}, []string{"asked", "grant"})
+	m.Registry.MustRegister(m.budgets)
+	// A rate needs both from the start.
+	m.budgets.WithLabelValues(askedOwnRegion, quorum.Granted.String())
+	m.budgets.WithLabelValues(askedEveryRegion, quorum.Granted.String())
 	m.evacuated = prometheus.NewGauge(prometheus.GaugeOpts{Name: "swiftbank_evacuated_zones", Help: "Zones whose instances get nothing further.", ConstLabels: labels})
 	m.Registry.MustRegister(m.evacuated, m.feedAge, m.feedReading, m.requests, m.latency, m.reserve, m.commit, m.connections, m.sends, m.relayed, m.store)
 	m.addCold(labels)
@@ -94,6 +104,21 @@
 // Relayed counts a request to a replica that was sent by another gateway.
 func (m *Metrics) Relayed() { m.relayed.Inc() }
 
+// The regions asked for a decision on a turn's budget, as metrics name them.
+const (
+	askedOwnRegion   = "own_region"
+	askedEveryRegion = "every_region"
+)
+
+// escrow counts a decision on a turn's budget.
+func (m *Metrics) escrow(grant quorum.Grant, everywhere bool) {
+	asked := askedOwnRegion
+	if everywhere {
+		asked = askedEveryRegion
+	}
+	m.budgets.WithLabelValues(asked, grant.String()).Inc()
+}
+
 func (m *Metrics) request(o *outcome, took time.Duration) {
 	m.requests.WithLabelValues(strconv.Itoa(o.status), o.result).Inc()
 	m.latency.WithLabelValues(o.result).Observe(took.Seconds())
--- a/internal/quorum/firstasked.go
+++ b/internal/quorum/firstasked.go
@@ -76,3 +76,13 @@
 		}
 	}
 }
+
+// askFor makes sure that an operation goes to so many voters at least, as far as there are so
+// many.
+func (c *Client) askFor(pending *operation, copies int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if copies > c.set.Quorum() {
+		c.widen(pending)
+	}
+}
--- a/internal/quorum/firstasked_test.go
+++ b/internal/quorum/firstasked_test.go
@@ -52,7 +52,7 @@
 	for _, turn := range []string{"t1", "t2", "t3"} {
 		reservation, err := client.Reserve(t.Context(), ledger.Reserve{Program: turn, Charge: ledger.Charge{Turn: turn, Tokens: 5}})
 		require.NoError(t, err)
-		require.NoError(t, reservation.Durable(t.Context()))
+		require.NoError(t, reservation.Durable(t.Context(), 1))
 		reservation.End()
 		require.Equal(t, 3, holders(turn, replicas))
 		require.NotEmpty(t, replicas[0].charges(turn), "the own zone is among them")
@@ -66,7 +66,7 @@
 	reservation, err := client.Reserve(t.Context(), ledger.Reserve{Program: "p", Charge: ledger.Charge{Turn: "t", Tokens: 5}})
 	require.NoError(t, err)
 	defer reservation.End()
-	require.NoError(t, reservation.Durable(t.Context()))
+	require.NoError(t, reservation.Durable(t.Context(), 1))
 	require.Equal(t, 4, holders("p", replicas[1:]), "all others were asked")
 }
 
--- a/internal/quorum/forward.go
+++ b/internal/quorum/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/ledger"
@@ -31,6 +32,7 @@
 		return err
 	}
 	server := peer.NewServer(listener, c.Forward)
+	server.CountSent(func(to net.Addr, _ RelayReply, bytes int) { c.traffic.SentTo("relay_reply", to, bytes) })
 	stop := context.AfterFunc(ctx, server.Close)
 	defer stop()
 	server.Run()
@@ -63,7 +65,8 @@
 		if replica.node.Name != request.Replica {
 			continue
 		}
-		if !c.responsive(now, replica) || !c.roomToForward(now) {
+		replica.open(now)
+		if !replica.up || !c.responsive(now, replica) || !c.roomToForward(now) {
 			return false
 		}
 		c.number++
@@ -71,7 +74,7 @@
 		passed := request.Request
 		passed.Number = c.number
 		replica.expect(now)
-		return replica.link.Send(passed)
+		return replica.send(passed)
 	}
 	return false
 }
--- a/internal/quorum/link.go
+++ b/internal/quorum/link.go
@@ -1,6 +1,8 @@
 package quorum
 
 import (
+	"net"
+	"slices"
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/ledger"
@@ -12,22 +14,105 @@
 type replicaLink struct {
 	client *Client
 	node   replicaset.Node
-	link   *peer.Link[ledger.Request, ledger.Reply]
-	up     bool
+	// zone is the node's, and never changes: it is read without the lock.
+	zone string
+	link *peer.Link[ledger.Request, ledger.Reply]
+	up   bool
 	// unansweredSince is when the oldest request was sent that no reply has followed;
 	// zero while there is none.
 	unansweredSince time.Time
 	// relaying is set while requests go by another gateway.
 	relaying bool
+	// relayedAt is when an answer last came by another gateway.
+	relayedAt time.Time
+	// openedAt is when the connection was last asked for, usedAt when a request last was.
+	openedAt, usedAt time.Time
+	// idle closes a connection on demand.
+	idle *time.Timer
 }
 
-// expect notes that a request was sent. The client's lock is held.
+const (
+	// connectAllowance is how long a new connection to a replica may take before the replica
+	// counts as out of reach: two round trips between distant regions.
+	connectAllowance = 150 * time.Millisecond
+	// onDemandIdle is how long a connection on demand stays without use. Programs beyond
+	// their region's share come every few seconds, and opening costs a round trip.
+	onDemandIdle = 10 * time.Second
+)
+
+// ConnectAllowance is how much longer an answer of the cell may take because a connection is
+// opened for the request: zero where connections are kept.
+func (c *Client) ConnectAllowance() time.Duration {
+	if c.onDemand {
+		return connectAllowance
+	}
+	return 0
+}
+
+// open asks for the connection if there is none. The client's lock is held, as for all
+// methods here but those of peer.Handler.
+func (r *replicaLink) open(now time.Time) {
+	r.usedAt = now
+	if r.link != nil {
+		return
+	}
+	r.openedAt = now
+	r.link = peer.NewLink[ledger.Request, ledger.Reply](r.client.context, r.node.Address, r)
+	if r.client.onDemand {
+		r.idle = time.AfterFunc(onDemandIdle, r.closeIdle)
+	}
+}
+
+// opening reports whether the replica may yet be reached: it was not tried, or just now.
+func (r *replicaLink) opening(now time.Time) bool {
+	return r.client.onDemand && !r.up && (r.link == nil || now.Sub(r.openedAt) <= connectAllowance)
+}
+
+// send reports whether the message was queued on a connection.
+func (r *replicaLink) send(request ledger.Request) bool {
+	return r.link != nil && r.link.Send(request)
+}
+
+// closeIdle closes a connection on demand that was not used for a while. Another link takes
+// this one's place, for this one may yet hear of its connection's end.
+func (r *replicaLink) closeIdle() {
+	c := r.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	place := slices.Index(c.replicas, r)
+	if place < 0 {
+		return
+	}
+	if rest := time.Until(r.usedAt.Add(onDemandIdle)); rest > 0 {
+		r.idle.Reset(rest)
+		return
+	}
+	r.close()
+	c.replicas[place] = &replicaLink{client: c, node: r.node, zone: r.zone}
+}
+
+// close ends the connection for good.
+func (r *replicaLink) close() {
+	if r.idle != nil {
+		r.idle.Stop()
+	}
+	if r.link != nil {
+		r.link.Abandon()
+	}
+}
+
+// expect notes that a request was sent.
 func (r *replicaLink) expect(now time.Time) {
 	if r.unansweredSince.IsZero() {
 		r.unansweredSince = now
 	}
 }
 
+// Sent implements peer.SentCounter.
+func (r *replicaLink) Sent(_ net.Addr, request ledger.Request, bytes int) {
+	r.client.traffic.SentToZone(request.Kind(), r.zone, bytes)
+}
+
 // LinkUp implements peer.Handler: it repeats what this replica has not answered.
 func (r *replicaLink) LinkUp() {
 	c := r.client
@@ -37,7 +122,7 @@
 	r.unansweredSince = time.Time{}
 	c.log.Info().Str("event", "dependency_regained").Str("dependency", "replica").Str("peer", r.node.Name).Msg("")
 	if c.set.Epoch > 0 {
-		r.link.Send(ledger.Request{Adopt: &ledger.Adopt{Set: c.set}})
+		r.send(ledger.Request{Adopt: &ledger.Adopt{Set: c.set}})
 	}
 	for _, pending := range c.operations {
 		pending.resent = true
--- /dev/null
+++ b/internal/quorum/regions_test.go
@@ -0,0 +1,204 @@
+package quorum
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"swiftbank.dev/swiftbank/internal/ledger"
+	"swiftbank.dev/swiftbank/internal/place"
+	"swiftbank.dev/swiftbank/internal/replicaset"
+)
+
+// regionFleet is one replica in each of two regions, with the cells as gateways of both
+// regions, and of a third one without replicas, know them.
+type regionFleet struct {
+	east, west              *standReplica
+	inEast, inWest, inNorth *Cells
+}
+
+func startRegions(t *testing.T) *regionFleet {
+	places := place.Map{"e": "east", "w": "west", "n": "north"}
+	f := &regionFleet{east: startReplica(t, "e", "127.0.0.1:0"), west: startReplica(t, "w", "127.0.0.1:0")}
+	membership := replicaset.Membership{
+		HasLayout: true, Layout: replicaset.Layout{Cells: 2, Regions: []string{"east", "west"}},
+		Sets:     []replicaset.Set{setOf(1, f.east), setOf(1, f.west)},
+		Replicas: map[string]replicaset.Node{"e": f.east.node, "w": f.west.node},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	gateway := func(zone string) *Cells {
+		cells := NewCells(ctx, zone, places, quiet())
+		cells.SetMembership(membership)
+		return cells
+	}
+	f.inEast, f.inWest, f.inNorth = gateway("e"), gateway("w"), gateway("n")
+	return f
+}
+
+// regionOf returns the region of the cell that a gateway chooses.
+func regionOf(cells *Cells, homes place.Homes) string {
+	client := cells.Of("p", homes)
+	for cell, known := range cells.clients() {
+		if known == client {
+			return cells.layout.Region(cell)
+		}
+	}
+	return ""
+}
+
+func TestAProgramIsKeptInTheRegionWhereItRuns(t *testing.T) {
+	f := startRegions(t)
+	require.Equal(t, "east", regionOf(f.inEast, place.Homes{}))
+	require.Equal(t, "west", regionOf(f.inWest, place.Homes{}))
+	require.Equal(t, "east", regionOf(f.inNorth, place.Homes{}), "a region without cells")
+	require.Equal(t, "west", regionOf(f.inEast, place.HomesOf([]string{"west"})))
+	require.Empty(t, regionOf(f.inEast, place.HomesOf([]string{"north"})), "no cell within the homes")
+	require.Len(t, f.inEast.OfAllRegions("p"), 2)
+	require.Same(t, f.inEast.clients()[0], f.inEast.OfAllRegions("p")[0])
+}
+
+func TestAQuorumIsLostOnlyAfterAWhile(t *testing.T) {
+	start := time.Unix(1000, 0)
+	steps := []struct {
+		after           time.Duration
+		enough          bool
+		serves, changed bool
+	}{
+		{0, true, true, false},
+		{time.Second, false, true, false},
+		{time.Second + quorumLostAfter - 1, false, true, false},
+		{time.Second + quorumLostAfter, false, false, true},
+		{2 * time.Second, false, false, false},
+		{3 * time.Second, true, true, true},
+		{4 * time.Second, false, true, false},
+	}
+	var reach quorumReach
+	for _, step := range steps {
+		serves, changed := reach.observe(start.Add(step.after), step.enough)
+		require.Equal(t, step.serves, serves, step.after)
+		require.Equal(t, step.changed, changed, step.after)
+	}
+}
+
+// A region without a quorum leaves its programs to another one's cell: histories are read
+// from any disk, and the escrow holds the budgets.
+func TestARegionWithoutAQuorumIsServedByAnother(t *testing.T) {
+	f := startRegions(t)
+	near := f.inEast.clients()[0]
+	require.Eventually(t, near.Ready, 20*time.Second, time.Millisecond)
+	require.Nil(t, f.inEast.Instead(near, "p", place.Homes{}), "it has a quorum")
+	f.east.server.Close()
+	require.Eventually(t, func() bool { return f.inEast.Instead(near, "p", place.Homes{}) != nil }, 20*time.Second, time.Millisecond)
+	require.Nil(t, f.inEast.Instead(near, "p", place.HomesOf([]string{"east"})))
+	require.Eventually(t, func() bool { return regionOf(f.inEast, place.Homes{}) == "west" }, 20*time.Second, 5*time.Millisecond)
+	require.Equal(t, "east", regionOf(f.inEast, place.HomesOf([]string{"east"})), "not beyond the homes")
+	reserveIn(t, f.inEast, "east-1")
+	f.west.server.Close()
+	require.Eventually(t, func() bool { return regionOf(f.inEast, place.Homes{}) == "east" }, 20*time.Second, 5*time.Millisecond)
+}
+
+func TestASilentReplicaIsOutOfReach(t *testing.T) {
+	f := startRegions(t)
+	near := f.inEast.clients()[0]
+	require.Eventually(t, near.Ready, 20*time.Second, time.Millisecond)
+	now := time.Now()
+	near.mu.Lock()
+	near.replicas[0].unansweredSince = now
+	near.mu.Unlock()
+	require.True(t, near.serves(now.Add(silentAfter)))
+	require.True(t, near.serves(now.Add(silentAfter+time.Millisecond)), "for a while")
+	require.False(t, near.serves(now.Add(2*silentAfter+quorumLostAfter)))
+	require.True(t, near.Ready(), "the connection stands")
+}
+
+func TestRelaysStayInTheirRegion(t *testing.T) {
+	places := place.Map{"e": "east", "w": "west", "n": "north"}
+	nodes := map[string]replicaset.Node{
+		"e1": {Name: "e1", Zone: "e"}, "e2": {Name: "e2", Zone: "e"}, "w1": {Name: "w1", Zone: "w"}, "n1": {Name: "n1", Zone: "n"},
+	}
+	for own, want := range map[string][]string{"e1": {"e2"}, "w1": {"e1", "e2", "n1"}} {
+		relays := NewRelays(t.Context(), own, nodes[own].Zone, places, quiet(), func() {})
+		relays.SetGateways(nodes)
+		require.Equal(t, want, relays.order.candidates)
+	}
+}
+
+func reserveIn(t *testing.T, cells *Cells, turn string) (*Reservation, ledger.Reserve) {
+	asked := ledger.Reserve{Program: "p", Charge: ledger.Charge{Turn: turn, Tokens: modelMost}, Retention: time.Minute}
+	reservation, err := cells.Of("p", place.Homes{}).Reserve(limited(t, 20*time.Second), asked)
+	require.NoError(t, err)
+	t.Cleanup(reservation.End)
+	return reservation, asked
+}
+
+func TestABudgetIsCountedOverRegions(t *testing.T) {
+	f := startRegions(t)
+	reserveIn(t, f.inWest, "west-1")
+	reservation, asked := reserveIn(t, f.inEast, "east-1")
+	require.Zero(t, reservation.Others, "the own region's cell knows its own turns")
+	require.NoError(t, f.inEast.ReserveElsewhere(limited(t, 20*time.Second), reservation, asked))
+	require.Equal(t, int64(modelMost), reservation.Others, "with the other region's")
+	require.NoError(t, reservation.Durable(limited(t, 20*time.Second), 1))
+	later, _ := reserveIn(t, f.inWest, "west-2")
+	require.Equal(t, int64(2*modelMost), later.Others, "the other region counts a turn beyond the share")
+
+	settled := ledger.Charge{Turn: "east-1", Tokens: 1, Final: true}
+	f.inEast.SettleElsewhere(f.inEast.Of("p", place.Homes{}), ledger.Commit{Program: "p", Charge: settled})
+	require.Eventually(t, func() bool {
+		last, _ := reserveIn(t, f.inWest, "west-3")
+		return last.Others == 2*modelMost+settled.Tokens
+	}, 20*time.Second, 5*time.Millisecond)
+}
+
+func TestABudgetBeyondTheShareNeedsEveryRegion(t *testing.T) {
+	f := startRegions(t)
+	f.west.server.Close()
+	reservation, asked := reserveIn(t, f.inEast, "east-1")
+	require.ErrorIs(t, f.inEast.ReserveElsewhere(limited(t, 300*time.Millisecond), reservation, asked), ErrNoQuorum)
+	remote := f.inEast.clients()[1]
+	require.Eventually(t, func() bool { return !remote.serves(time.Now()) }, 20*time.Second, 5*time.Millisecond)
+	require.ErrorIs(t, f.inEast.ReserveElsewhere(context.Background(), reservation, asked), ErrNoQuorum, "at once")
+}
+
+func TestDurableIsSoInEveryRegion(t *testing.T) {
+	f := startRegions(t)
+	f.west.mu.Lock()
+	f.west.holdDurable = true
+	f.west.mu.Unlock()
+	reservation, asked := reserveIn(t, f.inEast, "east-1")
+	require.NoError(t, f.inEast.ReserveElsewhere(limited(t, 20*time.Second), reservation, asked))
+	require.Error(t, reservation.Durable(limited(t, 100*time.Millisecond), 1))
+}
+
+func TestATurnOfAnotherRegionIsFound(t *testing.T) {
+	f := startRegions(t)
+	f.west.step(ledger.Request{Commit: &ledger.Commit{Turn: &ledger.Turn{ID: "t1", Retention: time.Minute}}})
+	find := func(homes place.Homes) []ledger.Turn {
+		return f.inEast.ChainElsewhere(limited(t, 20*time.Second), "p", "t1", homes)
+	}
+	require.Len(t, find(place.Homes{}), 1)
+	require.Empty(t, find(place.HomesOf([]string{"east"})), "a region that is no home is not asked")
+}
+
+func TestAnotherRegionIsConnectedToWhenItIsNeeded(t *testing.T) {
+	f := startRegions(t)
+	remote := f.inEast.clients()[1]
+	require.True(t, remote.onDemand)
+	require.False(t, f.inEast.clients()[0].onDemand)
+	require.False(t, f.inNorth.clients()[1].onDemand, "without cells of its own a gateway keeps its connections")
+	require.Nil(t, remote.replicas[0].link)
+	for _, turn := range []string{"east-1", "east-2"} {
+		reservation, asked := reserveIn(t, f.inEast, turn)
+		require.NoError(t, f.inEast.ReserveElsewhere(limited(t, 20*time.Second), reservation, asked))
+		used := remote.replicas[0]
+		require.NotNil(t, used.link)
+		remote.mu.Lock()
+		used.usedAt = time.Now().Add(-onDemandIdle)
+		remote.mu.Unlock()
+		used.closeIdle()
+		require.Nil(t, remote.replicas[0].link, "closed without use")
+	}
+}
--- a/internal/quorum/relay.go
+++ b/internal/quorum/relay.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -10,7 +11,9 @@
 	"github.com/phuslu/log"
 
 	"swiftbank.dev/swiftbank/internal/peer"
+	"swiftbank.dev/swiftbank/internal/place"
 	"swiftbank.dev/swiftbank/internal/replicaset"
+	"swiftbank.dev/swiftbank/internal/traffic"
 )
 
 // relayIdle is how long a connection to a relaying gateway stays without use.
@@ -22,6 +25,7 @@
 	context context.Context
 	node    string
 	zone    string
+	places  place.Map
 	log     *log.Logger
 	// replied hands over a replica's reply; reopened says that there is a way now, and
 	// what was sent before may be lost. Both are set before first use.
@@ -29,6 +33,7 @@
 	reopened func()
 	// counted is told of each request that went by a relay.
 	counted func()
+	traffic *traffic.Counter
 
 	mu    sync.Mutex
 	nodes map[string]replicaset.Node
@@ -40,9 +45,9 @@
 }
 
 // NewRelays returns the relays of a gateway. counted is called for each request sent.
-func NewRelays(ctx context.Context, node, zone string, logger *log.Logger, counted func()) *Relays {
+func NewRelays(ctx context.Context, node, zone string, places place.Map, logger *log.Logger, counted func()) *Relays {
 	return &Relays{
-		context: ctx, node: node, zone: zone, log: logger, counted: counted,
+		context: ctx, node: node, zone: zone, places: places, log: logger, counted: counted,
 		replied: func(RelayReply) {}, reopened: func() {},
 		nodes: map[string]replicaset.Node{}, order: newRelayOrder(), links: map[string]*relayLink{},
 		probedAt: map[string]time.Time{},
@@ -63,12 +68,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.nodes = nodes
-	var names []string
-	for name, node := range nodes {
-		if name != r.node && !node.Leaving {
-			names = append(names, name)
-		}
-	}
+	names := r.candidates(nodes)
 	slices.SortFunc(names, func(a, b string) int {
 		if near := cmp.Compare(r.distance(a), r.distance(b)); near != 0 {
 			return near
@@ -83,11 +83,28 @@
 	}
 }
 
-func (r *Relays) distance(name string) int {
-	if r.nodes[name].Zone == r.zone {
-		return 0
+// candidates returns the gateways that may relay: those of the own region, or all where it has
+// no other. Requests carry turns, and the way to another region is long. The caller holds
+// the lock.
+func (r *Relays) candidates(nodes map[string]replicaset.Node) []string {
+	var near, far []string
+	for name, node := range nodes {
+		switch {
+		case name == r.node || node.Leaving:
+		case r.distance(name) == place.OtherRegion:
+			far = append(far, name)
+		default:
+			near = append(near, name)
+		}
 	}
-	return 1
+	if len(near) == 0 {
+		return far
+	}
+	return near
+}
+
+func (r *Relays) distance(name string) place.Distance {
+	return r.places.Distance(r.nodes[name].Zone, r.zone)
 }
 
 // send asks other gateways to pass a request on. Nothing is promised: the caller sends
@@ -139,6 +156,11 @@
 	r.log.Info().Str("event", "relay_closed").Str("gateway", name).Msg("")
 }
 
+// Sent implements peer.SentCounter.
+func (l *relayLink) Sent(_ net.Addr, _ RelayRequest, bytes int) {
+	l.relays.traffic.SentToZone("relay", l.node.Zone, bytes)
+}
+
 // LinkUp implements peer.Handler.
 func (l *relayLink) LinkUp() { l.relays.reopened() }
 
--- a/internal/quorum/relayretry.go
+++ b/internal/quorum/relayretry.go
@@ -14,7 +14,7 @@
 // no answer is overdue. The caller holds the lock.
 func (c *Client) responsive(now time.Time, replica *replicaLink) bool {
 	if !replica.up {
-		return false
+		return replica.opening(now)
 	}
 	return replica.unansweredSince.IsZero() || now.Sub(replica.unansweredSince) <= c.answers.timeout()
 }
@@ -95,6 +95,7 @@
 	defer c.mu.Unlock()
 	for _, replica := range c.replicas {
 		if replica.node.Name == reply.Replica {
+			replica.relayedAt = time.Now()
 			c.receive(replica, reply.Reply)
 		}
 	}
--- a/internal/quorum/reserve.go
+++ b/internal/quorum/reserve.go
@@ -23,6 +23,8 @@
 	Foreign bool
 	// Found is false when every replica that answered lacks the history.
 	Found bool
+	// elsewhere holds the reservations of the same charge in other regions.
+	elsewhere []*Reservation
 }
 
 // Reserve adds a reservation at a quorum and reads a history. Program "" reserves
@@ -35,7 +37,7 @@
 	}
 	number := c.begin(pending)
 	reservation := &Reservation{client: c, number: number, operation: pending}
-	timeout := time.NewTimer(historyTimeout)
+	timeout := time.NewTimer(c.nearestTimeout())
 	defer timeout.Stop()
 	retry := c.newRelayRetry(callerRelayPause)
 	defer retry.stop()
@@ -95,7 +97,7 @@
 	asked := 0
 	for _, replica := range c.replicas {
 		missing := pending.tally.missing[replica.node.Disk]
-		if !replica.up && !missing {
+		if !replica.up && !replica.opening(time.Now()) && !missing {
 			continue
 		}
 		asked++
@@ -113,7 +115,7 @@
 }
 
 func (c *Client) askEverywhereLocked(pending *operation) {
-	if pending.everywhere || pending.request.Reserve.History == "" || pending.tally.Found {
+	if pending.everywhere || pending.tally.Found || pending.request.Reserve != nil && pending.request.Reserve.History == "" {
 		return
 	}
 	pending.everywhere = true
@@ -125,10 +127,22 @@
 	}
 }
 
-// Durable waits until the reservation is on the disks of a quorum.
-func (r *Reservation) Durable(ctx context.Context) error {
-	return r.client.await(ctx, r.operation, func() bool { return r.operation.tally.Durable(r.client.set) })
+// Durable waits until the reservation is on the disks of a quorum, and on at least so many
+// disks, in each region where it was made.
+func (r *Reservation) Durable(ctx context.Context, copies int) error {
+	for _, other := range r.elsewhere {
+		if err := other.Durable(ctx, copies); err != nil {
+			return err
+		}
+	}
+	r.client.askFor(r.operation, copies)
+	return r.client.await(ctx, r.operation, func() bool { return r.operation.tally.DurableAt(r.client.set, copies) })
 }
 
 // End stops repeating the reservation to replicas that were out of reach.
-func (r *Reservation) End() { r.client.end(r.number) }
+func (r *Reservation) End() {
+	r.client.end(r.number)
+	for _, other := range r.elsewhere {
+		other.End()
+	}
+}
--- a/internal/quorum/tally.go
+++ b/internal/quorum/tally.go
@@ -73,6 +73,13 @@
 	return len(set.Voters) > 0 && count(t.durable, set) >= set.Quorum()
 }
 
+// DurableAt reports whether the reservation is on the disks of a quorum, and on at least so
+// many disks, as far as the set has them: a small quorum alone may be lost with the number of
+// disks that is to be borne.
+func (t *Tally) DurableAt(set replicaset.Set, copies int) bool {
+	return len(set.Voters) > 0 && count(t.durable, set) >= max(set.Quorum(), min(copies, len(set.Voters)))
+}
+
 // Answered reports whether the disk has said all that the request waits for: a
 // reservation is answered for good once it is durable.
 func (t *Tally) Answered(disk string) bool {
@@ -86,13 +93,7 @@
 // Others returns the tokens charged to the program by all turns but one: final
 // charges as they are, reservations at their most.
 func (t *Tally) Others(turn string) int64 {
-	var sum int64
-	for _, charge := range t.charges {
-		if charge.Turn != turn {
-			sum += charge.Tokens
-		}
-	}
-	return sum
+	return sumOthers(turn, t.charges)
 }
 
 // Cached returns the prompts that the program's turns left in the memory of instances.
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -14,9 +14,11 @@
 
 	"swiftbank.dev/swiftbank/internal/ledger"
 	"swiftbank.dev/swiftbank/internal/peer"
+	"swiftbank.dev/swiftbank/internal/place"
 	"swiftbank.dev/swiftbank/internal/quota"
 	"swiftbank.dev/swiftbank/internal/registry"
 	"swiftbank.dev/swiftbank/internal/replicaset"
+	"swiftbank.dev/swiftbank/internal/traffic"
 	"swiftbank.dev/swiftbank/internal/wait"
 	"swiftbank.dev/swiftbank/internal/wal"
 )
@@ -46,12 +48,16 @@
 	DiskMB     int
 	// Tolerate is how many machines with disks may be lost at once.
 	Tolerate int
+	// Places says which regions the zones belong to; nil where cells are not bound to regions.
+	Places   place.Map
 	Registry registry.Registry
 	// Known returns a registry object as far as it is known here without a call.
 	Known       func(name string) (registry.Object, bool)
 	Retirements Retirements
 	Log         *log.Logger
 	Metrics     *Metrics
+	// Traffic counts what is sent to other processes.
+	Traffic *traffic.Counter
 	// Quota is how exactly the limits of tenants must hold.
 	Quota quota.Policy
 }
@@ -179,9 +185,11 @@
 }
 
 func (s *Server) serve(listener net.Listener) *peer.Server[ledger.Request, ledger.Reply] {
-	return peer.NewServer(listener, func(from *peer.Connection[ledger.Reply], request ledger.Request) {
+	server := peer.NewServer(listener, func(from *peer.Connection[ledger.Reply], request ledger.Request) {
 		s.post(func() { s.receive(from, request) })
 	})
+	server.CountSent(func(to net.Addr, reply ledger.Reply, bytes int) { s.options.Traffic.SentTo(reply.Kind(), to, bytes) })
+	return server
 }
 
 func (s *Server) loop(ctx context.Context) {
