While the store is away one probe asks for all kinds of news

Ruled out: fewer readers (the store may turn some machines away and serve others), longer pauses (news must be known soon after its return). Change: while the monitor's probe says that the store does not answer, each kind is tried every 4 s only, and read at once when the probe finds the store back.

--- a/internal/feed/informer.go
+++ b/internal/feed/informer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/wait"
@@ -19,6 +20,9 @@
 	// retryFirst and retryMost bound the pause after a failed call.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
+	// lostRetry is the pause after a failed call while the monitor says that the store does
+	// not answer: the monitor asks on for all kinds, and wakes each when it is back.
+	lostRetry = 4 * time.Second
 )
 
 // informer reads one kind from the store.
@@ -35,13 +39,23 @@
 	// confirmed is set once the store has told of all changes so far.
 	confirmed bool
 
+	// lost is set while the monitor says that the store does not answer; woken is signalled
+	// when a new watch is wanted.
+	lost  atomic.Bool
+	woken chan struct{}
+
 	mu sync.Mutex
 	// cancel ends the watch under way.
 	cancel context.CancelFunc
 }
 
-// restart ends the watch under way, so that a new one begins at once.
+// restart ends the watch under way, or the pause after a failure, so that a new one begins at
+// once.
 func (i *informer) restart() {
+	select {
+	case i.woken <- struct{}{}:
+	default:
+	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if i.cancel != nil {
@@ -64,12 +78,27 @@
 		case errors.Is(err, context.Canceled): // the monitor wants a new watch
 		default:
 			i.known.callFailed(i.kind, err)
-			wait.For(ctx, pause)
+			i.pauseAfterFailure(ctx, pause)
 			pause = min(2*pause, retryMost)
 		}
 	}
 }
 
+// pauseAfterFailure waits until the next call. While the store is lost to this process, calls
+// of four kinds and more each second would find out nothing that the monitor's probe does not.
+func (i *informer) pauseAfterFailure(ctx context.Context, pause time.Duration) {
+	if i.lost.Load() {
+		pause = lostRetry
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-i.woken:
+	}
+}
+
 func (i *informer) step(ctx context.Context) error {
 	position := i.known.position(i.kind)
 	if !position.Known || i.forgotten {
--- a/internal/feed/monitor.go
+++ b/internal/feed/monitor.go
@@ -44,6 +44,7 @@
 		}
 		if (err != nil) != lost {
 			lost = err != nil
+			m.setLost(lost)
 			m.known.contact(err)
 			if !lost {
 				m.restartAll()
@@ -117,6 +118,13 @@
 	return nil
 }
 
+// setLost tells the informers whether the store answers.
+func (m *monitor) setLost(lost bool) {
+	for _, informer := range m.informers {
+		informer.lost.Store(lost)
+	}
+}
+
 func (m *monitor) restartAll() {
 	for _, informer := range m.informers {
 		informer.restart()
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -45,7 +45,7 @@
 	watcher := &monitor{store: store, known: known}
 	for _, kind := range kinds {
 		watcher.informers = append(watcher.informers, &informer{
-			store: store, known: known, kind: kind, urgent: urgent[kind], pacer: pacer{pace: paces[kind]},
+			store: store, known: known, kind: kind, urgent: urgent[kind], pacer: pacer{pace: paces[kind]}, woken: make(chan struct{}, 1),
 		})
 	}
 	var running conc.WaitGroup
