A stream runs on no more instances than its route allows

Cause: a stream that was resumed at the instance bound to it and got nothing twice was taken to another one, as was one whose opening packet was lost once, or whose instance was leaving. None of these says that the instance is gone: it may be at work. Ruled out: the plain path, which leaves each instance that may have run a request and counts sends whose outcome is unknown; it needed no change. Change: instanceRuns, a pure value, says which instance alone may go on. Only an instance that is known to be gone leaves the count: it is no longer listed, its address refuses connections or is another instance's, or its machine leaves three opening packets unanswered. Where several may have run it and the last one gives nothing, the one before goes on. Two checks said the opposite and are replaced: TestARequestMayBeBoundToOneInstance sent a bound request elsewhere while its instance was leaving, and the case of TestFleet in which a stream left an instance that accepts connections and answers nothing. The first waits until the instance is no longer listed now; the second is two cases, one whose process has ended, which is left, and one that gives nothing, which is not.

--- a/internal/backend/directory_test.go
+++ b/internal/backend/directory_test.go
@@ -249,7 +249,10 @@
 	bound.Exclude = nil
 	instances[1].Leaving = true
 	d.Update(start, instances, false)
+	_, found = d.Pick(start, bound)
+	require.False(t, found, "one that leaves gets nothing new, and may be at work on the request")
+	d.Update(start, append(instances[:1:1], instances[2:]...), false)
 	choice, found := d.Pick(start, bound)
 	require.True(t, found)
-	require.NotEqual(t, "e01", choice.Instance.ID, "one that leaves gets nothing new")
+	require.NotEqual(t, "e01", choice.Instance.ID, "it is gone")
 }
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/verdict"
@@ -40,7 +41,8 @@
 	// Verdict says whether the request may have run.
 	Verdict verdict.Verdict
 	// Unreachable is set when no connection came up, or another instance has the address;
-	// Gone when the instance's machine was found not to answer in the middle of a request.
+	// Gone when the instance is known to have ended or to be cut off: connections are refused,
+	// another instance has the address, or its machine was found not to answer.
 	Unreachable bool
 	Gone        bool
 	Reason      string
@@ -66,7 +68,7 @@
 func (p *Pool) Do(ctx context.Context, instance Instance, call Call) (*Answer, *Failure) {
 	connection, err := p.take(ctx, instance)
 	if err != nil {
-		return nil, &Failure{Verdict: verdict.NotRun, Unreachable: ctx.Err() == nil, Reason: "connect: " + err.Error()}
+		return nil, &Failure{Verdict: verdict.NotRun, Unreachable: ctx.Err() == nil, Gone: errors.Is(err, syscall.ECONNREFUSED), Reason: "connect: " + err.Error()}
 	}
 	answer := &Answer{Connection: connection, pool: p, instance: instance, written: make(chan error, 1)}
 	answer.stop = context.AfterFunc(ctx, func() { _ = connection.Close() })
--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -53,7 +53,7 @@
 	Cached []Cached
 	// Preferred is the instance that ran the previous turn, or "".
 	Preferred string
-	// Only is the instance that alone may get the request as long as it may get new work; ""
+	// Only is the instance that alone may get the request as long as it is listed; ""
 	// leaves the choice open.
 	Only string
 	// Exclude lists instances that were tried.
@@ -109,8 +109,8 @@
 func (d *Directory) candidates(now time.Time, demand Demand) []*member {
 	d.samples++
 	picked := sample{now: now, demand: demand, number: d.samples}
-	if only := d.members[demand.Only]; only != nil && only.mayServe(now) {
-		picked.add(only)
+	if only := d.members[demand.Only]; only != nil {
+		picked.add(only) // while it leaves there is none: it may still be at work on the request
 		return append(picked.sound, picked.suspected...)
 	}
 	all, near := d.byService[demand.Service], d.near[demand.Service]
--- a/internal/e2e/fleet_cases_test.go
+++ b/internal/e2e/fleet_cases_test.go
@@ -23,7 +23,8 @@
 	t.Run("a chain of turns forks and moves between gateways", f.testChain)
 	t.Run("a stream that breaks off is resumed within one answer", f.testResume)
 	t.Run("a stream is resumed by the instance that ran it", f.testResumeStays)
-	t.Run("a stream leaves an instance that gives nothing any more", f.testResumeLeaves)
+	t.Run("a stream leaves an instance whose process has ended", f.testResumeLeaves)
+	t.Run("a stream stays with an instance that gives nothing any more", f.testResumeWaits)
 	t.Run("the configuration's limits hold", f.testLimits)
 	t.Run("a spent budget ends in 402 and the turn does not run", f.testBudget)
 	t.Run("an unsafe call whose answer is lost runs once", f.testLostAnswer)
@@ -120,26 +121,50 @@
 	}
 }
 
-// testResumeLeaves cuts a stream at an instance that then ends each request without an answer,
-// as one does whose process has ended: the stream goes on elsewhere.
+// testResumeLeaves cuts a stream at an instance whose process then ends: the stream goes on
+// elsewhere, though the route allows one instance.
 func (f *fleet) testResumeLeaves(t *testing.T) {
-	var dead string
-	var mu sync.Mutex
-	for _, engine := range f.engines {
+	var once sync.Once
+	ended := -1
+	for index, engine := range f.engines {
 		engine.SetBehaviour(func(*http.Request) platformtest.Behaviour {
-			mu.Lock()
-			defer mu.Unlock()
-			if dead == "" {
-				dead = engine.ID
-				return platformtest.Behaviour{CutAfter: 1}
-			}
-			return platformtest.Behaviour{LoseAnswer: dead == engine.ID}
+			var behaviour platformtest.Behaviour
+			once.Do(func() {
+				ended, behaviour.CutAfter = index, 1
+				engine.Refuse()
+			})
+			return behaviour
 		})
 		defer engine.SetBehaviour(nil)
 	}
 	got := f.turn(f.gateways[0], turnRequest{path: "/plan/t", program: f.newID(), budget: 5000, most: 50, body: "plan"})
 	require.Equal(t, http.StatusOK, got.status)
 	require.Equal(t, f.engines[0].Events, strings.Count(got.body, "\n\n"))
+	f.store.Delete("servers", f.engines[ended].ID)
+	f.engines[ended] = f.newBackEnd(f.engines[ended].ID+"-again", "llm", zones[ended%len(zones)])
+}
+
+// testResumeWaits cuts streams at instances that then end each request without an answer and
+// accept connections: they are not known to be gone, and nobody else may run the request.
+func (f *fleet) testResumeWaits(t *testing.T) {
+	var once sync.Once
+	for _, engine := range f.engines {
+		engine.SetBehaviour(func(*http.Request) platformtest.Behaviour {
+			behaviour := platformtest.Behaviour{LoseAnswer: true}
+			once.Do(func() { behaviour = platformtest.Behaviour{CutAfter: 1} })
+			return behaviour
+		})
+		defer engine.SetBehaviour(nil)
+	}
+	got := f.turn(f.gateways[0], turnRequest{path: "/plan/t", program: f.newID(), budget: 5000, most: 50, body: "plan"})
+	require.Error(t, got.err, "the answer ends without the stream's end")
+	ran := 0
+	for _, engine := range f.engines {
+		if len(runsOf(got.id, []*platformtest.Engine{engine})) > 0 {
+			ran++
+		}
+	}
+	require.Equal(t, 1, ran, "more instances ran the request than its route allows")
 }
 
 func (f *fleet) testBudget(t *testing.T) {
--- a/internal/gateway/livenesswatch.go
+++ b/internal/gateway/livenesswatch.go
@@ -72,3 +72,10 @@
 		failure.Gone = true
 	}
 }
+
+// isGone reports whether an instance that did not take a request is known to be gone: its
+// address refuses connections or is another instance's, or its machine does not answer. One
+// lost opening packet does not say so.
+func (s *Server) isGone(ctx context.Context, instance backend.Instance, failure *backend.Failure) bool {
+	return failure.Gone || failure.Unreachable && s.pool.Gone(ctx, instance, 0)
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -79,8 +79,8 @@
 		}
 		last = failure
 		refused++
-		if failure.Unreachable {
-			demand.Only = "" // the instance that ran the request has ended or is cut off
+		if demand.Only != "" && s.isGone(ctx, choice.Instance, failure) {
+			demand.Only = ""
 		}
 		demand.Exclude = append(demand.Exclude, choice.Instance.ID)
 	}
@@ -123,7 +123,7 @@
 		release()
 		s.directory.End(time.Now(), choice.Instance.ID, backend.Full)
 		failure := &backend.Failure{
-			Verdict: verdict.NotRun, Unreachable: status == http.StatusMisdirectedRequest,
+			Verdict: verdict.NotRun, Unreachable: status == http.StatusMisdirectedRequest, Gone: status == http.StatusMisdirectedRequest,
 			Reason: "the instance refused with status " + strconv.Itoa(status),
 		}
 		s.logSend(r, choice, failure)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -194,9 +194,9 @@
 	if t.reservation != nil {
 		demand.Preferred = t.reservation.Instance
 	}
-	ranOn := map[string]bool{}
+	ran := instanceRuns{attempts: t.route.Attempts}
 	for runs := 0; ; {
-		bound, eventsBefore := demand.Only != "", t.events
+		eventsBefore := t.events
 		sent, failure := s.sendUntilTaken(ctx, t.request, demand)
 		if failure == nil {
 			failure = s.pass(ctx, w, t, sent)
@@ -214,12 +214,11 @@
 		}
 		// The same instance goes on if it can: another one would be one more that runs the
 		// request, and the route says how many may.
-		ranOn[t.outcome.instance] = true
-		demand.Preferred, demand.Only = t.outcome.instance, ""
-		ended := failure.Gone || bound && t.events == eventsBefore // it gave nothing twice
-		if !ended && len(ranOn) >= t.route.Attempts {
-			demand.Only = t.outcome.instance
+		ran.add(t.outcome.instance)
+		if failure.Gone {
+			ran.remove(t.outcome.instance)
 		}
+		demand.Preferred, demand.Only = t.outcome.instance, ran.only(t.events == eventsBefore)
 		s.log.Info().Str("event", "stream_resumed").Str("id", t.id).Str("instance", t.outcome.instance).
 			Str("last_event", t.lastEvent).Int("events", t.events).Str("reason", failure.Reason).Msg("")
 	}
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -171,6 +171,8 @@
 	Found    bool
 	History  []byte
 	Instance string
+	// Missing says that a history was asked for and is not here.
+	Missing bool
 	// Foreign says that the turn is another tenant's. A turn never changes its tenant, so
 	// one replica's word is enough.
 	Foreign bool
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -133,6 +133,7 @@
 		answer.Foreign = true
 	default:
 		answer.History, answer.Instance, answer.Found = s.history(now, asked.History)
+		answer.Missing = !answer.Found
 	}
 	output.Now = []Reply{reply}
 	return output
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -17,9 +17,6 @@
 )
 
 const (
-	// historyTimeout is how long the nearest replica may take to hand over a
-	// history before the others are asked as well.
-	historyTimeout = 25 * time.Millisecond
 	// settleLimit is how long a final charge without a waiting caller is repeated. It
 	// outlasts a recovery: a reservation that nobody settles counts at its most.
 	settleLimit = time.Minute
@@ -46,7 +43,7 @@
 	// forwards are the requests of other gateways that were passed on, by their number
 	// on the links here.
 	forwards map[uint64]forward
-	// answers estimates how long a replica takes to answer.
+	// answers estimates how long a replica takes to answer, whichever it is.
 	answers roundTrip
 }
 
@@ -64,10 +61,10 @@
 	only       string
 	// loan is the answer to a Borrow.
 	loan *quota.Loan
-	// nearest is the replica that is asked for the history, or nil.
-	nearest *replicaLink
-	// everywhere is set once all replicas are asked for the history.
-	everywhere bool
+	// asked are the replicas that were asked for the history, the last one at the end.
+	asked []*replicaLink
+	// late counts those that were late.
+	late int
 	// begunAt is when it was sent first; resent is set once it was sent again, after
 	// which its answer tells nothing of the time that one takes.
 	begunAt time.Time
@@ -262,7 +259,9 @@
 	pending.request.Number = c.number
 	pending.begunAt = time.Now()
 	c.operations[c.number] = pending
-	pending.nearest = c.nearest(pending.begunAt)
+	if nearest := c.nextForHistory(pending.begunAt, nil); nearest != nil && pending.request.Reserve != nil {
+		pending.asked = append(pending.asked, nearest)
+	}
 	for _, replica := range c.replicas {
 		c.send(replica, pending)
 	}
@@ -275,19 +274,6 @@
 	c.mu.Unlock()
 }
 
-// nearest returns the nearest responsive replica, or nil.
-func (c *Client) nearest(now time.Time) *replicaLink {
-	for _, replica := range c.replicas {
-		if c.responsive(now, replica) {
-			return replica
-		}
-	}
-	if c.relays != nil && len(c.replicas) > 0 {
-		return c.replicas[0]
-	}
-	return nil
-}
-
 // send sends an operation to one replica, as far as it concerns it, and by another
 // gateway as well where it is not responsive. Replies may come twice.
 func (c *Client) send(replica *replicaLink, pending *operation) {
@@ -319,7 +305,7 @@
 	}
 	if request.Reserve != nil {
 		reserve := *request.Reserve
-		if reserve.History != "" && !pending.everywhere && replica != pending.nearest {
+		if pending.tally.Found || !slices.Contains(pending.asked, replica) {
 			reserve.History = ""
 		}
 		if !voter {
--- a/internal/quorum/client_test.go
+++ b/internal/quorum/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -26,6 +27,9 @@
 	// lend answers requests for allowances.
 	lend   func(ledger.Request) ledger.Reply
 	server *peer.Server[ledger.Request, ledger.Reply]
+	// asked counts requests for a history; while deaf it answers none of them.
+	asked int
+	deaf  bool
 }
 
 func startReplica(t *testing.T, name, address string) *standReplica {
@@ -48,6 +52,12 @@
 		from.Send(r.lend(request))
 		return
 	}
+	if request.Reserve != nil && request.Reserve.History != "" {
+		r.asked++
+		if r.deaf {
+			return
+		}
+	}
 	output := r.state.Step(time.Now(), request)
 	replies := output.Now
 	if !r.holdDurable {
@@ -155,6 +165,40 @@
 	require.False(t, missing.Found)
 }
 
+// Asked of all replicas at once, the texts fill the way between regions, which makes every
+// replica late there and the next readers ask everywhere as well.
+func TestAHistoryIsAskedOfOneMoreReplicaAtATime(t *testing.T) {
+	for name, deaf := range map[string]bool{"the nearest lacks it": false, "the nearest is late": true} {
+		t.Run(name, func(t *testing.T) {
+			var replicas []*standReplica
+			for i := range 5 {
+				replicas = append(replicas, startReplica(t, fmt.Sprint("r", i), "127.0.0.1:0"))
+			}
+			client := NewClient(t.Context(), "r0", quiet())
+			client.SetReplicas(nodesOf(replicas...), setOf(1, replicas...))
+			require.Eventually(t, func() bool {
+				client.mu.Lock()
+				defer client.mu.Unlock()
+				return !slices.ContainsFunc(client.replicas, func(r *replicaLink) bool { return !r.up })
+			}, 20*time.Second, time.Millisecond)
+			replicas[0].deaf = deaf
+			for _, replica := range replicas[1:] {
+				replica.step(ledger.Request{Commit: &ledger.Commit{Turn: &ledger.Turn{ID: "old", Input: []byte("in|"), Retention: time.Minute}}})
+			}
+			reservation, err := client.Reserve(limited(t, 20*time.Second), ledger.Reserve{Program: "p", Charge: ledger.Charge{Turn: "new"}, History: "old"})
+			require.NoError(t, err)
+			require.True(t, reservation.Found)
+			asked := 0
+			for _, replica := range replicas {
+				replica.mu.Lock()
+				asked += replica.asked
+				replica.mu.Unlock()
+			}
+			require.Less(t, asked, 4, "all of them")
+		})
+	}
+}
+
 func TestANewerEpochIsLearnedFromARefusal(t *testing.T) {
 	client, replicas := startThree(t)
 	newer := setOf(2, replicas[0], replicas[1])
--- /dev/null
+++ b/internal/quorum/history.go
@@ -0,0 +1,90 @@
+package quorum
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// A history is as large as all turns before it, a reservation is small: only one replica is
+// asked for the text at first, and one more each time that one lacks it or is late. Asked of
+// all replicas at once, the texts of a single slow or empty replica's readers fill the way
+// between regions, which makes every replica late there, and the next readers ask everywhere.
+
+// nextForHistory returns the replica that is asked for a history next: of those not asked yet
+// the responsive ones come first, and of these the nearest. The caller holds the lock.
+func (c *Client) nextForHistory(now time.Time, asked []*replicaLink) *replicaLink {
+	var best *replicaLink
+	for _, replica := range c.replicas {
+		if slices.Contains(asked, replica) || c.relays == nil && !replica.up {
+			continue
+		}
+		if best == nil || c.compareForHistory(now, replica, best) < 0 {
+			best = replica
+		}
+	}
+	return best
+}
+
+// compareForHistory orders replicas by whether they answer, by zone, and by the time that their
+// answers take.
+func (c *Client) compareForHistory(now time.Time, a, b *replicaLink) int {
+	if one, other := c.responsive(now, a), c.responsive(now, b); one != other {
+		return cmp.Compare(btoi(other), btoi(one))
+	}
+	return cmp.Or(cmp.Compare(c.distance(a), c.distance(b)), cmp.Compare(a.answers.mean, b.answers.mean))
+}
+
+// btoi returns 1 for true.
+func btoi(value bool) int {
+	if value {
+		return 1
+	}
+	return 0
+}
+
+// historyTimeout is how long the replica asked last may take to hand over a history before one
+// more is asked. The pause doubles with each one that is late: what is late together waits
+// for the same way, and one more text makes that longer.
+func (c *Client) historyTimeout(pending *operation) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(pending.asked) == 0 {
+		return timeoutUnknown
+	}
+	last := pending.asked[len(pending.asked)-1]
+	return last.answers.timeout() << pending.late
+}
+
+// askOneMore asks the next replica for the history: the one asked last is late.
+func (c *Client) askOneMore(pending *operation) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	pending.late++
+	c.askNext(pending)
+}
+
+// askWhereMissing asks the next replica once all that were asked lack the history. The caller
+// holds the lock.
+func (c *Client) askWhereMissing(pending *operation) {
+	for _, replica := range pending.asked {
+		if !pending.tally.missing[replica.node.Disk] {
+			return
+		}
+	}
+	c.askNext(pending)
+}
+
+// askNext asks one more replica for the history. The caller holds the lock.
+func (c *Client) askNext(pending *operation) {
+	if pending.request.Reserve.History == "" || pending.tally.Found {
+		return
+	}
+	next := c.nextForHistory(time.Now(), pending.asked)
+	if next == nil {
+		return
+	}
+	pending.asked = append(pending.asked, next)
+	pending.resent = true
+	c.send(next, pending)
+}
--- a/internal/quorum/link.go
+++ b/internal/quorum/link.go
@@ -17,6 +17,8 @@
 	// unansweredSince is when the oldest request was sent that no reply has followed;
 	// zero while there is none.
 	unansweredSince time.Time
+	// answers estimates how long this replica takes to answer.
+	answers roundTrip
 	// relaying is set while requests go by another gateway.
 	relaying bool
 }
@@ -72,7 +74,9 @@
 		return
 	}
 	if pending := c.operations[reply.Number]; pending != nil && reply.Reserve != nil && !pending.resent {
-		c.answers.observe(time.Since(pending.begunAt))
+		took := time.Since(pending.begunAt)
+		c.answers.observe(took)
+		r.answers.observe(took)
 	}
 	c.receive(r, reply)
 }
--- a/internal/quorum/reserve.go
+++ b/internal/quorum/reserve.go
@@ -35,7 +35,7 @@
 	}
 	number := c.begin(pending)
 	reservation := &Reservation{client: c, number: number, operation: pending}
-	timeout := time.NewTimer(historyTimeout)
+	timeout := time.NewTimer(c.historyTimeout(pending))
 	defer timeout.Stop()
 	retry := c.newRelayRetry(callerRelayPause)
 	defer retry.stop()
@@ -46,7 +46,8 @@
 		select {
 		case <-pending.changed:
 		case <-timeout.C:
-			c.askEverywhere(pending)
+			c.askOneMore(pending)
+			timeout.Reset(c.historyTimeout(pending))
 		case <-retry.due():
 			c.retryByRelay(pending)
 			retry.again()
@@ -62,16 +63,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	pending := reservation.operation
-	if asked.Program != "" && !pending.tally.Accepted(c.set) {
-		return false
+	known := asked.History == "" || pending.tally.Found || pending.tally.Foreign || c.allMissing(pending)
+	if !known {
+		c.askWhereMissing(pending)
 	}
-	if asked.History != "" && !pending.tally.Found && !pending.tally.Foreign {
-		if !pending.everywhere && pending.tally.missing[c.diskOf(pending.nearest)] {
-			c.askEverywhereLocked(pending)
-		}
-		if !pending.everywhere || !c.allMissing(pending) {
-			return false
-		}
+	if !known || asked.Program != "" && !pending.tally.Accepted(c.set) {
+		return false
 	}
 	reservation.Others = pending.tally.Others(asked.Charge.Turn)
 	reservation.Foreign = pending.tally.Foreign
@@ -82,13 +79,6 @@
 	return true
 }
 
-func (c *Client) diskOf(replica *replicaLink) string {
-	if replica == nil {
-		return ""
-	}
-	return replica.node.Disk
-}
-
 // allMissing reports whether all connected replicas, and all that answered by another
 // gateway, said that they lack the history.
 func (c *Client) allMissing(pending *operation) bool {
@@ -106,24 +96,6 @@
 	return asked > 0
 }
 
-func (c *Client) askEverywhere(pending *operation) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.askEverywhereLocked(pending)
-}
-
-func (c *Client) askEverywhereLocked(pending *operation) {
-	if pending.everywhere || pending.request.Reserve.History == "" || pending.tally.Found {
-		return
-	}
-	pending.everywhere = true
-	pending.resent = true
-	pending.tally.missing = map[string]bool{}
-	for _, replica := range c.replicas {
-		c.send(replica, pending)
-	}
-}
-
 // Durable waits until the reservation is on the disks of a quorum.
 func (r *Reservation) Durable(ctx context.Context) error {
 	return r.client.await(ctx, r.operation, func() bool { return r.operation.tally.Durable(r.client.set) })
--- a/internal/quorum/tally.go
+++ b/internal/quorum/tally.go
@@ -58,7 +58,7 @@
 		t.Foreign = true
 	case reply.Reserve.Found:
 		t.Found, t.History, t.Instance = true, reply.Reserve.History, reply.Reserve.Instance
-	default:
+	case reply.Reserve.Missing:
 		t.missing[reply.Disk] = true
 	}
 }
