What a replica with an empty disk lacks crosses the network once, in pieces

Ruled out: processors (0.1 of a core), disks, the retries of callers (load stayed as before). Change: charges have an order of their changes; a reader names its place, gets 400 at a time, and goes on from there for a later epoch. A turn is asked of one peer at a time, replies are cut at 128 KB, and what is unanswered is asked again after 5 s or on a new connection.

--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -110,11 +110,14 @@
 }
 
 // Adopt tells a replica of a newer membership. The durable reply means that it
-// refuses reservations under older epochs from now on, and carries all charges if
+// refuses reservations under older epochs from now on, and carries the next charges if
 // asked for.
 type Adopt struct {
-	Set         replicaset.Set
-	WithCharges bool
+	Set replicaset.Set
+	// Charges is how many charges the reply may carry; 0 asks for none.
+	Charges int
+	// After is how far this replica's charges are known to the one that asks.
+	After HandoverPlace
 }
 
 // Inventory asks which turns a replica has stored since a position.
@@ -149,12 +152,15 @@
 	Stale *replicaset.Set
 	// Reserve answers a Reserve at its first reply.
 	Reserve *ReserveReply
-	// Charges answers an Adopt with charges.
+	// Charges answers an Adopt with charges, Handover says which of them.
 	Charges   []ProgramCharge
+	Handover  *Handover
 	Inventory *InventoryReply
 	// Turns answers a Fetch, or a Chain with the newest turn first; a chain with a gap
 	// is answered with none.
 	Turns []Turn
+	// Cut is set when a Fetch asked for more than one reply holds.
+	Cut bool
 	// Chain is set in the answer to a Chain.
 	Chain bool
 	// Loan answers a Borrow.
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -14,8 +14,6 @@
 	retentionMargin = 15 * time.Second
 	// leastRetention holds for charges of programs that name less.
 	leastRetention = 2 * time.Minute
-	// inventoryLimit bounds the ids of one inventory reply.
-	inventoryLimit = 4000
 	// maxChain bounds the length of a chain of turns.
 	maxChain = 4096
 )
@@ -31,6 +29,8 @@
 	order     []string
 	orderBase int
 	programs  map[string]*program
+	// chargeOrder is the order in which charges changed.
+	chargeOrder chargeOrder
 	// peers is how far each other disk has stored this replica's turns durably.
 	peers map[string]int
 	bytes int64
@@ -165,6 +165,7 @@
 		return nil
 	}
 	known.charges[added.Charge.Turn] = merged
+	s.chargeOrder.add(added.Program, merged)
 	return []Record{{Charge: &added}}
 }
 
@@ -261,8 +262,9 @@
 	}
 	reply := s.reply(request.Number)
 	reply.Durable = true
-	if request.Adopt.WithCharges {
-		reply.Charges = s.allCharges()
+	if request.Adopt.Charges > 0 {
+		charges, handover := s.handOver(request.Adopt.After, request.Adopt.Charges)
+		reply.Charges, reply.Handover = charges, &handover
 	}
 	output.Durable = []Reply{reply}
 	return output
@@ -288,53 +290,6 @@
 	return records
 }
 
-// StoreTurns stores turns fetched from another replica.
-func (s *State) StoreTurns(now time.Time, turns []Turn) []Record {
-	var records []Record
-	for _, turn := range turns {
-		records = append(records, s.store(now, turn)...)
-	}
-	return records
-}
-
-// Missing returns the ids that are not stored here.
-func (s *State) Missing(ids []string) []string {
-	var missing []string
-	for _, id := range ids {
-		if s.turns[id] == nil {
-			missing = append(missing, id)
-		}
-	}
-	return missing
-}
-
-func (s *State) inventory(request Request) Output {
-	asked := request.Inventory
-	after := 0
-	if asked.Boot == s.boot {
-		after = asked.After
-		s.peers[asked.From] = max(s.peers[asked.From], after)
-	}
-	start := max(0, after-s.orderBase)
-	end := min(len(s.order), start+inventoryLimit)
-	reply := s.reply(request.Number)
-	reply.Inventory = &InventoryReply{Boot: s.boot, Position: s.orderBase + end, More: end < len(s.order)}
-	if start < end {
-		reply.Inventory.IDs = slices.Clone(s.order[start:end])
-	}
-	return Output{Now: []Reply{reply}}
-}
-
-func (s *State) fetch(request Request) Output {
-	reply := s.reply(request.Number)
-	for _, id := range request.Fetch.IDs {
-		if stored := s.turns[id]; stored != nil {
-			reply.Turns = append(reply.Turns, stored.turn)
-		}
-	}
-	return Output{Now: []Reply{reply}}
-}
-
 func (s *State) wholeChain(now time.Time, request Request) Output {
 	reply := s.reply(request.Number)
 	reply.Chain = true
@@ -358,6 +313,7 @@
 		return true
 	})
 	maps.DeleteFunc(s.programs, func(_ string, known *program) bool { return !now.Before(known.until) })
+	s.purgeChargeOrder()
 	for len(s.order) > 0 && s.turns[s.order[0]] == nil {
 		s.order = s.order[1:]
 		s.orderBase++
--- a/internal/quorum/model_test.go
+++ b/internal/quorum/model_test.go
@@ -31,6 +31,8 @@
 	anyEpoch bool
 	// joinUnheard lets a new disk vote without the others' charges.
 	joinUnheard bool
+	// joinAfterAGap takes a part of another replica's charges for all of them.
+	joinAfterAGap bool
 	// keepDisk lets a machine with an empty disk answer under its old identity.
 	keepDisk bool
 }
@@ -45,6 +47,8 @@
 	life     int
 	// adopted holds the epochs confirmed by other disks, in this life.
 	adopted map[string]uint64
+	// places are how far the charges of other replicas are known, in this life.
+	places map[string]ledger.HandoverPlace
 }
 
 type modelOperation struct {
@@ -91,7 +95,7 @@
 	for i := range size {
 		name := fmt.Sprintf("r%d", i)
 		m.names = append(m.names, name)
-		replica := &modelReplica{node: name, adopted: map[string]uint64{}}
+		replica := &modelReplica{node: name, adopted: map[string]uint64{}, places: map[string]ledger.HandoverPlace{}}
 		m.replicas[name] = replica
 		m.emptyDisk(replica)
 		m.set.Voters = append(m.set.Voters, replicaset.Voter{Node: name, Disk: replica.state.Disk()})
@@ -116,7 +120,7 @@
 	}
 	r.state = ledger.NewState(disk, disk)
 	r.synced, r.unsynced, r.waiting = []ledger.Record{{Disk: disk}}, nil, nil
-	r.adopted = map[string]uint64{}
+	r.adopted, r.places = map[string]uint64{}, map[string]ledger.HandoverPlace{}
 	r.life++
 }
 
@@ -147,13 +151,13 @@
 }
 
 func (m *model) losePower(r *modelReplica) {
-	r.state = ledger.NewState("", "")
+	r.life++
+	r.state = ledger.NewState("", fmt.Sprint(r.node, "-", r.life))
 	for _, record := range r.synced {
 		r.state.Replay(m.now, record)
 	}
 	r.unsynced, r.waiting = nil, nil
-	r.adopted = map[string]uint64{}
-	r.life++
+	r.adopted, r.places = map[string]uint64{}, map[string]ledger.HandoverPlace{}
 }
 
 func (m *model) begin() {
@@ -205,7 +209,11 @@
 	}
 	asker.unsynced = append(asker.unsynced, asker.state.MergeCharges(m.now, message.reply.Charges)...)
 	m.sync(asker)
-	asker.adopted[message.reply.Disk] = max(asker.adopted[message.reply.Disk], message.reply.Epoch)
+	place, complete := asker.places[message.reply.Disk].Follow(*message.reply.Handover)
+	asker.places[message.reply.Disk] = place
+	if complete || m.guards.joinAfterAGap {
+		asker.adopted[message.reply.Disk] = max(asker.adopted[message.reply.Disk], message.reply.Epoch)
+	}
 }
 
 func (m *model) receiveReservation(message modelMessage) {
@@ -281,7 +289,7 @@
 
 func (m *model) askAdoption(r *modelReplica) {
 	for _, voter := range m.set.Voters {
-		request := ledger.Request{Adopt: &ledger.Adopt{Set: m.set, WithCharges: true}}
+		request := ledger.Request{Adopt: &ledger.Adopt{Set: m.set, Charges: 2, After: r.places[voter.Disk]}}
 		m.messages = append(m.messages, modelMessage{request: &request, replica: voter.Node, asker: r.node, askerLife: r.life})
 	}
 }
@@ -336,6 +344,7 @@
 		"count answers of any epoch":   {anyEpoch: true},
 		"join without others' charges": {joinUnheard: true},
 		"keep the identity of a disk":  {keepDisk: true},
+		"join with a part of them":     {joinAfterAGap: true},
 	}
 	for name, guard := range removed {
 		t.Run(name, func(t *testing.T) {
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/ledger"
@@ -11,10 +12,17 @@
 const (
 	// inventoryInterval is how often a replica asks another one for new turns.
 	inventoryInterval = 250 * time.Millisecond
-	// replyLimit is when an unanswered question to a peer is asked again.
+	// replyLimit is how long a peer may say nothing before it counts as unreachable.
 	replyLimit = time.Second
+	// answerPatience is when an unanswered question is asked again on the same connection. The
+	// end of a connection says sooner that an answer is lost; an answer that is late is on a
+	// way that is full, and asking again adds the same to it once more.
+	answerPatience = 5 * time.Second
 	// fetchLimit bounds the turns asked for at once.
 	fetchLimit = 200
+	// handoverCharges is how many charges a peer hands over in one reply, some 20 KB: all of
+	// them are megabytes, and the way between regions carries them beside callers' turns.
+	handoverCharges = 400
 )
 
 // peerState is what a replica knows of another one. It belongs to the loop.
@@ -37,8 +45,12 @@
 	more     bool
 	askedAt  time.Time
 	asking   bool
-	// adopted is the epoch it confirmed durably while its charges were merged here.
+	// fetching are the turns it was asked for and has not sent.
+	fetching []string
+	// adopted is the epoch it confirmed durably while all its charges were merged here; place
+	// is how far they are, adoptAt when it was asked for more, zero once it answered.
 	adopted uint64
+	place   ledger.HandoverPlace
 	adoptAt time.Time
 }
 
@@ -47,6 +59,7 @@
 	p.server.post(func() {
 		p.up = true
 		p.asking = false
+		p.stopFetching()
 		p.adoptAt = time.Time{}
 		own := p.server.own()
 		p.link.Send(ledger.Request{Hello: &own})
@@ -58,6 +71,7 @@
 func (p *peerState) LinkDown(err error) {
 	p.server.post(func() {
 		p.up = false
+		p.stopFetching()
 		p.server.log.Warn().Str("event", "peer_lost").Str("peer", p.node.Name).AnErr("error", err).Msg("")
 	})
 }
@@ -74,37 +88,54 @@
 	case reply.Inventory != nil:
 		p.receiveInventory(*reply.Inventory)
 	case reply.Turns != nil:
-		p.receiveTurns(reply.Turns)
+		p.receiveTurns(reply.Turns, reply.Cut)
 	case reply.Durable:
 		p.receiveAdopted(reply)
 	default: // a fetch of turns that the peer has dropped meanwhile
-		p.missing = nil
-		p.advance()
+		p.receiveTurns(nil, false)
 	}
 }
 
 func (p *peerState) receiveInventory(inventory ledger.InventoryReply) {
+	p.stopFetching()
 	p.nextBoot, p.next, p.more = inventory.Boot, inventory.Position, inventory.More
 	p.missing = p.server.state.Missing(inventory.IDs)
 	p.advance()
 }
 
-// receiveTurns stores fetched turns. Those asked for and not sent were dropped by
-// the peer.
-func (p *peerState) receiveTurns(turns []ledger.Turn) {
+// receiveTurns stores fetched turns. Those asked for and not sent were dropped by the peer,
+// unless its reply was cut.
+func (p *peerState) receiveTurns(turns []ledger.Turn, cut bool) {
 	records := p.server.state.StoreTurns(time.Now(), turns)
 	p.server.persist(records, nil)
-	p.missing = p.missing[min(fetchLimit, len(p.missing)):]
+	if !cut {
+		dropped := map[string]bool{}
+		for _, id := range p.fetching {
+			dropped[id] = true
+		}
+		p.missing = slices.DeleteFunc(p.missing, func(id string) bool { return dropped[id] })
+	}
+	p.stopFetching()
 	p.advance()
 }
 
-// advance fetches what is missing, and once nothing is, confirms the position when
-// all records before it are durable.
+// stopFetching lets other peers be asked for what this one was asked for.
+func (p *peerState) stopFetching() {
+	p.server.claims.release(p.node.Name, p.fetching)
+	p.fetching = nil
+}
+
+// advance fetches what is missing and no other peer is asked for, and once nothing is missing,
+// confirms the position when all records before it are durable.
 func (p *peerState) advance() {
+	p.missing = p.server.state.Missing(p.missing)
 	if len(p.missing) > 0 {
-		p.askedAt = time.Now()
-		ids := p.missing[:min(fetchLimit, len(p.missing))]
-		p.link.Send(ledger.Request{Fetch: &ledger.Fetch{IDs: ids}})
+		now := time.Now()
+		p.fetching = p.server.claims.take(now, p.node.Name, p.missing, fetchLimit)
+		if len(p.fetching) > 0 {
+			p.askedAt = now
+			p.link.Send(ledger.Request{Fetch: &ledger.Fetch{IDs: p.fetching}})
+		}
 		return
 	}
 	boot, position, more := p.nextBoot, p.next, p.more
@@ -124,9 +155,13 @@
 	if !p.up || p.server.members.leaving {
 		return
 	}
-	if p.asking && now.Sub(p.askedAt) < replyLimit {
+	if p.asking && now.Sub(p.askedAt) < answerPatience {
+		if len(p.missing) > 0 && len(p.fetching) == 0 {
+			p.advance() // other peers were asked for all that is missing
+		}
 		return
 	}
+	p.stopFetching()
 	if now.Sub(p.askedAt) >= inventoryInterval {
 		p.ask(now)
 	}
@@ -140,17 +175,28 @@
 	}})
 }
 
-// requestAdoption asks the peer to adopt the set and to hand over its charges.
+// requestAdoption asks the peer to adopt the set and to hand over its next charges.
 func (p *peerState) requestAdoption(now time.Time, set replicaset.Set) {
-	if !p.up || p.adopted >= set.Epoch || now.Sub(p.adoptAt) < replyLimit/2 {
+	if !p.up || p.adopted >= set.Epoch || now.Sub(p.adoptAt) < answerPatience {
 		return
 	}
 	p.adoptAt = now
-	p.link.Send(ledger.Request{Adopt: &ledger.Adopt{Set: set, WithCharges: true}})
+	p.link.Send(ledger.Request{Adopt: &ledger.Adopt{Set: set, Charges: handoverCharges, After: p.place}})
 }
 
+// receiveAdopted merges charges that the peer handed over, and asks for the next ones.
 func (p *peerState) receiveAdopted(reply ledger.Reply) {
+	if reply.Handover == nil {
+		return
+	}
 	records := p.server.state.MergeCharges(time.Now(), reply.Charges)
+	place, complete := p.place.Follow(*reply.Handover)
+	p.place, p.adoptAt = place, time.Time{}
+	if !complete {
+		p.server.persist(records, nil)
+		p.requestAdoption(time.Now(), p.server.members.set)
+		return
+	}
 	p.server.persist(records, func() {
 		p.server.post(func() { p.adopted = max(p.adopted, reply.Epoch) })
 	})
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -65,6 +65,7 @@
 	inbox   chan func()
 	syncer  *syncer
 	peers   map[string]*peerState
+	claims  *claims
 	members membership
 	context context.Context
 	// ended is closed when the loop takes no more work.
@@ -81,7 +82,7 @@
 func New(options Options) (*Server, error) {
 	s := &Server{
 		options: options, log: options.Log,
-		inbox: make(chan func(), inboxEvents), peers: map[string]*peerState{}, context: context.Background(),
+		inbox: make(chan func(), inboxEvents), peers: map[string]*peerState{}, claims: newClaims(), context: context.Background(),
 		ended: make(chan struct{}), lender: quota.NewLender(options.Quota),
 	}
 	if options.Metrics == nil {
