Slow is not gone, and what waits in a replica is bounded in bytes

Cause: while the way between regions is full an answer takes 0.3 to 0.9 s. An answer counted as late after 250 ms at most, so each request went by another gateway as well, over the same way; an instance whose machine did not accept a connection within 300 ms counted as gone, and its stream went on elsewhere. Change: the time-out of a replica follows that replica's own answers and is never below twice the usual one (0.6 s at most); an answer on the direct way is measured also when the request went by a relay. A machine of another region has 0.9 s to accept, and packets already sent may be answered until then. Memory: the inbox, the answers that wait for all connections together, and what waits for the disk may hold a sixteenth of memoryMB each. Who sends more is not read from, an answer without room is not sent, a record without room is not taken: callers have other replicas. The check that a time-out is bounded by 250 ms is replaced: it is bounded by 0.6 s, and is above what is usual up to there. Seen to fail without: TestConnectionsThatReadNothingShareABudget, TestABudgetMakesReadersWait, TestWhatWaitsForTheDiskIsBounded, TestRoundTripFollowsAnswers.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -126,6 +126,11 @@
 // the first Pick.
 func (d *Directory) UsePlaces(places place.Map) { d.places = places }
 
+// OtherRegion reports whether a zone is in another region than this gateway.
+func (d *Directory) OtherRegion(zone string) bool {
+	return d.places.Distance(d.zone, zone) == place.OtherRegion
+}
+
 // SeedWith makes this gateway's choices among equal instances differ from those of
 // gateways with other names.
 func (d *Directory) SeedWith(node string) { d.seed = xxhash.Sum64String(node) }
--- a/internal/backend/liveness.go
+++ b/internal/backend/liveness.go
@@ -8,15 +8,21 @@
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/peer"
+	"swiftbank.dev/swiftbank/internal/wait"
 )
 
 const (
-	// checkTimeout is how long an instance's machine may take to accept a connection, and
-	// checkTries how many opening packets must stay unanswered before it counts as gone:
-	// some may be lost, meet a full queue of new connections, or find this process itself
-	// without the processor.
-	checkTimeout = 100 * time.Millisecond
-	checkTries   = 3
+	// checkTries is how many opening packets must stay unanswered before an instance's machine
+	// counts as gone, checkPause apart: some may be lost, meet a full queue of new
+	// connections, or find this process itself without the processor.
+	checkTries = 3
+	checkPause = 100 * time.Millisecond
+	// checkNear and checkFar are how long the first of them may stay unanswered, in the own
+	// region and from another one: the way there is shared, and full it takes several times
+	// its usual time. An instance that is taken for gone may be at work on the request that
+	// goes on elsewhere.
+	checkNear = 300 * time.Millisecond
+	checkFar  = 900 * time.Millisecond
 	// checkLife is how long the result of a check holds for all requests there.
 	checkLife = 250 * time.Millisecond
 )
@@ -90,14 +96,22 @@
 // check finds out whether the instance's machine answers. The connection is kept for the
 // next request.
 func (p *Pool) check(known *liveness, instance Instance) {
+	limit := checkNear
+	if p.far != nil && p.far(instance.Zone) {
+		limit = checkFar
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	answers := make(chan bool, checkTries)
+	for try := range checkTries {
+		go func() { answers <- p.answersAt(ctx, time.Duration(try)*checkPause, instance) }()
+	}
 	gone := true
-	for try := 0; try < checkTries && gone; try++ {
-		p.Opened()
-		opened, err := peer.Dialer(checkTimeout).DialContext(context.Background(), "tcp", instance.Address)
-		if err == nil {
-			p.put(instance, newConnection(opened), idleDefault)
+	for range checkTries {
+		if <-answers {
+			gone = false
+			cancel()
 		}
-		gone = isTimeout(err)
 	}
 	known.mu.Lock()
 	known.checkedAt, known.gone = time.Now(), gone
@@ -106,6 +120,21 @@
 	known.mu.Unlock()
 }
 
+// answersAt sends one opening packet after a pause and reports whether the machine answers.
+func (p *Pool) answersAt(ctx context.Context, pause time.Duration, instance Instance) bool {
+	if pause > 0 && !wait.For(ctx, pause) {
+		return false
+	}
+	p.Opened()
+	limit, _ := ctx.Deadline()
+	opened, err := peer.Dialer(time.Until(limit)).DialContext(ctx, "tcp", instance.Address)
+	if err == nil {
+		p.put(instance, newConnection(opened), idleDefault)
+		return true
+	}
+	return !isTimeout(err) && !errors.Is(err, context.Canceled)
+}
+
 // isTimeout reports whether nothing answered. A refusal or a reset is an answer of the
 // machine.
 func isTimeout(err error) bool {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -37,6 +37,8 @@
 type Pool struct {
 	// Opened counts new connections, for the metrics.
 	Opened func()
+	// far reports whether a zone is in another region; nil knows of none.
+	far func(zone string) bool
 
 	mu   sync.Mutex
 	idle map[string][]*connection
@@ -51,6 +53,10 @@
 	return &Pool{Opened: opened, idle: map[string][]*connection{}, idleLimit: map[string]int{}, alive: map[string]*liveness{}}
 }
 
+// UseFar tells the pool which zones are in another region. It must be called before the first
+// request.
+func (p *Pool) UseFar(far func(zone string) bool) { p.far = far }
+
 // take returns a kept connection that is still sound, or a new one.
 func (p *Pool) take(ctx context.Context, instance Instance) (*connection, error) {
 	now := time.Now()
--- a/internal/command/replica.go
+++ b/internal/command/replica.go
@@ -67,7 +67,7 @@
 	running.Go(func() { knowledge.Run(ctx) })
 	server, err := replica.New(replica.Options{
 		Node: config.Node, Zone: config.Zone, Address: config.PeerAddress, Advertised: config.Advertised(), Feed: config.CopyAddress,
-		DataFolder: config.DataFolder, DiskMB: config.DiskMB, Tolerate: config.TolerateMachines, Registry: store,
+		DataFolder: config.DataFolder, DiskMB: config.DiskMB, MemoryMB: config.MemoryMB, Tolerate: config.TolerateMachines, Registry: store,
 		Known: knowledge.Member, Retirements: store, Log: process.log, Metrics: metrics, Quota: config.Quota(),
 	})
 	if err != nil {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -97,6 +97,7 @@
 		allowances: newAllowances(),
 	}
 	s.pool = backend.NewPool(s.metrics.connections.Inc)
+	s.pool.UseFar(s.directory.OtherRegion)
 	s.directory.UseConnections(s.pool)
 	return s
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -89,7 +89,7 @@
 func (l *Link[Send, Receive]) serve(ctx context.Context, connection net.Conn) error {
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	defer stop()
-	sender := newSender[Send](connection)
+	sender := newSender[Send](connection, nil)
 	l.setSender(sender)
 	defer l.setSender(nil)
 	defer sender.close()
@@ -113,6 +113,8 @@
 // sender encodes queued messages and writes all that wait in one call.
 type sender[Send any] struct {
 	connection net.Conn
+	// budget bounds the bytes that wait, of this connection and others.
+	budget *Budget
 	// wake is signalled when messages wait.
 	wake   chan struct{}
 	closed chan struct{}
@@ -122,10 +124,12 @@
 	waiting []Send
 	// spare is the room of the messages written last.
 	spare []Send
+	// ended is set when nothing is written any more.
+	ended bool
 }
 
-func newSender[Send any](connection net.Conn) *sender[Send] {
-	s := &sender[Send]{connection: connection, wake: make(chan struct{}, 1), closed: make(chan struct{})}
+func newSender[Send any](connection net.Conn, budget *Budget) *sender[Send] {
+	s := &sender[Send]{connection: connection, budget: budget, wake: make(chan struct{}, 1), closed: make(chan struct{})}
 	go s.run()
 	return s
 }
@@ -136,13 +140,7 @@
 		return false
 	default:
 	}
-	s.mu.Lock()
-	full := len(s.waiting) >= queueMessages
-	if !full {
-		s.waiting = append(s.waiting, message)
-	}
-	s.mu.Unlock()
-	if full {
+	if !s.enqueue(message) {
 		return false
 	}
 	select {
@@ -152,6 +150,17 @@
 	return true
 }
 
+// enqueue reports whether there was room for the message.
+func (s *sender[Send]) enqueue(message Send) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended || len(s.waiting) >= queueMessages || !s.budget.Take(bytesOf(message)) {
+		return false
+	}
+	s.waiting = append(s.waiting, message)
+	return true
+}
+
 func (s *sender[Send]) close() {
 	s.once.Do(func() {
 		close(s.closed)
@@ -159,7 +168,18 @@
 	})
 }
 
+// drop gives back the room of messages that will not be written any more.
+func (s *sender[Send]) drop() {
+	s.mu.Lock()
+	s.ended = true
+	s.mu.Unlock()
+	for _, message := range s.take() {
+		s.budget.Give(bytesOf(message))
+	}
+}
+
 func (s *sender[Send]) run() {
+	defer s.drop()
 	defer s.close()
 	buffer := bufio.NewWriterSize(s.connection, bufferBytes)
 	encoder := gob.NewEncoder(buffer)
@@ -170,10 +190,8 @@
 		case <-s.wake:
 		}
 		for batch := s.take(); len(batch) > 0; batch = s.take() {
-			for _, message := range batch {
-				if encoder.Encode(message) != nil {
-					return
-				}
+			if !s.write(encoder, batch) {
+				return
 			}
 			s.giveBack(batch)
 		}
@@ -183,6 +201,16 @@
 	}
 }
 
+// write encodes a batch and gives back the room of its messages, also after a failure.
+func (s *sender[Send]) write(encoder *gob.Encoder, batch []Send) bool {
+	sound := true
+	for _, message := range batch {
+		sound = sound && encoder.Encode(message) == nil
+		s.budget.Give(bytesOf(message))
+	}
+	return sound
+}
+
 // take returns all messages that wait.
 func (s *sender[Send]) take() []Send {
 	s.mu.Lock()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -11,6 +11,8 @@
 type Server[Receive, Send any] struct {
 	listener net.Listener
 	receive  func(from *Connection[Send], message Receive)
+	// outgoing bounds what waits to be sent on all connections.
+	outgoing *Budget
 
 	mu     sync.Mutex
 	open   map[net.Conn]bool
@@ -31,6 +33,10 @@
 	return &Server[Receive, Send]{listener: listener, receive: receive, open: map[net.Conn]bool{}}
 }
 
+// LimitOutgoing bounds the bytes of messages that wait to be sent, on all connections
+// together. It must be called before Run.
+func (s *Server[Receive, Send]) LimitOutgoing(budget *Budget) { s.outgoing = budget }
+
 // Run accepts connections until Close.
 func (s *Server[Receive, Send]) Run() {
 	for {
@@ -77,7 +83,7 @@
 }
 
 func (s *Server[Receive, Send]) read(connection net.Conn) {
-	way := &Connection[Send]{sender: newSender[Send](connection)}
+	way := &Connection[Send]{sender: newSender[Send](connection, s.outgoing)}
 	defer func() {
 		way.sender.close()
 		s.mu.Lock()
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -65,8 +65,8 @@
 	asked []*replicaLink
 	// late counts those that were late.
 	late int
-	// begunAt is when it was sent first; resent is set once it was sent again, after
-	// which its answer tells nothing of the time that one takes.
+	// begunAt is when it was sent first; resent is set once it was sent again on the same
+	// connections, after which its answer tells nothing of the time that one takes.
 	begunAt time.Time
 	resent  bool
 }
--- a/internal/quorum/history.go
+++ b/internal/quorum/history.go
@@ -53,7 +53,7 @@
 		return timeoutUnknown
 	}
 	last := pending.asked[len(pending.asked)-1]
-	return last.answers.timeout() << pending.late
+	return c.timeoutOf(last) << pending.late
 }
 
 // askOneMore asks the next replica for the history: the one asked last is late.
--- a/internal/quorum/link.go
+++ b/internal/quorum/link.go
@@ -73,6 +73,7 @@
 	if c.passBack(r, reply) {
 		return
 	}
+	// What went by another gateway as well is measured too: this answer came on the direct way.
 	if pending := c.operations[reply.Number]; pending != nil && reply.Reserve != nil && !pending.resent {
 		took := time.Since(pending.begunAt)
 		c.answers.observe(took)
--- a/internal/quorum/relayretry.go
+++ b/internal/quorum/relayretry.go
@@ -16,7 +16,15 @@
 	if !replica.up {
 		return false
 	}
-	return replica.unansweredSince.IsZero() || now.Sub(replica.unansweredSince) <= c.answers.timeout()
+	return replica.unansweredSince.IsZero() || now.Sub(replica.unansweredSince) <= c.timeoutOf(replica)
+}
+
+// timeoutOf is how long a replica may take to answer: replicas of other regions take longer.
+func (c *Client) timeoutOf(replica *replicaLink) time.Duration {
+	if replica.answers.known {
+		return replica.answers.timeout()
+	}
+	return c.answers.timeout()
 }
 
 // relayRetry times the tries of one operation. A nil timer never fires.
@@ -69,11 +77,10 @@
 		if !concerned {
 			continue
 		}
-		pending.resent = true
 		if !replica.relaying {
 			replica.relaying = true
 			c.log.Warn().Str("event", "relay_retry_begun").Str("peer", replica.node.Name).Bool("connected", replica.up).
-				Dur("timeout", c.answers.timeout()).Msg("")
+				Dur("timeout", c.timeoutOf(replica)).Msg("")
 		}
 		c.sendByRelay(replica, request)
 	}
--- a/internal/quorum/roundtrip.go
+++ b/internal/quorum/roundtrip.go
@@ -8,6 +8,12 @@
 	timeoutLeast   = 25 * time.Millisecond
 	timeoutMost    = 250 * time.Millisecond
 	timeoutUnknown = 100 * time.Millisecond
+	// timeoutMeans is how many usual answers are awaited where that is longer than timeoutMost,
+	// up to timeoutSlow, which leaves a turn's reservation the time for another way. A bound
+	// below the usual time sends each request a second way as well, which makes a way that is
+	// full, and for that slow, fuller.
+	timeoutMeans = 2
+	timeoutSlow  = 600 * time.Millisecond
 	// The gains and the factor of the deviation are those of RFC 6298, section 2.
 	meanGain        = 0.125
 	deviationGain   = 0.25
@@ -37,5 +43,6 @@
 	if !r.known {
 		return timeoutUnknown
 	}
-	return min(timeoutMost, max(timeoutLeast, r.mean+deviationFactor*r.deviation))
+	most := min(timeoutSlow, max(timeoutMost, timeoutMeans*r.mean))
+	return min(most, max(timeoutLeast, r.mean+deviationFactor*r.deviation))
 }
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -78,7 +78,7 @@
 
 // Received implements peer.Handler.
 func (p *peerState) Received(reply ledger.Reply) {
-	p.server.post(func() { p.receive(reply) })
+	p.server.postMessage(reply.Bytes(), func() { p.receive(reply) })
 }
 
 func (p *peerState) receive(reply ledger.Reply) {
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -44,6 +44,8 @@
 	Feed       string
 	DataFolder string
 	DiskMB     int
+	// MemoryMB is what the machine has; parts of it bound what waits here.
+	MemoryMB int
 	// Tolerate is how many machines with disks may be lost at once.
 	Tolerate int
 	Registry registry.Registry
@@ -64,6 +66,7 @@
 	lender  *quota.Lender
 	inbox   chan func()
 	syncer  *syncer
+	limits  limits
 	peers   map[string]*peerState
 	claims  *claims
 	members membership
@@ -84,6 +87,7 @@
 		options: options, log: options.Log,
 		inbox: make(chan func(), inboxEvents), peers: map[string]*peerState{}, claims: newClaims(), context: context.Background(),
 		ended: make(chan struct{}), lender: quota.NewLender(options.Quota),
+		limits: newLimits(options.MemoryMB),
 	}
 	if options.Metrics == nil {
 		s.options.Metrics = NewMetrics(options.Node)
@@ -169,6 +173,7 @@
 	s.register()
 	s.loop(ctx)
 	close(s.ended)
+	s.limits.inbox.Close()
 	cancel()
 	server.Close()
 	for _, peer := range s.peers {
@@ -180,9 +185,11 @@
 }
 
 func (s *Server) serve(listener net.Listener) *peer.Server[ledger.Request, ledger.Reply] {
-	return peer.NewServer(listener, func(from *peer.Connection[ledger.Reply], request ledger.Request) {
-		s.post(func() { s.receive(from, request) })
+	server := peer.NewServer(listener, func(from *peer.Connection[ledger.Reply], request ledger.Request) {
+		s.postMessage(request.Bytes(), func() { s.receive(from, request) })
 	})
+	server.LimitOutgoing(s.limits.outgoing)
+	return server
 }
 
 func (s *Server) loop(ctx context.Context) {
@@ -211,6 +218,9 @@
 		s.lend(request, func(reply ledger.Reply) { from.Send(reply) })
 		return
 	}
+	if s.overloaded(request) {
+		return
+	}
 	output := s.state.Step(time.Now(), request)
 	s.logRequest(request, output)
 	for _, reply := range output.Now {
--- a/internal/replica/syncer.go
+++ b/internal/replica/syncer.go
@@ -33,6 +33,8 @@
 	mu      sync.Mutex
 	waiting []submission
 	wake    chan struct{}
+	// held is about how many bytes are waiting or being written.
+	held int
 	// segmentBytes is the size of the present segment, for the owner of the state.
 	segmentBytes int64
 }
@@ -44,6 +46,7 @@
 func (s *syncer) submit(item submission) {
 	s.mu.Lock()
 	s.waiting = append(s.waiting, item)
+	s.held += item.bytes()
 	s.mu.Unlock()
 	select {
 	case s.wake <- struct{}{}:
@@ -51,6 +54,31 @@
 	}
 }
 
+// bytes is about what the submission holds. A snapshot's records are the state's own.
+func (i submission) bytes() int {
+	size := 0
+	for _, record := range i.records {
+		size += record.Bytes()
+	}
+	return size
+}
+
+// waitingBytes is about what waits for the disk, and what is being written.
+func (s *syncer) waitingBytes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held
+}
+
+// written notes that submissions hold nothing any more.
+func (s *syncer) written(items []submission) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, item := range items {
+		s.held -= item.bytes()
+	}
+}
+
 // size returns the bytes of the present segment.
 func (s *syncer) size() int64 {
 	s.mu.Lock()
@@ -85,6 +113,7 @@
 			failing = false
 			s.report(nil)
 		}
+		s.written(items)
 		for _, item := range items {
 			if item.after != nil {
 				item.after()
