An instance that seems gone is asked once more before another one runs its stream

Cause: that a machine did not answer for a moment took it out of the count of a route's instances. Change: it stays in the count. Ruled out: leaving streams to their deadline at the first doubt: a process that ended would cost its streams.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -215,9 +215,6 @@
 		// The same instance goes on if it can: another one would be one more that runs the
 		// request, and the route says how many may.
 		ran.add(t.outcome.instance)
-		if failure.Gone {
-			ran.remove(t.outcome.instance)
-		}
 		demand.Preferred, demand.Only = t.outcome.instance, ran.only(t.events == eventsBefore)
 		s.log.Info().Str("event", "stream_resumed").Str("id", t.id).Str("instance", t.outcome.instance).
 			Str("last_event", t.lastEvent).Int("events", t.events).Str("reason", failure.Reason).Msg("")
