Few requests go a second way while their own connection stands

Cause: on a way that is slow for good each request to a replica there went by another gateway too. Seen to fail without: TestFewRequestsGoASecondWayWhileTheirConnectionStands.

--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -43,6 +43,8 @@
 	// forwards are the requests of other gateways that were passed on, by their number
 	// on the links here.
 	forwards map[uint64]forward
+	// credit bounds what goes by other gateways beside a connection that stands.
+	credit relayCredit
 	// answers estimates how long a replica takes to answer, whichever it is.
 	answers roundTrip
 }
@@ -287,10 +289,14 @@
 	}
 	if replica.link.Send(request) {
 		replica.expect(now)
+		c.credit.sent()
 	}
 }
 
 func (c *Client) sendByRelay(replica *replicaLink, request ledger.Request) {
+	if replica.up && !c.credit.spend() {
+		return
+	}
 	c.relays.send(RelayRequest{Cell: c.cell, Replica: replica.node.Name, Request: request}, c.answers.timeout())
 }
 
