A refused turn's reservation ends, and silent connections are renewed

Cause of what was left of the collapse: each change of a set made the way between regions full for three seconds, more with each change. A turn that was refused, for a spent budget or a history that is not to be found, never ended its reservation. It stayed under way for the life of the gateway and was sent to all replicas again with each new connection and each new set: thousands by the end of a minute. Change: whatever refuses a turn, its reservation ends. Also: a connection between processes on which nothing was answered for 2 s is replaced, and a stream that may be resumed leaves one on which it heard nothing for 2 s though the machine accepts new ones. What lost an answer goes on by a new connection.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -34,6 +34,10 @@
 	Body   []byte
 	// IDHeader names the header by which an answer is matched with its request.
 	IDHeader string
+	// Fresh asks for a new connection. A kept one may have fallen silent for good, which shows
+	// only by the answer that does not come: a request that lost one answer so goes on by a
+	// connection that was just made.
+	Fresh bool
 }
 
 // Failure is an exchange without a usable answer.
@@ -66,7 +70,7 @@
 // Do sends the call and reads the answer's head. The context's end closes the
 // connection, at which an instance stops its work.
 func (p *Pool) Do(ctx context.Context, instance Instance, call Call) (*Answer, *Failure) {
-	connection, err := p.take(ctx, instance)
+	connection, err := p.take(ctx, instance, call.Fresh)
 	if err != nil {
 		return nil, &Failure{Verdict: verdict.NotRun, Unreachable: ctx.Err() == nil, Gone: errors.Is(err, syscall.ECONNREFUSED), Reason: "connect: " + err.Error()}
 	}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -58,9 +58,9 @@
 func (p *Pool) UseFar(far func(zone string) bool) { p.far = far }
 
 // take returns a kept connection that is still sound, or a new one.
-func (p *Pool) take(ctx context.Context, instance Instance) (*connection, error) {
+func (p *Pool) take(ctx context.Context, instance Instance, fresh bool) (*connection, error) {
 	now := time.Now()
-	for {
+	for !fresh {
 		kept := p.pop(instance.ID)
 		if kept == nil {
 			break
--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -47,6 +47,8 @@
 	// changed is closed and replaced at each change of the condition.
 	changed chan struct{}
 	open    map[*net.TCPConn]bool
+	// silent are the connections on which nothing passes any more.
+	silent  map[*net.TCPConn]bool
 	closed  bool
 	running sync.WaitGroup
 }
@@ -57,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener, target: target, changed: make(chan struct{}), open: map[*net.TCPConn]bool{}}
+	p := &Proxy{listener: listener, target: target, changed: make(chan struct{}), open: map[*net.TCPConn]bool{}, silent: map[*net.TCPConn]bool{}}
 	p.running.Add(1)
 	go p.accept()
 	return p, nil
@@ -84,6 +86,22 @@
 	}
 }
 
+// Silence makes all open connections silent for good: what comes on either side is taken and
+// lost, and neither side learns of the other's end. New connections work.
+func (p *Proxy) Silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for connection := range p.open {
+		p.silent[connection] = true
+	}
+}
+
+func (p *Proxy) isSilent(connection *net.TCPConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silent[connection]
+}
+
 // Close ends the proxy and its connections and waits for its goroutines.
 func (p *Proxy) Close() {
 	_ = p.listener.Close()
@@ -160,6 +178,7 @@
 	for _, connection := range connections {
 		_ = connection.Close()
 		delete(p.open, connection)
+		delete(p.silent, connection)
 	}
 }
 
@@ -168,6 +187,12 @@
 	piece := make([]byte, pieceBytes)
 	for {
 		size, err := from.Read(piece)
+		if p.isSilent(from) {
+			if err != nil {
+				return
+			}
+			continue
+		}
 		if size > 0 && !p.passPiece(to, piece[:size], way) {
 			reset(from)
 			return
--- a/internal/faultproxy/proxy_test.go
+++ b/internal/faultproxy/proxy_test.go
@@ -92,6 +92,21 @@
 	require.Equal(t, "b\n", <-answered(again, lines, "b"))
 }
 
+func TestASilentConnectionSaysNothingAndNewOnesWork(t *testing.T) {
+	proxy := proxyTo(t, echo(t))
+	connection, lines := dial(t, proxy)
+	require.Equal(t, "a\n", <-answered(connection, lines, "a"))
+	proxy.Silence()
+	silent := answered(connection, lines, "b")
+	again, fresh := dial(t, proxy)
+	require.Equal(t, "c\n", <-answered(again, fresh, "c"))
+	select {
+	case answer := <-silent:
+		t.Fatalf("%q came through", answer)
+	default:
+	}
+}
+
 func TestARefusedConnectionIsReset(t *testing.T) {
 	proxy := proxyTo(t, echo(t))
 	proxy.Set(Condition{Refuse: true})
--- a/internal/gateway/livenesswatch.go
+++ b/internal/gateway/livenesswatch.go
@@ -16,6 +16,12 @@
 	idleTimeoutLeast  = 150 * time.Millisecond
 	idleTimeoutMost   = time.Second
 	idleTimeoutFactor = 4
+	// silenceLimit, and silenceFactor times what streams of the service usually wait for their
+	// first event, is how long one may hear nothing on a connection though the machine accepts
+	// new ones, before it goes on by another one: a connection may fall silent for good. Callers
+	// give a stream up after such a gap.
+	silenceLimit  = 2 * time.Second
+	silenceFactor = 8
 )
 
 // livenessWatch ends a send whose instance sends nothing because its machine is gone. An
@@ -25,18 +31,25 @@
 	instance    backend.Instance
 	idleTimeout time.Duration
 	timer       *time.Timer
+	// silence is how long the connection may be silent; 0 where the stream cannot go on.
+	silence time.Duration
+	heardAt atomic.Int64
+	began   time.Time
 	// end ends the send.
-	end  context.CancelFunc
-	gone atomic.Bool
+	end          context.CancelFunc
+	gone, silent atomic.Bool
 }
 
 // watchLiveness watches a stream's send until stop.
-func (s *Server) watchLiveness(ctx context.Context, instance backend.Instance, end context.CancelFunc) *livenessWatch {
+func (s *Server) watchLiveness(ctx context.Context, r *request, instance backend.Instance, end context.CancelFunc) *livenessWatch {
 	usual := s.directory.UsualFirst(instance.Service)
 	watch := &livenessWatch{
-		pool: s.pool, instance: instance, end: end,
+		pool: s.pool, instance: instance, end: end, began: time.Now(),
 		idleTimeout: min(idleTimeoutMost, max(idleTimeoutLeast, idleTimeoutFactor*usual)),
 	}
+	if r.route.Resumable {
+		watch.silence = max(silenceLimit, silenceFactor*usual)
+	}
 	watch.timer = time.AfterFunc(time.Hour, func() { watch.probe(ctx) })
 	watch.timer.Reset(watch.idleTimeout) // the timer is known to its function before it fires
 	return watch
@@ -47,19 +60,23 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if !w.pool.Gone(ctx, w.instance, w.idleTimeout) {
-		if ctx.Err() == nil {
-			w.timer.Reset(w.idleTimeout)
-		}
-		return
+	switch {
+	case w.pool.Gone(ctx, w.instance, w.idleTimeout):
+		w.gone.Store(true)
+		w.end()
+	case ctx.Err() != nil:
+	case w.silence > 0 && time.Since(w.began)-time.Duration(w.heardAt.Load()) >= w.silence:
+		w.silent.Store(true)
+		w.end()
+	default:
+		w.timer.Reset(w.idleTimeout)
 	}
-	w.gone.Store(true)
-	w.end()
 }
 
 // heard notes that the instance sent something.
 func (w *livenessWatch) heard(now time.Time) {
 	w.pool.Heard(now, w.instance.ID)
+	w.heardAt.Store(int64(now.Sub(w.began)))
 	w.timer.Reset(w.idleTimeout)
 }
 
@@ -67,9 +84,13 @@
 
 // explain gives the failure of a send that the watch ended its true reason.
 func (w *livenessWatch) explain(failure *backend.Failure) {
-	if w != nil && failure != nil && w.gone.Load() {
+	switch {
+	case w == nil || failure == nil:
+	case w.gone.Load():
 		failure.Reason = "the instance's machine does not answer"
 		failure.Gone = true
+	case w.silent.Load():
+		failure.Reason = "the connection to the instance fell silent"
 	}
 }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -32,6 +32,7 @@
 		}
 		if failure.Verdict != verdict.NotRun {
 			runs++
+			r.lostAnswer = true
 		}
 		if r.route.Kind == route.Safe && failure.Verdict != verdict.NotRun && runs < r.route.Attempts && ctx.Err() == nil {
 			demand.Exclude = append(demand.Exclude, r.outcome.instance)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -28,6 +28,8 @@
 	target         string
 	header         http.Header
 	body           []byte
+	// lostAnswer is set once an instance may have run it and gave no whole answer.
+	lostAnswer bool
 	// outcome is filled in for the log line at the end.
 	outcome outcome
 }
@@ -154,6 +156,6 @@
 		header[s.dialect.Priority] = []string{equalPriority}
 	}
 	return backend.Call{
-		Method: r.method, Target: r.target, Host: r.host, Header: header, Body: r.body, IDHeader: s.dialect.RequestID,
+		Method: r.method, Target: r.target, Host: r.host, Header: header, Body: r.body, IDHeader: s.dialect.RequestID, Fresh: r.lostAnswer,
 	}
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -96,7 +96,7 @@
 	sendCtx, release := context.WithCancel(ctx)
 	var watch *livenessWatch
 	if r.route.Kind == route.Streaming {
-		watch = s.watchLiveness(sendCtx, choice.Instance, release)
+		watch = s.watchLiveness(sendCtx, r, choice.Instance, release)
 		cancel := release
 		release = func() { watch.stop(); cancel() }
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -53,13 +53,16 @@
 	if r.route.Retained {
 		t.previous = r.header.Get(s.dialect.PreviousTurn)
 	}
-	if failure := s.reserve(ctx, t); failure != nil {
-		s.refuse(w, r, failure)
-		return
-	}
+	refused := s.reserve(ctx, t)
 	if t.reservation != nil {
+		// Also of a turn that is refused: what is not ended is sent again to all replicas with
+		// each connection and each set, and each refusal would add to that for good.
 		defer t.reservation.End()
 	}
+	if refused != nil {
+		s.refuse(w, r, refused)
+		return
+	}
 	// A turn that is refused for other reasons must not use up the tenant's limit.
 	if failure := s.withinLimit(ctx, r); failure != nil {
 		s.settle(t)
@@ -207,7 +210,7 @@
 		if failure.Verdict == verdict.NotRun {
 			return failure // every instance was asked until the time for that was over
 		}
-		t.ran = true
+		t.ran, t.lostAnswer = true, true
 		runs++
 		if failure.Verdict == verdict.Ran || !t.route.Resumable || runs > maxResumes || ctx.Err() != nil {
 			return failure
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -64,6 +64,17 @@
 	return sender != nil && sender.send(message)
 }
 
+// Renew ends the present connection, and the link dials again: what fell silent on it may be
+// answered on a new one.
+func (l *Link[Send, Receive]) Renew() {
+	l.mu.Lock()
+	sender := l.sender
+	l.mu.Unlock()
+	if sender != nil {
+		sender.close()
+	}
+}
+
 // Close ends the link and waits for its goroutines. It must not be called from
 // the handler.
 func (l *Link[Send, Receive]) Close() {
--- a/internal/quorum/cells.go
+++ b/internal/quorum/cells.go
@@ -103,6 +103,17 @@
 	return false
 }
 
+// Pending returns how many requests are sent again with each new connection and each new set.
+func (c *Cells) Pending() int {
+	pending := 0
+	for _, client := range c.clients() {
+		client.mu.Lock()
+		pending += len(client.operations)
+		client.mu.Unlock()
+	}
+	return pending
+}
+
 // ChainElsewhere looks for a turn in the cells other than the program's own, and
 // returns it with all turns before it, newest first: a program may go on from a
 // turn of another one.
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -284,6 +284,7 @@
 		return
 	}
 	now := time.Now()
+	replica.renewIfSilent(now)
 	if c.relays != nil && !c.responsive(now, replica) {
 		c.sendByRelay(replica, request)
 	}
--- a/internal/quorum/link.go
+++ b/internal/quorum/link.go
@@ -30,6 +30,17 @@
 	}
 }
 
+// renewIfSilent replaces a connection on which nothing was answered for long. The client's lock
+// is held.
+func (r *replicaLink) renewIfSilent(now time.Time) {
+	if !r.up || r.unansweredSince.IsZero() || now.Sub(r.unansweredSince) < peer.SilenceLimit {
+		return
+	}
+	r.unansweredSince = time.Time{}
+	r.client.log.Warn().Str("event", "connection_silent").Str("peer", r.node.Name).Msg("")
+	r.link.Renew()
+}
+
 // LinkUp implements peer.Handler: it repeats what this replica has not answered.
 func (r *replicaLink) LinkUp() {
 	c := r.client
--- a/internal/quorum/relay.go
+++ b/internal/quorum/relay.go
@@ -56,6 +56,8 @@
 	link   *peer.Link[RelayRequest, RelayReply]
 	// idle closes the connection when it was not used for relayIdle.
 	idle *time.Timer
+	// unansweredSince is when the oldest request was sent that no reply has followed.
+	unansweredSince time.Time
 }
 
 // SetGateways replaces the gateways by those that the registry lists.
@@ -103,8 +105,12 @@
 		r.probedAt[request.Replica] = now
 	}
 	for _, name := range r.order.pick(now, timeout) {
+		r.closeIfSilent(now, name)
 		link := r.open(name)
 		link.idle.Reset(relayIdle)
+		if link.unansweredSince.IsZero() {
+			link.unansweredSince = now
+		}
 		r.order.asked(now, name)
 		link.link.Send(request)
 		r.counted()
@@ -130,6 +136,17 @@
 	return link
 }
 
+// closeIfSilent ends a connection on which nothing was answered for long. The caller holds the
+// lock.
+func (r *Relays) closeIfSilent(now time.Time, name string) {
+	link := r.links[name]
+	if link == nil || link.unansweredSince.IsZero() || now.Sub(link.unansweredSince) < peer.SilenceLimit {
+		return
+	}
+	r.log.Warn().Str("event", "connection_silent").Str("peer", name).Msg("")
+	r.close(name)
+}
+
 // close ends the connection to a gateway. The caller holds the lock.
 func (r *Relays) close(name string) {
 	link := r.links[name]
@@ -153,6 +170,9 @@
 // Received implements peer.Handler.
 func (l *relayLink) Received(reply RelayReply) {
 	r := l.relays
+	r.mu.Lock()
+	l.unansweredSince = time.Time{}
+	r.mu.Unlock()
 	if reply.Unreachable {
 		r.mu.Lock()
 		r.order.unreachable(time.Now(), l.node.Name)
--- a/internal/quorum/relayretry.go
+++ b/internal/quorum/relayretry.go
@@ -70,6 +70,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, replica := range c.replicas {
+		replica.renewIfSilent(now)
 		if c.responsive(now, replica) || pending.tally.Answered(replica.node.Disk) {
 			continue
 		}
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -52,6 +52,25 @@
 	adopted uint64
 	place   ledger.HandoverPlace
 	adoptAt time.Time
+	// unansweredSince is when the oldest question was asked that nothing has followed.
+	unansweredSince time.Time
+}
+
+// send asks the peer something.
+func (p *peerState) send(request ledger.Request) {
+	if p.link.Send(request) && p.unansweredSince.IsZero() {
+		p.unansweredSince = time.Now()
+	}
+}
+
+// renewIfSilent replaces a connection on which nothing was answered for long.
+func (p *peerState) renewIfSilent(now time.Time) {
+	if !p.up || p.unansweredSince.IsZero() || now.Sub(p.unansweredSince) < peer.SilenceLimit {
+		return
+	}
+	p.unansweredSince = time.Time{}
+	p.server.log.Warn().Str("event", "connection_silent").Str("peer", p.node.Name).Msg("")
+	p.link.Renew()
 }
 
 // LinkUp implements peer.Handler.
@@ -59,6 +78,7 @@
 	p.server.post(func() {
 		p.up = true
 		p.asking = false
+		p.unansweredSince = time.Time{}
 		p.stopFetching()
 		p.adoptAt = time.Time{}
 		own := p.server.own()
@@ -83,6 +103,7 @@
 
 func (p *peerState) receive(reply ledger.Reply) {
 	p.heardAt = time.Now()
+	p.unansweredSince = time.Time{}
 	p.disk = reply.Disk
 	switch {
 	case reply.Inventory != nil:
@@ -134,7 +155,7 @@
 		p.fetching = p.server.claims.take(now, p.node.Name, p.missing, fetchLimit)
 		if len(p.fetching) > 0 {
 			p.askedAt = now
-			p.link.Send(ledger.Request{Fetch: &ledger.Fetch{IDs: p.fetching}})
+			p.send(ledger.Request{Fetch: &ledger.Fetch{IDs: p.fetching}})
 		}
 		return
 	}
@@ -152,6 +173,7 @@
 // tick asks for what is new. A replica that leaves asks for nothing more, or what
 // it has to hand over would never end.
 func (p *peerState) tick(now time.Time) {
+	p.renewIfSilent(now)
 	if !p.up || p.server.members.leaving {
 		return
 	}
@@ -170,7 +192,7 @@
 func (p *peerState) ask(now time.Time) {
 	p.asking = true
 	p.askedAt = now
-	p.link.Send(ledger.Request{Inventory: &ledger.Inventory{
+	p.send(ledger.Request{Inventory: &ledger.Inventory{
 		Boot: p.boot, After: p.position, From: p.server.state.Disk(),
 	}})
 }
@@ -181,7 +203,7 @@
 		return
 	}
 	p.adoptAt = now
-	p.link.Send(ledger.Request{Adopt: &ledger.Adopt{Set: set, Charges: handoverCharges, After: p.place}})
+	p.send(ledger.Request{Adopt: &ledger.Adopt{Set: set, Charges: handoverCharges, After: p.place}})
 }
 
 // receiveAdopted merges charges that the peer handed over, and asks for the next ones.
