--- a/internal/backend/exchange_test.go
+++ b/internal/backend/exchange_test.go
@@ -291,3 +291,25 @@
 	_, failure = do(t, pool, s, callWith("b", ""))
 	require.Equal(t, verdict.NotRun, failure.Verdict)
 }
+
+// A kept connection may have fallen silent: what lost an answer goes on by one that was just made.
+func TestAFreshCallUsesNoKeptConnection(t *testing.T) {
+	s := startScripted(t, func(connection net.Conn, reader *bufio.Reader, number int) bool {
+		id, _, ok := readRequest(reader)
+		if !ok || number > 1 {
+			<-t.Context().Done() // every connection is silent from its second request on
+			return false
+		}
+		_, _ = connection.Write([]byte(answerTo(id, "x", "")))
+		return true
+	})
+	pool, opened := newCounted()
+	for number := range 3 {
+		call := callWith(fmt.Sprint(number), "")
+		call.Fresh = number > 0
+		body, failure := do(t, pool, s, call)
+		require.Nil(t, failure)
+		require.Equal(t, "x", body)
+	}
+	require.Equal(t, 3, *opened)
+}
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -63,10 +63,10 @@
 	only       string
 	// loan is the answer to a Borrow.
 	loan *quota.Loan
-	// asked are the replicas that were asked for the history, the last one at the end.
-	asked []*replicaLink
-	// late counts those that were late.
-	late int
+	// historyAsked are the replicas that were asked for the history, the last one at the end.
+	historyAsked []*replicaLink
+	// historyLate counts those that were late.
+	historyLate int
 	// begunAt is when it was sent first; resent is set once it was sent again on the same
 	// connections, after which its answer tells nothing of the time that one takes.
 	begunAt time.Time
@@ -262,7 +262,7 @@
 	pending.begunAt = time.Now()
 	c.operations[c.number] = pending
 	if nearest := c.nextForHistory(pending.begunAt, nil); nearest != nil && pending.request.Reserve != nil {
-		pending.asked = append(pending.asked, nearest)
+		pending.historyAsked = append(pending.historyAsked, nearest)
 	}
 	for _, replica := range c.replicas {
 		c.send(replica, pending)
@@ -312,7 +312,7 @@
 	}
 	if request.Reserve != nil {
 		reserve := *request.Reserve
-		if pending.tally.Found || !slices.Contains(pending.asked, replica) {
+		if pending.tally.Found || !slices.Contains(pending.historyAsked, replica) {
 			reserve.History = ""
 		}
 		if !voter {
--- a/internal/quorum/history.go
+++ b/internal/quorum/history.go
@@ -49,25 +49,25 @@
 func (c *Client) historyTimeout(pending *operation) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(pending.asked) == 0 {
+	if len(pending.historyAsked) == 0 {
 		return timeoutUnknown
 	}
-	last := pending.asked[len(pending.asked)-1]
-	return c.timeoutOf(last) << pending.late
+	last := pending.historyAsked[len(pending.historyAsked)-1]
+	return c.timeoutOf(last) << pending.historyLate
 }
 
 // askOneMore asks the next replica for the history: the one asked last is late.
 func (c *Client) askOneMore(pending *operation) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	pending.late++
+	pending.historyLate++
 	c.askNext(pending)
 }
 
 // askWhereMissing asks the next replica once all that were asked lack the history. The caller
 // holds the lock.
 func (c *Client) askWhereMissing(pending *operation) {
-	for _, replica := range pending.asked {
+	for _, replica := range pending.historyAsked {
 		if !pending.tally.missing[replica.node.Disk] {
 			return
 		}
@@ -80,11 +80,11 @@
 	if pending.request.Reserve.History == "" || pending.tally.Found {
 		return
 	}
-	next := c.nextForHistory(time.Now(), pending.asked)
+	next := c.nextForHistory(time.Now(), pending.historyAsked)
 	if next == nil {
 		return
 	}
-	pending.asked = append(pending.asked, next)
+	pending.historyAsked = append(pending.historyAsked, next)
 	pending.resent = true
 	c.send(next, pending)
 }
