A program's charges lie in a list

Cause: half of a replica's heap were maps of charges, one for each program; most programs have a few charges and a map has room for eight at least. Change: a list in the order of the turns, searched from the newest.

--- a/internal/ledger/handover.go
+++ b/internal/ledger/handover.go
@@ -56,10 +56,11 @@
 	if known == nil {
 		return ProgramCharge{}, false
 	}
-	charge, kept := known.charges[entry.turn]
-	if !kept || charge.Final != entry.final {
+	index := known.indexOf(entry.turn)
+	if index < 0 || known.charges[index].Final != entry.final {
 		return ProgramCharge{}, false
 	}
+	charge := known.charges[index]
 	charge.Cached = CachedPrompt{} // a hint, which the other replicas give as well
 	return ProgramCharge{Program: entry.program, Charge: charge, Retention: known.retention}, true
 }
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -44,7 +44,9 @@
 }
 
 type program struct {
-	charges   map[string]Charge
+	// charges are in the order of their turns. Most programs have few: a map takes ten times
+	// the memory of one charge.
+	charges   []Charge
 	retention time.Duration
 	until     time.Time
 }
@@ -144,27 +146,22 @@
 	if known == nil {
 		return nil
 	}
-	charges := make([]Charge, 0, len(known.charges))
-	for _, charge := range known.charges {
-		charges = append(charges, charge)
-	}
-	return charges
+	return slices.Clone(known.charges)
 }
 
 // charge merges one charge and returns the records that make it durable.
 func (s *State) charge(now time.Time, added ProgramCharge) []Record {
 	known := s.programs[added.Program]
 	if known == nil {
-		known = &program{charges: map[string]Charge{}}
+		known = &program{}
 		s.programs[added.Program] = known
 	}
 	known.retention = max(known.retention, added.Retention, leastRetention)
 	known.until = now.Add(known.retention + retentionMargin)
-	merged, changed := Merge(known.charges, added.Charge)
+	merged, changed := known.merge(added.Charge)
 	if !changed {
 		return nil
 	}
-	known.charges[added.Charge.Turn] = merged
 	s.chargeOrder.add(added.Program, merged)
 	return []Record{{Charge: &added}}
 }
@@ -174,9 +171,15 @@
 // final ones the larger holds.
 func Merge(known map[string]Charge, charge Charge) (Charge, bool) {
 	old, exists := known[charge.Turn]
-	switch {
-	case !exists:
+	if !exists {
 		return charge, true
+	}
+	return later(old, charge)
+}
+
+// later returns which of two charges of a turn holds, and whether it is the second one.
+func later(old, charge Charge) (Charge, bool) {
+	switch {
 	case old.Final != charge.Final:
 		return charge, charge.Final
 	case charge.Tokens > old.Tokens:
@@ -186,6 +189,30 @@
 	}
 }
 
+// indexOf returns the place of a turn's charge, or -1. The newest turns are asked for most.
+func (p *program) indexOf(turn string) int {
+	for index := len(p.charges) - 1; index >= 0; index-- {
+		if p.charges[index].Turn == turn {
+			return index
+		}
+	}
+	return -1
+}
+
+// merge adds a charge and returns the one that holds, and whether anything changed.
+func (p *program) merge(charge Charge) (Charge, bool) {
+	index := p.indexOf(charge.Turn)
+	if index < 0 {
+		p.charges = append(p.charges, charge)
+		return charge, true
+	}
+	merged, changed := later(p.charges[index], charge)
+	if changed {
+		p.charges[index] = merged
+	}
+	return merged, changed
+}
+
 // history returns the text of a chain: input and output of each turn, oldest
 // first. A chain with a gap is not found.
 func (s *State) history(now time.Time, id string) (text []byte, instance string, found bool) {
