--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -27,7 +27,7 @@
 	memoryShare = 55
 	// collectorPercent lets the heap grow between collections: the heaps are small,
 	// and processor time is dear.
-	collectorPercent = 75
+	collectorPercent = 50
 	// logFlushTimeout is how long the end of a process waits for its log to be read.
 	logFlushTimeout = 200 * time.Millisecond
 )
