--- a/internal/ledger/handover_test.go
+++ b/internal/ledger/handover_test.go
@@ -82,6 +82,16 @@
 	require.Equal(t, 5, other.read)
 }
 
+// A replica that is updated after others must not join without their charges.
+func TestAReplicaOfTheVersionBeforeGetsAllCharges(t *testing.T) {
+	from := NewState("old", "life")
+	addCharges(from, 0, 100, true)
+	reply := from.Step(start, Request{Adopt: &Adopt{Set: replicaset.Set{Epoch: 1}, WithCharges: true}}).Durable[0]
+	require.Len(t, reply.Charges, 100)
+	require.Nil(t, reply.Handover)
+	require.Empty(t, from.Step(start, Request{Adopt: &Adopt{Set: replicaset.Set{Epoch: 2}}}).Durable[0].Charges)
+}
+
 func TestAFetchIsCutBeforeItIsLarge(t *testing.T) {
 	const turns, size = 100, 10_000
 	s := NewState("disk", "life")
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -116,6 +116,9 @@
 	Set replicaset.Set
 	// Charges is how many charges the reply may carry; 0 asks for none.
 	Charges int
+	// WithCharges asks replicas of the version before for all charges at once, and is what they
+	// ask with: one that joined without the others' charges would hand budgets out again.
+	WithCharges bool
 	// After is how far this replica's charges are known to the one that asks.
 	After HandoverPlace
 }
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -289,9 +289,12 @@
 	}
 	reply := s.reply(request.Number)
 	reply.Durable = true
-	if request.Adopt.Charges > 0 {
+	switch {
+	case request.Adopt.Charges > 0:
 		charges, handover := s.handOver(request.Adopt.After, request.Adopt.Charges)
 		reply.Charges, reply.Handover = charges, &handover
+	case request.Adopt.WithCharges:
+		reply.Charges = s.allCharges()
 	}
 	output.Durable = []Reply{reply}
 	return output
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -203,17 +203,17 @@
 		return
 	}
 	p.adoptAt = now
-	p.send(ledger.Request{Adopt: &ledger.Adopt{Set: set, Charges: handoverCharges, After: p.place}})
+	p.send(ledger.Request{Adopt: &ledger.Adopt{Set: set, Charges: handoverCharges, After: p.place, WithCharges: true}})
 }
 
 // receiveAdopted merges charges that the peer handed over, and asks for the next ones.
 func (p *peerState) receiveAdopted(reply ledger.Reply) {
-	if reply.Handover == nil {
-		return
-	}
 	records := p.server.state.MergeCharges(time.Now(), reply.Charges)
-	place, complete := p.place.Follow(*reply.Handover)
-	p.place, p.adoptAt = place, time.Time{}
+	complete := true // a replica of the version before hands over all at once
+	if reply.Handover != nil {
+		p.place, complete = p.place.Follow(*reply.Handover)
+	}
+	p.adoptAt = time.Time{}
 	if !complete {
 		p.server.persist(records, nil)
 		p.requestAdoption(time.Now(), p.server.members.set)
