--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/verdict"
@@ -36,6 +37,10 @@
 	// MaySend is asked once a connection is there, just before the request is sent; the
 	// request is given up if it says no. Nil says yes.
 	MaySend func() bool
+	// Fresh asks for a new connection. A kept one may have fallen silent for good, which shows
+	// only by the answer that does not come: a request that lost one answer so goes on by a
+	// connection that was just made.
+	Fresh bool
 }
 
 // Failure is an exchange without a usable answer.
@@ -43,7 +48,8 @@
 	// Verdict says whether the request may have run.
 	Verdict verdict.Verdict
 	// Unreachable is set when no connection came up, or another instance has the address;
-	// Gone when the instance's machine was found not to answer in the middle of a request.
+	// Gone when the instance is known to have ended or to be cut off: connections are refused,
+	// another instance has the address, or its machine was found not to answer.
 	Unreachable bool
 	Gone        bool
 	// Bar is set when a rule about places leaves no instance for the request.
@@ -71,9 +77,9 @@
 // Do sends the call and reads the answer's head. The context's end closes the
 // connection, at which an instance stops its work.
 func (p *Pool) Do(ctx context.Context, instance Instance, call Call) (*Answer, *Failure) {
-	connection, err := p.take(ctx, instance)
+	connection, err := p.take(ctx, instance, call.Fresh)
 	if err != nil {
-		return nil, &Failure{Verdict: verdict.NotRun, Unreachable: ctx.Err() == nil, Reason: "connect: " + err.Error()}
+		return nil, &Failure{Verdict: verdict.NotRun, Unreachable: ctx.Err() == nil, Gone: errors.Is(err, syscall.ECONNREFUSED), Reason: "connect: " + err.Error()}
 	}
 	if call.MaySend != nil && !call.MaySend() {
 		p.putBack(instance, connection)
--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -54,8 +54,8 @@
 	Cached []Cached
 	// Preferred is the instance that ran the previous turn, or "".
 	Preferred string
-	// Only is the instance that alone may get the request as long as it stays; "" leaves the
-	// choice open. While its zone is evacuated nothing may get the request.
+	// Only is the instance that alone may get the request as long as it is listed; "" leaves
+	// the choice open. While its zone is evacuated nothing may get the request.
 	Only string
 	// Exclude lists instances that were tried.
 	Exclude []string
@@ -116,8 +116,8 @@
 func (d *Directory) candidates(now time.Time, demand Demand) []*member {
 	d.samples++
 	picked := sample{now: now, demand: demand, number: d.samples, places: d.ways.places, cold: d.cold}
-	if only := d.members[demand.Only]; only != nil && only.isStaying(now) {
-		picked.add(only)
+	if only := d.members[demand.Only]; only != nil {
+		picked.add(only) // while it leaves there is none: it may still be at work on the request
 		return append(picked.sound, picked.suspected...)
 	}
 	all, near := d.byService[demand.Service], d.near[demand.Service]
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -39,6 +39,8 @@
 	Opened func()
 	// dialed is told in what time a connection came up, for the price of the way there.
 	dialed func(instance Instance, took time.Duration)
+	// far reports whether a zone is in another region; nil knows of none.
+	far func(zone string) bool
 
 	mu   sync.Mutex
 	idle map[string][]*connection
@@ -53,10 +55,14 @@
 	return &Pool{Opened: opened, idle: map[string][]*connection{}, idleLimit: map[string]int{}, alive: map[string]*liveness{}}
 }
 
+// UseFar tells the pool which zones are in another region. It must be called before the first
+// request.
+func (p *Pool) UseFar(far func(zone string) bool) { p.far = far }
+
 // take returns a kept connection that is still sound, or a new one.
-func (p *Pool) take(ctx context.Context, instance Instance) (*connection, error) {
+func (p *Pool) take(ctx context.Context, instance Instance, fresh bool) (*connection, error) {
 	now := time.Now()
-	for {
+	for !fresh {
 		kept := p.pop(instance.ID)
 		if kept == nil {
 			break
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -107,6 +107,7 @@
 		allowances: newAllowances(),
 	}
 	s.pool = backend.NewPool(s.metrics.connections.Inc)
+	s.pool.UseFar(s.directory.OtherRegion)
 	s.directory.UseConnections(s.pool)
 	s.metrics.countEvacuated(s.directory.EvacuatedInFlight)
 	s.directory.LimitColdStarts(options.Node, options.ColdStarts, coldReport{log: s.log, metrics: s.metrics})
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -51,13 +51,16 @@
 	if r.route.Retained {
 		t.previous = r.header.Get(s.dialect.PreviousTurn)
 	}
-	if failure := s.reserve(ctx, t); failure != nil {
-		s.refuse(w, r, failure)
-		return
-	}
+	refused := s.reserve(ctx, t)
 	if t.reservation != nil {
+		// Also of a turn that is refused: what is not ended is sent again to all replicas with
+		// each connection and each set, and each refusal would add to that for good.
 		defer t.reservation.End()
 	}
+	if refused != nil {
+		s.refuse(w, r, refused)
+		return
+	}
 	// A turn that is refused for other reasons must not use up the tenant's limit.
 	if failure := s.withinLimit(ctx, r); failure != nil {
 		s.settle(t)
@@ -138,9 +141,9 @@
 	if t.reservation != nil {
 		demand.Preferred = t.reservation.Instance
 	}
-	ranOn := map[string]bool{}
+	ran := instanceRuns{attempts: t.route.Attempts}
 	for runs := 0; ; {
-		bound, eventsBefore := demand.Only != "", t.events
+		eventsBefore := t.events
 		sent, failure := s.sendUntilTaken(ctx, t.request, demand)
 		if failure == nil {
 			failure = s.pass(ctx, w, t, sent)
@@ -151,19 +154,15 @@
 		if failure.Verdict == verdict.NotRun {
 			return failure // every instance was asked until the time for that was over
 		}
-		t.ran = true
+		t.ran, t.lostAnswer = true, true
 		runs++
 		if failure.Verdict == verdict.Ran || !t.route.Resumable || runs > maxResumes || ctx.Err() != nil {
 			return failure
 		}
 		// The same instance goes on if it can: another one would be one more that runs the
 		// request, and the route says how many may.
-		ranOn[t.outcome.instance] = true
-		demand.Preferred, demand.Only = t.outcome.instance, ""
-		ended := failure.Gone || bound && t.events == eventsBefore // it gave nothing twice
-		if !ended && len(ranOn) >= t.route.Attempts {
-			demand.Only = t.outcome.instance
-		}
+		ran.add(t.outcome.instance)
+		demand.Preferred, demand.Only = t.outcome.instance, ran.only(t.events == eventsBefore)
 		s.log.Info().Str("event", "stream_resumed").Str("id", t.id).Str("instance", t.outcome.instance).
 			Str("last_event", t.lastEvent).Int("events", t.events).Str("reason", failure.Reason).Msg("")
 	}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -14,8 +14,6 @@
 	retentionMargin = 15 * time.Second
 	// leastRetention holds for charges of programs that name less.
 	leastRetention = 2 * time.Minute
-	// inventoryLimit bounds the ids of one inventory reply.
-	inventoryLimit = 4000
 	// maxChain bounds the length of a chain of turns.
 	maxChain = 4096
 )
@@ -31,6 +29,8 @@
 	order     []string
 	orderBase int
 	programs  map[string]*program
+	// chargeOrder is the order in which charges changed.
+	chargeOrder chargeOrder
 	// peers is how far each other disk has stored this replica's turns durably.
 	peers map[string]int
 	bytes int64
@@ -44,7 +44,9 @@
 }
 
 type program struct {
-	charges   map[string]Charge
+	// charges are in the order of their turns. Most programs have few: a map takes ten times
+	// the memory of one charge.
+	charges   []Charge
 	retention time.Duration
 	until     time.Time
 }
@@ -133,6 +135,7 @@
 		answer.Foreign = true
 	default:
 		answer.History, answer.Instance, answer.Found = s.history(now, asked.History)
+		answer.Missing = !answer.Found
 	}
 	output.Now = []Reply{reply}
 	return output
@@ -143,27 +146,23 @@
 	if known == nil {
 		return nil
 	}
-	charges := make([]Charge, 0, len(known.charges))
-	for _, charge := range known.charges {
-		charges = append(charges, charge)
-	}
-	return charges
+	return slices.Clone(known.charges)
 }
 
 // charge merges one charge and returns the records that make it durable.
 func (s *State) charge(now time.Time, added ProgramCharge) []Record {
 	known := s.programs[added.Program]
 	if known == nil {
-		known = &program{charges: map[string]Charge{}}
+		known = &program{}
 		s.programs[added.Program] = known
 	}
 	known.retention = max(known.retention, added.Retention, leastRetention)
 	known.until = now.Add(known.retention + retentionMargin)
-	merged, changed := Merge(known.charges, added.Charge)
+	merged, changed := known.merge(added.Charge)
 	if !changed {
 		return nil
 	}
-	known.charges[added.Charge.Turn] = merged
+	s.chargeOrder.add(added.Program, merged)
 	return []Record{{Charge: &added}}
 }
 
@@ -172,9 +171,15 @@
 // final ones the larger holds.
 func Merge(known map[string]Charge, charge Charge) (Charge, bool) {
 	old, exists := known[charge.Turn]
-	switch {
-	case !exists:
+	if !exists {
 		return charge, true
+	}
+	return later(old, charge)
+}
+
+// later returns which of two charges of a turn holds, and whether it is the second one.
+func later(old, charge Charge) (Charge, bool) {
+	switch {
 	case old.Final != charge.Final:
 		return charge, charge.Final
 	case charge.Tokens > old.Tokens:
@@ -184,6 +189,30 @@
 	}
 }
 
+// indexOf returns the place of a turn's charge, or -1. The newest turns are asked for most.
+func (p *program) indexOf(turn string) int {
+	for index := len(p.charges) - 1; index >= 0; index-- {
+		if p.charges[index].Turn == turn {
+			return index
+		}
+	}
+	return -1
+}
+
+// merge adds a charge and returns the one that holds, and whether anything changed.
+func (p *program) merge(charge Charge) (Charge, bool) {
+	index := p.indexOf(charge.Turn)
+	if index < 0 {
+		p.charges = append(p.charges, charge)
+		return charge, true
+	}
+	merged, changed := later(p.charges[index], charge)
+	if changed {
+		p.charges[index] = merged
+	}
+	return merged, changed
+}
+
 // history returns the text of a chain: input and output of each turn, oldest
 // first. A chain with a gap is not found.
 func (s *State) history(now time.Time, id string) (text []byte, instance string, found bool) {
@@ -260,7 +289,11 @@
 	}
 	reply := s.reply(request.Number)
 	reply.Durable = true
-	if request.Adopt.WithCharges {
+	switch {
+	case request.Adopt.Charges > 0:
+		charges, handover := s.handOver(request.Adopt.After, request.Adopt.Charges)
+		reply.Charges, reply.Handover = charges, &handover
+	case request.Adopt.WithCharges:
 		reply.Charges = s.allCharges()
 	}
 	output.Durable = []Reply{reply}
@@ -287,53 +320,6 @@
 	return records
 }
 
-// StoreTurns stores turns fetched from another replica.
-func (s *State) StoreTurns(now time.Time, turns []Turn) []Record {
-	var records []Record
-	for _, turn := range turns {
-		records = append(records, s.store(now, turn)...)
-	}
-	return records
-}
-
-// Missing returns the ids that are not stored here.
-func (s *State) Missing(ids []string) []string {
-	var missing []string
-	for _, id := range ids {
-		if s.turns[id] == nil {
-			missing = append(missing, id)
-		}
-	}
-	return missing
-}
-
-func (s *State) inventory(request Request) Output {
-	asked := request.Inventory
-	after := 0
-	if asked.Boot == s.boot {
-		after = asked.After
-		s.peers[asked.From] = max(s.peers[asked.From], after)
-	}
-	start := max(0, after-s.orderBase)
-	end := min(len(s.order), start+inventoryLimit)
-	reply := s.reply(request.Number)
-	reply.Inventory = &InventoryReply{Boot: s.boot, Position: s.orderBase + end, More: end < len(s.order)}
-	if start < end {
-		reply.Inventory.IDs = slices.Clone(s.order[start:end])
-	}
-	return Output{Now: []Reply{reply}}
-}
-
-func (s *State) fetch(request Request) Output {
-	reply := s.reply(request.Number)
-	for _, id := range request.Fetch.IDs {
-		if stored := s.turns[id]; stored != nil {
-			reply.Turns = append(reply.Turns, stored.turn)
-		}
-	}
-	return Output{Now: []Reply{reply}}
-}
-
 func (s *State) wholeChain(now time.Time, request Request) Output {
 	reply := s.reply(request.Number)
 	reply.Chain = true
@@ -357,6 +343,7 @@
 		return true
 	})
 	maps.DeleteFunc(s.programs, func(_ string, known *program) bool { return !now.Before(known.until) })
+	s.purgeChargeOrder()
 	for len(s.order) > 0 && s.turns[s.order[0]] == nil {
 		s.order = s.order[1:]
 		s.orderBase++
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -71,6 +71,17 @@
 	return sender != nil && sender.send(message)
 }
 
+// Renew ends the present connection, and the link dials again: what fell silent on it may be
+// answered on a new one.
+func (l *Link[Send, Receive]) Renew() {
+	l.mu.Lock()
+	sender := l.sender
+	l.mu.Unlock()
+	if sender != nil {
+		sender.close()
+	}
+}
+
 // Close ends the link and waits for its goroutines. It must not be called from
 // the handler.
 func (l *Link[Send, Receive]) Close() {
@@ -100,7 +111,7 @@
 	if counter, counts := l.handler.(SentCounter[Send]); counts {
 		sent = counter.Sent
 	}
-	sender := newSender(connection, sent)
+	sender := newSender(connection, nil, sent)
 	l.setSender(sender)
 	defer l.setSender(nil)
 	defer sender.close()
@@ -126,6 +137,8 @@
 	connection net.Conn
 	// sent is told of each message's size, or nil.
 	sent func(to net.Addr, message Send, bytes int)
+	// budget bounds the bytes that wait, of this connection and others.
+	budget *Budget
 	// wake is signalled when messages wait.
 	wake   chan struct{}
 	closed chan struct{}
@@ -135,10 +148,12 @@
 	waiting []Send
 	// spare is the room of the messages written last.
 	spare []Send
+	// ended is set when nothing is written any more.
+	ended bool
 }
 
-func newSender[Send any](connection net.Conn, sent func(net.Addr, Send, int)) *sender[Send] {
-	s := &sender[Send]{connection: connection, sent: sent, wake: make(chan struct{}, 1), closed: make(chan struct{})}
+func newSender[Send any](connection net.Conn, budget *Budget, sent func(net.Addr, Send, int)) *sender[Send] {
+	s := &sender[Send]{connection: connection, budget: budget, sent: sent, wake: make(chan struct{}, 1), closed: make(chan struct{})}
 	go s.run()
 	return s
 }
@@ -149,13 +164,7 @@
 		return false
 	default:
 	}
-	s.mu.Lock()
-	full := len(s.waiting) >= queueMessages
-	if !full {
-		s.waiting = append(s.waiting, message)
-	}
-	s.mu.Unlock()
-	if full {
+	if !s.enqueue(message) {
 		return false
 	}
 	select {
@@ -165,6 +174,17 @@
 	return true
 }
 
+// enqueue reports whether there was room for the message.
+func (s *sender[Send]) enqueue(message Send) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended || len(s.waiting) >= queueMessages || !s.budget.Take(bytesOf(message)) {
+		return false
+	}
+	s.waiting = append(s.waiting, message)
+	return true
+}
+
 func (s *sender[Send]) close() {
 	s.once.Do(func() {
 		close(s.closed)
@@ -172,7 +192,18 @@
 	})
 }
 
+// drop gives back the room of messages that will not be written any more.
+func (s *sender[Send]) drop() {
+	s.mu.Lock()
+	s.ended = true
+	s.mu.Unlock()
+	for _, message := range s.take() {
+		s.budget.Give(bytesOf(message))
+	}
+}
+
 func (s *sender[Send]) run() {
+	defer s.drop()
 	defer s.close()
 	buffer := bufio.NewWriterSize(s.connection, bufferBytes)
 	counted := &countingWriter{to: buffer}
@@ -184,13 +215,8 @@
 		case <-s.wake:
 		}
 		for batch := s.take(); len(batch) > 0; batch = s.take() {
-			for _, message := range batch {
-				if encoder.Encode(message) != nil {
-					return
-				}
-				if s.sent != nil {
-					s.sent(s.connection.RemoteAddr(), message, counted.take())
-				}
+			if !s.write(encoder, counted, batch) {
+				return
 			}
 			s.giveBack(batch)
 		}
@@ -200,6 +226,19 @@
 	}
 }
 
+// write encodes a batch and gives back the room of its messages, also after a failure.
+func (s *sender[Send]) write(encoder *gob.Encoder, counted *countingWriter, batch []Send) bool {
+	sound := true
+	for _, message := range batch {
+		sound = sound && encoder.Encode(message) == nil
+		if size := counted.take(); sound && s.sent != nil {
+			s.sent(s.connection.RemoteAddr(), message, size)
+		}
+		s.budget.Give(bytesOf(message))
+	}
+	return sound
+}
+
 // take returns all messages that wait.
 func (s *sender[Send]) take() []Send {
 	s.mu.Lock()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -12,6 +12,8 @@
 	listener net.Listener
 	receive  func(from *Connection[Send], message Receive)
 	sent     func(to net.Addr, message Send, bytes int)
+	// outgoing bounds what waits to be sent on all connections.
+	outgoing *Budget
 
 	mu     sync.Mutex
 	open   map[net.Conn]bool
@@ -38,6 +40,10 @@
 	s.sent = sent
 }
 
+// LimitOutgoing bounds the bytes of messages that wait to be sent, on all connections
+// together. It must be called before Run.
+func (s *Server[Receive, Send]) LimitOutgoing(budget *Budget) { s.outgoing = budget }
+
 // Run accepts connections until Close.
 func (s *Server[Receive, Send]) Run() {
 	for {
@@ -84,7 +90,7 @@
 }
 
 func (s *Server[Receive, Send]) read(connection net.Conn) {
-	way := &Connection[Send]{sender: newSender(connection, s.sent)}
+	way := &Connection[Send]{sender: newSender(connection, s.outgoing, s.sent)}
 	defer func() {
 		way.sender.close()
 		s.mu.Lock()
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -18,10 +18,6 @@
 )
 
 const (
-	// historyTimeout is how long the nearest replica may take to hand over a
-	// history before the others are asked as well. It holds within a region, where a round
-	// trip takes a few milliseconds; to another one the measured round trip decides.
-	historyTimeout = 25 * time.Millisecond
 	// settleLimit is how long a final charge without a waiting caller is repeated. It
 	// outlasts a recovery: a reservation that nobody settles counts at its most.
 	settleLimit = time.Minute
@@ -55,7 +51,9 @@
 	forwards map[uint64]forward
 	// reach says whether the cell may serve.
 	reach quorumReach
-	// answers estimates how long a replica takes to answer.
+	// credit bounds what goes by other gateways beside a connection that stands.
+	credit relayCredit
+	// answers estimates how long a replica takes to answer, whichever it is.
 	answers roundTrip
 }
 
@@ -75,12 +73,12 @@
 	loan *quota.Loan
 	// asked are the voters that it goes to at first; nil where it goes to all.
 	asked map[*replicaLink]bool
-	// nearest is the replica that is asked for the history, or nil.
-	nearest *replicaLink
-	// everywhere is set once all replicas are asked for the history.
-	everywhere bool
-	// begunAt is when it was sent first; resent is set once it was sent again, after
-	// which its answer tells nothing of the time that one takes.
+	// historyAsked are the replicas that were asked for the history, the last one at the end.
+	historyAsked []*replicaLink
+	// historyLate counts those that were late.
+	historyLate int
+	// begunAt is when it was sent first; resent is set once it was sent again on the same
+	// connections, after which its answer tells nothing of the time that one takes.
 	begunAt time.Time
 	resent  bool
 }
@@ -208,8 +206,12 @@
 	number := c.begin(pending)
 	defer c.end(number)
 	var found []ledger.Turn
-	fallback := time.AfterFunc(c.nearestTimeout(), func() { c.askEverywhere(pending) })
-	defer fallback.Stop()
+	var late *time.Timer
+	late = time.AfterFunc(c.historyTimeout(pending), func() {
+		c.askOneMore(pending)
+		late.Reset(c.historyTimeout(pending))
+	})
+	defer late.Stop()
 	_ = c.await(ctx, pending, func() bool {
 		answered := 0
 		for _, replica := range c.replicas {
@@ -218,13 +220,11 @@
 				found = turns
 				return true
 			}
-			if said && !pending.everywhere {
-				c.askEverywhereLocked(pending)
-			}
 			if said || !replica.up && !replica.opening(time.Now()) {
 				answered++
 			}
 		}
+		c.askWhereMissing(pending)
 		return answered == len(c.replicas)
 	})
 	return found
@@ -266,8 +266,10 @@
 	pending.request.Number = c.number
 	pending.begunAt = time.Now()
 	c.operations[c.number] = pending
-	pending.nearest = c.nearest(pending.begunAt)
 	pending.asked = c.firstAsked(pending.begunAt, pending)
+	if nearest := c.nextForHistory(pending.begunAt, nil); nearest != nil && pending.readsTurns() {
+		pending.historyAsked = append(pending.historyAsked, nearest)
+	}
 	for _, replica := range c.replicas {
 		c.send(replica, pending)
 	}
@@ -280,19 +282,6 @@
 	c.mu.Unlock()
 }
 
-// nearest returns the nearest responsive replica, or nil.
-func (c *Client) nearest(now time.Time) *replicaLink {
-	for _, replica := range c.replicas {
-		if c.responsive(now, replica) {
-			return replica
-		}
-	}
-	if c.relays != nil && len(c.replicas) > 0 {
-		return c.replicas[0]
-	}
-	return nil
-}
-
 // send sends an operation to one replica, as far as it concerns it, and by another
 // gateway as well where it is not responsive. Replies may come twice.
 func (c *Client) send(replica *replicaLink, pending *operation) {
@@ -301,26 +290,21 @@
 		return
 	}
 	now := time.Now()
+	replica.renewIfSilent(now)
 	if c.relays != nil && !c.responsive(now, replica) {
 		c.sendByRelay(replica, request)
 	}
 	replica.open(now)
 	if replica.send(request) {
 		replica.expect(now)
+		c.credit.sent()
 	}
 }
 
-// nearestTimeout is how long the nearest replica may take to hand over turns.
-func (c *Client) nearestTimeout() time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.replicas) > 0 && c.distance(c.replicas[0]) == place.OtherRegion {
-		return c.answers.timeout() + connectAllowance
-	}
-	return historyTimeout
-}
-
 func (c *Client) sendByRelay(replica *replicaLink, request ledger.Request) {
+	if replica.up && !c.credit.spend() {
+		return
+	}
 	c.relays.send(RelayRequest{Cell: c.cell, Replica: replica.node.Name, Request: request}, c.answers.timeout())
 }
 
@@ -329,19 +313,16 @@
 func (c *Client) requestTo(replica *replicaLink, pending *operation) (ledger.Request, bool) {
 	request := pending.request
 	request.Epoch = c.set.Epoch
-	voter := c.set.Has(replica.node.Disk)
-	if pending.asked != nil && !pending.asked[replica] {
-		return request, false
-	}
+	voter := c.set.Has(replica.node.Disk) && (pending.asked == nil || pending.asked[replica])
 	if pending.only != "" {
 		return request, replica.node.Name == pending.only
 	}
 	if request.Chain != nil {
-		return request, pending.everywhere || replica == pending.nearest
+		return request, slices.Contains(pending.historyAsked, replica)
 	}
 	if request.Reserve != nil {
 		reserve := *request.Reserve
-		if reserve.History != "" && !pending.everywhere && replica != pending.nearest {
+		if pending.tally.Found || !slices.Contains(pending.historyAsked, replica) {
 			reserve.History = ""
 		}
 		if !voter {
--- a/internal/quorum/firstasked.go
+++ b/internal/quorum/firstasked.go
@@ -15,9 +15,6 @@
 		return nil
 	}
 	asked := map[*replicaLink]bool{}
-	if pending.nearest != nil {
-		asked[pending.nearest] = true // it hands over the history
-	}
 	voters := 0
 	for _, replica := range c.inTurn() {
 		if voters == c.set.Quorum() {
--- a/internal/quorum/link.go
+++ b/internal/quorum/link.go
@@ -21,6 +21,8 @@
 	// unansweredSince is when the oldest request was sent that no reply has followed;
 	// zero while there is none.
 	unansweredSince time.Time
+	// answers estimates how long this replica takes to answer.
+	answers roundTrip
 	// relaying is set while requests go by another gateway.
 	relaying bool
 	// relayedAt is when an answer last came by another gateway.
@@ -113,6 +115,17 @@
 	r.client.traffic.SentToZone(request.Kind(), r.zone, bytes)
 }
 
+// renewIfSilent replaces a connection on which nothing was answered for long. The client's lock
+// is held.
+func (r *replicaLink) renewIfSilent(now time.Time) {
+	if !r.up || r.unansweredSince.IsZero() || now.Sub(r.unansweredSince) < peer.SilenceLimit {
+		return
+	}
+	r.unansweredSince = time.Time{}
+	r.client.log.Warn().Str("event", "connection_silent").Str("peer", r.node.Name).Msg("")
+	r.link.Renew()
+}
+
 // LinkUp implements peer.Handler: it repeats what this replica has not answered.
 func (r *replicaLink) LinkUp() {
 	c := r.client
@@ -157,8 +170,11 @@
 	if c.passBack(r, reply) {
 		return
 	}
+	// What went by another gateway as well is measured too: this answer came on the direct way.
 	if pending := c.operations[reply.Number]; pending != nil && reply.Reserve != nil && !pending.resent {
-		c.answers.observe(time.Since(pending.begunAt))
+		took := time.Since(pending.begunAt)
+		c.answers.observe(took)
+		r.answers.observe(took)
 	}
 	c.receive(r, reply)
 }
--- a/internal/quorum/relayretry.go
+++ b/internal/quorum/relayretry.go
@@ -16,7 +16,15 @@
 	if !replica.up {
 		return replica.opening(now)
 	}
-	return replica.unansweredSince.IsZero() || now.Sub(replica.unansweredSince) <= c.answers.timeout()
+	return replica.unansweredSince.IsZero() || now.Sub(replica.unansweredSince) <= c.timeoutOf(replica)
+}
+
+// timeoutOf is how long a replica may take to answer: replicas of other regions take longer.
+func (c *Client) timeoutOf(replica *replicaLink) time.Duration {
+	if replica.answers.known {
+		return replica.answers.timeout()
+	}
+	return c.answers.timeout()
 }
 
 // relayRetry times the tries of one operation.
@@ -59,6 +67,7 @@
 		return
 	}
 	for _, replica := range c.replicas {
+		replica.renewIfSilent(now)
 		if c.responsive(now, replica) || pending.tally.Answered(replica.node.Disk) {
 			continue
 		}
@@ -66,11 +75,10 @@
 		if !concerned {
 			continue
 		}
-		pending.resent = true
 		if !replica.relaying {
 			replica.relaying = true
 			c.log.Warn().Str("event", "relay_retry_begun").Str("peer", replica.node.Name).Bool("connected", replica.up).
-				Dur("timeout", c.answers.timeout()).Msg("")
+				Dur("timeout", c.timeoutOf(replica)).Msg("")
 		}
 		c.sendByRelay(replica, request)
 	}
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -46,6 +46,8 @@
 	Feed       string
 	DataFolder string
 	DiskMB     int
+	// MemoryMB is what the machine has; parts of it bound what waits here.
+	MemoryMB int
 	// Tolerate is how many machines with disks may be lost at once.
 	Tolerate int
 	// Places says which regions the zones belong to; nil where cells are not bound to regions.
@@ -70,7 +72,9 @@
 	lender  *quota.Lender
 	inbox   chan func()
 	syncer  *syncer
+	limits  limits
 	peers   map[string]*peerState
+	claims  *claims
 	members membership
 	context context.Context
 	// ended is closed when the loop takes no more work.
@@ -87,8 +91,9 @@
 func New(options Options) (*Server, error) {
 	s := &Server{
 		options: options, log: options.Log,
-		inbox: make(chan func(), inboxEvents), peers: map[string]*peerState{}, context: context.Background(),
+		inbox: make(chan func(), inboxEvents), peers: map[string]*peerState{}, claims: newClaims(), context: context.Background(),
 		ended: make(chan struct{}), lender: quota.NewLender(options.Quota),
+		limits: newLimits(options.MemoryMB),
 	}
 	if options.Metrics == nil {
 		s.options.Metrics = NewMetrics(options.Node)
@@ -174,6 +179,7 @@
 	s.register()
 	s.loop(ctx)
 	close(s.ended)
+	s.limits.inbox.Close()
 	cancel()
 	server.Close()
 	for _, peer := range s.peers {
@@ -186,9 +192,10 @@
 
 func (s *Server) serve(listener net.Listener) *peer.Server[ledger.Request, ledger.Reply] {
 	server := peer.NewServer(listener, func(from *peer.Connection[ledger.Reply], request ledger.Request) {
-		s.post(func() { s.receive(from, request) })
+		s.postMessage(request.Bytes(), func() { s.receive(from, request) })
 	})
 	server.CountSent(func(to net.Addr, reply ledger.Reply, bytes int) { s.options.Traffic.SentTo(reply.Kind(), to, bytes) })
+	server.LimitOutgoing(s.limits.outgoing)
 	return server
 }
 
@@ -218,6 +225,9 @@
 		s.lend(request, func(reply ledger.Reply) { from.Send(reply) })
 		return
 	}
+	if s.overloaded(request) {
+		return
+	}
 	output := s.state.Step(time.Now(), request)
 	s.logRequest(request, output)
 	for _, reply := range output.Now {
