A process that takes over reading waits for one answered probe

Ruled out: fewer gateways that may read (the store may refuse any third of the machines). Change: a process that knows something already makes no call for a kind before the store has answered its probe, which may be stale and is cheap.

--- a/internal/feed/informer.go
+++ b/internal/feed/informer.go
@@ -43,6 +43,8 @@
 	// when a new watch is wanted.
 	lost  atomic.Bool
 	woken chan struct{}
+	// reached is closed once the store has answered the monitor.
+	reached <-chan struct{}
 
 	mu sync.Mutex
 	// cancel ends the watch under way.
@@ -66,6 +68,7 @@
 // run lists and watches until the context ends. What is known stays in force while
 // the store cannot be reached.
 func (i *informer) run(ctx context.Context) {
+	i.awaitStore(ctx)
 	pause := retryFirst
 	for ctx.Err() == nil {
 		err := i.step(ctx)
@@ -84,6 +87,19 @@
 	}
 }
 
+// awaitStore waits until the store has answered a probe, where something is known already:
+// when it is away for all, every process of the fleet begins to read, and one cheap probe of
+// each finds out as much as a call for each kind.
+func (i *informer) awaitStore(ctx context.Context) {
+	if !i.known.position(i.kind).Known {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-i.reached:
+	}
+}
+
 // pauseAfterFailure waits until the next call. While the store is lost to this process, calls
 // of four kinds and more each second would find out nothing that the monitor's probe does not.
 func (i *informer) pauseAfterFailure(ctx context.Context, pause time.Duration) {
--- a/internal/feed/informer_test.go
+++ b/internal/feed/informer_test.go
@@ -42,8 +42,15 @@
 
 // reading is a process's knowledge that keeps the positions only.
 type reading struct {
-	mu sync.Mutex
-	at Positions
+	mu    sync.Mutex
+	at    Positions
+	count [kindCount]int
+}
+
+func (r *reading) reads(kind Kind) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.count[kind]
 }
 
 func (r *reading) position(kind Kind) Position {
@@ -56,6 +63,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.at[batch.Kind] = Position{Known: true, At: batch.At}
+	r.count[batch.Kind]++
 }
 
 func (r *reading) answered(Kind)          {}
@@ -63,26 +71,40 @@
 func (r *reading) callFailed(Kind, error) {}
 
 // While the store is away one probe asks for all kinds, and each kind is read as soon as the
-// store is back.
+// store is back. A process that knows something already asks for nothing else meanwhile.
 func TestALostStoreIsAskedSeldomAndReadAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		store, known := &deadStore{}, &reading{}
-		ended := make(chan struct{})
-		go func() {
-			readStore(ctx, store, known, Kinds())
-			close(ended)
-		}()
-		<-time.After(10 * time.Second) // on the bubble's clock
-		synctest.Wait()
-		require.Less(t, store.calls.Load(), int64(50), "a probe each 0.8 s, and a try of each kind each 4 s")
-		store.back.Store(true)
-		<-time.After(probeRetryMost + probeInterval)
-		synctest.Wait()
-		for _, kind := range Kinds() {
-			require.True(t, known.position(kind).Known, kind.String())
-		}
-		cancel()
-		<-ended
-	})
+	for name, c := range map[string]struct {
+		known bool
+		calls int64
+	}{
+		"a process that starts":                      {false, 45},
+		"a process that took over from its upstream": {true, 15},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				store, known := &deadStore{}, &reading{}
+				for kind := range known.at {
+					known.at[kind] = Position{Known: c.known, At: 7}
+				}
+				ended := make(chan struct{})
+				go func() {
+					readStore(ctx, store, known, Kinds())
+					close(ended)
+				}()
+				<-time.After(10 * time.Second) // on the bubble's clock
+				synctest.Wait()
+				require.LessOrEqual(t, store.calls.Load(), c.calls, "a probe each 0.8 s, and a try of each unknown kind each 4 s")
+				store.back.Store(true)
+				<-time.After(probeRetryMost + probeInterval)
+				synctest.Wait()
+				for _, kind := range Kinds() {
+					require.True(t, known.position(kind).Known, kind.String())
+					require.Positive(t, known.reads(kind), kind.String())
+				}
+				cancel()
+				<-ended
+			})
+		})
+	}
 }
--- a/internal/feed/monitor.go
+++ b/internal/feed/monitor.go
@@ -31,11 +31,13 @@
 	store     Store
 	known     knowledge
 	informers []*informer
+	// reached is closed once the store has answered.
+	reached chan struct{}
 }
 
 // run probes until the context ends.
 func (m *monitor) run(ctx context.Context) {
-	lost := false
+	lost, reached := false, false
 	pause := probeRetryFirst
 	for round := 0; ctx.Err() == nil; round++ {
 		err := m.probeAll(ctx, round)
@@ -55,6 +57,10 @@
 			pause = min(2*pause, probeRetryMost)
 			continue
 		}
+		if !reached {
+			reached = true
+			close(m.reached)
+		}
 		pause = probeRetryFirst
 		wait.For(ctx, probeInterval)
 	}
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -42,10 +42,11 @@
 		Configurations: promptPace, Evacuations: promptPace, Instances: instancePace, Members: memberPace, Retirements: memberPace,
 	}
 	urgent := map[Kind]bool{Configurations: true, Evacuations: true, Instances: true}
-	watcher := &monitor{store: store, known: known}
+	reached := make(chan struct{})
+	watcher := &monitor{store: store, known: known, reached: reached}
 	for _, kind := range kinds {
 		watcher.informers = append(watcher.informers, &informer{
-			store: store, known: known, kind: kind, urgent: urgent[kind], pacer: pacer{pace: paces[kind]}, woken: make(chan struct{}, 1),
+			store: store, known: known, kind: kind, urgent: urgent[kind], pacer: pacer{pace: paces[kind]}, woken: make(chan struct{}, 1), reached: reached,
 		})
 	}
 	var running conc.WaitGroup
