The shares of a limit's voters add up to the limit

Cause: each voter rounded its part of a tenant's limit down, so ten voters left up to ten requests in a window unlent, a twelfth of a limit of 60 on average; requests were refused while their tenant was within what may be lent. Ruled out: fewer voters a cell (it changes what may be lost), and parts that change from window to window (two voters must never lend the same request). Change: the voter at index i of n lends the requests between i/n and (i+1)/n of the whole, in whole numbers. While a set changes a voter lends no more than by either of both shares, until a window has passed. The part of a window that a new voter knows is counted in whole numbers too: in floating point 60 x 0.2 was 11. Measured: TestTheSharesOfAllVotersAreTheWholeLimit fails with parts rounded down; the random schedules with their count from outside hold as before.

--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -15,11 +14,10 @@
 	policy  Policy
 	tenants *tenant.Index
 	counts  map[string]*count
-	// share is the part of each limit that is lent here. A larger one that was adopted
-	// counts from raiseAt on.
-	share   float64
-	adopted float64
-	raiseAt time.Time
+	// adopted is this voter's share of each limit by the newest set of voters. Until raiseAt
+	// it lends no more than by its share before.
+	adopted, before share
+	raiseAt         time.Time
 	// votesSince is when this became a voter; remembers says that all that it lent as one
 	// is counted here.
 	votesSince time.Time
@@ -61,57 +59,70 @@
 
 // Resume makes a voter that was restarted go on with what its disk says that it lent. All of
 // that may have been lent just now and not be used yet.
-func (l *Lender) Resume(now time.Time, voters int, lent map[string]int) {
-	l.SetVoters(now, voters, true)
+func (l *Lender) Resume(now time.Time, index, voters int, lent map[string]int) {
+	l.SetVoters(now, index, voters)
 	l.remembers = true
 	for name, allowances := range lent {
 		l.countOf(name).add(allowances, now.Add(aheadLife+l.policy.Window))
 	}
 }
 
-// SetVoters says how many voters the cell has and whether this is one of them. A smaller
-// share holds at once, a larger one a window later: by then the voters that were left out
-// have heard of it or are gone.
-func (l *Lender) SetVoters(now time.Time, voters int, isVoter bool) {
-	adopted := 0.0
-	if isVoter && voters > 0 {
-		adopted = 1 / float64(voters)
+// share is one voter's part of each limit: the one at index of so many voters. The zero value
+// is no part.
+type share struct{ index, voters int }
+
+// of returns how many of so many requests are this voter's. All voters together have exactly
+// as many, and none differs from another one by more than one: rounding each part down would
+// leave half a request a voter unlent, a twelfth of a small limit with ten voters.
+func (s share) of(requests float64) int {
+	if s.voters == 0 {
+		return 0
+	}
+	total := int(requests)
+	return total*(s.index+1)/s.voters - total*s.index/s.voters
+}
+
+// SetVoters says which of the cell's voters this is, in an order that all of them know; a
+// negative index is none of them. A smaller share holds at once, a larger one a window later:
+// by then the voters that were left out have heard of it or are gone.
+func (l *Lender) SetVoters(now time.Time, index, voters int) {
+	adopted := share{}
+	if index >= 0 {
+		adopted = share{index: index, voters: voters}
 	}
 	if adopted == l.adopted {
 		return
 	}
-	l.adopted = adopted
-	switch {
-	case l.share == 0:
-		l.share, l.votesSince, l.remembers = adopted, now, false
-	case adopted < l.share:
-		l.share = adopted
-	default:
-		l.raiseAt = now.Add(l.policy.Window)
+	if l.adopted == (share{}) {
+		l.votesSince, l.remembers = now, false
+		l.before, l.raiseAt = adopted, now
+	} else {
+		l.settleShare(now)
+		l.before, l.raiseAt = l.adopted, now.Add(l.policy.Window)
 	}
+	l.adopted = adopted
 }
 
-// presentShare returns the part of each limit that is lent here now.
-func (l *Lender) presentShare(now time.Time) float64 {
-	if l.adopted > l.share && !now.Before(l.raiseAt) {
-		l.share = l.adopted
+// settleShare lets the adopted share hold alone once its time has come.
+func (l *Lender) settleShare(now time.Time) {
+	if !now.Before(l.raiseAt) {
+		l.before = l.adopted
 	}
-	return l.share
 }
 
 // Lend answers a gateway. sync says that the answer must wait until the lending is on the
 // disk.
 func (l *Lender) Lend(now time.Time, asked Borrow) (lent Loan, sync bool) {
 	listed := l.tenants.Named(asked.Tenant)
-	share := l.presentShare(now)
+	l.settleShare(now)
 	switch {
-	case listed == nil || share == 0:
+	case listed == nil || l.adopted.voters == 0:
 		return Loan{Unable: true}, false
 	case !listed.Limit.Limited():
 		return Loan{Unlimited: true}, false
 	}
 	known := l.countOf(asked.Tenant)
-	credit := l.credit(now, listed.Limit, share, known)
+	credit := l.credit(now, listed.Limit, known)
 	lent = Loan{Life: l.policy.life(), AheadLife: aheadLife}
 	lent.Waiting = max(0, min(asked.Waiting, credit))
 	lent.Ahead = max(0, min(asked.Ahead, (credit-lent.Waiting)/aheadShare))
@@ -120,7 +131,7 @@
 	if lent.Waiting == 0 {
 		lent.Wait = l.nextCredit(now, known)
 	}
-	most := l.policy.Slack / unsyncedShare * share
+	most := l.policy.Slack / unsyncedShare / float64(l.adopted.voters)
 	return lent, lent.Waiting+lent.Ahead > 0 && float64(known.unsynced) > most
 }
 
@@ -154,24 +165,26 @@
 }
 
 // most is what may count at once of a limit here: a share of the limit, half the overage and
-// half the slack. It is one request at least, or small limits could not be lent at all.
-func (l *Lender) most(limit tenant.Limit, share float64) float64 {
-	return max(1, (l.policy.inWindow(limit)*(1+l.policy.Overage/2)+l.policy.Slack/2)*share)
+// half the slack, and one request at least in the whole cell, or the smallest limits could not
+// be lent at all.
+func (l *Lender) most(limit tenant.Limit) int {
+	requests := max(1, l.policy.inWindow(limit)*(1+l.policy.Overage/2)+l.policy.Slack/2)
+	return min(l.before.of(requests), l.adopted.of(requests))
 }
 
 // credit returns how many allowances may be lent now.
-func (l *Lender) credit(now time.Time, limit tenant.Limit, share float64, known *count) int {
-	most := l.most(limit, share)
-	return int(math.Floor(most*(1-l.forgotten(now)))) - known.sum(now)
+func (l *Lender) credit(now time.Time, limit tenant.Limit, known *count) int {
+	most := l.most(limit) * int(l.remembered(now)) / int(l.policy.Window)
+	return most - known.sum(now)
 }
 
-// forgotten returns the part of a limit that earlier voters, or an earlier disk of this one,
-// may have lent within the window: all of it at first, and less as the window passes.
-func (l *Lender) forgotten(now time.Time) float64 {
+// remembered returns the part of a window of which all lendings are known here: earlier voters,
+// or an earlier disk of this one, may have lent all that was allowed before.
+func (l *Lender) remembered(now time.Time) time.Duration {
 	if l.remembers {
-		return 0
+		return l.policy.Window
 	}
-	return max(0, 1-now.Sub(l.votesSince).Seconds()/l.policy.Window.Seconds())
+	return max(0, min(l.policy.Window, now.Sub(l.votesSince)))
 }
 
 // nextCredit returns how long it takes until some of what was lent no longer counts.
@@ -180,7 +193,7 @@
 	for _, lent := range known.lent {
 		wait = min(wait, lent.until.Sub(now))
 	}
-	if l.forgotten(now) > 0 {
+	if l.remembered(now) < l.policy.Window {
 		wait = min(wait, countStep)
 	}
 	return max(wait, time.Millisecond)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -29,7 +29,7 @@
 func lenderOf(voters int, limits ...tenant.Limit) *Lender {
 	l := NewLender(policy)
 	l.SetTenants(indexOf(limits...))
-	l.SetVoters(start, voters, true)
+	l.SetVoters(start, 0, voters)
 	return l
 }
 
@@ -63,7 +63,7 @@
 func TestARestartedVoterGoesOnWithWhatItLent(t *testing.T) {
 	l := NewLender(policy)
 	l.SetTenants(indexOf(tenant.Limit{PerSecond: 40, Burst: 20}, tenant.Limit{PerSecond: 40, Burst: 20}))
-	l.Resume(start, 4, map[string]int{"t0": 50})
+	l.Resume(start, 0, 4, map[string]int{"t0": 50})
 	require.Equal(t, 10, lend(l, 0))
 	other, _ := l.Lend(start, Borrow{Tenant: "t1", Waiting: 1000})
 	require.Equal(t, 60, other.Waiting)
@@ -95,25 +95,40 @@
 	require.True(t, ask("t0").Unable, "no configuration is known")
 	l.SetTenants(indexOf(tenant.Limit{PerSecond: 1}, tenant.Limit{}))
 	require.True(t, ask("t0").Unable, "it is no voter")
-	l.SetVoters(start, 3, true)
+	l.SetVoters(start, 0, 3)
 	require.False(t, ask("t0").Unable)
 	require.True(t, ask("t1").Unlimited)
 	require.True(t, ask("unknown").Unable)
-	l.SetVoters(start, 3, false)
-	l.SetVoters(start.Add(second), 3, false)
+	l.SetVoters(start, -1, 3)
+	l.SetVoters(start.Add(second), -1, 3)
 	require.True(t, NewLender(policy).tenants.Named("t0") == nil)
 }
 
 // Voters that do not know yet that one of them was left out lend by the old share.
 func TestALargerShareHoldsAWindowLater(t *testing.T) {
 	l := lenderOf(4, tenant.Limit{PerSecond: 40, Burst: 20})
-	l.SetVoters(start.Add(60*second), 3, true)
+	l.SetVoters(start.Add(60*second), 0, 3)
 	require.Equal(t, 60, lend(l, 61*second))
 	require.Equal(t, 80, lend(l, 67*second))
-	l.SetVoters(start.Add(70*second), 5, true)
+	l.SetVoters(start.Add(70*second), 0, 5)
 	require.Equal(t, 48, lend(l, 80*second), "a smaller share holds at once")
 }
 
+// Rounding each voter's part down would leave small limits partly unlent.
+func TestTheSharesOfAllVotersAreTheWholeLimit(t *testing.T) {
+	for _, total := range []int{1, 7, 48, 60, 1003} {
+		for voters := 1; voters <= 11; voters++ {
+			sum, least, most := 0, total, 0
+			for index := range voters {
+				part := share{index, voters}.of(float64(total) + 0.9)
+				sum, least, most = sum+part, min(least, part), max(most, part)
+			}
+			require.Equal(t, total, sum)
+			require.LessOrEqual(t, most-least, 1)
+		}
+	}
+}
+
 func TestALoweredLimitHoldsAtOnce(t *testing.T) {
 	l := lenderOf(1, tenant.Limit{PerSecond: 1000, Burst: 1000})
 	require.Equal(t, 6310, lend(l, 60*second))
@@ -227,10 +242,10 @@
 	for number := range 1 + random.IntN(7) {
 		s.names = append(s.names, fmt.Sprint(number))
 	}
-	for _, name := range s.names {
+	for index, name := range s.names {
 		s.lenders[name] = NewLender(s.policy)
 		s.lenders[name].SetTenants(indexOf(s.limit))
-		s.lenders[name].SetVoters(start, len(s.names), true)
+		s.lenders[name].SetVoters(start, index, len(s.names))
 	}
 	for number := range s.gateways {
 		s.gateways[number] = NewBorrower()
@@ -249,7 +264,7 @@
 	}
 	s.lenders[name] = NewLender(s.policy)
 	s.lenders[name].SetTenants(indexOf(s.limit))
-	s.lenders[name].Resume(now, len(s.names), map[string]int{"t0": lent})
+	s.lenders[name].Resume(now, slices.Index(s.names, name), len(s.names), map[string]int{"t0": lent})
 	s.disks[name] = []diskLending{{at: now, count: lent}}
 }
 
--- a/internal/replica/lend.go
+++ b/internal/replica/lend.go
@@ -19,8 +19,8 @@
 // resumeLending makes a voter that was restarted go on with what its disk says that it lent.
 func (s *Server) resumeLending(recent map[string]int) {
 	set := s.state.Set()
-	if set.Has(s.state.Disk()) {
-		s.lender.Resume(s.started, len(set.Voters), recent)
+	if index := set.IndexOf(s.state.Disk()); index >= 0 {
+		s.lender.Resume(s.started, index, len(set.Voters), recent)
 	}
 }
 
@@ -64,5 +64,5 @@
 // tellLender gives the lender its share by the adopted set of voters.
 func (s *Server) tellLender(now time.Time) {
 	set := s.state.Set()
-	s.lender.SetVoters(now, len(set.Voters), set.Has(s.state.Disk()))
+	s.lender.SetVoters(now, set.IndexOf(s.state.Disk()), len(set.Voters))
 }
--- a/internal/replicaset/set.go
+++ b/internal/replicaset/set.go
@@ -36,11 +36,14 @@
 // Quorum returns how many voters must agree.
 func (s Set) Quorum() int { return len(s.Voters)/2 + 1 }
 
-// Has reports whether the disk is a voter.
-func (s Set) Has(disk string) bool {
-	return slices.ContainsFunc(s.Voters, func(v Voter) bool { return v.Disk == disk })
+// IndexOf returns the place of the disk among the voters, or -1 if it is none.
+func (s Set) IndexOf(disk string) int {
+	return slices.IndexFunc(s.Voters, func(v Voter) bool { return v.Disk == disk })
 }
 
+// Has reports whether the disk is a voter.
+func (s Set) Has(disk string) bool { return s.IndexOf(disk) >= 0 }
+
 // With returns the next epoch's set with one more voter.
 func (s Set) With(voter Voter) Set {
 	return Set{Epoch: s.Epoch + 1, Voters: append(slices.Clone(s.Voters), voter)}
