--- a/internal/coldstart/gate_test.go
+++ b/internal/coldstart/gate_test.go
@@ -126,7 +126,7 @@
 	random := rand.New(rand.NewPCG(1, 1))
 	for round := range 400 {
 		count, bound, instance, zones := 1+random.IntN(100), 1+random.IntN(120), fmt.Sprint(round), 1+random.IntN(4)
-		smaller := bound - int(math.Ceil(homeShare*float64(bound))) // the fewer places, the less may differ
+		smaller := bound - int(math.Ceil(ownZoneShare*float64(bound))) // the fewer places, the less may differ
 		differences := disagreement(count, smaller)
 		var all []Gateway
 		for number := range count + differences {
--- a/internal/coldstart/share.go
+++ b/internal/coldstart/share.go
@@ -2,8 +2,8 @@
 // An instance is cold for a while after its start, and may become cold again; it then
 // withstands a fraction of its usual rate and collapses above it.
 //
-// The gateways ask nobody: for each cold instance a set of them, chosen by rendezvous hashing
-// over the gateways that the registry lists, has an equal number of places (Share). A send
+// The gateways ask nobody: the places of a cold instance are dealt among the gateways that the
+// registry lists, most of them in its own zone, by rendezvous hashing (Share). A send
 // takes a place until a second after its answer began (Gate). All sends that arrive within
 // one second therefore hold a place at its end, however late they arrive, and the places of
 // all gateways together are bounded. Cuts and losses leave places unused, and never add any.
@@ -61,15 +61,15 @@
 	return min(mostDisagreement, (gateways+disagreementShare-1)/disagreementShare, bound/marginShare)
 }
 
-// homeShare is the part of an instance's places that belongs to the gateways of its own zone:
-// they prefer it when it is idle, and those of other zones seldom use a place there.
-const homeShare = 0.85
+// ownZoneShare is the part of an instance's places that belongs to the gateways of its own
+// zone: the way there is cheapest for them, so they use more of their places.
+const ownZoneShare = 0.85
 
 // Share returns how many of the places of a cold instance belong to one gateway, of all that
 // are listed. Places for the gateways of the instance's zone and for all others are apart, so
 // that the sum is bounded even where lists differ in whether the zone has gateways.
 func Share(gateways []Gateway, self uint64, instance, zone string, bound int) int {
-	home := int(math.Ceil(homeShare * float64(bound)))
+	zonePlaces := int(math.Ceil(ownZoneShare * float64(bound)))
 	var near, far []uint64
 	for _, gateway := range gateways {
 		if gateway.Zone == zone {
@@ -79,8 +79,8 @@
 		}
 	}
 	hash := xxhash.Sum64String(instance)
-	return divide(near, self, hash, home, disagreement(len(gateways), home)) +
-		divide(far, self, hash, bound-home, disagreement(len(gateways), bound-home))
+	return divide(near, self, hash, zonePlaces, disagreement(len(gateways), zonePlaces)) +
+		divide(far, self, hash, bound-zonePlaces, disagreement(len(gateways), bound-zonePlaces))
 }
 
 // divide returns how many of an instance's places belong to one of the gateways. They are
