What came and went between two lists is not told as known

Cause: a process that lists the store anew, because its history is gone, learns the difference of two lists. It told that difference to others at positions in between, and to others that had moved there since they asked. A record that was made and deleted between the lists is in neither, so who knew it kept it: an instance that is gone, at the latest until its next change. TestANewListBecomesChanges now also requires the mark.

--- a/internal/feed/cache.go
+++ b/internal/feed/cache.go
@@ -11,6 +11,10 @@
 // fleet that replaces 1,000 instances within a poll's time is not in sight.
 const mostTombstones = 1024
 
+// mostUnseen bounds the spans kept of a kind between a list and the list before: the store
+// forgets its history a few times a day at most.
+const mostUnseen = 16
+
 // Outcome says what applying a batch did.
 type Outcome uint8
 
@@ -37,11 +41,17 @@
 	position Position
 	// base is the lowest position from which changes can be told one by one; tombstones
 	// cover all deletions after it.
-	base       uint64
+	base uint64
+	// unseen are the spans between two lists of which the changes in between are not known: a
+	// record that came and went within one was never known here.
+	unseen     []span
 	records    map[string]entry
 	tombstones map[string]entry
 }
 
+// span holds the positions between two others.
+type span struct{ after, before uint64 }
+
 // entry is a record with the position at which this cache learned of it.
 type entry struct {
 	record    Record
@@ -82,7 +92,7 @@
 		return Behind, false
 	case batch.Snapshot:
 		return Applied, held.replace(batch)
-	case !held.position.Known || batch.After > held.position.At:
+	case !held.position.Known || batch.After > held.position.At || batch.Exact && batch.After != held.position.At:
 		return Gap, false
 	}
 	for _, record := range batch.Records {
@@ -106,7 +116,9 @@
 			changed = h.put(Record{Name: name, Revision: held.record.Revision, Deleted: true}, batch.At) || changed
 		}
 	}
-	if !h.position.Known {
+	if h.position.Known {
+		h.noteUnseen(span{h.position.At, batch.At})
+	} else {
 		h.base = batch.At
 		changed = true
 	}
@@ -115,6 +127,26 @@
 	return changed
 }
 
+// noteUnseen keeps a span of which the changes are not known.
+func (h *collection) noteUnseen(between span) {
+	h.unseen = append(h.unseen, between)
+	if len(h.unseen) > mostUnseen {
+		h.base = max(h.base, h.unseen[0].before)
+		h.unseen = h.unseen[1:]
+	}
+}
+
+// knowsChangesAfter reports whether the changes after a position can be told one by one.
+func (h *collection) knowsChangesAfter(position uint64) bool {
+	isWithin := func(s span) bool { return s.after < position && position < s.before }
+	return position >= h.base && !slices.ContainsFunc(h.unseen, isWithin)
+}
+
+// hasUnseenAfter reports whether some changes after a position are not known.
+func (h *collection) hasUnseenAfter(position uint64) bool {
+	return slices.ContainsFunc(h.unseen, func(s span) bool { return s.before > position })
+}
+
 // put applies one record unless a newer one is held. A deletion may carry the revision of
 // the object's last change or its own.
 func (h *collection) put(record Record, at uint64) (changed bool) {
@@ -157,7 +189,7 @@
 		asked := known[kind]
 		switch {
 		case !held.position.Known || asked.Known && asked.At >= held.position.At:
-		case !asked.Known || asked.At < held.base:
+		case !asked.Known || !held.knowsChangesAfter(asked.At):
 			batches = append(batches, held.snapshot(kind))
 		default:
 			batches = append(batches, held.changesAfter(kind, asked.At))
@@ -176,7 +208,7 @@
 
 // changesAfter returns deletions first: an object that was made anew is a record again.
 func (h *collection) changesAfter(kind Kind, after uint64) Batch {
-	batch := Batch{Kind: kind, After: after, At: h.position.At}
+	batch := Batch{Kind: kind, After: after, At: h.position.At, Exact: h.hasUnseenAfter(after)}
 	for _, held := range []map[string]entry{h.tombstones, h.records} {
 		var changed []string
 		for name, each := range held {
--- a/internal/feed/cache_test.go
+++ b/internal/feed/cache_test.go
@@ -107,7 +107,9 @@
 	c.Apply(snapshotAt(40, instance("b", 9), instance("d", 33)))
 	var known Positions
 	known[Instances] = Position{Known: true, At: 10}
-	require.Equal(t, []Batch{changesTo(10, 40, deleted("a", 5), instance("d", 33))}, c.Since(known))
+	expected := changesTo(10, 40, deleted("a", 5), instance("d", 33))
+	expected.Exact = true
+	require.Equal(t, []Batch{expected}, c.Since(known))
 }
 
 func TestTombstonesAreBounded(t *testing.T) {
@@ -169,6 +171,28 @@
 	return changesTo(after, at, h.changes[after:at]...)
 }
 
+// A process that lists anew never knew what came and went since its last list.
+func TestADeletionIsToldThoughTheTellerNeverKnewTheRecord(t *testing.T) {
+	teller, asker := NewCache(), NewCache()
+	teller.Apply(snapshotAt(1))
+	asker.Apply(snapshotAt(2, instance("c", 2)))
+	teller.Apply(snapshotAt(3))
+	for _, batch := range teller.Since(asker.Positions()) {
+		asker.Apply(batch)
+	}
+	require.Empty(t, held(asker, Instances))
+	require.Equal(t, uint64(3), asker.Positions()[Instances].At)
+
+	// An answer that was on its way while the asker learned more must not be taken either.
+	late := teller.Since(Positions{Instances: Position{Known: true, At: 1}})
+	asker = NewCache()
+	asker.Apply(snapshotAt(2, instance("c", 2)))
+	for _, batch := range late {
+		outcome, _ := asker.Apply(batch)
+		require.Equal(t, Gap, outcome)
+	}
+}
+
 // Processes that learn from the store and from each other, with messages that are lost,
 // doubled, late and out of order, hold at each moment exactly what the store held at their
 // position, and never go back.
--- a/internal/feed/record.go
+++ b/internal/feed/record.go
@@ -144,7 +144,10 @@
 	// changes after revision After up to At, each record at its last change.
 	Snapshot  bool
 	After, At uint64
-	Records   []Record
+	// Exact says that what came and went between After and At may be missing: the batch holds
+	// for a process that is at After, and not for one that has learned more since it asked.
+	Exact   bool
+	Records []Record
 }
 
 // Position says up to which revision a process knows all changes of a kind.
