A request that fails at once counts on its instance as long as a served one

A lost answer has held its slot for its time; only failures sooner than a request usually takes count on. Change: Directory.EndFailed keeps such a request in the instance's load, here and in what other gateways hear, for the time of a served one, doubled with each in a row up to 2 s; an answer ends that.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -57,6 +57,10 @@
 	// failing counts the failures of late, halved every failureHalfLife since failingAt.
 	failing   float64
 	failingAt time.Time
+	// held are the ends of the times for which requests that failed at once count on;
+	// quickFailures is how many failed so in a row.
+	held          []time.Time
+	quickFailures int
 	// unlistedUntil is set on an instance that the list lacks, while the list may be
 	// wrong: it serves on until then.
 	unlistedUntil time.Time
@@ -66,8 +70,6 @@
 	slowness slowness
 }
 
-func (m *member) load() int { return m.inFlight + m.remote }
-
 // LoadSource is whose requests a report of load counts: those of one gateway of the
 // own zone, or of all gateways of another zone. One field is set.
 type LoadSource struct {
@@ -184,14 +186,15 @@
 	return len(d.members)
 }
 
-// Loads returns this gateway's requests in flight by instance, without zeros.
-func (d *Directory) Loads() map[string]int {
+// Loads returns this gateway's requests in flight by instance, with those that failed at
+// once and count on, without zeros.
+func (d *Directory) Loads(now time.Time) map[string]int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	loads := map[string]int{}
 	for id, known := range d.members {
-		if known.inFlight > 0 {
-			loads[id] = known.inFlight
+		if load := known.inFlight + known.heldAt(now); load > 0 {
+			loads[id] = load
 		}
 	}
 	return loads
@@ -199,8 +202,8 @@
 
 // ZoneLoads returns the requests in flight of the own zone's gateways by instance, as
 // far as they are known here.
-func (d *Directory) ZoneLoads() map[string]int {
-	loads := d.Loads()
+func (d *Directory) ZoneLoads(now time.Time) map[string]int {
+	loads := d.Loads(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for source, report := range d.reports {
@@ -304,7 +307,7 @@
 	known.inFlight--
 	switch ended {
 	case Answered:
-		known.failures = 0
+		known.answered()
 	case Unreachable:
 		known.failures++
 		avoid := min(suspicionMost, suspicionFirst<<min(known.failures-1, 4))
--- a/internal/backend/directory_test.go
+++ b/internal/backend/directory_test.go
@@ -163,7 +163,7 @@
 	for range 4 * 12 {
 		d.Pick(start, Demand{Service: "llm"})
 	}
-	for id, load := range d.Loads() {
+	for id, load := range d.Loads(start) {
 		require.GreaterOrEqual(t, load, 10, "%s is left out although e02 is full", id)
 	}
 }
--- a/internal/backend/pace.go
+++ b/internal/backend/pace.go
@@ -138,6 +138,11 @@
 	return m.value
 }
 
+// asTime returns a mean of milliseconds as a time, or the prior before the first value.
+func (m *mean) asTime(prior float64) time.Duration {
+	return time.Duration(m.or(prior) * float64(time.Millisecond))
+}
+
 // regression is an exponentially weighted linear regression of a time on a number of
 // tokens.
 type regression struct {
--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -65,6 +65,7 @@
 // Choice is where a request goes and why.
 type Choice struct {
 	Instance Instance
+	PickedAt time.Time
 	// Load is the requests believed to be there, Cost the predicted cost in ms.
 	Load int
 	Cost float64
@@ -85,9 +86,9 @@
 		return Choice{}, false
 	}
 	var best *member
-	choice := Choice{Candidates: len(candidates)}
+	choice := Choice{PickedAt: now, Candidates: len(candidates)}
 	for _, candidate := range candidates { // of equals the first one, which differs each time
-		load := candidate.load()
+		load := candidate.load(now)
 		cost, missing := d.cost(now, candidate, load, demand)
 		if best == nil || cost < choice.Cost {
 			best = candidate
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -136,7 +136,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			loads := g.directory.Loads()
+			loads := g.directory.Loads(now)
 			if maps.Equal(loads, last) && now.Sub(sentAt) < gossipRefresh {
 				continue
 			}
@@ -145,7 +145,7 @@
 			neighbours, remotes := g.neighbours.take(neighbourFanout), g.remotes.take(remoteFanout)
 			g.mu.Unlock()
 			sendTo(socket, neighbours, loadReport{Gateway: g.node, Loads: loads})
-			sendTo(socket, remotes, loadReport{Gateway: g.node, Zone: g.zone, Loads: g.directory.ZoneLoads()})
+			sendTo(socket, remotes, loadReport{Gateway: g.node, Zone: g.zone, Loads: g.directory.ZoneLoads(now)})
 		}
 	}
 }
--- a/internal/gateway/gossip_test.go
+++ b/internal/gateway/gossip_test.go
@@ -34,7 +34,7 @@
 	require.Equal(t, 6, believedLoad(t, g), "two of a2, and the newest word of zone b")
 	g.take(now, loadReport{Gateway: "a3", Zone: "a", Loads: map[string]int{"e": 9}})
 	require.Equal(t, 6, believedLoad(t, g), "the own zone is not counted twice")
-	require.Equal(t, map[string]int{"e": 2}, g.directory.ZoneLoads(), "what other zones have is not passed on as the own zone's")
+	require.Equal(t, map[string]int{"e": 2}, g.directory.ZoneLoads(time.Unix(1000, 0)), "what other zones have is not passed on as the own zone's")
 }
 
 func TestReportsStayFewHoweverManyGatewaysThereAre(t *testing.T) {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -63,14 +63,14 @@
 	body, err := io.ReadAll(io.LimitReader(answer.Body(), largestAnswer))
 	if err != nil {
 		answer.Discard()
-		s.directory.End(time.Now(), sent.choice.Instance.ID, backend.Failed)
+		s.directory.EndFailed(time.Now(), sent.choice, backend.Failed)
 		failure := &backend.Failure{Verdict: verdict.MayHaveRun, Reason: "the answer broke off: " + err.Error()}
 		s.logSend(r, sent.choice, failure)
 		return failure
 	}
 	answer.Finish()
 	response := answer.Response
-	s.directory.End(time.Now(), sent.choice.Instance.ID, endedWith(response.StatusCode))
+	s.directory.EndFailed(time.Now(), sent.choice, endedWith(response.StatusCode))
 	if response.StatusCode/100 == 2 {
 		s.observe(r, sent, time.Time{}, 0)
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -111,7 +111,7 @@
 		if failure.Unreachable || ctx.Err() == nil {
 			ended = backend.Unreachable
 		}
-		s.directory.End(time.Now(), choice.Instance.ID, ended)
+		s.directory.EndFailed(time.Now(), choice, ended)
 		s.logSend(r, choice, failure)
 		return nil, failure
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -244,7 +244,7 @@
 	case failure != nil && failure.Verdict == verdict.MayHaveRun && ctx.Err() == nil:
 		ended = backend.Failed
 	}
-	s.directory.End(time.Now(), sent.choice.Instance.ID, ended)
+	s.directory.EndFailed(time.Now(), sent.choice, ended)
 	if failure != nil {
 		sent.answer.Discard()
 		s.logSend(t.request, sent.choice, failure)
