Who waits and who is refused is one decision, by the chance of a free slot

Cause: a request without room asked again every 25 ms for half of its deadline and was refused with a fixed Retry-After; nothing went before anything else; new programs filled the instances' own queues, and all programs behind them were late. A call whose only instance had failed it once waited for another one that did not exist. Change: internal/overload, without input or output, driven by the gateway and by tests alike. Each request asks by itself, less urgent ones half as often; it waits from a chance of 0.95 down to 0.5, one of a program that has begun down to 0.05; new programs ask only while slots are free, less urgent ones while a tenth is; Retry-After is the forecast, spread. The last instance that failed a repeatable request may get it again. Calls that are held to their deadline fail in place of being refused: not mended.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -14,8 +14,9 @@
 // The pauses after which a refused caller may come back.
 const (
 	configurationRetry = 400 * time.Millisecond
-	fullRetry          = 150 * time.Millisecond
 	replicaRetry       = 300 * time.Millisecond
+	// leastFullRetry is for requests whose caller or deadline left no time to forecast.
+	leastFullRetry = 20 * time.Millisecond
 	// elsewhereRetry is for refusals of this gateway alone: others serve.
 	elsewhereRetry = 20 * time.Millisecond
 )
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -19,6 +19,9 @@
 	lenderTimeout = 120 * time.Millisecond
 	// limitTimeout is how long a request waits for an allowance at most.
 	limitTimeout = 900 * time.Millisecond
+	// limitShare is the part of a request's time that may pass before there is an allowance;
+	// the rest is left for its run or for a new attempt.
+	limitShare = 2
 	// leastLimitRetry is the least pause that a caller beyond its limit is asked for.
 	leastLimitRetry = 20 * time.Millisecond
 )
@@ -63,7 +66,7 @@
 	}
 	began := time.Now()
 	defer func() { r.outcome.limitMS = sinceMS(began) }()
-	ctx, cancel := context.WithTimeout(ctx, min(limitTimeout, time.Until(r.deadline)/waitShare))
+	ctx, cancel := context.WithTimeout(ctx, min(limitTimeout, time.Until(r.deadline)/limitShare))
 	defer cancel()
 	return s.borrow(ctx, r)
 }
--- /dev/null
+++ b/internal/gateway/overload.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"swiftbank.dev/swiftbank/internal/overload"
+	"swiftbank.dev/swiftbank/internal/wait"
+)
+
+// queues are the requests that wait for a slot, by service. It is safe for concurrent use.
+type queues struct {
+	mu        sync.Mutex
+	byService map[string]*overload.Queue
+}
+
+func newQueues() *queues { return &queues{byService: map[string]*overload.Queue{}} }
+
+// of returns a service's queue. The caller holds the lock.
+func (q *queues) of(service string) *overload.Queue {
+	known := q.byService[service]
+	if known == nil {
+		known = overload.NewQueue()
+		q.byService[service] = known
+	}
+	return known
+}
+
+// admits reports whether a request may ask instances now.
+func (q *queues) admits(service string, request overload.Request, capacity overload.Capacity) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.of(service).Admits(request, capacity)
+}
+
+// refused decides about a request that instances did not take.
+func (q *queues) refused(now time.Time, service string, request overload.Request, capacity overload.Capacity) overload.Decision {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.of(service).Refused(now, request, capacity)
+}
+
+// taken notes that an instance took the request.
+func (q *queues) taken(r *request) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.of(r.service.Name).Taken(time.Now(), r.id)
+}
+
+// left notes that the request waits no longer, for whatever reason.
+func (q *queues) left(r *request) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.of(r.service.Name).Left(r.id)
+}
+
+// waitForSlot pauses before instances are asked again. It reports false when the request
+// is refused, or its caller is gone.
+func (s *Server) waitForSlot(ctx context.Context, r *request) bool {
+	now := time.Now()
+	capacity := s.capacity(now, r)
+	decision := s.overload.refused(now, r.service.Name, s.asked(r), capacity)
+	s.logDecision(now, r, decision, capacity)
+	r.looks++
+	if decision.Verdict == overload.Reject {
+		r.retryAfter = decision.RetryAfter
+		return false
+	}
+	return wait.For(ctx, decision.Pause)
+}
+
+// admits reports whether the request may ask instances now.
+func (s *Server) admits(r *request) bool {
+	return !r.first || s.overload.admits(r.service.Name, s.asked(r), s.capacity(time.Now(), r))
+}
+
+// capacity returns what is believed of the request's service.
+func (s *Server) capacity(now time.Time, r *request) overload.Capacity {
+	believed := s.directory.Capacity(now, r.service.Name)
+	return overload.Capacity{Slots: believed.Slots, Busy: believed.Busy, Usual: believed.Usual}
+}
+
+// asked returns what the decision needs to know of a request.
+func (s *Server) asked(r *request) overload.Request {
+	request := overload.Request{
+		ID: r.id, First: r.first && r.route.Objective > 0, Objective: r.arrived.Add(r.route.Objective), Deadline: r.deadline,
+		RouteRank: r.table.RankOf(r.route, r.service.Name),
+	}
+	request.Begun = !r.first && r.header.Get(s.dialect.Program) != ""
+	if r.tenant != nil {
+		request.TenantRank = r.tenant.Priority
+	}
+	return request
+}
+
+// logDecision writes the first decision about a request and each refusal, with what it rests
+// on; the looks between differ in their time only.
+func (s *Server) logDecision(now time.Time, r *request, decision overload.Decision, capacity overload.Capacity) {
+	if r.looks > 0 && decision.Verdict == overload.Wait {
+		return
+	}
+	s.log.Info().Str("event", "overload").Str("id", r.id).Str("service", r.service.Name).Str("verdict", decision.Verdict.String()).
+		Int("slots", capacity.Slots).Int("busy", capacity.Busy).Dur("usual", capacity.Usual).
+		Int("waiting", decision.Waiting).Int("rank", decision.Rank).Int("looks", r.looks).
+		Float64("chance", decision.Chance).Dur("expected", decision.Expected).Dur("left", decision.Left).
+		Dur("retry_after", decision.RetryAfter).Int64("age_ms", now.Sub(r.arrived).Milliseconds()).
+		Int64("list_age_ms", s.listAge().Milliseconds()).Msg("")
+}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -47,7 +47,7 @@
 	late := ctx.Err() != nil || !time.Now().Before(r.deadline)
 	switch {
 	case !ran && failure.Verdict == verdict.NotRun:
-		return refuseFor(verdict.CodeOverloaded, fullRetry, failure.Reason)
+		return refuseFor(verdict.CodeOverloaded, max(r.retryAfter, leastFullRetry), failure.Reason)
 	case late:
 		return uncertain(http.StatusGatewayTimeout, failure.Reason)
 	default:
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -28,6 +28,12 @@
 	target         string
 	header         http.Header
 	body           []byte
+	// first says that it is the first request of a program.
+	first bool
+	// looks counts how often instances were asked in vain.
+	looks int
+	// retryAfter is when its caller may come back once it is refused for lack of room.
+	retryAfter time.Duration
 	// outcome is filled in for the log line at the end.
 	outcome outcome
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -10,18 +10,12 @@
 	"swiftbank.dev/swiftbank/internal/backend"
 	"swiftbank.dev/swiftbank/internal/route"
 	"swiftbank.dev/swiftbank/internal/verdict"
-	"swiftbank.dev/swiftbank/internal/wait"
 )
 
 const (
 	// maxRefusals is how many instances that refuse a request are asked in a row
-	// before the gateway pauses.
+	// before the request waits or is refused.
 	maxRefusals = 3
-	// refusalPause is the pause before instances that had no room are asked again.
-	refusalPause = 25 * time.Millisecond
-	// waitShare is the part of a request's time that may pass without an instance
-	// that takes it; the rest is left for a new attempt.
-	waitShare = 2
 	// answerTimeoutLeast is how long an instance may always take to begin its answer.
 	answerTimeoutLeast = 100 * time.Millisecond
 )
@@ -53,17 +47,20 @@
 // sendUntilTaken sends the request to one instance after another until one does
 // not refuse it. A failure's verdict says whether the request may have run.
 func (s *Server) sendUntilTaken(ctx context.Context, r *request, demand backend.Demand) (*attempt, *backend.Failure) {
-	giveUp := r.arrived.Add(r.deadline.Sub(r.arrived) / waitShare)
+	defer s.overload.left(r)
 	refused := 0
 	excluded := len(demand.Exclude)
 	last := &backend.Failure{Verdict: verdict.NotRun, Reason: "no instance is known to be sound"}
 	for {
-		choice, found := s.directory.Pick(time.Now(), demand)
-		if !found || refused >= maxRefusals {
-			if found {
-				s.directory.End(time.Now(), choice.Instance.ID, backend.Answered)
-			}
-			if time.Now().After(giveUp) || !wait.For(ctx, refusalPause) {
+		choice, found := s.pick(r, refused, demand)
+		if !found && refused == 0 && excluded > 0 {
+			// The instances that ran the request are the only ones: rather one of them again
+			// than none.
+			excluded, demand.Exclude = 0, nil
+			continue
+		}
+		if !found {
+			if !s.waitForSlot(ctx, r) {
 				return nil, last
 			}
 			refused = 0
@@ -72,6 +69,7 @@
 		}
 		sent, failure := s.send(ctx, r, choice)
 		if failure == nil {
+			s.overload.taken(r)
 			return sent, nil
 		}
 		if failure.Verdict != verdict.NotRun || ctx.Err() != nil {
@@ -86,6 +84,15 @@
 	}
 }
 
+// pick chooses an instance unless enough of them have refused the request in this look, or it
+// may not ask while there is no room.
+func (s *Server) pick(r *request, refused int, demand backend.Demand) (backend.Choice, bool) {
+	if refused >= maxRefusals || refused == 0 && !s.admits(r) {
+		return backend.Choice{}, false
+	}
+	return s.directory.Pick(time.Now(), demand)
+}
+
 // send makes one attempt. On success the caller must read the answer, end it, and release
 // the attempt.
 func (s *Server) send(ctx context.Context, r *request, choice backend.Choice) (*attempt, *backend.Failure) {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -83,6 +83,8 @@
 
 	// allowances are what this gateway may let through of tenants with a limit.
 	allowances *allowances
+	// overload holds the requests that wait for a place at an instance.
+	overload *queues
 
 	mu       sync.Mutex
 	splitter *route.Splitter
@@ -94,7 +96,7 @@
 	s := &Server{
 		options: options, dialect: options.Dialect, log: options.Log, directory: options.Directory,
 		replicas: options.Replicas, metrics: options.Metrics, splitter: route.NewSplitter(options.Node), started: time.Now(),
-		allowances: newAllowances(),
+		allowances: newAllowances(), overload: newQueues(),
 	}
 	s.pool = backend.NewPool(s.metrics.connections.Inc)
 	s.directory.UseConnections(s.pool)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -60,6 +60,7 @@
 	if t.reservation != nil {
 		defer t.reservation.End()
 	}
+	t.first = t.previous == "" && t.reservation != nil && t.reservation.Others == 0
 	// A turn that is refused for other reasons must not use up the tenant's limit.
 	if failure := s.withinLimit(ctx, r); failure != nil {
 		s.settle(t)
@@ -207,7 +208,7 @@
 		if failure.Verdict == verdict.NotRun {
 			return failure // every instance was asked until the time for that was over
 		}
-		t.ran = true
+		t.ran, t.first = true, false
 		runs++
 		if failure.Verdict == verdict.Ran || !t.route.Resumable || runs > maxResumes || ctx.Err() != nil {
 			return failure
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -121,17 +121,22 @@
 	Tenants *tenant.Index
 	// byHost holds each host's routes, the longest prefix first.
 	byHost map[string][]*Route
+	// mostUrgent is the least priority of the routes to each service.
+	mostUrgent map[string]int
 }
 
 // NewTable indexes the routes.
 func NewTable(version uint64, routes []*Route, services []Service, limits Limits) *Table {
-	table := &Table{Version: version, Services: map[string]Service{}, Limits: limits, byHost: map[string][]*Route{}}
+	table := &Table{
+		Version: version, Services: map[string]Service{}, Limits: limits, byHost: map[string][]*Route{}, mostUrgent: map[string]int{},
+	}
 	for _, service := range services {
 		table.Services[service.Name] = service
 	}
 	for _, route := range routes {
 		host := strings.ToLower(route.Host)
 		table.byHost[host] = append(table.byHost[host], route)
+		table.noteUrgency(route)
 	}
 	for _, list := range table.byHost {
 		slices.SortStableFunc(list, func(a, b *Route) int {
@@ -141,6 +146,21 @@
 	return table
 }
 
+func (t *Table) noteUrgency(route *Route) {
+	for _, target := range route.Targets {
+		least, known := t.mostUrgent[target.Service]
+		if !known || route.Priority < least {
+			t.mostUrgent[target.Service] = route.Priority
+		}
+	}
+}
+
+// RankOf returns how much less urgent a route's requests are than the most urgent ones of
+// the same service.
+func (t *Table) RankOf(route *Route, service string) int {
+	return max(0, route.Priority-t.mostUrgent[service])
+}
+
 // Match returns the route of a request, or nil when there is none. The port of
 // the host is ignored.
 func (t *Table) Match(host, path string) *Route {
