--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -10,7 +10,6 @@
 	"swiftbank.dev/swiftbank/internal/quorum"
 	"swiftbank.dev/swiftbank/internal/quota"
 	"swiftbank.dev/swiftbank/internal/verdict"
-	"swiftbank.dev/swiftbank/internal/wait"
 )
 
 const (
@@ -51,14 +50,6 @@
 	return a.borrower.Next(time.Now(), tenant, lenders)
 }
 
-// nextCredit returns when the first of the lenders that said that they have nothing left has
-// an allowance again.
-func (a *allowances) nextCredit(tenant string, lenders []string) time.Duration {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.borrower.NextCredit(time.Now(), tenant, lenders)
-}
-
 // lent adds a loan and uses an allowance of it for the request that asked.
 func (a *allowances) lent(sentAt time.Time, lender string, asked quota.Borrow, lent quota.Loan) bool {
 	now := time.Now()
@@ -91,20 +82,9 @@
 	silent := len(lenders) == 0
 	for {
 		lender, asked, wait, found := s.allowances.next(name, lenders)
-		if found && !cell.Responsive(lender) {
-			// Where others said that they have nothing left, a request that waited for one that
-			// is silent would mostly be held in vain.
-			if next := s.allowances.nextCredit(name, lenders); next > 0 {
-				wait, found, silent = next, false, true
-			}
-		}
 		switch {
-		case !found && s.awaitsCredit(ctx, r, wait):
-			lenders = cell.Lenders(name)
-			silent = len(lenders) == 0
-			continue
 		case !found && silent:
-			return refuseFor(verdict.CodeUnavailable, max(wait, replicaRetry), "too few replicas answered on the tenant's limit")
+			return refuseFor(verdict.CodeUnavailable, replicaRetry, "too few replicas answered on the tenant's limit")
 		case !found:
 			s.logBeyondLimit(r, wait)
 			return beyondLimit(max(wait, leastLimitRetry))
@@ -124,19 +104,6 @@
 	}
 }
 
-// awaitsCredit waits for the tenant's next credit with a request of a program that has begun.
-// Such a program fails after a few refusals, and what it has used is lost, while credit mostly
-// returns within a fraction of a second. It reports false where the request is to be refused.
-func (s *Server) awaitsCredit(ctx context.Context, r *request, next time.Duration) bool {
-	deadline, bounded := ctx.Deadline()
-	if !s.asked(r).Begun || next <= 0 || bounded && time.Until(deadline) <= next {
-		return false
-	}
-	s.log.Info().Str("event", "limit_awaited").Str("id", r.id).Str("tenant", r.tenant.Name).Str("lender", r.outcome.lender).
-		Dur("wait", next).Int64("age_ms", time.Since(r.arrived).Milliseconds()).Msg("")
-	return wait.For(ctx, next)
-}
-
 func (s *Server) askLender(ctx context.Context, cell *quorum.Client, name string, asked quota.Borrow) (quota.Loan, error) {
 	ctx, cancel := context.WithTimeout(ctx, lenderTimeout)
 	defer cancel()
--- a/internal/quorum/borrow.go
+++ b/internal/quorum/borrow.go
@@ -12,16 +12,6 @@
 	"swiftbank.dev/swiftbank/internal/quota"
 )
 
-// Responsive reports whether a replica has answered lately, or was not asked since.
-func (c *Client) Responsive(name string) bool {
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return slices.ContainsFunc(c.replicas, func(replica *replicaLink) bool {
-		return replica.node.Name == name && c.responsive(now, replica)
-	})
-}
-
 // Lenders returns the names of the cell's voters, in the order in which this gateway asks
 // them for allowances of a tenant: those that answer directly before others, then the
 // nearest. Equals come in an order that differs by tenant, so that one voter does not get all
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -113,20 +113,6 @@
 	return "", Borrow{}, wait, false
 }
 
-// NextCredit returns when the first of the lenders that said that they have none has an
-// allowance again; zero if none said so.
-func (b *Borrower) NextCredit(now time.Time, tenant string, lenders []string) time.Duration {
-	known := b.of(now, tenant)
-	var wait time.Duration
-	for _, name := range lenders {
-		empty := known.emptyUntil[name].Sub(now)
-		if empty > 0 && (wait == 0 || empty < wait) {
-			wait = empty
-		}
-	}
-	return wait
-}
-
 // expected returns how many requests will come while an allowance lent ahead is good,
 // besides the one that asks.
 func (h *holdings) expected(now time.Time) int {
