New programs hold off while streams begin slowly

Cause: an engine of six slots that runs three or four requests begins its answers after 150 to 200 ms, an idle one after 49, and runs 940 requests a second in place of 700 at one or two. Change: once half of the slots are busy, a new program asks only while the last ten or so streams had their first event within three quarters of its objective in the mean; a less urgent one within half.

--- a/internal/backend/capacity.go
+++ b/internal/backend/capacity.go
@@ -6,8 +6,9 @@
 type Capacity struct {
 	// Slots is how many requests they work on at once, Busy how many of these are in use.
 	Slots, Busy int
-	// Usual is how long a request takes.
-	Usual time.Duration
+	// Usual is how long a request takes, RecentFirst how long the last few streams waited for
+	// their first event; zero before one came.
+	Usual, RecentFirst time.Duration
 }
 
 // Capacity returns what is believed of a service. Instances that could not be reached last
@@ -15,14 +16,15 @@
 func (d *Directory) Capacity(now time.Time, service string) Capacity {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	total := Capacity{Usual: d.paceOf(service).duration.asTime(priorDuration)}
-	for _, known := range d.byService[service] {
-		if !known.mayServe(now) || known.failures > 0 {
+	known := d.paceOf(service)
+	total := Capacity{Usual: known.duration.asTime(priorDuration), RecentFirst: known.recentFirst.asTime(0)}
+	for _, listed := range d.byService[service] {
+		if !listed.mayServe(now) || listed.failures > 0 {
 			continue
 		}
-		slots := max(1, known.instance.Slots)
+		slots := max(1, listed.instance.Slots)
 		total.Slots += slots
-		total.Busy += min(slots, known.load(now))
+		total.Busy += min(slots, listed.load(now))
 	}
 	return total
 }
--- a/internal/backend/pace.go
+++ b/internal/backend/pace.go
@@ -17,6 +17,8 @@
 	priorDuration = 100.0
 	// paceGain is the weight of a new observation in the means of a service.
 	paceGain = 0.02
+	// recentGain is that in what follows the load of the moment: some ten streams count.
+	recentGain = 0.1
 	// leastSpread is the deviation of the tokens read, below which they tell nothing of
 	// the time to read one.
 	leastSpread = 100.0
@@ -54,8 +56,9 @@
 	duration mean
 	// typical is the usual logarithm of a unit of work's time, by the kind of request.
 	typical map[string]*mean
-	// first is the mean time to a stream's first event in milliseconds.
-	first mean
+	// first is the mean time to a stream's first event in milliseconds, recentFirst that of
+	// the last few streams.
+	first, recentFirst mean
 }
 
 func newPace() *pace { return &pace{typical: map[string]*mean{}} }
@@ -79,6 +82,7 @@
 	if seen.Events > 0 {
 		p.read.add(float64(seen.Missing), paceGain)
 		p.first.add(milliseconds(seen.First), paceGain)
+		p.recentFirst.add(milliseconds(seen.First), recentGain)
 		if seen.Load*calmShare <= slots {
 			p.reading.add(float64(seen.Missing), milliseconds(seen.First))
 		}
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -78,13 +78,13 @@
 // capacity returns what is believed of the request's service.
 func (s *Server) capacity(now time.Time, r *request) overload.Capacity {
 	believed := s.directory.Capacity(now, r.service.Name)
-	return overload.Capacity{Slots: believed.Slots, Busy: believed.Busy, Usual: believed.Usual}
+	return overload.Capacity{Slots: believed.Slots, Busy: believed.Busy, Usual: believed.Usual, RecentFirst: believed.RecentFirst}
 }
 
 // asked returns what the decision needs to know of a request.
 func (s *Server) asked(r *request) overload.Request {
 	request := overload.Request{
-		ID: r.id, First: r.first && r.route.Objective > 0, Objective: r.arrived.Add(r.route.Objective), Deadline: r.deadline,
+		ID: r.id, First: r.first && r.route.Objective > 0, Objective: r.arrived.Add(r.route.Objective), ObjectiveTime: r.route.Objective, Deadline: r.deadline,
 		RouteRank: r.table.RankOf(r.route, r.service.Name),
 	}
 	request.Begun = !r.first && r.header.Get(s.dialect.Program) != ""
@@ -101,7 +101,7 @@
 		return
 	}
 	s.log.Info().Str("event", "overload").Str("id", r.id).Str("service", r.service.Name).Str("verdict", decision.Verdict.String()).
-		Int("slots", capacity.Slots).Int("busy", capacity.Busy).Dur("usual", capacity.Usual).
+		Int("slots", capacity.Slots).Int("busy", capacity.Busy).Dur("usual", capacity.Usual).Dur("recent_first", capacity.RecentFirst).
 		Int("waiting", decision.Waiting).Int("rank", decision.Rank).Int("looks", r.looks).
 		Float64("chance", decision.Chance).Dur("expected", decision.Expected).Dur("left", decision.Left).
 		Dur("retry_after", decision.RetryAfter).Int64("age_ms", now.Sub(r.arrived).Milliseconds()).
--- a/internal/overload/decision_test.go
+++ b/internal/overload/decision_test.go
@@ -66,6 +66,27 @@
 	}
 }
 
+func TestNewProgramsHoldOffWhileStreamsBeginSlowly(t *testing.T) {
+	queue := overload.NewQueue()
+	const objective = 200 * time.Millisecond
+	urgent := overload.Request{First: true, ObjectiveTime: objective}
+	less := overload.Request{First: true, ObjectiveTime: objective, RouteRank: 1}
+	for _, c := range []struct {
+		request overload.Request
+		busy    int
+		first   time.Duration
+		want    bool
+	}{
+		{urgent, 80, 140 * time.Millisecond, true},
+		{less, 80, 140 * time.Millisecond, false},
+		{urgent, 80, 160 * time.Millisecond, false},
+		{urgent, 49, 160 * time.Millisecond, true}, // slow for another reason than their number
+		{overload.Request{Begun: true, ObjectiveTime: objective}, 80, time.Second, true},
+	} {
+		require.Equal(t, c.want, queue.Admits(c.request, overload.Capacity{Slots: 100, Busy: c.busy, RecentFirst: c.first}), "%+v", c)
+	}
+}
+
 func TestRefusedCallersAreSpread(t *testing.T) {
 	now := time.Unix(1000, 0)
 	seen := map[time.Duration]bool{}
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -41,6 +41,11 @@
 	// urgentShare is the part of the slots that the first requests of less urgent programs
 	// leave free: as many as urgent ones take until the loads of other gateways are heard of.
 	urgentShare = 0.1
+	// slowShare is the part of the objective up to which the first event of streams may take
+	// in the mean while new programs begin: the times of single streams spread to twice the
+	// mean and more, and a program is late once some of its streams are.
+	// Less urgent programs hold off sooner.
+	slowShare, slowShareLess = 0.75, 0.5
 	// calmShare is the part of the slots that must be busy before a request is refused
 	// for lack of room: below it, what instances refuse has another cause that passes.
 	calmShare = 0.5
@@ -60,8 +65,13 @@
 	// Objective is until when its answer should begin. A program whose first request waits
 	// longer is late from the start, and takes the slots of others that are not.
 	Objective time.Time
+	// ObjectiveTime is how long after its arrival that is.
+	ObjectiveTime time.Duration
 }
 
+// lessUrgent reports whether others of its service are more urgent.
+func (r Request) lessUrgent() bool { return r.RouteRank+r.TenantRank > 0 }
+
 // rank is how much less often than the most urgent requests this one asks, in doublings.
 func (r Request) rank() int {
 	rank := r.RouteRank + r.TenantRank
@@ -75,8 +85,9 @@
 type Capacity struct {
 	// Slots is how many requests they work on at once, Busy how many they have.
 	Slots, Busy int
-	// Usual is how long a request takes.
-	Usual time.Duration
+	// Usual is how long a request takes, RecentFirst how long the last few streams waited for
+	// their first event; zero if there were none.
+	Usual, RecentFirst time.Duration
 }
 
 // calm reports whether there should be room.
@@ -84,6 +95,15 @@
 	return c.Slots > 0 && float64(c.Busy) < calmShare*float64(c.Slots)
 }
 
+// slow reports whether streams begin too slowly for the request's objective.
+func (c Capacity) slow(request Request) bool {
+	share := slowShare
+	if request.lessUrgent() {
+		share = slowShareLess
+	}
+	return request.ObjectiveTime > 0 && float64(c.RecentFirst) > share*float64(request.ObjectiveTime)
+}
+
 // Verdict is what a request is told.
 type Verdict uint8
 
--- a/internal/overload/queue.go
+++ b/internal/overload/queue.go
@@ -18,14 +18,19 @@
 
 // Admits reports whether a request may ask instances now. The first request of a program
 // does not while all slots are busy: instances would let it wait in queues of their own,
-// where it makes itself and all programs behind it late. Less urgent programs leave some
+// where it makes itself and all programs behind it late. The same holds while streams begin
+// so slowly that programs which have begun are late: engines that run many requests at once
+// work on each more slowly, well before all slots are busy. Less urgent programs leave some
 // slots to the more urgent ones that may begin next.
 func (q *Queue) Admits(request Request, capacity Capacity) bool {
 	if !request.First || capacity.Slots == 0 {
 		return true
 	}
+	if !capacity.calm() && capacity.slow(request) {
+		return false
+	}
 	most := float64(capacity.Slots)
-	if request.RouteRank+request.TenantRank > 0 {
+	if request.lessUrgent() {
 		most *= 1 - urgentShare
 	}
 	return float64(capacity.Busy) < most
