Less urgent programs hold off a little later

Change: less urgent programs hold off once the first event takes 0.6 of its objective in place of 0.5.

--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -45,7 +45,7 @@
 	// in the mean while new programs begin: the times of single streams spread to twice the
 	// mean and more, and a program is late once some of its streams are.
 	// Less urgent programs hold off sooner.
-	slowShare, slowShareLess = 0.75, 0.5
+	slowShare, slowShareLess = 0.75, 0.6
 	// calmShare is the part of the slots that must be busy before a request is refused
 	// for lack of room: below it, what instances refuse has another cause that passes.
 	calmShare = 0.5
