--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -183,9 +183,9 @@
 		case now := <-ticker.C:
 			if now.Sub(distantAt) >= distantInterval {
 				distantAt = now
-				g.sendTo(socket, g.takeDistant(), loadReport{Gateway: g.node, Zone: g.zone, Loads: g.directory.ZoneLoads()})
+				g.sendTo(socket, g.takeDistant(), loadReport{Gateway: g.node, Zone: g.zone, Loads: g.directory.ZoneLoads(now)})
 			}
-			loads := g.directory.Loads()
+			loads := g.directory.Loads(now)
 			if maps.Equal(loads, last) && now.Sub(sentAt) < gossipRefresh {
 				continue
 			}
@@ -194,7 +194,7 @@
 			neighbours, remotes := g.neighbours.take(neighbourFanout), g.remotes.take(remoteFanout)
 			g.mu.Unlock()
 			g.sendTo(socket, neighbours, loadReport{Gateway: g.node, Loads: loads})
-			g.sendTo(socket, remotes, loadReport{Gateway: g.node, Zone: g.zone, Loads: g.directory.ZoneLoads()})
+			g.sendTo(socket, remotes, loadReport{Gateway: g.node, Zone: g.zone, Loads: g.directory.ZoneLoads(now)})
 		}
 	}
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -51,7 +51,7 @@
 	case !ran && failure.Bar != backend.NotBarred:
 		return refuseBarred(failure.Bar)
 	case !ran && failure.Verdict == verdict.NotRun:
-		return refuseFor(verdict.CodeOverloaded, cmp.Or(failure.RetryAfter, fullRetry), failure.Reason)
+		return refuseFor(verdict.CodeOverloaded, cmp.Or(failure.RetryAfter, max(r.retryAfter, leastFullRetry)), failure.Reason)
 	case late:
 		return uncertain(http.StatusGatewayTimeout, failure.Reason)
 	default:
@@ -67,14 +67,14 @@
 	body, err := io.ReadAll(io.LimitReader(answer.Body(), largestAnswer))
 	if err != nil {
 		answer.Discard()
-		s.directory.End(time.Now(), sent.choice.Instance.ID, backend.Failed)
+		s.directory.EndFailed(time.Now(), sent.choice, backend.Failed)
 		failure := &backend.Failure{Verdict: verdict.MayHaveRun, Reason: "the answer broke off: " + err.Error()}
 		s.logSend(r, sent.choice, failure)
 		return failure
 	}
 	answer.Finish()
 	response := answer.Response
-	s.directory.End(time.Now(), sent.choice.Instance.ID, endedWith(response.StatusCode))
+	s.directory.EndFailed(time.Now(), sent.choice, endedWith(response.StatusCode))
 	if response.StatusCode/100 == 2 {
 		s.observe(r, sent, time.Time{}, 0)
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -10,18 +10,12 @@
 	"swiftbank.dev/swiftbank/internal/backend"
 	"swiftbank.dev/swiftbank/internal/route"
 	"swiftbank.dev/swiftbank/internal/verdict"
-	"swiftbank.dev/swiftbank/internal/wait"
 )
 
 const (
 	// maxRefusals is how many instances that refuse a request are asked in a row
-	// before the gateway pauses.
+	// before the request waits or is refused.
 	maxRefusals = 3
-	// refusalPause is the pause before instances that had no room are asked again.
-	refusalPause = 25 * time.Millisecond
-	// waitShare is the part of a request's time that may pass without an instance
-	// that takes it; the rest is left for a new attempt.
-	waitShare = 2
 	// answerTimeoutLeast is how long an instance may always take to begin its answer.
 	answerTimeoutLeast = 100 * time.Millisecond
 )
@@ -53,23 +47,26 @@
 // sendUntilTaken sends the request to one instance after another until one does
 // not refuse it. A failure's verdict says whether the request may have run.
 func (s *Server) sendUntilTaken(ctx context.Context, r *request, demand backend.Demand) (*attempt, *backend.Failure) {
-	giveUp := r.arrived.Add(r.deadline.Sub(r.arrived) / waitShare)
+	defer s.overload.left(r)
 	refused := 0
 	excluded := len(demand.Exclude)
 	last := &backend.Failure{Verdict: verdict.NotRun, Reason: "no instance is known to be sound"}
 	for {
-		choice, found := s.directory.Pick(time.Now(), demand)
+		choice, found := s.pick(r, refused, demand)
 		if failure := s.barred(demand, found); failure != nil {
 			return nil, failure
 		}
-		if !found || refused >= maxRefusals {
-			if found {
-				s.directory.End(time.Now(), choice.Instance.ID, backend.Answered)
-				s.directory.GivenUp(time.Now(), choice)
-			} else if failure := s.awaitWarmth(r, demand.Service); failure != nil {
+		if !found && refused == 0 && excluded > 0 {
+			// The instances that ran the request are the only ones: rather one of them again
+			// than none.
+			excluded, demand.Exclude = 0, nil
+			continue
+		}
+		if !found {
+			if failure := s.awaitWarmth(r, demand.Service); failure != nil {
 				return nil, failure
 			}
-			if time.Now().After(giveUp) || !wait.For(ctx, refusalPause) {
+			if !s.waitForSlot(ctx, r) {
 				return nil, last
 			}
 			refused = 0
@@ -78,6 +75,7 @@
 		}
 		sent, failure := s.send(ctx, r, choice)
 		if failure == nil {
+			s.overload.taken(r)
 			return sent, nil
 		}
 		if failure.Verdict != verdict.NotRun || ctx.Err() != nil {
@@ -92,6 +90,15 @@
 	}
 }
 
+// pick chooses an instance unless enough of them have refused the request in this look, or it
+// may not ask while there is no room.
+func (s *Server) pick(r *request, refused int, demand backend.Demand) (backend.Choice, bool) {
+	if refused >= maxRefusals || refused == 0 && !s.admits(r) {
+		return backend.Choice{}, false
+	}
+	return s.directory.Pick(time.Now(), demand)
+}
+
 // send makes one attempt. On success the caller must read the answer, end it, and release
 // the attempt.
 func (s *Server) send(ctx context.Context, r *request, choice backend.Choice) (*attempt, *backend.Failure) {
@@ -120,7 +127,7 @@
 		if failure.Unreachable || ctx.Err() == nil {
 			ended = backend.Unreachable
 		}
-		s.directory.End(time.Now(), choice.Instance.ID, ended)
+		s.directory.EndFailed(time.Now(), choice, ended)
 		s.logSend(r, choice, failure)
 		return nil, failure
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -61,6 +61,7 @@
 		s.refuse(w, r, refused)
 		return
 	}
+	t.first = t.previous == "" && t.reservation != nil && t.reservation.Others == 0
 	// A turn that is refused for other reasons must not use up the tenant's limit.
 	if failure := s.withinLimit(ctx, r); failure != nil {
 		s.settle(t)
@@ -154,7 +155,7 @@
 		if failure.Verdict == verdict.NotRun {
 			return failure // every instance was asked until the time for that was over
 		}
-		t.ran, t.lostAnswer = true, true
+		t.ran, t.lostAnswer, t.first = true, true, false
 		runs++
 		if failure.Verdict == verdict.Ran || !t.route.Resumable || runs > maxResumes || ctx.Err() != nil {
 			return failure
@@ -187,7 +188,7 @@
 	case failure != nil && failure.Verdict == verdict.MayHaveRun && ctx.Err() == nil:
 		ended = backend.Failed
 	}
-	s.directory.End(time.Now(), sent.choice.Instance.ID, ended)
+	s.directory.EndFailed(time.Now(), sent.choice, ended)
 	if failure != nil {
 		sent.answer.Discard()
 		s.logSend(t.request, sent.choice, failure)
