Names of the field for time-outs of connections

Cause: constants and a proxy's fault were called silence and patience; a code of the API held a word of the platform's documents. Change: AnswerTimeout, askAgainAfter, streamIdleLeast, renewAfter, Blackhole, no_instance_in_home_regions.

--- a/internal/e2e/silence_test.go
+++ b/internal/e2e/blackhole_test.go
@@ -11,8 +11,8 @@
 	"swiftbank.dev/swiftbank/platform/platformtest"
 )
 
-// silenceSlack is added to each bound for what the machine of the test does beside it.
-const silenceSlack = 3 * time.Second
+// boundSlack is added to each bound for what the machine of the test does beside it.
+const boundSlack = 3 * time.Second
 
 // Open connections of each kind fall silent for good, without a reset, while new ones work:
 // service goes on within the bound of docs/design/silent-connections.md.
@@ -52,7 +52,7 @@
 			f.awaitTurn()
 			served := test.served
 			if served == nil {
-				moved := platformtest.NewEngine("i-silence")
+				moved := platformtest.NewEngine("i-moved")
 				t.Cleanup(moved.Close)
 				f.store.Put("servers", moved.ID, moved.Entry("apps-2", zones[0], "ready"))
 				next := f.config.Clone(f.config.Version + 1)
@@ -69,10 +69,10 @@
 				}
 			}
 			for _, path := range test.paths {
-				path.Silence()
+				path.Blackhole()
 			}
 			for _, gateway := range f.gateways {
-				require.Eventually(t, func() bool { return served(gateway) }, test.bound+silenceSlack, 20*time.Millisecond)
+				require.Eventually(t, func() bool { return served(gateway) }, test.bound+boundSlack, 20*time.Millisecond)
 			}
 		})
 	}
--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -86,9 +86,9 @@
 	}
 }
 
-// Silence makes all open connections silent for good: what comes on either side is taken and
+// Blackhole makes all open connections silent for good: what comes on either side is taken and
 // lost, and neither side learns of the other's end. New connections work.
-func (p *Proxy) Silence() {
+func (p *Proxy) Blackhole() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for connection := range p.open {
--- a/internal/faultproxy/proxy_test.go
+++ b/internal/faultproxy/proxy_test.go
@@ -96,7 +96,7 @@
 	proxy := proxyTo(t, echo(t))
 	connection, lines := dial(t, proxy)
 	require.Equal(t, "a\n", <-answered(connection, lines, "a"))
-	proxy.Silence()
+	proxy.Blackhole()
 	silent := answered(connection, lines, "b")
 	again, fresh := dial(t, proxy)
 	require.Equal(t, "c\n", <-answered(again, fresh, "c"))
--- a/internal/gateway/livenesswatch.go
+++ b/internal/gateway/livenesswatch.go
@@ -16,12 +16,12 @@
 	idleTimeoutLeast  = 150 * time.Millisecond
 	idleTimeoutMost   = time.Second
 	idleTimeoutFactor = 4
-	// silenceLimit, and silenceFactor times what streams of the service usually wait for their
+	// streamIdleLeast, and streamIdleFactor times what streams of the service usually wait for their
 	// first event, is how long one may hear nothing on a connection though the machine accepts
 	// new ones, before it goes on by another one: a connection may fall silent for good. Callers
 	// give a stream up after such a gap.
-	silenceLimit  = 2 * time.Second
-	silenceFactor = 8
+	streamIdleLeast  = 2 * time.Second
+	streamIdleFactor = 8
 )
 
 // livenessWatch ends a send whose instance sends nothing because its machine is gone. An
@@ -31,10 +31,10 @@
 	instance    backend.Instance
 	idleTimeout time.Duration
 	timer       *time.Timer
-	// silence is how long the connection may be silent; 0 where the stream cannot go on.
-	silence time.Duration
-	heardAt atomic.Int64
-	began   time.Time
+	// renewAfter is how long the connection may say nothing; 0 where the stream cannot go on.
+	renewAfter time.Duration
+	heardAt    atomic.Int64
+	began      time.Time
 	// end ends the send.
 	end          context.CancelFunc
 	gone, silent atomic.Bool
@@ -48,7 +48,7 @@
 		idleTimeout: min(idleTimeoutMost, max(idleTimeoutLeast, idleTimeoutFactor*usual)),
 	}
 	if r.route.Resumable {
-		watch.silence = max(silenceLimit, silenceFactor*usual)
+		watch.renewAfter = max(streamIdleLeast, streamIdleFactor*usual)
 	}
 	watch.timer = time.AfterFunc(time.Hour, func() { watch.probe(ctx) })
 	watch.timer.Reset(watch.idleTimeout) // the timer is known to its function before it fires
@@ -65,7 +65,7 @@
 		w.gone.Store(true)
 		w.end()
 	case ctx.Err() != nil:
-	case w.silence > 0 && time.Since(w.began)-time.Duration(w.heardAt.Load()) >= w.silence:
+	case w.renewAfter > 0 && time.Since(w.began)-time.Duration(w.heardAt.Load()) >= w.renewAfter:
 		w.silent.Store(true)
 		w.end()
 	default:
--- a/internal/gateway/places_test.go
+++ b/internal/gateway/places_test.go
@@ -48,7 +48,7 @@
 	return s, arrived
 }
 
-// askPlaced sends a request with a deadline far beyond the test's patience: one that waited
+// askPlaced sends a request with a deadline far longer than the test waits: one that waited
 // for an instance would hold it up.
 func askPlaced(s *Server, path, key string) *httptest.ResponseRecorder {
 	request := httptest.NewRequest(http.MethodPost, "http://apps.test"+path, nil)
@@ -74,9 +74,9 @@
 		{name: "another zone evacuated", key: "free", evacuated: []string{"b"}},
 		{name: "all evacuated", key: "free", evacuated: []string{"a"}, refused: "zones_evacuated"},
 		{name: "route's home", homes: []string{"north"}, key: "free"},
-		{name: "not the route's home", homes: []string{"south"}, key: "free", refused: "no_instance_in_allowed_regions"},
-		{name: "not the tenant's home", key: "south", refused: "no_instance_in_allowed_regions"},
-		{name: "homes without a common region", homes: []string{"north"}, key: "south", refused: "no_instance_in_allowed_regions"},
+		{name: "not the route's home", homes: []string{"south"}, key: "free", refused: "no_instance_in_home_regions"},
+		{name: "not the tenant's home", key: "south", refused: "no_instance_in_home_regions"},
+		{name: "homes without a common region", homes: []string{"north"}, key: "south", refused: "no_instance_in_home_regions"},
 	}
 	for _, c := range cases {
 		for _, path := range []string{"/call/1", "/look/1", "/stream/1"} {
--- a/internal/peer/socket.go
+++ b/internal/peer/socket.go
@@ -20,10 +20,10 @@
 	// the opening packet came would answer only the next one, a second later: a new try
 	// comes sooner.
 	dialTimeout = 300 * time.Millisecond
-	// SilenceLimit is how long a peer that was asked something may say nothing at all on a
+	// AnswerTimeout is how long a peer that was asked something may say nothing at all on a
 	// connection before that is renewed. A connection may fall silent for good, while new ones
 	// work and nothing is lost that the kernel would notice. It is above what a full way takes.
-	SilenceLimit = 2 * time.Second
+	AnswerTimeout = 2 * time.Second
 )
 
 // probes are the keep-alive probes that find a silent peer on an idle connection.
--- a/internal/quorum/link.go
+++ b/internal/quorum/link.go
@@ -118,7 +118,7 @@
 // renewIfSilent replaces a connection on which nothing was answered for long. The client's lock
 // is held.
 func (r *replicaLink) renewIfSilent(now time.Time) {
-	if !r.up || r.unansweredSince.IsZero() || now.Sub(r.unansweredSince) < peer.SilenceLimit {
+	if !r.up || r.unansweredSince.IsZero() || now.Sub(r.unansweredSince) < peer.AnswerTimeout {
 		return
 	}
 	r.unansweredSince = time.Time{}
--- a/internal/quorum/relay.go
+++ b/internal/quorum/relay.go
@@ -157,7 +157,7 @@
 // lock.
 func (r *Relays) closeIfSilent(now time.Time, name string) {
 	link := r.links[name]
-	if link == nil || link.unansweredSince.IsZero() || now.Sub(link.unansweredSince) < peer.SilenceLimit {
+	if link == nil || link.unansweredSince.IsZero() || now.Sub(link.unansweredSince) < peer.AnswerTimeout {
 		return
 	}
 	r.log.Warn().Str("event", "connection_silent").Str("peer", name).Msg("")
--- a/internal/quorum/relaycredit_test.go
+++ b/internal/quorum/relaycredit_test.go
@@ -17,7 +17,7 @@
 			second++
 		}
 	}
-	require.GreaterOrEqual(t, second, creditMost, "a moment's silence is bridged")
+	require.GreaterOrEqual(t, second, creditMost, "a moment without answers is bridged")
 	require.LessOrEqual(t, second, creditMost+requests/9)
 	for range creditMost * 10 {
 		credit.sent()
--- a/internal/replica/claims.go
+++ b/internal/replica/claims.go
@@ -30,7 +30,7 @@
 		if other, claimed := c.byTurn[turn]; claimed && other.peer != peer && now.Before(other.until) {
 			continue
 		}
-		c.byTurn[turn] = claim{peer: peer, until: now.Add(answerPatience)}
+		c.byTurn[turn] = claim{peer: peer, until: now.Add(askAgainAfter)}
 		taken = append(taken, turn)
 	}
 	return taken
--- a/internal/replica/claims_test.go
+++ b/internal/replica/claims_test.go
@@ -38,7 +38,7 @@
 		fetch(start, fmt.Sprint("p", round%peers))
 	}
 	require.Len(t, fetched, turns-most, "what another peer was asked for is left to it")
-	later := start.Add(answerPatience)
+	later := start.Add(askAgainAfter)
 	require.Equal(t, most, fetch(later, "p0"), "until its answer is overdue")
 	require.Len(t, fetched, turns)
 	for turn, times := range fetched {
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -15,10 +15,10 @@
 	inventoryInterval = 250 * time.Millisecond
 	// replyLimit is how long a peer may say nothing before it counts as unreachable.
 	replyLimit = time.Second
-	// answerPatience is when an unanswered question is asked again on the same connection. The
+	// askAgainAfter is when an unanswered question is asked again on the same connection. The
 	// end of a connection says sooner that an answer is lost; an answer that is late is on a
 	// way that is full, and asking again adds the same to it once more.
-	answerPatience = 5 * time.Second
+	askAgainAfter = 5 * time.Second
 	// fetchLimit bounds the turns asked for at once.
 	fetchLimit = 200
 	// handoverCharges is how many charges a peer hands over in one reply, some 20 KB: all of
@@ -66,7 +66,7 @@
 
 // renewIfSilent replaces a connection on which nothing was answered for long.
 func (p *peerState) renewIfSilent(now time.Time) {
-	if !p.up || p.unansweredSince.IsZero() || now.Sub(p.unansweredSince) < peer.SilenceLimit {
+	if !p.up || p.unansweredSince.IsZero() || now.Sub(p.unansweredSince) < peer.AnswerTimeout {
 		return
 	}
 	p.unansweredSince = time.Time{}
@@ -183,7 +183,7 @@
 	if !p.up || p.server.members.leaving {
 		return
 	}
-	if p.asking && now.Sub(p.askedAt) < answerPatience {
+	if p.asking && now.Sub(p.askedAt) < askAgainAfter {
 		if len(p.missing) > 0 && len(p.fetching) == 0 {
 			p.advance() // other peers were asked for all that is missing
 		}
@@ -205,7 +205,7 @@
 
 // requestAdoption asks the peer to adopt the set and to hand over its next charges.
 func (p *peerState) requestAdoption(now time.Time, set replicaset.Set) {
-	if !p.up || p.adopted >= set.Epoch || now.Sub(p.adoptAt) < answerPatience {
+	if !p.up || p.adopted >= set.Epoch || now.Sub(p.adoptAt) < askAgainAfter {
 		return
 	}
 	p.adoptAt = now
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -54,7 +54,7 @@
 	CodeDeadline          Code = "deadline_exceeded"
 	CodeNoBackEnd         Code = "no_back_end"
 	CodeEvacuated         Code = "zones_evacuated"
-	CodeNoHome            Code = "no_instance_in_allowed_regions"
+	CodeNoHome            Code = "no_instance_in_home_regions"
 	CodeBackEndFailed     Code = "back_end_failed"
 	CodeOutcomeUnknown    Code = "outcome_unknown"
 	CodeUnavailable       Code = "unavailable"
