A voter that is gone for good leaves before the next loss

Disks that are lost are not waited for, but the one that was gone had never registered another disk, so all three that remained had to adopt the epoch, and one of them no longer exists. Ruled out: lost records (the remaining two disks hold a part of every quorum), the budget's split, the catch-up of the successor (done at 10.2 s, the disks were lost at 24 s). Change: a voter out of reach for 5 s is taken out as long as the rest outnumbers the losses to be borne; before, the rest had to bear them without a stop, which four voters with two losses never do. It joins again when it returns.

--- a/internal/replicaset/plan.go
+++ b/internal/replicaset/plan.go
@@ -8,9 +8,11 @@
 const unreachableLimit = 2 * time.Second
 
 // absentLimit is how long a voter must be out of reach before it is taken out even where the
-// set bears it: it holds its share of every tenant's limit and is one loss of those that the
-// set bears. Longer than a machine takes to start again.
-const absentLimit = 8 * time.Second
+// set bears it. Its disk cannot be told from one that is gone for good: as long as it is a
+// voter, two more lost disks of five leave too few to agree on anything, it holds its share of
+// every tenant's limit, and it is one loss of those that the set bears. Longer than a machine
+// takes to start again, and no longer than a successor has to catch up.
+const absentLimit = 5 * time.Second
 
 // View is what a replica knows when it decides on the membership.
 type View struct {
@@ -87,7 +89,7 @@
 // silentVoter returns a voter out of reach that should leave the set: with the
 // silent voters in it, the rest could not lose another one; without them, it could.
 // Where that gains nothing, a silent voter stays for absentLimit, for it may return before
-// others go.
+// others go; after that it leaves as long as the rest outnumbers the losses to be borne.
 func silentVoter(view View) (Voter, bool) {
 	var silent []Voter
 	for _, voter := range view.Set.Voters {
@@ -99,17 +101,14 @@
 		return Voter{}, false
 	}
 	present := len(view.Set.Voters) - len(silent)
-	rest := Set{Voters: make([]Voter, present)}
-	spare := present - view.Tolerate
-	if spare < rest.Quorum() {
-		return Voter{}, false
-	}
 	for _, voter := range silent {
-		if view.Unreachable[voter.Disk] >= absentLimit {
+		if view.Unreachable[voter.Disk] >= absentLimit && present > view.Tolerate {
 			return voter, true
 		}
 	}
-	return silent[0], spare < view.Set.Quorum()
+	rest := Set{Voters: make([]Voter, present)}
+	spare := present - view.Tolerate
+	return silent[0], spare < view.Set.Quorum() && spare >= rest.Quorum()
 }
 
 func planJoin(view View) Change {
