The wait for a chain has no timer that is read before it is set

Change: a goroutine asks one more replica each time that the last one is late, and ends with the call. Measured: tests of the package with the race detector pass.

--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -206,12 +206,8 @@
 	number := c.begin(pending)
 	defer c.end(number)
 	var found []ledger.Turn
-	var late *time.Timer
-	late = time.AfterFunc(c.historyTimeout(pending), func() {
-		c.askOneMore(pending)
-		late.Reset(c.historyTimeout(pending))
-	})
-	defer late.Stop()
+	stop := c.askWhileLate(pending)
+	defer stop()
 	_ = c.await(ctx, pending, func() bool {
 		answered := 0
 		for _, replica := range c.replicas {
--- a/internal/quorum/history.go
+++ b/internal/quorum/history.go
@@ -76,6 +76,25 @@
 	c.askNext(pending)
 }
 
+// askWhileLate asks one more replica each time that the one asked last is late, until it is
+// stopped.
+func (c *Client) askWhileLate(pending *operation) (stop func()) {
+	done := make(chan struct{})
+	go func() {
+		for {
+			late := time.NewTimer(c.historyTimeout(pending))
+			select {
+			case <-done:
+				late.Stop()
+				return
+			case <-late.C:
+				c.askOneMore(pending)
+			}
+		}
+	}()
+	return func() { close(done) }
+}
+
 // askWhereMissing asks the next replica once all that were asked lack the history. The caller
 // holds the lock.
 func (c *Client) askWhereMissing(pending *operation) {
