Faults that a review of the joined parts found

Ruled out: the rest of the review's questions (refusals after a run, sends without an end). Change: a lender lends no more than by any of its shares of the last window; a settled charge goes to all voters again, and a voter leaves for its absence only while a quorum of the rest outnumbers the losses to be borne; the connection stays while something is under way; the gap is kept by who learns of it.

--- a/internal/feed/cache.go
+++ b/internal/feed/cache.go
@@ -98,6 +98,9 @@
 	for _, record := range batch.Records {
 		changed = held.put(record, batch.At) || changed
 	}
+	if batch.Exact { // what is missing here is missing for those who learn from this process
+		held.noteUnseen(span{batch.After, batch.At})
+	}
 	held.position.At = batch.At
 	held.trim()
 	return Applied, changed
--- a/internal/quorum/firstasked.go
+++ b/internal/quorum/firstasked.go
@@ -2,16 +2,18 @@
 
 import "time"
 
-// A reservation and a settled charge need a quorum, not all voters. They go to the nearest
-// quorum first, and to the other voters only when an answer is overdue, a connection ends or
-// the set changes. What a quorum holds is enough: every later quorum shares a voter with it.
+// A reservation needs a quorum, not all voters. It goes to the nearest quorum first, and to the
+// other voters only when an answer is overdue, a connection ends or the set changes. What a
+// quorum holds is enough while the set stays: every later quorum shares a voter with it. What
+// outlives the turn, its settled charge, goes to all voters: two voters that leave the set one
+// after the other may be two of the three that hold what went to one quorum of five.
 // With ten voters in three zones three messages in five stay unsent, most of them between
 // zones.
 
 // firstAsked returns the voters that an operation goes to at first, or nil where it goes to
 // all. The caller holds the lock.
 func (c *Client) firstAsked(now time.Time, pending *operation) map[*replicaLink]bool {
-	if !pending.votersOnly || pending.only != "" {
+	if pending.request.Reserve == nil {
 		return nil
 	}
 	asked := map[*replicaLink]bool{}
--- a/internal/quorum/link.go
+++ b/internal/quorum/link.go
@@ -85,7 +85,11 @@
 	if place < 0 {
 		return
 	}
-	if rest := time.Until(r.usedAt.Add(onDemandIdle)); rest > 0 {
+	rest := time.Until(r.usedAt.Add(onDemandIdle))
+	if len(c.operations) > 0 { // a replica without a connection is not asked again
+		rest = onDemandIdle
+	}
+	if rest > 0 {
 		r.idle.Reset(rest)
 		return
 	}
--- a/internal/quorum/regions_test.go
+++ b/internal/quorum/regions_test.go
@@ -199,6 +199,9 @@
 		used.usedAt = time.Now().Add(-onDemandIdle)
 		remote.mu.Unlock()
 		used.closeIdle()
+		require.NotNil(t, remote.replicas[0].link, "kept while something is under way: it would never be asked again")
+		reservation.End()
+		used.closeIdle()
 		require.Nil(t, remote.replicas[0].link, "closed without use")
 	}
 }
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -15,9 +15,10 @@
 	tenants *tenant.Index
 	counts  map[string]*count
 	// adopted is this voter's share of each limit by the newest set of voters. Until raiseAt
-	// it lends no more than by its share before.
-	adopted, before share
-	raiseAt         time.Time
+	// it lends no more than by any of its shares earlier.
+	adopted share
+	earlier []share
+	raiseAt time.Time
 	// votesSince is when this became a voter; remembers says that all that it lent as one
 	// is counted here.
 	votesSince time.Time
@@ -95,10 +96,9 @@
 	}
 	if l.adopted == (share{}) {
 		l.votesSince, l.remembers = now, false
-		l.before, l.raiseAt = adopted, now
 	} else {
 		l.settleShare(now)
-		l.before, l.raiseAt = l.adopted, now.Add(l.policy.Window)
+		l.earlier, l.raiseAt = append(l.earlier, l.adopted), now.Add(l.policy.Window)
 	}
 	l.adopted = adopted
 }
@@ -106,7 +106,7 @@
 // settleShare lets the adopted share hold alone once its time has come.
 func (l *Lender) settleShare(now time.Time) {
 	if !now.Before(l.raiseAt) {
-		l.before = l.adopted
+		l.earlier = nil
 	}
 }
 
@@ -169,7 +169,11 @@
 // be lent at all.
 func (l *Lender) most(limit tenant.Limit) int {
 	requests := max(1, l.policy.inWindow(limit)*(1+l.policy.Overage/2)+l.policy.Slack/2)
-	return min(l.before.of(requests), l.adopted.of(requests))
+	most := l.adopted.of(requests)
+	for _, earlier := range l.earlier {
+		most = min(most, earlier.of(requests))
+	}
+	return most
 }
 
 // credit returns how many allowances may be lent now.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -110,6 +110,9 @@
 	l.SetVoters(start.Add(60*second), 0, 3)
 	require.Equal(t, 60, lend(l, 61*second))
 	require.Equal(t, 80, lend(l, 67*second))
+	l.SetVoters(start.Add(68*second), 0, 2)
+	l.SetVoters(start.Add(69*second), 0, 1)
+	require.Zero(t, lend(l, 70*second), "of two changes the later one does not lift the first one's bound")
 	l.SetVoters(start.Add(70*second), 0, 5)
 	require.Equal(t, 48, lend(l, 80*second), "a smaller share holds at once")
 }
--- a/internal/replicaset/plan.go
+++ b/internal/replicaset/plan.go
@@ -89,7 +89,8 @@
 // silentVoter returns a voter out of reach that should leave the set: with the
 // silent voters in it, the rest could not lose another one; without them, it could.
 // Where that gains nothing, a silent voter stays for absentLimit, for it may return before
-// others go; after that it leaves as long as the rest outnumbers the losses to be borne.
+// others go; after that it leaves as long as a quorum of the rest outnumbers the losses to be
+// borne.
 func silentVoter(view View) (Voter, bool) {
 	var silent []Voter
 	for _, voter := range view.Set.Voters {
@@ -101,12 +102,12 @@
 		return Voter{}, false
 	}
 	present := len(view.Set.Voters) - len(silent)
+	rest := Set{Voters: make([]Voter, present)}
 	for _, voter := range silent {
-		if view.Unreachable[voter.Disk] >= absentLimit && present > view.Tolerate {
+		if view.Unreachable[voter.Disk] >= absentLimit && rest.Quorum() > view.Tolerate {
 			return voter, true
 		}
 	}
-	rest := Set{Voters: make([]Voter, present)}
 	spare := present - view.Tolerate
 	return silent[0], spare < view.Set.Quorum() && spare >= rest.Quorum()
 }
