overload: ordinary names for polling

A reader stumbled over 'looks', and over constants called sure, likely, possible, leastPause and mostRank. A waiting request now polls for a slot; the chances say when a request begins to wait, goes on waiting, or waits because its program has begun. The two Capacity types have the same fields: one is converted into the other. The log key stays 'looks'.

--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -60,9 +60,9 @@
 func (s *Server) waitForSlot(ctx context.Context, r *request) bool {
 	now := time.Now()
 	capacity := s.capacity(now, r)
-	decision := s.overload.refused(now, r.service.Name, s.asked(r), capacity)
+	decision := s.overload.refused(now, r.service.Name, s.overloadRequest(r), capacity)
 	s.logDecision(now, r, decision, capacity)
-	r.looks++
+	r.polls++
 	if decision.Verdict == overload.Reject {
 		r.retryAfter = decision.RetryAfter
 		return false
@@ -72,22 +72,25 @@
 
 // admits reports whether the request may ask instances now.
 func (s *Server) admits(r *request) bool {
-	return !r.first || s.overload.admits(r.service.Name, s.asked(r), s.capacity(time.Now(), r))
+	return !r.first || s.overload.admits(r.service.Name, s.overloadRequest(r), s.capacity(time.Now(), r))
 }
 
 // capacity returns what is believed of the request's service.
 func (s *Server) capacity(now time.Time, r *request) overload.Capacity {
-	believed := s.directory.Capacity(now, r.service.Name)
-	return overload.Capacity{Slots: believed.Slots, Busy: believed.Busy, Usual: believed.Usual, RecentFirst: believed.RecentFirst}
+	return overload.Capacity(s.directory.Capacity(now, r.service.Name))
 }
 
-// asked returns what the decision needs to know of a request.
-func (s *Server) asked(r *request) overload.Request {
+// overloadRequest returns what the decision needs to know of a request.
+func (s *Server) overloadRequest(r *request) overload.Request {
 	request := overload.Request{
-		ID: r.id, First: r.first && r.route.Objective > 0, Objective: r.arrived.Add(r.route.Objective), ObjectiveTime: r.route.Objective, Deadline: r.deadline,
-		RouteRank: r.table.RankOf(r.route, r.service.Name),
+		ID:            r.id,
+		First:         r.first && r.route.Objective > 0,
+		Begun:         !r.first && r.header.Get(s.dialect.Program) != "",
+		Deadline:      r.deadline,
+		Objective:     r.arrived.Add(r.route.Objective),
+		ObjectiveTime: r.route.Objective,
+		RouteRank:     r.table.RankOf(r.route, r.service.Name),
 	}
-	request.Begun = !r.first && r.header.Get(s.dialect.Program) != ""
 	if r.tenant != nil {
 		request.TenantRank = r.tenant.Priority
 	}
@@ -95,14 +98,14 @@
 }
 
 // logDecision writes the first decision about a request and each refusal, with what it rests
-// on; the looks between differ in their time only.
+// on; the polls between differ in their time only.
 func (s *Server) logDecision(now time.Time, r *request, decision overload.Decision, capacity overload.Capacity) {
-	if r.looks > 0 && decision.Verdict == overload.Wait {
+	if r.polls > 0 && decision.Verdict == overload.Wait {
 		return
 	}
 	s.log.Info().Str("event", "overload").Str("id", r.id).Str("service", r.service.Name).Str("verdict", decision.Verdict.String()).
 		Int("slots", capacity.Slots).Int("busy", capacity.Busy).Dur("usual", capacity.Usual).Dur("recent_first", capacity.RecentFirst).
-		Int("waiting", decision.Waiting).Int("rank", decision.Rank).Int("looks", r.looks).
+		Int("waiting", decision.Waiting).Int("rank", decision.Rank).Int("looks", r.polls).
 		Float64("chance", decision.Chance).Dur("expected", decision.Expected).Dur("left", decision.Left).
 		Dur("retry_after", decision.RetryAfter).Int64("age_ms", now.Sub(r.arrived).Milliseconds()).
 		Int64("list_age_ms", s.listAge().Milliseconds()).Msg("")
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -32,8 +32,8 @@
 	lostAnswer bool
 	// first says that it is the first request of a program.
 	first bool
-	// looks counts how often instances were asked in vain.
-	looks int
+	// polls counts the polls that found no slot.
+	polls int
 	// retryAfter is when its caller may come back once it is refused for lack of room.
 	retryAfter time.Duration
 	// outcome is filled in for the log line at the end.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -90,7 +90,7 @@
 	}
 }
 
-// pick chooses an instance unless enough of them have refused the request in this look, or it
+// pick chooses an instance unless enough of them have refused the request in this poll, or it
 // may not ask while there is no room.
 func (s *Server) pick(r *request, refused int, demand backend.Demand) (backend.Choice, bool) {
 	if refused >= maxRefusals || refused == 0 && !s.admits(r) {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -93,7 +93,7 @@
 
 	// allowances are what this gateway may let through of tenants with a limit.
 	allowances *allowances
-	// overload holds the requests that wait for a place at an instance.
+	// overload holds the requests that wait for a slot at an instance.
 	overload *queues
 
 	mu       sync.Mutex
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -4,9 +4,10 @@
 // loads drive it alike.
 //
 // Gateways decide alone and compete for the slots that instances free. A gateway that held
-// its requests in a line and let only the first one ask would ask less often than others
-// and lose those slots to them. So each request asks by itself, and its rank sets how
-// often: of the next free slots, wherever they are, urgent requests get more.
+// its requests in one queue and let only the first one ask would ask less often than others
+// and lose those slots to them. So each waiting request polls by itself, and its rank sets
+// the interval: urgent requests poll more often and get more of the free slots. A poll asks
+// a few instances in a row for a slot.
 package overload
 
 import (
@@ -15,37 +16,38 @@
 )
 
 const (
-	// leastPause is the pause between two looks of the most urgent requests: a few round
+	// pollInterval is the pause between two polls of the most urgent requests: a few round
 	// trips to another zone, and well below the time that a request takes.
-	leastPause = 25 * time.Millisecond
-	// mostRank bounds how much less often the least urgent requests ask. Beyond twice
-	// they would not notice for long that there is room again.
-	mostRank = 1
-	// sure is the chance to be served from which a request begins to wait, and likely the one
-	// down to which it goes on: refused at its first look it costs its caller nothing but a
-	// new attempt, while one that has waited is told only once it would more often be held
-	// in vain than served.
-	sure   = 0.95
-	likely = 0.5
-	// possible is the chance down to which a program that has begun waits: a refusal may end
-	// it, and what it has used would be lost.
-	possible = 0.05
+	pollInterval = 25 * time.Millisecond
+	// maxRank bounds by how many doublings the least urgent requests poll less often. At more
+	// than twice the interval they would notice too late that there is room again.
+	maxRank = 1
+	// startWaitChance is the least chance to be served at which a request begins to wait: a
+	// refusal at its first poll costs the caller only a new attempt.
+	startWaitChance = 0.95
+	// keepWaitChance is the least chance at which a waiting request goes on: below it, waiting
+	// fails more often than it succeeds.
+	keepWaitChance = 0.5
+	// begunWaitChance is the least chance at which a program that has begun waits: a refusal
+	// may end it, and what it has used would be lost.
+	begunWaitChance = 0.05
 	// retrySpread is the part of a Retry-After by which callers are spread to either side, so
 	// that those refused at one moment do not come back at one moment.
 	retrySpread = 0.5
-	// leastRetry bounds a Retry-After from below: two round trips of a caller.
-	leastRetry = 20 * time.Millisecond
+	// minRetryAfter bounds a Retry-After from below: two round trips of a caller.
+	minRetryAfter = 20 * time.Millisecond
 	// retryShare is the part of the time left after which a caller must come back: later, a
 	// new attempt has less time than this one had.
 	retryShare = 0.5
 	// urgentShare is the part of the slots that the first requests of less urgent programs
 	// leave free: as many as urgent ones take until the loads of other gateways are heard of.
 	urgentShare = 0.1
-	// slowShare is the part of the objective up to which the first event of streams may take
-	// in the mean while new programs begin: the times of single streams spread to twice the
-	// mean and more, and a program is late once some of its streams are.
-	// Less urgent programs hold off sooner.
-	slowShare, slowShareLess = 0.75, 0.6
+	// slowShare is the part of the objective that the mean time to a stream's first event may
+	// reach while new programs begin: single streams take twice the mean and more, and a
+	// program is late once some of its streams are.
+	slowShare = 0.75
+	// slowShareLess is the same for less urgent programs, which are held back sooner.
+	slowShareLess = 0.6
 	// calmShare is the part of the slots that must be busy before a request is refused
 	// for lack of room: below it, what instances refuse has another cause that passes.
 	calmShare = 0.5
@@ -72,13 +74,13 @@
 // lessUrgent reports whether others of its service are more urgent.
 func (r Request) lessUrgent() bool { return r.RouteRank+r.TenantRank > 0 }
 
-// rank is how much less often than the most urgent requests this one asks, in doublings.
+// rank is by how many doublings its poll interval exceeds that of the most urgent requests.
 func (r Request) rank() int {
 	rank := r.RouteRank + r.TenantRank
 	if r.First {
 		rank++
 	}
-	return min(mostRank, max(0, rank))
+	return min(maxRank, max(0, rank))
 }
 
 // Capacity is what is believed of a service's instances.
@@ -108,7 +110,7 @@
 type Verdict uint8
 
 const (
-	// Wait means to ask again after the pause.
+	// Wait means to poll again after the pause.
 	Wait Verdict = iota + 1
 	// Reject means to refuse now.
 	Reject
@@ -125,7 +127,7 @@
 // Decision is what becomes of a request, with what it rests on.
 type Decision struct {
 	Verdict Verdict
-	// Pause is when to ask again, RetryAfter when a refused caller should come back.
+	// Pause is when to poll again, RetryAfter when a refused caller should come back.
 	Pause, RetryAfter time.Duration
 	// Expected is the forecast time until a slot, Chance the chance to get one in time.
 	Expected time.Duration
@@ -136,19 +138,19 @@
 	Rank, Waiting int
 }
 
-// decide weighs one request by the chance of each look.
-func decide(request Request, capacity Capacity, now time.Time, chancePerLook float64, waiting int, waits bool) Decision {
+// decide weighs one request by the chance that a poll finds a slot.
+func decide(request Request, capacity Capacity, now time.Time, chancePerPoll float64, waiting int, waits bool) Decision {
 	rank := request.rank()
-	pause := leastPause << rank
+	pause := pollInterval << rank
 	// A request that starts with less than half of its usual time left seldom ends.
 	left := request.Deadline.Sub(now) - capacity.Usual/2
 	if request.First {
 		left = min(left, request.Objective.Sub(now))
 	}
-	looks := math.Floor(max(0, float64(left)/float64(pause)))
+	polls := math.Floor(max(0, float64(left)/float64(pause)))
 	decision := Decision{Verdict: Wait, Pause: pause, Left: left, Rank: rank, Waiting: waiting}
-	decision.Expected = time.Duration(float64(pause) / chancePerLook)
-	decision.Chance = 1 - math.Pow(1-chancePerLook, looks)
+	decision.Expected = time.Duration(float64(pause) / chancePerPoll)
+	decision.Chance = 1 - math.Pow(1-chancePerPoll, polls)
 	if left > pause && (decision.Chance >= leastChance(request, waits) || capacity.calm()) {
 		return decision
 	}
@@ -161,11 +163,11 @@
 func leastChance(request Request, waits bool) float64 {
 	switch {
 	case request.Begun:
-		return possible
+		return begunWaitChance
 	case waits:
-		return likely
+		return keepWaitChance
 	default:
-		return sure
+		return startWaitChance
 	}
 }
 
@@ -173,5 +175,5 @@
 func retryAfter(request Request, expected, left time.Duration) time.Duration {
 	most := time.Duration(retryShare * float64(left))
 	centre := min(expected, time.Duration(float64(most)/(1+retrySpread)))
-	return max(leastRetry, time.Duration((1+retrySpread*(2*uniform(request.ID)-1))*float64(centre)))
+	return max(minRetryAfter, time.Duration((1+retrySpread*(2*uniform(request.ID)-1))*float64(centre)))
 }
--- a/internal/overload/queue.go
+++ b/internal/overload/queue.go
@@ -6,7 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Queue is the requests of one service that wait at one gateway, with what their looks
+// Queue is the requests of one service that wait at one gateway, with what their polls
 // taught. It is a pure value; the caller locks it.
 type Queue struct {
 	waiting  map[string]bool
@@ -39,7 +39,7 @@
 // Refused decides about a request that asked instances and was not taken.
 func (q *Queue) Refused(now time.Time, request Request, capacity Capacity) Decision {
 	q.forecast.add(now, 0, 1)
-	chance := q.forecast.perLook(now, capacity.Usual)
+	chance := q.forecast.perPoll(now, capacity.Usual)
 	decision := decide(request, capacity, now, chance, len(q.waiting), q.waiting[request.ID])
 	if decision.Verdict == Wait {
 		q.waiting[request.ID] = true
