backend: network cost, hold time and checks in ordinary words

The price of the network path is networkCosts, in its own file; bounds are called max; units and reasons stand at the constants.

--- a/internal/backend/barred.go
+++ b/internal/backend/barred.go
@@ -81,14 +81,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if only := d.members[demand.Only]; only != nil && only.isStaying(now) {
-		return d.barOf(only, demand)
+		return d.barFor(only, demand)
 	}
 	bar := NotBarred
 	for _, known := range d.byService[demand.Service] {
 		if !known.isStaying(now) {
 			continue
 		}
-		each := d.barOf(known, demand)
+		each := d.barFor(known, demand)
 		if each == NotBarred {
 			return NotBarred
 		}
@@ -97,11 +97,11 @@
 	return bar
 }
 
-// barOf returns why an instance may not get the request, if that is a rule about places. The
+// barFor returns why an instance may not get the request, if that is a rule about places. The
 // caller holds the lock.
-func (d *Directory) barOf(known *member, demand Demand) Bar {
+func (d *Directory) barFor(known *member, demand Demand) Bar {
 	switch {
-	case !demand.isHome(known, d.ways.places):
+	case !demand.isHome(known, d.network.places):
 		return BarredByHomes
 	case known.evacuated:
 		return BarredByEvacuation
--- a/internal/backend/cold.go
+++ b/internal/backend/cold.go
@@ -12,8 +12,8 @@
 	// is less than one more request on a warm instance costs: cold instances must get what
 	// they withstand, or the warm ones have to serve it.
 	coldShare = 0.06
-	// coldReading is the part of the reading of its prompt that is added: of instances with
-	// as many requests running, a long prompt goes to a warm one.
+	// coldReading is the part of the time to read the missing prompt tokens that is added: of
+	// instances with the same load, a long prompt goes to a warm one.
 	coldReading = 0.1
 )
 
@@ -76,7 +76,7 @@
 	}
 }
 
-// reportColdIfDue does so if an instance became warm since. The caller holds the lock.
+// reportColdIfDue calls reportCold once the next instance is due to become warm. The caller holds the lock.
 func (d *Directory) reportColdIfDue(now time.Time) {
 	if !d.nextColdChange.IsZero() && !now.Before(d.nextColdChange) {
 		d.reportCold(now)
@@ -146,7 +146,7 @@
 	return wait, shared, serving > 0
 }
 
-// coldCost is what the choice of a cold instance costs, in milliseconds.
+// coldCost returns the price of choosing a cold instance, in milliseconds.
 func (d *Directory) coldCost(demand Demand, missing int) float64 {
 	known := d.paceOf(demand.Service)
 	return coldShare*known.durationMS()/float64(1+demand.Priority) + coldReading*float64(missing)*known.readingMS()
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -89,8 +89,8 @@
 // Directory holds the instances of all services. It is safe for concurrent use.
 type Directory struct {
 	zone string
-	// ways prices the way to other zones and regions.
-	ways ways
+	// network prices the network path to other zones and regions.
+	network networkCosts
 	// evacuated lists the zones whose instances are to get nothing further.
 	evacuated map[string]bool
 	// connected reports whether there is an idle connection to an instance, idle lists the
@@ -128,7 +128,7 @@
 	return &Directory{
 		zone: zone, members: map[string]*member{}, byService: map[string][]*member{},
 		reports: map[LoadSource]remoteReport{}, ranLast: map[string]string{},
-		paces: map[string]*pace{}, ways: ways{zone: zone, roundTrips: map[string]*mean{}},
+		paces: map[string]*pace{}, network: networkCosts{zone: zone, roundTrips: map[string]*mean{}},
 		cold: coldstart.NewGate("", coldstart.Policy{}),
 	}
 }
@@ -142,11 +142,11 @@
 
 // UsePlaces tells the directory which regions the zones belong to. It must be called before
 // the first Pick.
-func (d *Directory) UsePlaces(places place.Map) { d.ways.places = places }
+func (d *Directory) UsePlaces(places place.Map) { d.network.places = places }
 
 // OtherRegion reports whether a zone is in another region than this gateway.
 func (d *Directory) OtherRegion(zone string) bool {
-	return d.ways.places.Distance(d.zone, zone) == place.OtherRegion
+	return d.network.places.Distance(d.zone, zone) == place.OtherRegion
 }
 
 // SeedWith makes this gateway's choices among equal instances differ from those of
@@ -193,12 +193,12 @@
 // lock.
 func (d *Directory) listMembers() {
 	d.byService, d.near, d.regional = map[string][]*member{}, map[string][]*member{}, map[string][]*member{}
-	regions := len(d.ways.places.Regions())
+	regions := len(d.network.places.Regions())
 	for _, id := range slices.Sorted(maps.Keys(d.members)) {
 		known := d.members[id]
 		service := known.instance.Service
 		d.byService[service] = append(d.byService[service], known)
-		distance := d.ways.places.Distance(d.zone, known.instance.Zone)
+		distance := d.network.places.Distance(d.zone, known.instance.Zone)
 		if distance == place.SameZone {
 			d.near[service] = append(d.near[service], known)
 		}
@@ -212,7 +212,7 @@
 func (d *Directory) Dialed(instance Instance, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.ways.dialed(instance.Zone, took)
+	d.network.dialed(instance.Zone, took)
 }
 
 // isStaying reports whether the instance serves on, as far as its entry says.
@@ -239,7 +239,7 @@
 	defer d.mu.Unlock()
 	loads := map[string]int{}
 	for id, known := range d.members {
-		if load := known.inFlight + known.heldAt(now); load > 0 {
+		if load := known.inFlight + known.heldFailures(now); load > 0 {
 			loads[id] = load
 		}
 	}
--- a/internal/backend/failures.go
+++ b/internal/backend/failures.go
@@ -2,15 +2,19 @@
 
 import "time"
 
-// heldMost bounds how long a request that failed at once counts on its instance: as long as
-// an instance is avoided that cannot be reached, after which it must be tried again.
-const heldMost = suspicionMost
+const (
+	// maxHold bounds how long a request that failed at once still counts as load: as long as
+	// an unreachable instance is avoided, after which it must be tried again.
+	maxHold = suspicionMost
+	// maxDoublings keeps the hold time from overflowing; maxHold is reached well before.
+	maxDoublings = 8
+)
 
 // EndFailed takes a request that failed off an instance. A request that failed sooner than
 // requests of its service usually take counts on for as long as a served one, and twice as
 // long with each such failure in a row: an instance that fails at once would otherwise seem
 // to be idle and draw more requests than sound ones. Answers that are lost after they were
-// made, or come late, have held their place for their time and add nothing.
+// made, or come late, have counted for their time already and add nothing.
 func (d *Directory) EndFailed(now time.Time, choice Choice, ended Ended) {
 	d.End(now, choice.Instance.ID, ended)
 	d.mu.Lock()
@@ -23,16 +27,13 @@
 	if now.Sub(choice.PickedAt) >= usual {
 		return
 	}
-	held := min(heldMost, usual<<min(known.quickFailures, mostDoublings))
+	held := min(maxHold, usual<<min(known.quickFailures, maxDoublings))
 	known.quickFailures++
 	known.held = append(known.held, choice.PickedAt.Add(held))
 }
 
-// mostDoublings keeps the time that a failure counts from overflowing.
-const mostDoublings = 8
-
-// heldAt returns the failed requests that still count on the instance.
-func (m *member) heldAt(now time.Time) int {
+// heldFailures returns how many failed requests still count as load on the instance.
+func (m *member) heldFailures(now time.Time) int {
 	kept := m.held[:0]
 	for _, until := range m.held {
 		if now.Before(until) {
@@ -49,5 +50,5 @@
 	m.held = m.held[:0]
 }
 
-// load is the requests believed to be there.
-func (m *member) load(now time.Time) int { return m.inFlight + m.heldAt(now) + m.remote }
+// load returns how many requests are believed to be on the instance.
+func (m *member) load(now time.Time) int { return m.inFlight + m.heldFailures(now) + m.remote }
--- a/internal/backend/liveness.go
+++ b/internal/backend/liveness.go
@@ -18,9 +18,9 @@
 	checkTries = 3
 	checkPause = 100 * time.Millisecond
 	// checkNear and checkFar are how long the first of them may stay unanswered, in the own
-	// region and from another one: the way there is shared, and full it takes several times
-	// its usual time. An instance that is taken for gone may be at work on the request that
-	// goes on elsewhere.
+	// region and in another one: the link there is shared, and when it is full a round trip
+	// takes several times as long. An instance wrongly taken for gone may still be running the
+	// request that is retried elsewhere.
 	checkNear = 300 * time.Millisecond
 	checkFar  = 900 * time.Millisecond
 	// checkLife is how long the result of a check holds for all requests there.
--- /dev/null
+++ b/internal/backend/networkcost.go
@@ -0,0 +1,79 @@
+package backend
+
+import (
+	"time"
+
+	"swiftbank.dev/swiftbank/internal/place"
+)
+
+const (
+	// zoneCost is a round trip to another zone of the region and the price of the bytes sent
+	// there, in milliseconds.
+	zoneCost = 6.0
+	// priorRegionRoundTrip is assumed, in milliseconds, until fewestDials connections to the
+	// region were opened: a usual figure between two regions of one country.
+	priorRegionRoundTrip = 40.0
+	// roundTripGain is the weight of a new connection in a region's round trip: one packet
+	// that was lost and sent again after a second must not make a region look far.
+	roundTripGain = 0.05
+	// roundTripOutlier caps one measured round trip at this multiple of the estimate.
+	roundTripOutlier = 3
+	// fewestDials is how many connections must be measured before their mean replaces the
+	// prior.
+	fewestDials = 3
+)
+
+// networkCosts prices the network path from this gateway to instances of other zones and
+// regions. It is a pure value.
+type networkCosts struct {
+	zone   string
+	places place.Map
+	// roundTrips holds the measured round trip to each other region in milliseconds.
+	roundTrips map[string]*mean
+}
+
+// cost returns the price of a round trip to a zone, in milliseconds; connected says that there
+// is a connection already. Another region costs its round trip, twice where the connection
+// must be opened first, and the bytes as between zones.
+func (n *networkCosts) cost(zone string, connected bool) float64 {
+	cost := 0.0
+	if !connected {
+		cost = connectCost
+	}
+	switch n.places.Distance(n.zone, zone) {
+	case place.SameZone:
+		return cost
+	case place.SameRegion:
+		return cost + zoneCost
+	}
+	roundTrip := n.roundTrip(n.places.Region(zone))
+	if !connected {
+		cost += roundTrip
+	}
+	return cost + zoneCost + roundTrip
+}
+
+// roundTrip returns the estimated round trip to a region, in milliseconds.
+func (n *networkCosts) roundTrip(region string) float64 {
+	known := n.roundTrips[region]
+	if known == nil || known.count < fewestDials {
+		return priorRegionRoundTrip
+	}
+	return known.value
+}
+
+// dialed adds the time that opening a connection to a zone took. Round trips within the
+// region are negligible and are not measured.
+func (n *networkCosts) dialed(zone string, took time.Duration) {
+	if n.places.Distance(n.zone, zone) != place.OtherRegion {
+		return
+	}
+	region := n.places.Region(zone)
+	known := n.roundTrips[region]
+	if known == nil {
+		known = &mean{}
+		n.roundTrips[region] = known
+	}
+	most := roundTripOutlier * n.roundTrip(region)
+	known.add(min(milliseconds(took), most), roundTripGain)
+}
--- a/internal/backend/way_test.go
+++ b/internal/backend/networkcost_test.go
@@ -36,17 +36,17 @@
 }
 
 func TestAMeasuredRoundTripReplacesThePrior(t *testing.T) {
-	w := ways{zone: "a1", places: twoRegions, roundTrips: map[string]*mean{}}
-	require.Equal(t, zoneCost+priorRegionRoundTrip, w.cost("b1", true))
-	require.Equal(t, connectCost, w.cost("a1", false))
-	require.Equal(t, zoneCost, w.cost("a2", true))
+	n := networkCosts{zone: "a1", places: twoRegions, roundTrips: map[string]*mean{}}
+	require.Equal(t, zoneCost+priorRegionRoundTrip, n.cost("b1", true))
+	require.Equal(t, connectCost, n.cost("a1", false))
+	require.Equal(t, zoneCost, n.cost("a2", true))
 	for range fewestDials {
-		w.dialed("b1", 12*time.Millisecond)
-		w.dialed("a2", time.Second)
+		n.dialed("b1", 12*time.Millisecond)
+		n.dialed("a2", time.Second)
 	}
-	require.Equal(t, connectCost+zoneCost+24, w.cost("b1", false))
-	w.dialed("b1", time.Second) // a packet that was lost
-	require.Less(t, w.roundTrip("b"), 20.0)
+	require.Equal(t, connectCost+zoneCost+24, n.cost("b1", false))
+	n.dialed("b1", time.Second) // a packet that was lost
+	require.Less(t, n.roundTrip("b"), 20.0)
 }
 
 func TestALargeServiceIsSampledInTheOwnRegionFirst(t *testing.T) {
--- a/internal/backend/pace.go
+++ b/internal/backend/pace.go
@@ -17,7 +17,8 @@
 	priorDuration = 100.0
 	// paceGain is the weight of a new observation in the means of a service.
 	paceGain = 0.02
-	// recentGain is that in what follows the load of the moment: some ten streams count.
+	// recentGain is that in means which follow the present load: about the last ten streams
+	// count.
 	recentGain = 0.1
 	// leastSpread is the deviation of the tokens read, below which they tell nothing of
 	// the time to read one.
--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -116,7 +116,7 @@
 // excluded ones are left out, suspected ones too unless there are no others.
 func (d *Directory) candidates(now time.Time, demand Demand) []*member {
 	d.samples++
-	picked := sample{now: now, demand: demand, number: d.samples, places: d.ways.places, cold: d.cold}
+	picked := sample{now: now, demand: demand, number: d.samples, places: d.network.places, cold: d.cold}
 	if only := d.members[demand.Only]; only != nil {
 		picked.add(only) // while it leaves there is none: it may still be at work on the request
 		return append(picked.sound, picked.suspected...)
@@ -174,7 +174,7 @@
 	known.sampled = s.number
 	switch {
 	case !known.mayServe(s.now) || slices.Contains(s.demand.Exclude, known.instance.ID):
-	case !s.demand.isHome(known, s.places): // never a spill: the request's data stays at its homes
+	case !s.demand.isHome(known, s.places): // no overflow to other regions: the data stays at its homes
 	case !s.cold.Admits(s.now, known.instance.ID):
 		s.withheld = true
 	case s.now.Before(known.avoidUntil):
@@ -235,7 +235,7 @@
 func (d *Directory) cost(now time.Time, candidate *member, load int, demand Demand) (float64, int) {
 	cost := failureCost * candidate.recentFailures(now)
 	connected := d.connected == nil || d.connected(candidate.instance.ID)
-	cost += d.ways.cost(candidate.instance.Zone, connected)
+	cost += d.network.cost(candidate.instance.Zone, connected)
 	missing := d.missing(now, candidate, demand)
 	if d.cold.Cold(now, candidate.instance.ID) {
 		cost += d.coldCost(demand, missing)
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -37,7 +37,7 @@
 type Pool struct {
 	// Opened counts new connections, for the metrics.
 	Opened func()
-	// dialed is told in what time a connection came up, for the price of the way there.
+	// dialed is told how long opening a connection took, for the price of the network path.
 	dialed func(instance Instance, took time.Duration)
 	// far reports whether a zone is in another region; nil knows of none.
 	far func(zone string) bool
