coldstart and gateway: a place is defined once, divisors are called so

A reader stumbled over 'places' without a definition (and a type place beside package place), over shares that are divisors (4 meant a quarter), and over awaitWarmth, which refuses and never waits. The test of schedules follows two renamed constants; its assertions are the same.

--- a/internal/coldstart/changes.go
+++ b/internal/coldstart/changes.go
@@ -11,7 +11,7 @@
 	Instance string
 	Service  string
 	Cold     bool
-	// Remaining is how long it will be cold, Share how many places this gateway has.
+	// Remaining is how long it will be cold, Share how many of its places this gateway has.
 	Remaining time.Duration
 	Share     int
 }
--- a/internal/coldstart/gate.go
+++ b/internal/coldstart/gate.go
@@ -21,12 +21,12 @@
 	// unansweredTime is how long a send without an answer may still arrive after it was given
 	// up: a machine that is cut off for moments retransmits what it was given.
 	unansweredTime = 5 * time.Second
-	// forgetTime is how long an instance is remembered that the list lacks. Entries lapse for
-	// other reasons than an end; one that comes back under its id did not start again.
+	// forgetTime is how long an unlisted instance is remembered. Entries also lapse while the
+	// instance runs on; one that comes back under its id did not start again.
 	forgetTime = time.Minute
 )
 
-// Permit is the leave to send one request to an instance. The zero value is for instances
+// Permit allows one request to be sent to an instance, and names the place that it holds. The zero value is for instances
 // without a limit.
 type Permit struct {
 	instance string
@@ -78,18 +78,18 @@
 	entry Entry
 	// startedAt is when it first appeared; zero if it stood in the first list.
 	startedAt time.Time
-	// saidUntil is until when it is cold by its own word, or by what is assumed of its zone.
+	// saidUntil is until when it is cold by its entry, or by what AssumeCold assumed.
 	saidUntil time.Time
 	// missingSince is when the list began to lack it; zero while it is listed.
 	missingSince time.Time
-	places       []place
-	// leastShare is the share by the rosters of the version.
+	places       []heldPlace
+	// leastShare is the least share by any roster, computed at shareVersion of the gate.
 	leastShare   int
 	shareVersion uint64
 }
 
-// place is one that a send holds.
-type place struct {
+// heldPlace is a place that a send holds.
+type heldPlace struct {
 	number uint64
 	// sent is set once the request was handed to the connection.
 	sent bool
@@ -154,7 +154,7 @@
 	g.listed = true
 }
 
-// hear takes what an instance says. The same value delivered again starts nothing anew, unless
+// hear takes an instance's entry. The same value delivered again starts nothing anew, unless
 // its entry had been away: it may have started again meanwhile.
 func (g *Gate) hear(now time.Time, entry Entry) {
 	known := g.instances[entry.ID]
@@ -214,8 +214,8 @@
 	return len(known.places) < g.share(now, known)
 }
 
-// share returns the places of an instance that this gateway may use: the least by any list of
-// gateways that was in force of late, none before a list was in force for settleTime.
+// share returns how many places of an instance this gateway may use: the least by any list of
+// gateways in force within settleTime, and none before a list was in force that long.
 func (g *Gate) share(now time.Time, known *instance) int {
 	g.dropRosters(now)
 	if len(g.rosters) == 0 || now.Sub(g.rosters[0].since) < settleTime {
@@ -234,7 +234,7 @@
 
 // release frees the places whose time is over.
 func (i *instance) release(now time.Time) {
-	i.places = slices.DeleteFunc(i.places, func(held place) bool {
+	i.places = slices.DeleteFunc(i.places, func(held heldPlace) bool {
 		return !held.freeAt.IsZero() && !now.Before(held.freeAt)
 	})
 }
@@ -248,7 +248,7 @@
 	}
 	known.release(now)
 	g.permits++
-	known.places = append(known.places, place{number: g.permits, freeAt: now.Add(permitLife)})
+	known.places = append(known.places, heldPlace{number: g.permits, freeAt: now.Add(permitLife)})
 	return Permit{instance: id, number: g.permits}
 }
 
@@ -267,12 +267,12 @@
 }
 
 // held returns the place that a permit holds, nil if it has none.
-func (g *Gate) held(permit Permit) *place {
+func (g *Gate) held(permit Permit) *heldPlace {
 	known := g.instances[permit.instance]
 	if known == nil {
 		return nil
 	}
-	index := slices.IndexFunc(known.places, func(held place) bool { return held.number == permit.number })
+	index := slices.IndexFunc(known.places, func(held heldPlace) bool { return held.number == permit.number })
 	if index < 0 {
 		return nil
 	}
@@ -302,7 +302,7 @@
 // instance that has the address now.
 func (g *Gate) NotCounted(permit Permit) {
 	if known := g.instances[permit.instance]; known != nil {
-		known.places = slices.DeleteFunc(known.places, func(held place) bool { return held.number == permit.number })
+		known.places = slices.DeleteFunc(known.places, func(held heldPlace) bool { return held.number == permit.number })
 	}
 }
 
--- a/internal/coldstart/schedule_test.go
+++ b/internal/coldstart/schedule_test.go
@@ -105,7 +105,7 @@
 	s.unanswered = []float64{0, 0.1, 0.7}[s.random.IntN(3)]
 	if s.chance(0.5) {
 		count := len(s.names)
-		most := (count + min(mostDisagreement, (count+disagreementShare-1)/disagreementShare)) * (1 + s.random.IntN(2))
+		most := (count + min(maxDisagreement, (count+disagreementDivisor-1)/disagreementDivisor)) * (1 + s.random.IntN(2))
 		s.policy = Policy{Overage: 1}
 		s.services["engines"] = Service{Limit: Limit{PerSecond: float64(most)}, Start: 6 * time.Second}
 	}
--- a/internal/coldstart/share.go
+++ b/internal/coldstart/share.go
@@ -2,11 +2,13 @@
 // An instance is cold for a while after its start, and may become cold again; it then
 // withstands a fraction of its usual rate and collapses above it.
 //
-// The gateways ask nobody: the places of a cold instance are dealt among the gateways that the
-// registry lists, most of them in its own zone, by rendezvous hashing (Share). A send
-// takes a place until a second after its answer began (Gate). All sends that arrive within
-// one second therefore hold a place at its end, however late they arrive, and the places of
-// all gateways together are bounded. Cuts and losses leave places unused, and never add any.
+// A place is one unit of a cold instance's rate limit: the instance has as many places as
+// requests may reach it in one second (Policy.InSecond). Gateways do not coordinate: rendezvous
+// hashing divides the places among the gateways that the registry lists, most of them among
+// those of the instance's own zone (Share). A send takes a place until a second after its
+// answer began (Gate). All sends that arrive within one second therefore hold a place at its
+// end, however late they arrive, and the places of all gateways together are bounded. Network
+// partitions and lost messages leave places unused, and never add any.
 //
 // Everything here is pure: time comes in with each call.
 package coldstart
@@ -45,20 +47,20 @@
 }
 
 const (
-	// mostDisagreement and disagreementShare bound by how many members the gateways' lists of
+	// maxDisagreement and disagreementDivisor bound by how many members the gateways' lists of
 	// each other may differ: an eighth of the list, and at most four. Lists differ longer
 	// than settleTime only at gateways that are cut off, and few are at once.
-	mostDisagreement  = 4
-	disagreementShare = 8
-	// marginShare is the part of the bound that may be kept for disagreement: a bound of few
-	// requests must still let some through.
-	marginShare = 2
+	maxDisagreement     = 4
+	disagreementDivisor = 8
+	// marginDivisor bounds the places kept for disagreement to half of the bound: a bound of
+	// few requests must still let some through.
+	marginDivisor = 2
 )
 
-// disagreement returns by how many members other gateways' lists may differ from one of so
-// many.
+// disagreement returns by how many members other gateways' lists may differ from a list of so
+// many gateways.
 func disagreement(gateways, bound int) int {
-	return min(mostDisagreement, (gateways+disagreementShare-1)/disagreementShare, bound/marginShare)
+	return min(maxDisagreement, (gateways+disagreementDivisor-1)/disagreementDivisor, bound/marginDivisor)
 }
 
 // ownZoneShare is the part of an instance's places that belongs to the gateways of its own
--- a/internal/gateway/coldstart.go
+++ b/internal/gateway/coldstart.go
@@ -13,10 +13,10 @@
 	"swiftbank.dev/swiftbank/internal/verdict"
 )
 
-// coldWaitShare is the part of its objective that a request may have waited for a place at a
-// cold instance: after a longer wait its answer would probably be late, and its caller does
-// better to come back when a place is free, or to another gateway.
-const coldWaitShare = 4
+// coldWaitDivisor bounds the wait for a place at a cold instance to a quarter of the route's
+// objective: after a longer wait the answer would probably be late, and the caller does better
+// to come back when a place is free, or to another gateway.
+const coldWaitDivisor = 4
 
 // coldServices returns what the configuration says of cold instances, by service.
 func coldServices(table *route.Table) map[string]coldstart.Service {
@@ -38,17 +38,17 @@
 	return gateways
 }
 
-// awaitWarmth decides whether a request waits for which no instance was found. Where only cold
-// instances serve, it is refused at once unless this gateway has a place soon. One that was
-// sent before waits on: it may be a stream of which its caller has a part.
-func (s *Server) awaitWarmth(r *request, service string) *backend.Failure {
+// refuseWhileCold returns why a request for which no instance was found need not wait, nil if
+// it may. Where only cold instances serve, it is refused at once unless this gateway has a free
+// place soon. One that was sent before waits on: it may be a stream that has begun.
+func (s *Server) refuseWhileCold(r *request, service string) *backend.Failure {
 	wait, shared, only := s.directory.OnlyCold(time.Now(), service)
 	switch {
 	case !only || r.outcome.sends > 0:
 		return nil
 	case !shared:
 		wait = elsewhereRetry
-	case time.Since(r.arrived)+wait <= r.route.Objective/coldWaitShare:
+	case time.Since(r.arrived)+wait <= r.route.Objective/coldWaitDivisor:
 		return nil
 	}
 	s.log.Info().Str("event", "cold_withheld").Str("id", r.id).Str("service", service).Bool("shared", shared).
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -19,9 +19,9 @@
 	lenderTimeout = 120 * time.Millisecond
 	// limitTimeout is how long a request waits for an allowance at most.
 	limitTimeout = 900 * time.Millisecond
-	// limitShare is the part of a request's time that may pass before there is an allowance;
-	// the rest is left for its run or for a new attempt.
-	limitShare = 2
+	// limitDivisor bounds the wait for an allowance to half of the request's time; the rest is
+	// left for its run or for a new attempt.
+	limitDivisor = 2
 	// leastLimitRetry is the least pause that a caller beyond its limit is asked for.
 	leastLimitRetry = 20 * time.Millisecond
 )
@@ -73,7 +73,7 @@
 	}
 	began := time.Now()
 	defer func() { r.outcome.limitMS = sinceMS(began) }()
-	ctx, cancel := context.WithTimeout(ctx, min(limitTimeout, time.Until(r.deadline)/limitShare))
+	ctx, cancel := context.WithTimeout(ctx, min(limitTimeout, time.Until(r.deadline)/limitDivisor))
 	defer cancel()
 	return s.borrow(ctx, r)
 }
--- a/internal/gateway/places.go
+++ b/internal/gateway/places.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// placeRetry is when a caller may come back whom no place may serve: the operator has to
+	// barredRetry is the Retry-After of a request that no zone may serve: the operator has to
 	// change something first, which takes seconds.
-	placeRetry = time.Second
+	barredRetry = time.Second
 	// evacuationsWait is how long a gateway that knows the instances waits to hear which
 	// zones are evacuated. Both are listed side by side; a list takes 2 s at most. Copies
 	// that an older version wrote say nothing of evacuations: a fleet that starts from them
@@ -29,9 +29,9 @@
 	return homes
 }
 
-// placeRefusal returns the answer to a request that no place may serve. It is looked at
+// refusalIfBarred returns the refusal of a request that no zone may serve, or nil. It is asked
 // before the request is counted anywhere: it will not run.
-func (s *Server) placeRefusal(r *request) *refusal {
+func (s *Server) refusalIfBarred(r *request) *refusal {
 	bar := s.directory.Barred(time.Now(), backend.Demand{Service: r.service.Name, Homes: r.homes()})
 	if bar == backend.NotBarred {
 		return nil
@@ -51,13 +51,13 @@
 	return &backend.Failure{Verdict: verdict.NotRun, Bar: bar, Reason: bar.String()}
 }
 
-// refuseBarred returns a promise that a request that no place may serve has not run.
+// refuseBarred refuses a request that no zone may serve; the code says that it has not run.
 func refuseBarred(bar backend.Bar) *refusal {
 	code := verdict.CodeEvacuated
 	if bar == backend.BarredByHomes {
 		code = verdict.CodeNoHome
 	}
-	return refuseFor(code, placeRetry, bar.String())
+	return refuseFor(code, barredRetry, bar.String())
 }
 
 // EvacuationsChanged replaces the zones whose instances are to get nothing further.
@@ -69,7 +69,8 @@
 		Int("running", s.directory.EvacuatedInFlight()).Dur("age", s.knowledgeAge()).Msg("")
 }
 
-// isInformed reports whether enough is known to place requests.
+// isInformed reports whether enough is known to place requests. It logs once when the list of
+// evacuated zones is overdue, and then does without.
 func (s *Server) isInformed() bool {
 	if !s.known.Load() {
 		return false
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -63,7 +63,7 @@
 			continue
 		}
 		if !found {
-			if failure := s.awaitWarmth(r, demand.Service); failure != nil {
+			if failure := s.refuseWhileCold(r, demand.Service); failure != nil {
 				return nil, failure
 			}
 			if !s.waitForSlot(ctx, r) {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -203,7 +203,7 @@
 		s.refuse(w, r, failure)
 		return
 	}
-	if failure := s.placeRefusal(r); failure != nil {
+	if failure := s.refusalIfBarred(r); failure != nil {
 		s.refuse(w, r, failure)
 		return
 	}
