quorum, replica, peer: links, relays and divisors in ordinary words

A reader stumbled over 'the way between regions' and 'a second way' (a link, a relay), loop indexes called place, Part constants that are divisors, and btoi for one comparison. Behaviour is the same.

--- a/internal/feed/monitor.go
+++ b/internal/feed/monitor.go
@@ -96,8 +96,8 @@
 	}
 	var due []*informer
 	most := (len(urgent) + urgentRounds - 1) / urgentRounds
-	for place := range most {
-		due = append(due, urgent[(round*most+place)%len(urgent)])
+	for offset := range most {
+		due = append(due, urgent[(round*most+offset)%len(urgent)])
 	}
 	if len(slow) > 0 && round%slowRounds == 0 {
 		due = append(due, slow[round/slowRounds%len(slow)])
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -150,7 +150,7 @@
 }
 
 // spread puts the turns that send nothing between the others, in an order of this gateway's
-// own: gateways that are all silent at the same time would be believed to have no load.
+// own: if all gateways skipped the same turns, they would be believed to have no load.
 func (g *Gossip) spread(remotes []net.Addr) {
 	random := rand.New(rand.NewPCG(xxhash.Sum64String(g.node), uint64(len(remotes))))
 	random.Shuffle(len(remotes), func(i, j int) { remotes[i], remotes[j] = remotes[j], remotes[i] })
--- a/internal/ledger/bytes.go
+++ b/internal/ledger/bytes.go
@@ -1,7 +1,7 @@
 package ledger
 
-// What messages weigh is counted roughly, from what varies in them: it bounds the memory of
-// those who wait to be sent or handled.
+// Estimated sizes in bytes: a fixed part per message, charge or id, plus the text. The estimates
+// bound the memory of messages that wait to be sent or handled.
 const (
 	messageBytes = 200
 	chargeBytes  = 100
--- a/internal/ledger/handover.go
+++ b/internal/ledger/handover.go
@@ -2,7 +2,8 @@
 
 // HandoverPlace is how far the charges of a replica were handed over.
 type HandoverPlace struct {
-	// Boot is the life of the replica whose places these are.
+	// Boot tells one run of the replica's process from others; positions are only comparable
+	// within a run.
 	Boot string
 	// Position is behind the last charge that was handed over.
 	Position int
@@ -38,8 +39,8 @@
 }
 
 // chargeOrder is the order in which the charges of a replica changed. Each replica that is to
-// have all of them reads it from where it left off, whichever epoch that is for: read anew for
-// each epoch, and asked again before the answer was through, it filled the way between regions.
+// have all of them reads it from where it left off, whichever epoch that is for: read again for
+// each epoch, it would fill the link between regions.
 type chargeOrder struct {
 	changed []changedCharge
 	// base counts the entries that were dropped.
--- a/internal/peer/budget.go
+++ b/internal/peer/budget.go
@@ -2,7 +2,7 @@
 
 import "sync"
 
-// leastBytes is what a message counts that does not say its size.
+// leastBytes is the least that a message counts, also one that does not say its size.
 const leastBytes = 64
 
 // sized is a message that knows about how many bytes it holds.
@@ -17,7 +17,7 @@
 }
 
 // Budget bounds the bytes that messages of several connections hold together. The memory of a
-// process is bounded by its budgets and its state, however slow those are that it speaks with.
+// process is bounded by its budgets and its state, however slow its peers are.
 // One message larger than the whole budget passes alone. A nil budget is unbounded.
 type Budget struct {
 	limit int
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -90,9 +90,9 @@
 }
 
 func (s *Server[Receive, Send]) read(connection net.Conn) {
-	way := &Connection[Send]{sender: newSender(connection, s.outgoing, s.sent)}
+	accepted := &Connection[Send]{sender: newSender(connection, s.outgoing, s.sent)}
 	defer func() {
-		way.sender.close()
+		accepted.sender.close()
 		s.mu.Lock()
 		delete(s.open, connection)
 		s.mu.Unlock()
@@ -103,6 +103,6 @@
 		if decoder.Decode(&message) != nil {
 			return
 		}
-		s.receive(way, message)
+		s.receive(accepted, message)
 	}
 }
--- a/internal/peer/socket.go
+++ b/internal/peer/socket.go
@@ -20,9 +20,9 @@
 	// the opening packet came would answer only the next one, a second later: a new try
 	// comes sooner.
 	dialTimeout = 300 * time.Millisecond
-	// AnswerTimeout is how long a peer that was asked something may say nothing at all on a
-	// connection before that is renewed. A connection may fall silent for good, while new ones
-	// work and nothing is lost that the kernel would notice. It is above what a full way takes.
+	// AnswerTimeout is how long a peer may send nothing on a connection while a request is
+	// unanswered, before the connection is renewed. A connection may fall silent for good though
+	// new ones work and the kernel notices no loss. It is longer than answers take on a full link.
 	AnswerTimeout = 2 * time.Second
 )
 
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -1,7 +1,7 @@
-// Package place knows where things stand: the zones of a deployment, the regions they
+// Package place describes locations: the zones of a deployment, the regions they
 // belong to, how far apart two zones are, and in which regions a request may be handled.
 //
-// Everything that chooses a machine by its place asks this package: the placement on
+// Everything that chooses a machine by its location uses this package: the placement on
 // instances, the choice of replicas, relays between gateways, the feed and the reports of
 // load.
 package place
@@ -13,11 +13,11 @@
 
 // The distances, nearest first.
 const (
-	// SameZone: a fraction of a millisecond, and no price on bytes.
+	// SameZone is a fraction of a millisecond; bytes are free.
 	SameZone Distance = iota
-	// SameRegion: about a millisecond; bytes between zones are priced.
+	// SameRegion is about a millisecond; bytes between zones are charged for.
 	SameRegion
-	// OtherRegion: tens of milliseconds over a link that all traffic shares.
+	// OtherRegion is tens of milliseconds, over a link that all traffic shares.
 	OtherRegion
 )
 
@@ -66,8 +66,8 @@
 	return regions
 }
 
-// Homes limits a request to some regions: it may be run, cached and stored there only. The
-// zero value limits nothing.
+// Homes limits the regions in which a request may be run, cached and stored (data residency).
+// The zero value limits nothing.
 type Homes struct {
 	// Limited is set where there is a limit; Regions are then all that is allowed.
 	Limited bool
--- a/internal/quorum/budget.go
+++ b/internal/quorum/budget.go
@@ -11,7 +11,7 @@
 // ReserveElsewhere reserves an accepted reservation's charge in the program's cells of the
 // other regions as well, and makes Others the sum over all regions. From then on the
 // reservation is durable once it is so in all of them. After an error the charge may be
-// recorded in some: Settle it everywhere. It fails at once if a region's cell is known to have
+// recorded in some of them: settle it in all regions (SettleElsewhere). It fails at once if a region's cell is known to have
 // no quorum.
 func (c *Cells) ReserveElsewhere(ctx context.Context, r *Reservation, asked ledger.Reserve) error {
 	asked.History = ""
@@ -23,10 +23,10 @@
 	}
 	reservations := make([]*Reservation, len(others))
 	failed := make(chan error, len(others))
-	for place, client := range others {
+	for index, client := range others {
 		go func() {
 			var err error
-			reservations[place], err = client.Reserve(ctx, asked)
+			reservations[index], err = client.Reserve(ctx, asked)
 			failed <- err
 		}()
 	}
--- a/internal/quorum/escrow.go
+++ b/internal/quorum/escrow.go
@@ -8,7 +8,7 @@
 // union of what all of them hold. docs/design/regions.md has the proof that the turns
 // granted never exceed the budget together.
 
-// Grant is what the escrow says of a turn.
+// Grant is the escrow's decision on a turn.
 type Grant uint8
 
 // The grants.
@@ -28,7 +28,7 @@
 
 // Escrow decides on one turn of a program.
 type Escrow struct {
-	// Budget is the program's, Most what the turn may use of it, in tokens.
+	// Budget is the program's budget, Most the most that the turn may use of it, in tokens.
 	Budget, Most int64
 	// Regions is how many regions have cells.
 	Regions int
--- a/internal/quorum/firstasked.go
+++ b/internal/quorum/firstasked.go
@@ -5,7 +5,7 @@
 // A reservation and a settled charge need a quorum, not all voters. They go to the nearest
 // quorum first, and to the other voters only when an answer is overdue, a connection ends or
 // the set changes. What a quorum holds is enough: every later quorum shares a voter with it.
-// With ten voters in three zones three messages in five stay unsent, most of them between
+// With ten voters in three zones three messages in five are saved, most of them between
 // zones.
 
 // firstAsked returns the voters that an operation goes to at first, or nil where it goes to
@@ -16,7 +16,7 @@
 	}
 	asked := map[*replicaLink]bool{}
 	voters := 0
-	for _, replica := range c.inTurn() {
+	for _, replica := range c.nearestFirst() {
 		if voters == c.set.Quorum() {
 			break
 		}
@@ -31,9 +31,9 @@
 	return asked
 }
 
-// inTurn returns the replicas, the nearest first; among equally near ones each begins in its
-// turn, so that all share the work. The caller holds the lock.
-func (c *Client) inTurn() []*replicaLink {
+// nearestFirst returns the replicas by distance; equally near ones are rotated from operation
+// to operation, so that all share the work. The caller holds the lock.
+func (c *Client) nearestFirst() []*replicaLink {
 	ordered := make([]*replicaLink, 0, len(c.replicas))
 	for first := 0; first < len(c.replicas); {
 		next := first + 1
@@ -64,7 +64,7 @@
 	}
 }
 
-// widenAll sends on what waits for a replica whose connection ended. The caller holds the
+// widenAll widens the operations that wait for a replica whose connection ended. The caller holds the
 // lock.
 func (c *Client) widenAll(lost *replicaLink) {
 	for _, pending := range c.operations {
@@ -74,8 +74,7 @@
 	}
 }
 
-// askFor makes sure that an operation goes to so many voters at least, as far as there are so
-// many.
+// askFor sends an operation to all voters if it needs more copies than a quorum holds.
 func (c *Client) askFor(pending *operation, copies int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/quorum/history.go
+++ b/internal/quorum/history.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// A history is as large as all turns before it, a reservation is small: only one replica is
-// asked for the text at first, and one more each time that one lacks it or is late. Asked of
-// all replicas at once, the texts of a single slow or empty replica's readers fill the way
-// between regions, which makes every replica late there, and the next readers ask everywhere.
+// A history is as large as all turns before it, and a reservation is small. So only one replica
+// is asked for the text at first, and one more each time one lacks it or is late. Asking all at
+// once would, for one slow or empty replica, fill the link between regions; every replica
+// behind it would be late then, and further readers would ask all as well.
 
 // nextForHistory returns the replica that is asked for a history next: of those not asked yet
 // the responsive ones come first, and of these the nearest. The caller holds the lock.
@@ -29,23 +29,18 @@
 // compareForHistory orders replicas by whether they answer, by zone, and by the time that their
 // answers take.
 func (c *Client) compareForHistory(now time.Time, a, b *replicaLink) int {
-	if one, other := c.responsive(now, a), c.responsive(now, b); one != other {
-		return cmp.Compare(btoi(other), btoi(one))
-	}
-	return cmp.Or(cmp.Compare(c.distance(a), c.distance(b)), cmp.Compare(a.answers.mean, b.answers.mean))
-}
-
-// btoi returns 1 for true.
-func btoi(value bool) int {
-	if value {
+	if responds := c.responsive(now, a); responds != c.responsive(now, b) {
+		if responds {
+			return -1
+		}
 		return 1
 	}
-	return 0
+	return cmp.Or(cmp.Compare(c.distance(a), c.distance(b)), cmp.Compare(a.answers.mean, b.answers.mean))
 }
 
 // historyTimeout is how long the replica asked last may take to hand over a history before one
-// more is asked. The pause doubles with each one that is late: what is late together waits
-// for the same way, and one more text makes that longer.
+// more is asked. It doubles with each one that is late: several late answers usually wait for
+// the same full link, and one more text adds to that.
 func (c *Client) historyTimeout(pending *operation) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/quorum/link.go
+++ b/internal/quorum/link.go
@@ -81,8 +81,8 @@
 	c := r.client
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	place := slices.Index(c.replicas, r)
-	if place < 0 {
+	index := slices.Index(c.replicas, r)
+	if index < 0 {
 		return
 	}
 	if rest := time.Until(r.usedAt.Add(onDemandIdle)); rest > 0 {
@@ -90,7 +90,7 @@
 		return
 	}
 	r.close()
-	c.replicas[place] = &replicaLink{client: c, node: r.node, zone: r.zone}
+	c.replicas[index] = &replicaLink{client: c, node: r.node, zone: r.zone}
 }
 
 // close ends the connection for good.
@@ -170,7 +170,7 @@
 	if c.passBack(r, reply) {
 		return
 	}
-	// What went by another gateway as well is measured too: this answer came on the direct way.
+	// What was relayed as well is measured too: this answer came on the direct connection.
 	if pending := c.operations[reply.Number]; pending != nil && reply.Reserve != nil && !pending.resent {
 		took := time.Since(pending.begunAt)
 		c.answers.observe(took)
--- a/internal/quorum/reach.go
+++ b/internal/quorum/reach.go
@@ -8,15 +8,15 @@
 	// within it.
 	quorumLostAfter = 300 * time.Millisecond
 	// silentAfter is how long a connected replica may leave all requests without any reply
-	// before it counts as out of reach. One that is merely slow goes on replying; the end of a
-	// connection to a machine without power is seen after 1.5 s only.
+	// before it counts as out of reach. One that is merely slow goes on replying; a connection to
+	// a machine without power is closed only after 1.5 s.
 	silentAfter = 500 * time.Millisecond
-	// relayedLife is how long a replica counts as connected after an answer by another
-	// gateway: a gateway that is cut from its region's replicas keeps to them by that way.
+	// relayedLife is how long a replica counts as connected after a relayed answer: a gateway
+	// that is cut off from its region's replicas goes on using them through relays.
 	relayedLife = 2 * time.Second
 )
 
-// quorumReach follows whether enough replicas of a cell are in reach. It is a pure value
+// quorumReach tracks whether enough replicas of a cell are in reach. It is a pure value
 // without a clock.
 type quorumReach struct {
 	// missingSince is when too few were first seen in reach; zero while enough are.
@@ -66,6 +66,7 @@
 	return c.reachesLocked(now)
 }
 
+// reachesLocked is reaches for callers that hold the lock.
 func (c *Client) reachesLocked(now time.Time) bool {
 	return c.quorumOf(func(r *replicaLink) bool {
 		return r.up && !r.silent(now) || r.opening(now) || now.Sub(r.relayedAt) < relayedLife
--- a/internal/quorum/relay.go
+++ b/internal/quorum/relay.go
@@ -86,7 +86,7 @@
 }
 
 // candidates returns the gateways that may relay: those of the own region, or all where it has
-// no other. Requests carry turns, and the way to another region is long. The caller holds
+// no other. Requests carry turns, and the round trip to another region is long. The caller holds
 // the lock.
 func (r *Relays) candidates(nodes map[string]replicaset.Node) []string {
 	var near, far []string
--- a/internal/quorum/relayretry.go
+++ b/internal/quorum/relayretry.go
@@ -56,8 +56,9 @@
 	r.timer.Stop()
 }
 
-// retryByRelay sends an operation to all voters, and by other gateways to the replicas that have not answered it
-// and whose direct connection is not responsive. A replica may get it twice, which changes nothing.
+// retryByRelay sends an operation to all voters, and through relays to the replicas that have
+// not answered it and whose direct connection is not responsive. Operations are idempotent: a
+// replica may get one twice.
 func (c *Client) retryByRelay(pending *operation) {
 	now := time.Now()
 	c.mu.Lock()
--- a/internal/quorum/roundtrip.go
+++ b/internal/quorum/roundtrip.go
@@ -8,10 +8,9 @@
 	timeoutLeast   = 25 * time.Millisecond
 	timeoutMost    = 250 * time.Millisecond
 	timeoutUnknown = 100 * time.Millisecond
-	// timeoutMeans is how many usual answers are awaited where that is longer than timeoutMost,
-	// up to timeoutSlow, which leaves a turn's reservation the time for another way. A bound
-	// below the usual time sends each request a second way as well, which makes a way that is
-	// full, and for that slow, fuller.
+	// timeoutMeans times the mean replaces timeoutMost where that is longer, up to timeoutSlow,
+	// which leaves a turn's reservation time for a relay. A bound below the mean would send each
+	// request through a relay as well, and load a link further that is slow because it is full.
 	timeoutMeans = 2
 	timeoutSlow  = 600 * time.Millisecond
 	// The gains and the factor of the deviation are those of RFC 6298, section 2.
@@ -38,7 +37,7 @@
 	r.mean += time.Duration(meanGain * float64(took-r.mean))
 }
 
-// timeout is how long an answer may take before the request is sent another way as well.
+// timeout is how long an answer may take before the request is also sent through a relay.
 func (r *roundTrip) timeout() time.Duration {
 	if !r.known {
 		return timeoutUnknown
--- a/internal/replica/claims.go
+++ b/internal/replica/claims.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// claims says which replica is asked for which turn. A replica with an empty disk lacks all
-// turns and every other replica has them: asked of each, they cross the way between regions
-// several times and callers' turns wait behind them. It is a pure value; time comes in with
-// each call.
+// claims says which peer is asked for which turn. A replica with an empty disk lacks all turns
+// and every peer has them: asked of each peer, they would cross the link between regions
+// several times, and callers' turns would wait behind them. It is a pure value; time comes in
+// with each call.
 type claims struct {
 	byTurn map[string]claim
 }
@@ -19,8 +19,8 @@
 
 func newClaims() *claims { return &claims{byTurn: map[string]claim{}} }
 
-// take returns up to so many of the turns that no other peer is asked for, and notes that this
-// one is.
+// take returns at most so many of the turns that no other peer is asked for, and claims them
+// for this one.
 func (c *claims) take(now time.Time, peer string, turns []string, most int) []string {
 	var taken []string
 	for _, turn := range turns {
--- a/internal/replica/limits.go
+++ b/internal/replica/limits.go
@@ -5,24 +5,26 @@
 	"swiftbank.dev/swiftbank/internal/peer"
 )
 
-// Parts of the machine's memory that may be held, one in so many, by what waits here. Turns and
-// charges, the runtime and its garbage need the rest. Without these bounds a way that is full, or
-// a disk that fails, lets a replica grow until its machine ends it, and all at the same time.
+// Each queue may hold the machine's memory divided by its divisor. Turns and charges, the runtime
+// and its garbage need the rest. Without these bounds a full link or a failing disk would make
+// replicas grow until the kernel kills them, all at the same time.
 const (
-	inboxPart    = 16
-	outgoingPart = 16
-	diskPart     = 16
-	// leastMemoryMB is assumed where the memory is not told.
+	inboxDivisor    = 16
+	outgoingDivisor = 16
+	diskDivisor     = 16
+	// leastMemoryMB is assumed where the memory is not configured, or less is.
 	leastMemoryMB = 64
 )
 
 // limits bound what waits in a replica, in bytes.
 type limits struct {
-	// inbox is what was received and not handled. Who sends more waits: his connection is not read.
+	// inbox is what was received and not handled. When it is full, connections are not read.
 	inbox *peer.Budget
-	// outgoing are answers that were not sent. What has no room is not sent; callers ask others.
+	// outgoing is answers that were not sent. What has no room is dropped; callers ask other
+	// replicas.
 	outgoing *peer.Budget
-	// disk is what waits for the disk. What has no room is not answered; others have disks.
+	// disk bounds what waits for the disk. A request that has no room is not answered; callers
+	// ask other replicas.
 	disk int
 	// refusing is set while the disk's room is used up.
 	refusing bool
@@ -31,7 +33,7 @@
 func newLimits(memoryMB int) limits {
 	bytes := max(memoryMB, leastMemoryMB) << 20
 	return limits{
-		inbox: peer.NewBudget(bytes / inboxPart), outgoing: peer.NewBudget(bytes / outgoingPart), disk: bytes / diskPart,
+		inbox: peer.NewBudget(bytes / inboxDivisor), outgoing: peer.NewBudget(bytes / outgoingDivisor), disk: bytes / diskDivisor,
 	}
 }
 
@@ -46,8 +48,8 @@
 	})
 }
 
-// overloaded reports whether a request is left unanswered because too much waits for the disk
-// already. It is as if the message were lost.
+// overloaded reports whether a request is left unanswered because too much waits for the disk.
+// To its sender it is as if the message were lost.
 func (s *Server) overloaded(request ledger.Request) bool {
 	if request.Commit == nil && request.Reserve == nil {
 		return false
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -15,14 +15,14 @@
 	inventoryInterval = 250 * time.Millisecond
 	// replyLimit is how long a peer may say nothing before it counts as unreachable.
 	replyLimit = time.Second
-	// askAgainAfter is when an unanswered question is asked again on the same connection. The
-	// end of a connection says sooner that an answer is lost; an answer that is late is on a
-	// way that is full, and asking again adds the same to it once more.
+	// askAgainAfter is when an unanswered request is sent again on the same connection. A lost
+	// answer shows sooner by the end of the connection; a late one is on a full link, where a
+	// repetition would send the same bytes once more.
 	askAgainAfter = 5 * time.Second
 	// fetchLimit bounds the turns asked for at once.
 	fetchLimit = 200
 	// handoverCharges is how many charges a peer hands over in one reply, some 20 KB: all of
-	// them are megabytes, and the way between regions carries them beside callers' turns.
+	// them are megabytes, and the link between regions carries them beside callers' turns.
 	handoverCharges = 400
 )
 
@@ -57,7 +57,7 @@
 	unansweredSince time.Time
 }
 
-// send asks the peer something.
+// send queues a request to the peer, and notes since when an answer is awaited.
 func (p *peerState) send(request ledger.Request) {
 	if p.link.Send(request) && p.unansweredSince.IsZero() {
 		p.unansweredSince = time.Now()
@@ -215,7 +215,7 @@
 // receiveAdopted merges charges that the peer handed over, and asks for the next ones.
 func (p *peerState) receiveAdopted(reply ledger.Reply) {
 	records := p.server.state.MergeCharges(time.Now(), reply.Charges)
-	complete := true // a replica of the version before hands over all at once
+	complete := true // replicas of the previous version hand over all charges in one reply
 	if reply.Handover != nil {
 		p.place, complete = p.place.Follow(*reply.Handover)
 	}
--- a/internal/replicaset/founding.go
+++ b/internal/replicaset/founding.go
@@ -8,10 +8,10 @@
 	"swiftbank.dev/swiftbank/internal/place"
 )
 
-// NewLayout deals the machines to cells so that each cell has machines of as many
+// NewLayout divides the machines into cells so that each cell has machines of as many
 // zones as possible, and enough of them to lose the tolerated number. With places of two
 // regions or more, the machines of each region found cells of their own: a quorum is then
-// reached without the way between regions. A region with too few of them for that founds
+// reached without a round trip between regions. A region with too few of them for that founds
 // none, and its machines go to the cells of the region that has the most. The nil map binds
 // no cell to a region.
 func NewLayout(nodes []Node, tolerate int, places place.Map) Layout {
@@ -34,7 +34,7 @@
 
 // fewestForCells is how many machines a region needs for cells of its own: with twice the
 // tolerated number, a quorum has one disk more than may be lost, so what it accepted
-// outlasts that loss, though the cell may rest until a machine returns.
+// outlasts that loss, though the cell may accept nothing until a machine returns.
 func fewestForCells(tolerate int) int { return max(1, 2*tolerate) }
 
 // dealToRegions groups the machines by the region whose cells they found. Those of a region
@@ -68,8 +68,8 @@
 	size := max(smallestCell, 2*tolerate+2)
 	layout := Layout{Cells: max(1, len(nodes)/size)}
 	layout.Founding = make([]Set, layout.Cells)
-	for place, node := range nodes {
-		set := &layout.Founding[place%layout.Cells]
+	for index, node := range nodes {
+		set := &layout.Founding[index%layout.Cells]
 		set.Epoch = 1
 		set.Voters = append(set.Voters, Voter{Node: node.Name, Disk: node.Disk})
 	}
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -1,5 +1,5 @@
 // Package traffic counts the bytes that a process sends to the product's other processes, by
-// the kind of message and by how far they go: bytes between zones and regions are priced, and
+// the kind of message and by how far they go: bytes between zones and regions are charged for, and
 // a link between regions is shared by all that crosses it.
 package traffic
 
