gateway: refusals of instances in their own function, idle timeouts by that name

A reader stumbled over send (refusal, failure and success in fifty lines), nil addresses in the gossip's rotation, and the error of the first cell, which was dropped: turn_kept_elsewhere logs it now.

--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -50,7 +50,8 @@
 	// Zone is set in a report of a whole zone.
 	Zone  string
 	Loads map[string]int
-	// Passed is set in a report of another region that a neighbour hands on.
+	// Passed is set in a report of another region that a neighbour forwards: it is not
+	// forwarded again.
 	Passed bool
 }
 
@@ -71,7 +72,9 @@
 
 	mu         sync.Mutex
 	neighbours rotation
-	remotes    rotation
+	// remotes holds the gateways of the region's other zones, and a nil address for each
+	// gateway of another region: a turn in which nothing is sent.
+	remotes rotation
 	// distant holds the gateways of each zone of other regions; speaks is set on the
 	// gateways that report there.
 	distant map[string]*rotation
@@ -134,8 +137,8 @@
 				distant[node.Zone] = &rotation{}
 			}
 			distant[node.Zone].addresses = append(distant[node.Zone].addresses, address)
-			// It has a turn among the others that sends nothing: without, those of the own
-			// region would be told more often than their decisions need.
+			// Without an empty turn for it, the own region's gateways would be told more often
+			// than their decisions need.
 			remotes = append(remotes, nil)
 		}
 	}
@@ -149,7 +152,7 @@
 	g.distant, g.speaks = distant, rank < speakers
 }
 
-// spread puts the turns that send nothing between the others, in an order of this gateway's
+// spread shuffles the empty turns among the others, in an order of this gateway's
 // own: if all gateways skipped the same turns, they would be believed to have no load.
 func (g *Gossip) spread(remotes []net.Addr) {
 	random := rand.New(rand.NewPCG(xxhash.Sum64String(g.node), uint64(len(remotes))))
@@ -213,8 +216,8 @@
 	return taken
 }
 
-// passOn hands a report of another region to all gateways of the own zone: one of them was
-// told for all.
+// passOn forwards a report of another region to all gateways of the own zone: it was sent to
+// one of them only.
 func (g *Gossip) passOn(socket net.PacketConn, report loadReport) {
 	if report.Passed || report.Zone == "" || g.places.Distance(g.zone, report.Zone) != place.OtherRegion {
 		return
--- a/internal/gateway/instanceruns.go
+++ b/internal/gateway/instanceruns.go
@@ -2,10 +2,10 @@
 
 import "slices"
 
-// instanceRuns says where a request that ran may go on. A route bounds the instances that may
-// run one request. One that breaks off each answer, gives none, or seems out of reach may be at
-// work: it stays in the count, and only when it is asked to go on and is found to be gone may
-// another one be asked (sendUntilTaken). It is a pure value without a clock.
+// instanceRuns says which instance may run a request next. A route bounds how many instances may
+// run one request. An instance that broke off its answer, gave none, or seems unreachable may
+// still be running it, so it stays counted; another one may be asked only once that instance is
+// asked again and found to be gone (sendUntilTaken). It is a pure value without a clock.
 type instanceRuns struct {
 	// attempts is how many instances may run the request.
 	attempts int
@@ -13,8 +13,7 @@
 	ran []string
 }
 
-// add notes that an instance may have run the request: its outcome counts as a run when it is
-// not known.
+// add notes that an instance may have run the request: an unknown outcome counts as a run.
 func (r *instanceRuns) add(instance string) {
 	r.ran = slices.DeleteFunc(r.ran, func(known string) bool { return known == instance })
 	r.ran = append(r.ran, instance)
--- a/internal/gateway/livenesswatch.go
+++ b/internal/gateway/livenesswatch.go
@@ -16,10 +16,10 @@
 	idleTimeoutLeast  = 150 * time.Millisecond
 	idleTimeoutMost   = time.Second
 	idleTimeoutFactor = 4
-	// streamIdleLeast, and streamIdleFactor times what streams of the service usually wait for their
-	// first event, is how long one may hear nothing on a connection though the machine accepts
-	// new ones, before it goes on by another one: a connection may fall silent for good. Callers
-	// give a stream up after such a gap.
+	// streamIdleLeast and streamIdleFactor, times what streams of the service usually wait for
+	// their first event, give the idle timeout after which a resumable stream goes on over a new
+	// connection: one may fall silent for good though the machine accepts others. Callers give a
+	// stream up after such a gap.
 	streamIdleLeast  = 2 * time.Second
 	streamIdleFactor = 8
 )
@@ -31,10 +31,11 @@
 	instance    backend.Instance
 	idleTimeout time.Duration
 	timer       *time.Timer
-	// renewAfter is how long the connection may say nothing; 0 where the stream cannot go on.
+	// renewAfter is the idle timeout of the connection; 0 where the stream cannot be resumed.
 	renewAfter time.Duration
-	heardAt    atomic.Int64
-	began      time.Time
+	// heardAt is when the instance last sent something, in nanoseconds since began.
+	heardAt atomic.Int64
+	began   time.Time
 	// end ends the send.
 	end          context.CancelFunc
 	gone, silent atomic.Bool
--- a/internal/gateway/reserve.go
+++ b/internal/gateway/reserve.go
@@ -71,7 +71,7 @@
 		return &refusal{status: http.StatusNotFound, code: verdict.CodeNotFound, reason: "the previous turn is another tenant's"}
 	}
 	if t.previous != "" && !reservation.Found && len(t.ancestors) == 0 {
-		// A cell out of reach may have it, so this is never a word that there is none.
+		// An unreachable cell may have it: this must not say that it does not exist.
 		return refuseFor(verdict.CodeUnavailable, replicaRetry, "the previous turn is not to be found now")
 	}
 	return nil
@@ -94,7 +94,7 @@
 	if other == nil {
 		return t.cell.Reserve(ctx, asked)
 	}
-	s.log.Info().Str("event", "turn_kept_elsewhere").Str("id", t.id).Str("program", program).Msg("")
+	s.log.Info().Str("event", "turn_kept_elsewhere").Str("id", t.id).Str("program", program).AnErr("error", err).Msg("")
 	t.cell, t.everywhere = other, true // the charge may be recorded in the first cell
 	return t.cell.Reserve(ctx, asked)
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -133,25 +133,35 @@
 	}
 	s.pool.Heard(time.Now(), choice.Instance.ID)
 	s.directory.Arrived(time.Now(), choice)
-	status := answer.Response.StatusCode
-	if status == http.StatusMisdirectedRequest {
-		s.directory.Misdirected(choice)
-	}
-	if answer.Response.Header.Get(s.dialect.NotExecuted) != "" || status == http.StatusMisdirectedRequest {
-		_, _ = io.Copy(io.Discard, answer.Body())
-		answer.Finish()
+	if failure := s.instanceRefusal(choice, answer); failure != nil {
 		release()
-		s.directory.End(time.Now(), choice.Instance.ID, backend.Full)
-		failure := &backend.Failure{
-			Verdict: verdict.NotRun, Unreachable: status == http.StatusMisdirectedRequest, Gone: status == http.StatusMisdirectedRequest,
-			Reason: "the instance refused with status " + strconv.Itoa(status),
-		}
 		s.logSend(r, choice, failure)
 		return nil, failure
 	}
 	return &attempt{choice: choice, answer: answer, sentAt: sentAt, watch: watch, release: release}, nil
 }
 
+// instanceRefusal ends an answer by which an instance refused the request without running it,
+// and returns the refusal; nil if it took the request. Status 421 says that another instance
+// has the address now.
+func (s *Server) instanceRefusal(choice backend.Choice, answer *backend.Answer) *backend.Failure {
+	status := answer.Response.StatusCode
+	misdirected := status == http.StatusMisdirectedRequest
+	if misdirected {
+		s.directory.Misdirected(choice)
+	}
+	if answer.Response.Header.Get(s.dialect.NotExecuted) == "" && !misdirected {
+		return nil
+	}
+	_, _ = io.Copy(io.Discard, answer.Body())
+	answer.Finish()
+	s.directory.End(time.Now(), choice.Instance.ID, backend.Full)
+	return &backend.Failure{
+		Verdict: verdict.NotRun, Unreachable: misdirected, Gone: misdirected,
+		Reason: "the instance refused with status " + strconv.Itoa(status),
+	}
+}
+
 // answerTimeout is how long an instance may take to begin its answer. A request that may
 // run again and has another attempt goes on elsewhere after twice its objective: an
 // instance that fell silent is not known to be gone for seconds.
