--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -9,7 +9,7 @@
 )
 
 // The predicted cost of a placement is in milliseconds. What depends on how fast the
-// instances work is learned (pace); these are prices of the way there.
+// instances work is learned (pace); these are prices of the network path.
 const (
 	// connectCost is a new connection: a round trip, the instance's time for it, and a
 	// place among the connections that the instance accepts from all gateways.
--- a/internal/coldstart/share.go
+++ b/internal/coldstart/share.go
@@ -64,7 +64,7 @@
 }
 
 // ownZoneShare is the part of an instance's places that belongs to the gateways of its own
-// zone: the way there is cheapest for them, so they use more of their places.
+// zone: the path there is cheapest for them, so they use more of their places.
 const ownZoneShare = 0.85
 
 // Share returns how many of the places of a cold instance belong to one gateway, of all that
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -14,7 +14,7 @@
 
 const (
 	// lenderTimeout is how long one lender's answer is awaited before the next one is asked:
-	// several times a round trip between zones (3 ms), and time for one way by another
+	// several times a round trip between zones (3 ms), and time for one relay by another
 	// gateway.
 	lenderTimeout = 120 * time.Millisecond
 	// limitTimeout is how long a request waits for an allowance at most.
--- a/internal/ledger/inventory.go
+++ b/internal/ledger/inventory.go
@@ -9,7 +9,7 @@
 	// inventoryLimit bounds the ids of one inventory reply.
 	inventoryLimit = 4000
 	// fetchBytes is how many bytes of turns a reply holds before it is cut: it must not hold
-	// up the answers to callers on the same way for long, nor fill the memory on either side.
+	// up the answers to callers on the same connection for long, nor fill the memory on either side.
 	fetchBytes = 128 << 10
 )
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -20,7 +20,7 @@
 	closed bool
 }
 
-// Connection is the way back to one peer.
+// Connection sends answers to one peer.
 type Connection[Send any] struct {
 	sender *sender[Send]
 }
--- a/internal/quorum/cells.go
+++ b/internal/quorum/cells.go
@@ -35,7 +35,7 @@
 	return &Cells{context: ctx, zone: zone, places: places, log: logger}
 }
 
-// UseRelays makes the clients go by other gateways where their own way to a replica is
+// UseRelays makes the clients go through other gateways where their own connection to a replica is
 // cut. It must be called before SetMembership.
 func (c *Cells) UseRelays(relays *Relays) {
 	c.relays = relays
@@ -142,8 +142,8 @@
 	return first
 }
 
-// Instead returns the program's cell of another region within the homes for a cell that has no
-// quorum in reach at this moment, or nil if it has, or there is no other.
+// Instead returns the program's cell of another region within the homes that replaces a cell
+// without a quorum in reach; nil if the cell has one, or there is no other.
 func (c *Cells) Instead(of *Client, program string, homes place.Homes) *Client {
 	now := time.Now()
 	if of.reaches(now) {
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -34,8 +34,8 @@
 	log     *log.Logger
 	places  place.Map
 	traffic *traffic.Counter
-	// onDemand connections to the replicas are opened for a request and closed when there
-	// was none for a while.
+	// onDemand says that connections to the replicas are opened for a request and closed after
+	// onDemandIdle without one.
 	onDemand bool
 
 	mu         sync.Mutex
@@ -43,7 +43,7 @@
 	replicas   []*replicaLink
 	number     uint64
 	operations map[uint64]*operation
-	// relays are ways by other gateways, or nil; cell is this client's number there.
+	// relays sends requests through other gateways, or is nil; cell is this client's number there.
 	relays *Relays
 	cell   int
 	// forwards are the requests of other gateways that were passed on, by their number
@@ -88,7 +88,7 @@
 	return &Client{context: ctx, zone: zone, log: logger, operations: map[uint64]*operation{}, forwards: map[uint64]forward{}}
 }
 
-// useRelays makes the client go by other gateways where its own way is cut. It must be
+// useRelays makes the client go through other gateways where its own connection is cut. It must be
 // called before the first request.
 func (c *Client) useRelays(relays *Relays, cell int) {
 	c.relays, c.cell = relays, cell
--- a/internal/quorum/relay.go
+++ b/internal/quorum/relay.go
@@ -27,7 +27,7 @@
 	zone    string
 	places  place.Map
 	log     *log.Logger
-	// replied hands over a replica's reply; reopened says that there is a way now, and
+	// replied hands over a replica's reply; reopened says that a relay is connected again, and
 	// what was sent before may be lost. Both are set before first use.
 	replied  func(RelayReply)
 	reopened func()
--- a/internal/quorum/relaymessages.go
+++ b/internal/quorum/relaymessages.go
@@ -3,7 +3,7 @@
 import "swiftbank.dev/swiftbank/internal/ledger"
 
 // RelayRequest asks another gateway to pass a request on to a replica, because the
-// direct way there is cut. The request stays the sender's: its epoch is not changed.
+// direct connection there is cut. The request stays the sender's: its epoch is not changed.
 type RelayRequest struct {
 	// Cell and Replica name where it goes to.
 	Cell    int
@@ -12,7 +12,7 @@
 }
 
 // RelayReply is a replica's reply on its way back, or the word that the relaying
-// gateway has no way to the replica either.
+// gateway does not reach the replica either.
 type RelayReply struct {
 	Cell    int
 	Replica string
