--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -93,7 +93,7 @@
 
 	// allowances are what this gateway may let through of tenants with a limit.
 	allowances *allowances
-	// overload holds the requests that wait for a place at an instance.
+	// overload holds the requests that wait for a slot at an instance.
 	overload *queues
 
 	mu       sync.Mutex
@@ -203,7 +203,7 @@
 		s.refuse(w, r, failure)
 		return
 	}
-	if failure := s.placeRefusal(r); failure != nil {
+	if failure := s.refusalIfBarred(r); failure != nil {
 		s.refuse(w, r, failure)
 		return
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -20,7 +20,7 @@
 	closed bool
 }
 
-// Connection is the way back to one peer.
+// Connection sends answers to one peer.
 type Connection[Send any] struct {
 	sender *sender[Send]
 }
@@ -90,9 +90,9 @@
 }
 
 func (s *Server[Receive, Send]) read(connection net.Conn) {
-	way := &Connection[Send]{sender: newSender(connection, s.outgoing, s.sent)}
+	accepted := &Connection[Send]{sender: newSender(connection, s.outgoing, s.sent)}
 	defer func() {
-		way.sender.close()
+		accepted.sender.close()
 		s.mu.Lock()
 		delete(s.open, connection)
 		s.mu.Unlock()
@@ -103,6 +103,6 @@
 		if decoder.Decode(&message) != nil {
 			return
 		}
-		s.receive(way, message)
+		s.receive(accepted, message)
 	}
 }
--- a/internal/quorum/relay.go
+++ b/internal/quorum/relay.go
@@ -27,7 +27,7 @@
 	zone    string
 	places  place.Map
 	log     *log.Logger
-	// replied hands over a replica's reply; reopened says that there is a way now, and
+	// replied hands over a replica's reply; reopened says that a relay is connected again, and
 	// what was sent before may be lost. Both are set before first use.
 	replied  func(RelayReply)
 	reopened func()
@@ -86,7 +86,7 @@
 }
 
 // candidates returns the gateways that may relay: those of the own region, or all where it has
-// no other. Requests carry turns, and the way to another region is long. The caller holds
+// no other. Requests carry turns, and the round trip to another region is long. The caller holds
 // the lock.
 func (r *Relays) candidates(nodes map[string]replicaset.Node) []string {
 	var near, far []string
