A send that this gateway gave up tells nothing of its instance

Cause: a gateway that slept past its permit to a cold instance took the instance for unreachable and avoided it for up to 2 s; a caller that left cleared the instance's failures. Found by two readers of the code. Change: such sends end as not sent. A test of connections on demand reads fields under the lock.

--- a/internal/backend/cold_test.go
+++ b/internal/backend/cold_test.go
@@ -82,6 +82,7 @@
 	call.MaySend = func() bool { return false }
 	_, failure := do(t, pool, s, call)
 	require.Equal(t, verdict.NotRun, failure.Verdict)
+	require.True(t, failure.NotSent)
 	require.NotNil(t, pool.pop("i"), "the connection serves the next request")
 }
 
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -340,6 +340,8 @@
 	Full
 	// Failed means that it answered with a failure of its own, or broke its answer off.
 	Failed
+	// NotSent means that the request was not sent after all: it tells nothing of the instance.
+	NotSent
 )
 
 // End takes a request off an instance.
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -52,6 +52,8 @@
 	// another instance has the address, or its machine was found not to answer.
 	Unreachable bool
 	Gone        bool
+	// NotSent is set when this gateway gave the send up itself.
+	NotSent bool
 	// Bar is set when a rule about places leaves no instance for the request.
 	Bar    Bar
 	Reason string
@@ -83,7 +85,7 @@
 	}
 	if call.MaySend != nil && !call.MaySend() {
 		p.putBack(instance, connection)
-		return nil, &Failure{Verdict: verdict.NotRun, Reason: "the leave to send to the instance ended before the send"}
+		return nil, &Failure{Verdict: verdict.NotRun, NotSent: true, Reason: "the permit to send to the instance ended before the send"}
 	}
 	answer := &Answer{Connection: connection, pool: p, instance: instance, written: make(chan error, 1)}
 	answer.stop = context.AfterFunc(ctx, func() { _ = connection.Close() })
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -123,11 +123,7 @@
 		s.directory.GivenUp(time.Now(), choice)
 		release()
 		watch.explain(failure)
-		ended := backend.Answered
-		if failure.Unreachable || ctx.Err() == nil {
-			ended = backend.Unreachable
-		}
-		s.directory.EndFailed(time.Now(), choice, ended)
+		s.directory.EndFailed(time.Now(), choice, endedBy(ctx, failure))
 		s.logSend(r, choice, failure)
 		return nil, failure
 	}
@@ -141,6 +137,19 @@
 	return &attempt{choice: choice, answer: answer, sentAt: sentAt, watch: watch, release: release}, nil
 }
 
+// endedBy returns what a send without an answer tells of its instance. A gateway that slept
+// past its permit, or a caller that left, tells nothing of it.
+func endedBy(ctx context.Context, failure *backend.Failure) backend.Ended {
+	switch {
+	case failure.NotSent:
+		return backend.NotSent
+	case failure.Unreachable || ctx.Err() == nil:
+		return backend.Unreachable
+	default:
+		return backend.NotSent
+	}
+}
+
 // instanceRefusal ends an answer by which an instance refused the request without running it,
 // and returns the refusal; nil if it took the request. Status 421 says that another instance
 // has the address now.
--- a/internal/quorum/regions_test.go
+++ b/internal/quorum/regions_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"swiftbank.dev/swiftbank/internal/ledger"
+	"swiftbank.dev/swiftbank/internal/peer"
 	"swiftbank.dev/swiftbank/internal/place"
 	"swiftbank.dev/swiftbank/internal/replicaset"
 )
@@ -189,19 +190,27 @@
 	require.True(t, remote.onDemand)
 	require.False(t, f.inEast.clients()[0].onDemand)
 	require.False(t, f.inNorth.clients()[1].onDemand, "without cells of its own a gateway keeps its connections")
-	require.Nil(t, remote.replicas[0].link)
+	first := func() (*replicaLink, *peer.Link[ledger.Request, ledger.Reply]) {
+		remote.mu.Lock()
+		defer remote.mu.Unlock()
+		return remote.replicas[0], remote.replicas[0].link
+	}
+	_, link := first()
+	require.Nil(t, link)
 	for _, turn := range []string{"east-1", "east-2"} {
 		reservation, asked := reserveIn(t, f.inEast, turn)
 		require.NoError(t, f.inEast.ReserveElsewhere(limited(t, 20*time.Second), reservation, asked))
-		used := remote.replicas[0]
-		require.NotNil(t, used.link)
+		used, link := first()
+		require.NotNil(t, link)
 		remote.mu.Lock()
 		used.usedAt = time.Now().Add(-onDemandIdle)
 		remote.mu.Unlock()
 		used.closeIdle()
-		require.NotNil(t, remote.replicas[0].link, "kept while something is under way: it would never be asked again")
+		_, link = first()
+		require.NotNil(t, link, "kept while something is under way: it would never be asked again")
 		reservation.End()
 		used.closeIdle()
-		require.Nil(t, remote.replicas[0].link, "closed without use")
+		_, link = first()
+		require.Nil(t, link, "closed without use")
 	}
 }
