--- a/internal/quorum/firstasked.go
+++ b/internal/quorum/firstasked.go
@@ -7,7 +7,7 @@
 // quorum holds is enough while the set stays: every later quorum shares a voter with it. What
 // outlives the turn, its settled charge, goes to all voters: two voters that leave the set one
 // after the other may be two of the three that hold what went to one quorum of five.
-// With ten voters in three zones three messages in five are saved, most of them between
+// With ten voters in three zones four reservations in ten are not sent, most of them between
 // zones.
 
 // firstAsked returns the voters that an operation goes to at first, or nil where it goes to
