Gateways keep connections to two cells of replicas and open the others on demand

Cause: each gateway kept a connection to every replica. That is gateways times replicas: 103,800 for 865 and 120, where a gateway has one program in ten seconds. Each end holds two goroutines, buffers and two gob codecs that are compiled anew for each connection.

Ruled out: fewer or larger cells (a reservation asks a quorum of its cell; large cells ask more voters); connections from a few gateways that relay (each event of a turn's end would cross one more process).

Change: what held for other regions' cells holds for all but two cells of the own region, which rendezvous hashing chooses: they show that replicas are reached. A connection on demand closes after 10 s without use. A gateway that relays opens the connection that it lacks and sends then, in place of answering "unreachable". The allowance for connecting is granted while a connection opens, not for good.

Costs: the first turn of a program may wait one round trip for its cell.

--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -116,7 +116,7 @@
 }
 
 func (s *Server) askLender(ctx context.Context, cell *quorum.Client, name string, asked quota.Borrow) (quota.Loan, error) {
-	ctx, cancel := context.WithTimeout(ctx, lenderTimeout+cell.ConnectAllowance())
+	ctx, cancel := context.WithTimeout(ctx, lenderTimeout+cell.ConnectAllowance(name))
 	defer cancel()
 	return cell.Borrow(ctx, name, asked)
 }
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -23,7 +23,7 @@
 	quiet := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	s := New(Options{
 		Node: "g", Zone: "z", Dialect: Dialect{Deadline: deadlineHeader, RequestID: "X-Test-Id"},
-		Directory: backend.NewDirectory("z"), Replicas: quorum.NewCells(t.Context(), "z", nil, quiet),
+		Directory: backend.NewDirectory("z"), Replicas: quorum.NewCells(t.Context(), "g", "z", nil, quiet),
 		Log: quiet, Metrics: NewMetrics("g"), ColdStarts: coldstart.Policy{Overage: 1},
 	})
 	table := route.NewTable(1, []*route.Route{{
--- a/internal/quorum/cells.go
+++ b/internal/quorum/cells.go
@@ -1,11 +1,14 @@
 package quorum
 
 import (
+	"cmp"
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 
 	"swiftbank.dev/swiftbank/internal/ledger"
@@ -19,6 +22,8 @@
 // safe for concurrent use.
 type Cells struct {
 	context context.Context
+	// node is this gateway's name.
+	node    string
 	zone    string
 	places  place.Map
 	log     *log.Logger
@@ -30,9 +35,15 @@
 	layout replicaset.Layout
 }
 
-// NewCells returns clients for no cells yet, for a gateway in the zone.
-func NewCells(ctx context.Context, zone string, places place.Map, logger *log.Logger) *Cells {
-	return &Cells{context: ctx, zone: zone, places: places, log: logger}
+// keptCells is how many cells of its region a gateway keeps connections to without using them:
+// they show that it reaches replicas, and one of them may be without a quorum. Connections to
+// all cells would be as many as gateways times replicas, 104,000 in a fleet of 865 and 120, of
+// which each holds two goroutines and two gob codecs at both ends.
+const keptCells = 2
+
+// NewCells returns clients for no cells yet, for the named gateway in the zone.
+func NewCells(ctx context.Context, node, zone string, places place.Map, logger *log.Logger) *Cells {
+	return &Cells{context: ctx, node: node, zone: zone, places: places, log: logger}
 }
 
 // UseRelays makes the clients go through other gateways where their own connection to a replica is
@@ -98,19 +109,32 @@
 	}
 }
 
-// newClient returns the client of a cell. Another region's cell is connected to when it is
-// needed, as long as there is one in the own region. The caller holds the lock.
+// newClient returns the client of a cell. The caller holds the lock.
 func (c *Cells) newClient(cell int) *Client {
 	client := NewClient(c.context, c.zone, c.log)
 	client.places, client.traffic = c.places, c.traffic
-	own := c.places.Region(c.zone)
-	client.onDemand = len(c.layout.CellsIn(own)) > 0 && c.layout.Region(cell) != own
+	client.onDemand = !slices.Contains(c.keptCells(), cell)
 	if c.relays != nil {
 		client.useRelays(c.relays, cell)
 	}
 	return client
 }
 
+// keptCells returns the cells that this gateway keeps connections to: the first of its own
+// region, or of all where that has none, by rendezvous hashing, so that gateways spread evenly
+// over the cells. The others are connected to when they are needed. The caller holds the lock.
+func (c *Cells) keptCells() []int {
+	near := c.layout.CellsIn(c.places.Region(c.zone))
+	if len(near) == 0 {
+		for cell := range c.layout.Cells {
+			near = append(near, cell)
+		}
+	}
+	rank := func(cell int) uint64 { return xxhash.Sum64String(c.node + "/" + strconv.Itoa(cell)) }
+	slices.SortFunc(near, func(a, b int) int { return cmp.Compare(rank(a), rank(b)) })
+	return near[:min(keptCells, len(near))]
+}
+
 // Of returns the client of the program's cell: one of the own region, or of the first region
 // within the homes where the own one has none, is not within them, or has been without a
 // quorum for a while. It returns nil while no cell is known, and where no region within the
--- a/internal/quorum/client_test.go
+++ b/internal/quorum/client_test.go
@@ -237,7 +237,7 @@
 	a, b := startReplica(t, "a", "127.0.0.1:0"), startReplica(t, "b", "127.0.0.1:0")
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	cells := NewCells(ctx, "a", nil, quiet())
+	cells := NewCells(ctx, "g", "a", nil, quiet())
 	require.Nil(t, cells.Of("p", place.Homes{}))
 	membership := replicaset.Membership{
 		HasLayout: true, Layout: replicaset.Layout{Cells: 2}, Sets: []replicaset.Set{setOf(1, a), setOf(1, b)},
--- a/internal/quorum/forward.go
+++ b/internal/quorum/forward.go
@@ -23,6 +23,9 @@
 	forwardLife = 3 * time.Second
 	// forwardsMost bounds the requests of other gateways under way.
 	forwardsMost = 8192
+	// forwardsWaiting bounds the requests of other gateways that wait for one connection to
+	// open, which takes a round trip: more than come in that time.
+	forwardsWaiting = 256
 )
 
 // ServeRelays passes the requests of other gateways on until the context ends.
@@ -66,19 +69,43 @@
 			continue
 		}
 		replica.open(now)
-		if !replica.up || !c.responsive(now, replica) || !c.roomToForward(now) {
+		if !c.responsive(now, replica) || !c.roomToForward(now) {
 			return false
 		}
 		c.number++
 		c.forwards[c.number] = forward{from: from, number: request.Request.Number, cell: request.Cell, expires: now.Add(forwardLife)}
 		passed := request.Request
 		passed.Number = c.number
+		if !replica.up {
+			return replica.forwardOnceUp(passed)
+		}
 		replica.expect(now)
 		return replica.send(passed)
 	}
 	return false
 }
 
+// forwardOnceUp keeps a request until the connection that is being opened stands. It reports
+// false if too many wait. The client's lock is held.
+func (r *replicaLink) forwardOnceUp(passed ledger.Request) bool {
+	if len(r.forwards) >= forwardsWaiting {
+		return false
+	}
+	r.forwards = append(r.forwards, passed)
+	return true
+}
+
+// sendForwards sends what waited for the connection and may still be answered. The client's
+// lock is held.
+func (r *replicaLink) sendForwards(now time.Time) {
+	for _, passed := range r.forwards {
+		if now.Before(r.client.forwards[passed.Number].expires) {
+			r.send(passed)
+		}
+	}
+	r.forwards = nil
+}
+
 // roomToForward drops expired entries once the table is full.
 func (c *Client) roomToForward(now time.Time) bool {
 	if len(c.forwards) < forwardsMost {
--- a/internal/quorum/history.go
+++ b/internal/quorum/history.go
@@ -48,7 +48,7 @@
 		return timeoutUnknown
 	}
 	last := pending.historyAsked[len(pending.historyAsked)-1]
-	return c.timeoutOf(last)<<pending.historyLate + c.ConnectAllowance()
+	return c.timeoutOf(last)<<pending.historyLate + last.connectAllowance(time.Now())
 }
 
 // readsTurns reports whether the operation asks for the text of turns.
--- a/internal/quorum/link.go
+++ b/internal/quorum/link.go
@@ -27,6 +27,8 @@
 	relaying bool
 	// relayedAt is when an answer last came by another gateway.
 	relayedAt time.Time
+	// forwards are requests of other gateways that wait for the connection.
+	forwards []ledger.Request
 	// openedAt is when the connection was last asked for, usedAt when a request last was.
 	openedAt, usedAt time.Time
 	// idle closes a connection on demand.
@@ -37,15 +39,26 @@
 	// connectAllowance is how long a new connection to a replica may take before the replica
 	// counts as out of reach: two round trips between distant regions.
 	connectAllowance = 150 * time.Millisecond
-	// onDemandIdle is how long a connection on demand stays without use. Programs beyond
-	// their region's share come every few seconds, and opening costs a round trip.
+	// onDemandIdle is how long a connection on demand stays without use: the turns of one
+	// program come within it, and opening costs a round trip.
 	onDemandIdle = 10 * time.Second
 )
 
-// ConnectAllowance is how much longer an answer of the cell may take because a connection is
-// opened for the request: zero where connections are kept.
-func (c *Client) ConnectAllowance() time.Duration {
-	if c.onDemand {
+// ConnectAllowance is how much longer the answer of a replica may take because a connection is
+// opened for the request: zero where it stands or has had its time.
+func (c *Client) ConnectAllowance(name string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, replica := range c.replicas {
+		if replica.node.Name == name {
+			return replica.connectAllowance(time.Now())
+		}
+	}
+	return 0
+}
+
+func (r *replicaLink) connectAllowance(now time.Time) time.Duration {
+	if r.opening(now) {
 		return connectAllowance
 	}
 	return 0
@@ -146,6 +159,7 @@
 		c.send(r, pending)
 		pending.signal()
 	}
+	r.sendForwards(time.Now())
 }
 
 // LinkDown implements peer.Handler.
--- a/internal/quorum/regions_test.go
+++ b/internal/quorum/regions_test.go
@@ -31,7 +31,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	gateway := func(zone string) *Cells {
-		cells := NewCells(ctx, zone, places, quiet())
+		cells := NewCells(ctx, "g", zone, places, quiet())
 		cells.SetMembership(membership)
 		return cells
 	}
--- a/internal/quorum/relay_test.go
+++ b/internal/quorum/relay_test.go
@@ -57,7 +57,7 @@
 		cutNodes = append(cutNodes, node)
 	}
 	f.relays = NewRelays(ctx, "cut", "r0", nil, quiet(), func() {})
-	f.cut = NewCells(ctx, "r0", nil, quiet())
+	f.cut = NewCells(ctx, "g", "r0", nil, quiet())
 	f.cut.UseRelays(f.relays)
 	f.cut.SetMembership(membershipOf(cutNodes, setOf(1, f.replicas...)))
 	return f
@@ -67,7 +67,7 @@
 func (f *relayFleet) addGateway(t *testing.T, name string, reaches bool) *Cells {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	cells := NewCells(ctx, "r0", nil, quiet())
+	cells := NewCells(ctx, "g", "r0", nil, quiet())
 	nodes := nodesOf(f.replicas...)
 	if !reaches {
 		for i := range nodes {
