What is believed of instances follows their changes, and ends with their life

Cause: each change of one instance gave every gateway the whole list: 10,000 entries copied, sorted and listed anew. And twenty times a second a gateway looked at all instances to tell which ones have its requests. Both grow with gateways times instances. An instance that starts again under its id kept the prompts, load, failures and connections of its life before.

Ruled out: telling less often (an instance that leaves must get nothing new within two seconds).

Change: the cache of the feed says what a batch changed, the directory and the gate of cold starts take changes, and lists are kept in order by moving one member. Loads looks at instances with requests of this gateway. An entry with a later start, or another address where it does not say, makes a new member; the end of a request of the earlier life changes nothing, and prompts reported with charges carry the start (an unknown field to the version before, which ignores it).

TestTheWorkOfAChangeDoesNotGrowWithTheInstances and TestLoadsLookAtLoadedInstancesOnly hold the growth; TestChangesLeadToTheWholeList compares random changes with the whole list.

--- a/internal/backend/barred_test.go
+++ b/internal/backend/barred_test.go
@@ -87,7 +87,7 @@
 	require.True(t, found)
 	require.Equal(t, "a", choice.Instance.Zone)
 	require.Equal(t, 1, d.EvacuatedInFlight(), "what ran in c goes on")
-	d.End(start, "e02", Answered)
+	d.End(start, d.choiceOf("e02"), Answered)
 	require.Zero(t, d.EvacuatedInFlight())
 	require.Equal(t, []string{"b", "c"}, d.SetEvacuated(start, nil))
 }
--- a/internal/backend/cold.go
+++ b/internal/backend/cold.go
@@ -51,15 +51,16 @@
 	d.cold.SetGateways(now, gateways)
 }
 
-// listCold tells the gate of the list of instances. The caller holds the lock.
-func (d *Directory) listCold(now time.Time, instances []Instance) {
-	entries := make([]coldstart.Entry, 0, len(instances))
-	for _, instance := range instances {
+// listCold tells the gate of entries that are listed, and of instances that the list lacks. The
+// caller holds the lock.
+func (d *Directory) listCold(now time.Time, listed []Instance, lacking []string) {
+	entries := make([]coldstart.Entry, 0, len(listed))
+	for _, instance := range listed {
 		entries = append(entries, coldstart.Entry{
-			ID: instance.ID, Service: instance.Service, Zone: instance.Zone, ColdFor: instance.ColdFor,
+			ID: instance.ID, Service: instance.Service, Zone: instance.Zone, ColdFor: instance.ColdFor, Born: instance.Born,
 		})
 	}
-	d.cold.List(now, entries)
+	d.cold.Change(now, entries, lacking)
 	d.reportCold(now)
 }
 
--- a/internal/backend/cold_test.go
+++ b/internal/backend/cold_test.go
@@ -153,7 +153,7 @@
 	b.ResetTimer()
 	for range b.N {
 		choice, _ := d.Pick(coldSettled, Demand{Service: "llm", Generates: true})
-		d.End(coldSettled, choice.Instance.ID, Answered)
+		d.End(coldSettled, choice, Answered)
 		d.Misdirected(choice)
 	}
 }
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -4,9 +4,7 @@
 package backend
 
 import (
-	"maps"
 	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +26,18 @@
 	// ColdFor is how much longer the instance is cold, as it said when it wrote its entry;
 	// 0 says that it is not.
 	ColdFor time.Duration
+	// Born is when it started, in Unix milliseconds; 0 where it does not say. An instance may
+	// start again under its id, and then holds nothing of before.
+	Born uint64
+}
+
+// Changes are what became of the list of instances.
+type Changes struct {
+	// All says that Listed are all instances there are. Otherwise they are those that are new
+	// or whose entries changed, and Gone the ids of those whose entries went.
+	All    bool
+	Listed []Instance
+	Gone   []string
 }
 
 const (
@@ -35,10 +45,6 @@
 	// it could not be reached; the time doubles with each failure in a row.
 	suspicionFirst = 250 * time.Millisecond
 	suspicionMost  = 2 * time.Second
-	// unlistedLife is how long an instance serves on that an incomplete list lacks: one
-	// interval of its entry and a little more, and less than the two seconds within
-	// which an instance that did leave must get nothing new.
-	unlistedLife = 1500 * time.Millisecond
 	// failureHalfLife is how long a failure counts for the half.
 	failureHalfLife = 2 * time.Second
 	// remoteLoadLimit is how long a report of load counts.
@@ -91,6 +97,8 @@
 	zone string
 	// network prices the network path to other zones and regions.
 	network networkCosts
+	// severalRegions says that there are instances in other regions.
+	severalRegions bool
 	// evacuated lists the zones whose instances are to get nothing further.
 	evacuated map[string]bool
 	// connected reports whether there is an idle connection to an instance, idle lists the
@@ -100,6 +108,10 @@
 
 	mu      sync.Mutex
 	members map[string]*member
+	// unlisted holds the ids of members that the list lacks, loaded those on which requests of
+	// this gateway count: nothing that is done many times a second looks at all members.
+	unlisted map[string]bool
+	loaded   map[string]*member
 	// byService lists the members of each service in the order of their ids.
 	byService map[string][]*member
 	// near lists those of the own zone among them; regional those of the own region, where
@@ -126,7 +138,8 @@
 // NewDirectory returns an empty directory of a gateway in the zone.
 func NewDirectory(zone string) *Directory {
 	return &Directory{
-		zone: zone, members: map[string]*member{}, byService: map[string][]*member{},
+		zone: zone, members: map[string]*member{}, unlisted: map[string]bool{}, loaded: map[string]*member{},
+		byService: map[string][]*member{}, near: map[string][]*member{}, regional: map[string][]*member{},
 		reports: map[LoadSource]remoteReport{}, ranLast: map[string]string{},
 		paces: map[string]*pace{}, network: networkCosts{zone: zone, roundTrips: map[string]*mean{}},
 		cold: coldstart.NewGate("", coldstart.Policy{}),
@@ -142,7 +155,10 @@
 
 // UsePlaces tells the directory which regions the zones belong to. It must be called before
 // the first Pick.
-func (d *Directory) UsePlaces(places place.Map) { d.network.places = places }
+func (d *Directory) UsePlaces(places place.Map) {
+	d.network.places = places
+	d.severalRegions = len(places.Regions()) > 1
+}
 
 // OtherRegion reports whether a zone is in another region than this gateway.
 func (d *Directory) OtherRegion(zone string) bool {
@@ -153,61 +169,6 @@
 // gateways with other names.
 func (d *Directory) SeedWith(node string) { d.seed = xxhash.Sum64String(node) }
 
-// Update replaces the list of instances and returns the ids that are gone. Entries
-// lapse when instances cannot renew them, so a list read from a source that was lost
-// moments ago may be incomplete: what it lacks, and did not say that it leaves, serves on
-// for unlistedLife.
-func (d *Directory) Update(now time.Time, instances []Instance, incomplete bool) (gone []string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.listCold(now, instances)
-	listed := map[string]bool{}
-	for _, instance := range instances {
-		listed[instance.ID] = true
-		known := d.members[instance.ID]
-		if known == nil {
-			known = &member{cache: newPromptCache()}
-			d.members[instance.ID] = known
-		}
-		known.instance = instance
-		known.unlistedUntil = time.Time{}
-		known.evacuated = d.evacuated[instance.Zone]
-	}
-	for id, known := range d.members {
-		if listed[id] {
-			continue
-		}
-		if incomplete && !known.instance.Leaving && known.unlistedUntil.IsZero() {
-			known.unlistedUntil = now.Add(unlistedLife)
-		}
-		if !now.Before(known.unlistedUntil) {
-			delete(d.members, id)
-			gone = append(gone, id)
-		}
-	}
-	d.listMembers()
-	return gone
-}
-
-// listMembers lists the members by service and by how near they are. The caller holds the
-// lock.
-func (d *Directory) listMembers() {
-	d.byService, d.near, d.regional = map[string][]*member{}, map[string][]*member{}, map[string][]*member{}
-	regions := len(d.network.places.Regions())
-	for _, id := range slices.Sorted(maps.Keys(d.members)) {
-		known := d.members[id]
-		service := known.instance.Service
-		d.byService[service] = append(d.byService[service], known)
-		distance := d.network.places.Distance(d.zone, known.instance.Zone)
-		if distance == place.SameZone {
-			d.near[service] = append(d.near[service], known)
-		}
-		if regions > 1 && distance != place.OtherRegion {
-			d.regional[service] = append(d.regional[service], known)
-		}
-	}
-}
-
 // Dialed tells in what time a connection to an instance came up.
 func (d *Directory) Dialed(instance Instance, took time.Duration) {
 	d.mu.Lock()
@@ -238,10 +199,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	loads := map[string]int{}
-	for id, known := range d.members {
-		if load := known.inFlight + known.heldFailures(now); load > 0 {
-			loads[id] = load
+	for id, known := range d.loaded {
+		load := known.inFlight + known.heldFailures(now)
+		if load == 0 || d.members[id] != known {
+			delete(d.loaded, id)
+			continue
 		}
+		loads[id] = load
 	}
 	return loads
 }
@@ -294,11 +258,11 @@
 	}
 }
 
-// Observe adds the figures of a request that an instance answered whole.
-func (d *Directory) Observe(now time.Time, id string, seen Observation) {
+// Observe adds the figures of a request that its instance answered whole.
+func (d *Directory) Observe(now time.Time, choice Choice, seen Observation) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	known := d.members[id]
+	known := d.chosen(choice)
 	if known == nil {
 		return
 	}
@@ -344,11 +308,11 @@
 	NotSent
 )
 
-// End takes a request off an instance.
-func (d *Directory) End(now time.Time, id string, ended Ended) {
+// End takes a request off its instance, unless that is gone or has started again since.
+func (d *Directory) End(now time.Time, choice Choice, ended Ended) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	known := d.members[id]
+	known := d.chosen(choice)
 	if known == nil {
 		return
 	}
@@ -368,6 +332,15 @@
 	}
 }
 
+// chosen returns the member of a choice, nil if it is gone or has started again since. The
+// caller holds the lock.
+func (d *Directory) chosen(choice Choice) *member {
+	if known := d.members[choice.Instance.ID]; known == choice.member {
+		return known
+	}
+	return nil
+}
+
 // recentFailures returns the failures of late, the older the less.
 func (m *member) recentFailures(now time.Time) float64 {
 	if m.failing == 0 {
--- a/internal/backend/directory_test.go
+++ b/internal/backend/directory_test.go
@@ -20,6 +20,11 @@
 	return all
 }
 
+// choiceOf is the choice of an instance as it is known now.
+func (d *Directory) choiceOf(id string) Choice {
+	return Choice{Instance: Instance{ID: id}, member: d.members[id]}
+}
+
 func TestAnIncompleteListTakesNoInstanceAway(t *testing.T) {
 	d := NewDirectory("z")
 	d.Update(start, engines(3), false)
@@ -86,7 +91,7 @@
 	d := NewDirectory("z")
 	d.Update(start, engines(2), false)
 	choice, _ := d.Pick(start, Demand{Service: "llm"})
-	d.End(start, choice.Instance.ID, Unreachable)
+	d.End(start, choice, Unreachable)
 	for range 3 {
 		next, _ := d.Pick(start, Demand{Service: "llm"})
 		require.NotEqual(t, choice.Instance.ID, next.Instance.ID)
@@ -101,7 +106,7 @@
 	d := NewDirectory("z")
 	d.Update(start, engines(2), false)
 	for range 3 {
-		d.End(start, "e00", Failed)
+		d.End(start, d.choiceOf("e00"), Failed)
 		d.members["e00"].inFlight++
 	}
 	for range 8 {
@@ -148,7 +153,7 @@
 	parts := []Part{{ID: "shared", Tokens: 500}, {ID: "a", Tokens: 800}, {ID: "b", Tokens: 700}}
 	for b.Loop() {
 		choice, _ := d.Pick(start, Demand{Service: "llm", Generates: true, Parts: parts})
-		d.End(start, choice.Instance.ID, Answered)
+		d.End(start, choice, Answered)
 	}
 }
 
@@ -179,7 +184,7 @@
 	for range 200 {
 		choice, _ := d.Pick(start, Demand{Service: "llm"})
 		idle[choice.Instance.ID] = true
-		d.End(start, choice.Instance.ID, Answered)
+		d.End(start, choice, Answered)
 	}
 	require.Len(t, idle, 1)
 	for range 20 { // requests at the same time take further ones
@@ -200,7 +205,7 @@
 	for range 50 {
 		choice, _ := d.Pick(start, Demand{Service: "llm"})
 		require.Equal(t, all[77].ID, choice.Instance.ID)
-		d.End(start, choice.Instance.ID, Answered)
+		d.End(start, choice, Answered)
 	}
 }
 
@@ -216,7 +221,7 @@
 			const each = 100
 			for request := range each * count {
 				choice, _ := d.Pick(start, Demand{Service: "llm"})
-				d.End(start, choice.Instance.ID, Answered)
+				d.End(start, choice, Answered)
 				counts[choice.Instance.ID]++
 				if request == 0 {
 					firsts[choice.Instance.ID] = true
@@ -236,7 +241,7 @@
 	instances := engines(3)
 	d.Update(start, instances, false)
 	d.Pick(start, Demand{Service: "llm"})
-	d.End(start, "e01", Unreachable)
+	d.End(start, d.choiceOf("e01"), Unreachable)
 	bound := Demand{Service: "llm", Only: "e01"}
 	for range 20 {
 		choice, found := d.Pick(start, bound)
--- a/internal/backend/failures.go
+++ b/internal/backend/failures.go
@@ -16,10 +16,10 @@
 // to be idle and draw more requests than sound ones. Answers that are lost after they were
 // made, or come late, have counted for their time already and add nothing.
 func (d *Directory) EndFailed(now time.Time, choice Choice, ended Ended) {
-	d.End(now, choice.Instance.ID, ended)
+	d.End(now, choice, ended)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	known := d.members[choice.Instance.ID]
+	known := d.chosen(choice)
 	if known == nil || ended != Failed && ended != Unreachable {
 		return
 	}
@@ -30,6 +30,7 @@
 	held := min(maxHold, usual<<min(known.quickFailures, maxDoublings))
 	known.quickFailures++
 	known.held = append(known.held, choice.PickedAt.Add(held))
+	d.loaded[choice.Instance.ID] = known
 }
 
 // heldFailures returns how many failed requests still count as load on the instance.
--- a/internal/backend/failures_test.go
+++ b/internal/backend/failures_test.go
@@ -28,7 +28,7 @@
 			require.Equal(t, c.load, d.Loads(ended)["e00"])
 			require.Empty(t, d.Loads(start.Add(200*time.Millisecond)))
 			d.Pick(ended, Demand{Service: "llm"})
-			d.End(ended, "e00", Answered)
+			d.End(ended, d.choiceOf("e00"), Answered)
 			require.Empty(t, d.Loads(ended), "an instance that answers is sound again")
 		})
 	}
--- a/internal/backend/pace_test.go
+++ b/internal/backend/pace_test.go
@@ -64,8 +64,8 @@
 		if id == "e00" {
 			took *= slow
 		}
-		d.End(*now, id, Answered)
-		d.Observe(*now, id, Observation{Kind: "r", Took: time.Duration(took * float64(time.Millisecond))})
+		d.End(*now, d.choiceOf(id), Answered)
+		d.Observe(*now, d.choiceOf(id), Observation{Kind: "r", Took: time.Duration(took * float64(time.Millisecond))})
 	}
 	return counts
 }
@@ -99,7 +99,7 @@
 		require.True(t, found)
 		require.Equal(t, "e41", choice.Instance.ID, "pick %d: the instance that lacks least", i)
 		require.Equal(t, 1000, choice.Missing)
-		d.End(start, choice.Instance.ID, Answered)
+		d.End(start, choice, Answered)
 		d.members["e41"].cache = newPromptCache()
 	}
 }
--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -36,6 +36,9 @@
 // Cached says that an instance holds a prompt up to some tokens of one of its parts.
 type Cached struct {
 	Instance string
+	// Born is the start of the instance's life in which it took the prompt; 0 where that is not
+	// known.
+	Born uint64
 	// Part is the index of the part in the prompt, Tokens how many of it are held. All
 	// parts before it are held as well.
 	Part   int
@@ -76,6 +79,8 @@
 	Missing int
 	// Candidates is how many instances were compared.
 	Candidates int
+	// member is what is believed of the instance, in the life in which it was chosen.
+	member *member
 	// permit is the leave to send there once, where the instance's service limits that.
 	permit coldstart.Permit
 }
@@ -102,6 +107,8 @@
 		}
 	}
 	best.inFlight++
+	d.loaded[best.instance.ID] = best
+	choice.member = best
 	best.cache.add(now, demand.Parts)
 	d.remember(best.instance.ID, demand.Parts)
 	choice.Instance = best.instance
@@ -257,8 +264,8 @@
 
 // missing returns the prompt tokens that the instance would have to read.
 func (d *Directory) missing(now time.Time, candidate *member, demand Demand) int {
-	missing := min(candidate.cache.missing(now, demand.Parts), demand.missingAt(candidate.instance.ID))
-	if candidate.instance.ID == demand.Preferred && len(demand.Parts) > 0 {
+	missing := min(candidate.cache.missing(now, demand.Parts), demand.missingAt(candidate.instance))
+	if candidate.instance.ID == demand.Preferred && len(demand.Parts) > 0 && !demand.knowsEarlierLife(candidate.instance) {
 		missing = min(missing, demand.Parts[len(demand.Parts)-1].Tokens)
 	}
 	return missing
@@ -266,14 +273,14 @@
 
 // missingAt returns the tokens that an instance would have to read as reported by
 // earlier requests.
-func (d Demand) missingAt(instance string) int {
+func (d Demand) missingAt(instance Instance) int {
 	total := 0
 	for _, part := range d.Parts {
 		total += part.Tokens
 	}
 	missing := total
 	for _, cached := range d.Cached {
-		if cached.Instance != instance {
+		if !cached.isIn(instance) {
 			continue
 		}
 		behind := 0
@@ -284,3 +291,21 @@
 	}
 	return missing
 }
+
+// isIn reports whether the prompt is held by the instance in its present life.
+func (c Cached) isIn(instance Instance) bool {
+	return c.Instance == instance.ID && (c.Born == 0 || instance.Born == 0 || c.Born == instance.Born)
+}
+
+// knowsEarlierLife reports whether the program's turns left prompts at the instance in an
+// earlier life of it, and none in the present one.
+func (d Demand) knowsEarlierLife(instance Instance) bool {
+	earlier := false
+	for _, cached := range d.Cached {
+		if cached.isIn(instance) {
+			return false
+		}
+		earlier = earlier || cached.Instance == instance.ID
+	}
+	return earlier
+}
--- a/internal/coldstart/changes.go
+++ b/internal/coldstart/changes.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -19,7 +20,9 @@
 // Changes returns which instances became cold or warm since the last call, in the order of
 // their ids, and how many are cold.
 func (g *Gate) Changes(now time.Time) (changes []Change, cold int) {
-	for id, known := range g.instances {
+	maps.Copy(g.changed, g.cold) // these become warm as time passes
+	for id, known := range g.changed {
+		delete(g.changed, id)
 		isCold := known.missingSince.IsZero() && g.isCold(now, known)
 		if isCold == (g.cold[id] != nil) {
 			continue
--- a/internal/coldstart/gate.go
+++ b/internal/coldstart/gate.go
@@ -1,6 +1,7 @@
 package coldstart
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -44,6 +45,10 @@
 	rosters   []roster
 	version   uint64
 	instances map[string]*instance
+	// missing are those that the list lacks, changed those that may have become cold or warm
+	// since the last call of Changes.
+	missing map[string]*instance
+	changed map[string]*instance
 	// cold are the instances last reported as cold by Changes.
 	cold map[string]*instance
 	// listed is set once there was a list of instances.
@@ -71,6 +76,13 @@
 	Zone    string
 	// ColdFor is how much longer it is cold as it says; 0 says that it is not.
 	ColdFor time.Duration
+	// Born is when it started, in Unix milliseconds; 0 where it does not say.
+	Born uint64
+}
+
+// startedAgain reports whether an entry is of a later life of the instance.
+func (e Entry) startedAgain(before Entry) bool {
+	return before.Born != 0 && e.Born > before.Born
 }
 
 // instance is what is known of an instance.
@@ -100,13 +112,17 @@
 // NewGate returns a gate of the named gateway that knows nothing, and thus lets nothing go to
 // cold instances.
 func NewGate(self string, policy Policy) *Gate {
-	return &Gate{self: xxhash.Sum64String(self), policy: policy, instances: map[string]*instance{}, cold: map[string]*instance{}}
+	return &Gate{
+		self: xxhash.Sum64String(self), policy: policy,
+		instances: map[string]*instance{}, missing: map[string]*instance{}, changed: map[string]*instance{}, cold: map[string]*instance{},
+	}
 }
 
 // SetServices replaces what the configuration says, by service.
 func (g *Gate) SetServices(services map[string]Service) {
 	g.limits = services
 	g.version++
+	maps.Copy(g.changed, g.instances)
 }
 
 // SetGateways replaces the list of gateways.
@@ -132,21 +148,38 @@
 	}
 }
 
-// List replaces the list of instances. Those of the first list were there before this process
-// and are not new; they are cold if they say so.
+// List replaces the list of instances, as Change does with all of them.
 func (g *Gate) List(now time.Time, entries []Entry) {
-	listed := map[string]bool{}
+	listed := make(map[string]bool, len(entries))
 	for _, entry := range entries {
 		listed[entry.ID] = true
+	}
+	var gone []string
+	for id := range g.instances {
+		if !listed[id] {
+			gone = append(gone, id)
+		}
+	}
+	g.Change(now, entries, gone)
+}
+
+// Change takes entries that are new or changed, and the ids of instances that the list lacks now.
+// The first call lists all instances: they were there before this process and are not new; they
+// are cold if they say so.
+func (g *Gate) Change(now time.Time, entries []Entry, gone []string) {
+	for _, entry := range entries {
 		g.hear(now, entry)
 	}
-	for id, known := range g.instances {
-		switch {
-		case listed[id]:
-			known.missingSince = time.Time{}
-		case known.missingSince.IsZero():
+	for _, id := range gone {
+		if known := g.instances[id]; known != nil && known.missingSince.IsZero() {
 			known.missingSince = now
-		case now.Sub(known.missingSince) >= forgetTime:
+			g.missing[id], g.changed[id] = known, known
+		}
+	}
+	for id, known := range g.missing {
+		if now.Sub(known.missingSince) >= forgetTime {
+			delete(g.missing, id)
+			delete(g.changed, id)
 			delete(g.instances, id)
 			delete(g.cold, id)
 		}
@@ -162,14 +195,17 @@
 	if appeared {
 		known = &instance{}
 		g.instances[entry.ID] = known
-		if g.listed {
-			known.startedAt = now
-		}
+	}
+	if g.listed && (appeared || entry.startedAgain(known.entry)) {
+		known.startedAt = now
 	}
 	if appeared || !known.missingSince.IsZero() || known.entry.ColdFor != entry.ColdFor {
 		known.saidUntil = now.Add(entry.ColdFor)
 	}
 	known.entry = entry
+	known.missingSince = time.Time{}
+	delete(g.missing, entry.ID)
+	g.changed[entry.ID] = known
 }
 
 // AssumeCold takes the instances of a zone as just started, until they say otherwise.
@@ -178,6 +214,7 @@
 		until := now.Add(g.limits[known.entry.Service].Start)
 		if known.entry.Zone == zone && until.After(known.saidUntil) {
 			known.saidUntil = until
+			g.changed[known.entry.ID] = known
 		}
 	}
 }
--- a/internal/feed/cache.go
+++ b/internal/feed/cache.go
@@ -29,6 +29,17 @@
 	Invalid
 )
 
+// Difference is what a batch changed.
+type Difference struct {
+	// First is set where nothing was known of the kind before.
+	First bool
+	// Records are those that changed, deletions included, in the order of the changes.
+	Records []Record
+}
+
+// Empty reports whether nothing changed.
+func (d Difference) Empty() bool { return !d.First && len(d.Records) == 0 }
+
 // Cache holds the records of all kinds. Positions never go back: a batch that is older
 // than what the cache holds changes nothing, wherever it comes from.
 type Cache struct {
@@ -76,27 +87,28 @@
 	return positions
 }
 
-// Apply applies a batch and reports whether any record changed.
-func (c *Cache) Apply(batch Batch) (outcome Outcome, changed bool) {
+// Apply applies a batch and returns what it changed.
+func (c *Cache) Apply(batch Batch) (Outcome, Difference) {
 	if batch.Kind >= kindCount || !batch.Snapshot && batch.At < batch.After {
-		return Invalid, false
+		return Invalid, Difference{}
 	}
 	for _, record := range batch.Records {
 		if !record.valid(batch.Kind) {
-			return Invalid, false
+			return Invalid, Difference{}
 		}
 	}
 	held := &c.kinds[batch.Kind]
 	switch {
 	case held.position.Known && batch.At <= held.position.At:
-		return Behind, false
+		return Behind, Difference{}
 	case batch.Snapshot:
 		return Applied, held.replace(batch)
 	case !held.position.Known || batch.After > held.position.At || batch.Exact && batch.After != held.position.At:
-		return Gap, false
+		return Gap, Difference{}
 	}
+	var changed Difference
 	for _, record := range batch.Records {
-		changed = held.put(record, batch.At) || changed
+		held.put(record, batch.At, &changed)
 	}
 	if batch.Exact { // what is missing here is missing for those who learn from this process
 		held.noteUnseen(span{batch.After, batch.At})
@@ -107,23 +119,23 @@
 }
 
 // replace takes a snapshot in place of all records. What it lacks was deleted.
-func (h *collection) replace(batch Batch) (changed bool) {
-	listed := map[string]bool{}
+func (h *collection) replace(batch Batch) (changed Difference) {
+	listed := make(map[string]bool, len(batch.Records))
 	for _, record := range batch.Records {
 		listed[record.Name] = true
-		changed = h.put(record, batch.At) || changed
+		h.put(record, batch.At, &changed)
 	}
 	for name, held := range h.records {
 		// A record newer than the snapshot was listed by a later page of another list.
 		if !listed[name] && held.record.Revision <= batch.At {
-			changed = h.put(Record{Name: name, Revision: held.record.Revision, Deleted: true}, batch.At) || changed
+			h.put(Record{Name: name, Revision: held.record.Revision, Deleted: true}, batch.At, &changed)
 		}
 	}
 	if h.position.Known {
 		h.noteUnseen(span{h.position.At, batch.At})
 	} else {
 		h.base = batch.At
-		changed = true
+		changed.First = true
 	}
 	h.position = Position{Known: true, At: batch.At}
 	h.trim()
@@ -150,27 +162,26 @@
 	return slices.ContainsFunc(h.unseen, func(s span) bool { return s.before > position })
 }
 
-// put applies one record unless a newer one is held. A deletion may carry the revision of
-// the object's last change or its own.
-func (h *collection) put(record Record, at uint64) (changed bool) {
+// put applies one record unless a newer one is held, and adds it to the changes. A deletion may
+// carry the revision of the object's last change or its own.
+func (h *collection) put(record Record, at uint64, changed *Difference) {
 	held, exists := h.records[record.Name]
 	if exists && held.record.Revision > record.Revision {
-		return false
+		return
 	}
-	if record.Deleted {
-		if !exists {
-			return false
-		}
+	switch {
+	case record.Deleted && !exists:
+		return
+	case record.Deleted:
 		delete(h.records, record.Name)
 		h.tombstones[record.Name] = entry{record: record, learnedAt: at}
-		return true
-	}
-	if exists && held.record.Revision == record.Revision {
-		return false
+	case exists && held.record.Revision == record.Revision:
+		return
+	default:
+		delete(h.tombstones, record.Name)
+		h.records[record.Name] = entry{record: record, learnedAt: at}
 	}
-	delete(h.tombstones, record.Name)
-	h.records[record.Name] = entry{record: record, learnedAt: at}
-	return true
+	changed.Records = append(changed.Records, record)
 }
 
 // trim drops the oldest half of the tombstones once there are too many.
--- a/internal/feed/core.go
+++ b/internal/feed/core.go
@@ -46,9 +46,11 @@
 	Reply Reply
 }
 
-// Change is a kind that changed, with all its records.
+// Change is a kind that changed. Records are all of the kind, or, where All is false, those that
+// changed, deletions included. Of instances there are thousands, of which few change at a time.
 type Change struct {
 	Kind    Kind
+	All     bool
 	Records []Record
 }
 
@@ -160,26 +162,29 @@
 
 // learn applies batches and answers the polls that waited for them.
 func (c *Core[Asker]) learn(now time.Time, batches []Batch) Output[Asker] {
-	changed := map[Kind]bool{}
+	changed := map[Kind]Difference{}
 	var refusals []Refusal
 	for _, batch := range batches {
-		outcome, differs := c.cache.Apply(batch)
-		if differs {
-			changed[batch.Kind] = true
+		outcome, difference := c.cache.Apply(batch)
+		if !difference.Empty() {
+			before := changed[batch.Kind]
+			changed[batch.Kind] = Difference{
+				First: before.First || difference.First, Records: append(before.Records, difference.Records...),
+			}
 		}
 		if outcome == Gap || outcome == Invalid {
 			refusals = append(refusals, Refusal{Kind: batch.Kind, Outcome: outcome, After: batch.After, At: batch.At})
 		}
 	}
-	if changed[Members] {
+	if !changed[Members].Empty() {
 		c.chooseUpstreams(now)
 	}
 	output := c.output(now)
 	output.Refusals = refusals
 	output.Incomplete = c.Status(now).Incomplete
 	for _, kind := range Kinds() {
-		if changed[kind] {
-			output.Changes = append(output.Changes, Change{Kind: kind, Records: c.cache.Records(kind)})
+		if difference := changed[kind]; !difference.Empty() {
+			output.Changes = append(output.Changes, c.change(kind, difference))
 		}
 	}
 	if len(changed) > 0 {
@@ -190,6 +195,14 @@
 	return output
 }
 
+// change returns what to tell of a kind that changed.
+func (c *Core[Asker]) change(kind Kind, difference Difference) Change {
+	if kind == Instances && !difference.First {
+		return Change{Kind: kind, Records: difference.Records}
+	}
+	return Change{Kind: kind, All: true, Records: c.cache.Records(kind)}
+}
+
 // output returns the present decision, and the status if it must be told.
 func (c *Core[Asker]) output(now time.Time) Output[Asker] {
 	output := Output[Asker]{Decision: c.selector.Decision()}
--- a/internal/feed/node.go
+++ b/internal/feed/node.go
@@ -72,8 +72,9 @@
 	// Status is told when knowledge turns stale or fresh, confirmed or not.
 	Status        func(Status)
 	Configuration func(*route.Table)
-	// Instances gets all instances, and whether some may be missing.
-	Instances   func(instances []backend.Instance, incomplete bool)
+	// Instances gets what became of the instances, all of them at first, and whether some may
+	// be missing.
+	Instances   func(changes backend.Changes, incomplete bool)
 	Members     func([]registry.Object)
 	Retirements func(map[string]RetirementState)
 	// Evacuations gets the zones whose instances are to get nothing further. It is told
@@ -227,11 +228,7 @@
 			h.Configuration(record.Configuration.Table())
 		}
 	case change.Kind == Instances && h.Instances != nil:
-		instances := make([]backend.Instance, 0, len(change.Records))
-		for _, record := range change.Records {
-			instances = append(instances, *record.Instance)
-		}
-		h.Instances(instances, incomplete)
+		h.Instances(change.instances(), incomplete)
 	case change.Kind == Members && h.Members != nil:
 		objects := make([]registry.Object, 0, len(change.Records))
 		for _, record := range change.Records {
@@ -254,6 +251,19 @@
 	}
 }
 
+// instances returns a change of instances in the terms of those who place work on them.
+func (c Change) instances() backend.Changes {
+	changes := backend.Changes{All: c.All, Listed: make([]backend.Instance, 0, len(c.Records))}
+	for _, record := range c.Records {
+		if record.Deleted {
+			changes.Gone = append(changes.Gone, record.Name)
+			continue
+		}
+		changes.Listed = append(changes.Listed, *record.Instance)
+	}
+	return changes
+}
+
 // apply carries out a decision. The caller holds the lock.
 func (n *Node) apply(next Decision) {
 	previous := n.applied
--- a/internal/feed/node_test.go
+++ b/internal/feed/node_test.go
@@ -123,10 +123,23 @@
 
 	mu        sync.Mutex
 	table     *route.Table
-	instances []backend.Instance
+	instances map[string]backend.Instance
 	statuses  []Status
 }
 
+// apply follows the changes of the list of instances.
+func (l *listener) apply(changes backend.Changes) {
+	if changes.All {
+		l.instances = map[string]backend.Instance{}
+	}
+	for _, instance := range changes.Listed {
+		l.instances[instance.ID] = instance
+	}
+	for _, id := range changes.Gone {
+		delete(l.instances, id)
+	}
+}
+
 func (l *listener) locked(do func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -139,7 +152,7 @@
 	options.Log = quiet()
 	options.Handlers = Handlers{
 		Configuration: func(table *route.Table) { l.locked(func() { l.table = table }) },
-		Instances:     func(instances []backend.Instance, _ bool) { l.locked(func() { l.instances = instances }) },
+		Instances:     func(changes backend.Changes, _ bool) { l.locked(func() { l.apply(changes) }) },
 		Status:        func(status Status) { l.locked(func() { l.statuses = append(l.statuses, status) }) },
 	}
 	l.Node = NewNode(options)
@@ -327,7 +340,7 @@
 		core.Begin(begin)
 		output := core.Heard(begin, Upstream{}, decoded)
 		for _, change := range output.Changes {
-			Handlers{Configuration: func(*route.Table) {}, Instances: func([]backend.Instance, bool) {}}.changed(change, false)
+			Handlers{Configuration: func(*route.Table) {}, Instances: func(backend.Changes, bool) {}}.changed(change, false)
 		}
 	})
 }
--- a/internal/gateway/gossip_test.go
+++ b/internal/gateway/gossip_test.go
@@ -24,7 +24,7 @@
 func believedLoad(t *testing.T, g *Gossip) int {
 	choice, found := g.directory.Pick(time.Unix(1000, 0), backend.Demand{Service: "llm"})
 	require.True(t, found)
-	g.directory.End(time.Unix(1000, 0), "e", backend.Answered)
+	g.directory.End(time.Unix(1000, 0), choice, backend.Answered)
 	return choice.Load
 }
 
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -38,24 +38,28 @@
 	}
 }
 
-// InstancesChanged replaces the list of instances. An incomplete list may lack some that are
-// there.
-func (s *Server) InstancesChanged(instances []backend.Instance, incomplete bool) {
-	gone := s.directory.Update(time.Now(), instances, incomplete)
-	for _, id := range gone {
+// mostNamed bounds the instances that one log line names.
+const mostNamed = 32
+
+// InstancesChanged applies changes of the list of instances. An incomplete list may lack some
+// that are there.
+func (s *Server) InstancesChanged(changes backend.Changes, incomplete bool) {
+	ended := s.directory.Change(time.Now(), changes, incomplete)
+	for _, id := range ended {
 		s.pool.Forget(id)
 	}
 	s.listedAt.Store(int64(time.Since(s.started)))
 	s.knownAt.CompareAndSwap(0, int64(time.Since(s.started)))
 	s.known.Store(true)
 	leaving := 0
-	for _, instance := range instances {
+	for _, instance := range changes.Listed {
 		if instance.Leaving {
 			leaving++
 		}
 	}
-	s.log.Info().Str("event", "back_ends_changed").Int("instances", len(instances)).Int("leaving", leaving).
-		Bool("incomplete", incomplete).Strs("gone", gone).Dur("age", s.knowledgeAge()).Msg("")
+	s.log.Info().Str("event", "back_ends_changed").Int("instances", s.directory.Size()).Bool("all", changes.All).
+		Int("listed", len(changes.Listed)).Int("leaving", leaving).Int("unlisted", len(changes.Gone)).
+		Bool("incomplete", incomplete).Int("ended", len(ended)).Strs("gone", ended[:min(mostNamed, len(ended))]).Dur("age", s.knowledgeAge()).Msg("")
 }
 
 // MembersChanged replaces the product's own objects: the cells of replicas and the other
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -107,7 +107,7 @@
 	if events > 0 {
 		seen.First = firstAt.Sub(sent.sentAt)
 	}
-	s.directory.Observe(now, sent.choice.Instance.ID, seen)
+	s.directory.Observe(now, sent.choice, seen)
 }
 
 // endedWith tells an instance's own failures from its answers.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -42,10 +42,12 @@
 
 // outcome is what the log tells of a request.
 type outcome struct {
-	status     int
-	result     string
-	reason     string
-	instance   string
+	status   int
+	result   string
+	reason   string
+	instance string
+	// born is when the instance started, in Unix milliseconds; 0 where it does not say.
+	born       uint64
 	sends      int
 	load       int
 	cost       float64
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -103,7 +103,7 @@
 // the attempt.
 func (s *Server) send(ctx context.Context, r *request, choice backend.Choice) (*attempt, *backend.Failure) {
 	r.outcome.sends++
-	r.outcome.instance = choice.Instance.ID
+	r.outcome.instance, r.outcome.born = choice.Instance.ID, choice.Instance.Born
 	r.outcome.load, r.outcome.cost, r.outcome.candidates = choice.Load, choice.Cost, choice.Candidates
 	s.metrics.sent(choice.Instance.Zone)
 	sendCtx, release := context.WithCancel(ctx)
@@ -164,7 +164,7 @@
 	}
 	_, _ = io.Copy(io.Discard, answer.Body())
 	answer.Finish()
-	s.directory.End(time.Now(), choice.Instance.ID, backend.Full)
+	s.directory.End(time.Now(), choice, backend.Full)
 	return &backend.Failure{
 		Verdict: verdict.NotRun, Unreachable: misdirected, Gone: misdirected,
 		Reason: "the instance refused with status " + strconv.Itoa(status),
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -109,7 +109,7 @@
 	charge := ledger.Charge{Turn: t.id, Tokens: int64(generated), Final: true}
 	if t.events > 0 && len(t.parts) > 0 {
 		last := t.parts[len(t.parts)-1]
-		charge.Cached = ledger.CachedPrompt{Instance: t.outcome.instance, Part: last.ID, Tokens: last.Tokens + generated}
+		charge.Cached = ledger.CachedPrompt{Instance: t.outcome.instance, Born: t.outcome.born, Part: last.ID, Tokens: last.Tokens + generated}
 	}
 	return charge
 }
@@ -124,7 +124,7 @@
 	for _, prompt := range t.reservation.Cached {
 		for index, part := range t.parts {
 			if part.ID == prompt.Part {
-				held = append(held, backend.Cached{Instance: prompt.Instance, Part: index, Tokens: prompt.Tokens})
+				held = append(held, backend.Cached{Instance: prompt.Instance, Born: prompt.Born, Part: index, Tokens: prompt.Tokens})
 			}
 		}
 	}
@@ -219,7 +219,7 @@
 	if t.begun {
 		sent.answer.Discard()
 		sent.release()
-		s.directory.End(time.Now(), sent.choice.Instance.ID, backend.Answered)
+		s.directory.End(time.Now(), sent.choice, backend.Answered)
 		return &backend.Failure{Verdict: verdict.MayHaveRun, Reason: "the stream was not taken up again"}
 	}
 	t.ran = true
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -56,6 +56,9 @@
 // turns that go on from it on whichever gateway.
 type CachedPrompt struct {
 	Instance string
+	// Born is when the instance started, in Unix milliseconds; 0 where that is not known, as in
+	// what gateways of earlier versions write.
+	Born uint64
 	// Part is the last part of the prompt, Tokens how many of it are held, what was
 	// generated included. All parts before it are held as well.
 	Part   string
--- a/internal/overload/replay_test.go
+++ b/internal/overload/replay_test.go
@@ -295,7 +295,7 @@
 		choice, found := gateway.directory.Pick(r.now, demand)
 		if asked >= asksInARow || !found {
 			if found {
-				gateway.directory.End(r.now, choice.Instance.ID, backend.Full)
+				gateway.directory.End(r.now, choice, backend.Full)
 			}
 			r.wait(c, gateway, id, arrived)
 			return
@@ -304,11 +304,11 @@
 			if result == backend.Failed || result == backend.Unreachable {
 				gateway.directory.EndFailed(r.now, choice, result)
 			} else {
-				gateway.directory.End(r.now, choice.Instance.ID, result)
+				gateway.directory.End(r.now, choice, result)
 			}
 			switch {
 			case result == backend.Answered:
-				gateway.directory.Observe(r.now, choice.Instance.ID, backend.Observation{
+				gateway.directory.Observe(r.now, choice, backend.Observation{
 					Kind: c.kind, Took: r.now.Sub(choice.PickedAt), First: r.now.Sub(choice.PickedAt), Events: 1,
 				})
 				gateway.policy.taken(r.now, id)
