--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +18,7 @@
 	"swiftbank.dev/swiftbank/internal/eventlog"
 	"swiftbank.dev/swiftbank/internal/hangup"
 	"swiftbank.dev/swiftbank/internal/settings"
+	"swiftbank.dev/swiftbank/platform"
 )
 
 const (
@@ -91,6 +93,10 @@
 
 // storeCallFailed logs a call to the shared store that failed, or a wrong document.
 func (p *process) storeCallFailed(kind string, err error) {
+	if errors.Is(err, platform.ErrUnreadable) {
+		p.log.Warn().Str("event", "object_unreadable").Str("kind", kind).Err(err).Msg("")
+		return
+	}
 	p.log.Warn().Str("event", "store_call_failed").Str("kind", kind).Err(err).Msg("")
 }
 
