A gateway at rest wakes up twice a second for its load reports, not twenty times

Cause: the load report's ticker ran at 50 ms whether a gateway had requests or not. In a large fleet most have none: 865 gateways with 0.08 programs a second each were 17,300 wake-ups a second. And each new configuration made the gate of cold starts look at every instance, though most configurations say nothing new of it.

Ruled out: a longer interval. What is in flight must be known soon.

Change: without requests the next turn comes with a placement or the refresh (0.5 s). SetServices with equal limits does nothing.

Measured: turns of an idle gateway in 10 s: 200 before, 20 now, and the first request is reported as soon as before (TestAGatewayAtRestSeldomWakesUp, virtual clock).

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -106,6 +106,9 @@
 	connected func(instance string) bool
 	idle      func() []string
 
+	// placed is signalled when a request was placed.
+	placed chan struct{}
+
 	mu      sync.Mutex
 	members map[string]*member
 	// unlisted holds the ids of members that the list lacks, loaded those on which requests of
@@ -138,7 +141,7 @@
 // NewDirectory returns an empty directory of a gateway in the zone.
 func NewDirectory(zone string) *Directory {
 	return &Directory{
-		zone: zone, members: map[string]*member{}, unlisted: map[string]bool{}, loaded: map[string]*member{},
+		zone: zone, placed: make(chan struct{}, 1), members: map[string]*member{}, unlisted: map[string]bool{}, loaded: map[string]*member{},
 		byService: map[string][]*member{}, near: map[string][]*member{}, regional: map[string][]*member{},
 		reports: map[LoadSource]remoteReport{}, ranLast: map[string]string{},
 		paces: map[string]*pace{}, network: networkCosts{zone: zone, roundTrips: map[string]*mean{}},
@@ -186,6 +189,9 @@
 	return !m.evacuated && m.isStaying(now)
 }
 
+// Placed is signalled after a request was placed; one signal may stand for several.
+func (d *Directory) Placed() <-chan struct{} { return d.placed }
+
 // Size returns the number of instances.
 func (d *Directory) Size() int {
 	d.mu.Lock()
--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -108,6 +108,10 @@
 	}
 	best.inFlight++
 	d.loaded[best.instance.ID] = best
+	select {
+	case d.placed <- struct{}{}:
+	default:
+	}
 	choice.member = best
 	best.cache.add(now, demand.Parts)
 	d.remember(best.instance.ID, demand.Parts)
--- a/internal/coldstart/gate.go
+++ b/internal/coldstart/gate.go
@@ -118,8 +118,12 @@
 	}
 }
 
-// SetServices replaces what the configuration says, by service.
+// SetServices replaces what the configuration says, by service. Most configurations say the same
+// as the one before, and none of thousands of instances becomes cold or warm by them.
 func (g *Gate) SetServices(services map[string]Service) {
+	if maps.Equal(services, g.limits) {
+		return
+	}
 	g.limits = services
 	g.version++
 	maps.Copy(g.changed, g.instances)
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -20,6 +20,7 @@
 	"swiftbank.dev/swiftbank/internal/place"
 	"swiftbank.dev/swiftbank/internal/replicaset"
 	"swiftbank.dev/swiftbank/internal/traffic"
+	"swiftbank.dev/swiftbank/internal/wait"
 )
 
 const (
@@ -175,31 +176,45 @@
 }
 
 func (g *Gossip) send(ctx context.Context, socket net.PacketConn) {
-	ticker := time.NewTicker(gossipInterval)
-	defer ticker.Stop()
 	var last map[string]int
 	var sentAt, distantAt time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			if now.Sub(distantAt) >= distantInterval {
-				distantAt = now
-				g.sendTo(socket, g.takeDistant(), loadReport{Gateway: g.node, Zone: g.zone, Loads: g.directory.ZoneLoads(now)})
-			}
-			loads := g.directory.Loads(now)
-			if maps.Equal(loads, last) && now.Sub(sentAt) < gossipRefresh {
-				continue
-			}
-			last, sentAt = loads, now
-			g.mu.Lock()
-			neighbours, remotes := g.neighbours.take(neighbourFanout), g.remotes.take(remoteFanout)
-			g.mu.Unlock()
-			g.sendTo(socket, neighbours, loadReport{Gateway: g.node, Loads: loads})
-			g.sendTo(socket, remotes, loadReport{Gateway: g.node, Zone: g.zone, Loads: g.directory.ZoneLoads(now)})
+	for g.awaitTurn(ctx, len(last) > 0) {
+		now := time.Now()
+		if now.Sub(distantAt) >= distantInterval {
+			distantAt = now
+			g.sendTo(socket, g.takeDistant(), loadReport{Gateway: g.node, Zone: g.zone, Loads: g.directory.ZoneLoads(now)})
+		}
+		loads := g.directory.Loads(now)
+		if maps.Equal(loads, last) && now.Sub(sentAt) < gossipRefresh {
+			continue
 		}
+		last, sentAt = loads, now
+		g.mu.Lock()
+		neighbours, remotes := g.neighbours.take(neighbourFanout), g.remotes.take(remoteFanout)
+		g.mu.Unlock()
+		g.sendTo(socket, neighbours, loadReport{Gateway: g.node, Loads: loads})
+		g.sendTo(socket, remotes, loadReport{Gateway: g.node, Zone: g.zone, Loads: g.directory.ZoneLoads(now)})
+	}
+}
+
+// awaitTurn waits until this gateway's load may have changed: for gossipInterval while requests
+// are in flight, and else until one is placed, but not past gossipRefresh. A gateway of a large
+// fleet has none most of the time, and would wake up twenty times a second for nothing.
+func (g *Gossip) awaitTurn(ctx context.Context, busy bool) bool {
+	if !wait.For(ctx, gossipInterval) {
+		return false
+	}
+	if busy {
+		return true
+	}
+	refresh := time.NewTimer(gossipRefresh - gossipInterval)
+	defer refresh.Stop()
+	select {
+	case <-g.directory.Placed():
+	case <-refresh.C:
+	case <-ctx.Done():
 	}
+	return ctx.Err() == nil
 }
 
 // takeDistant returns one gateway of each zone of other regions, if this one reports there.
--- a/internal/gateway/gossip_test.go
+++ b/internal/gateway/gossip_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -122,3 +123,24 @@
 	g.passOn(socket, loadReport{Gateway: "a2"})
 	require.Len(t, socket.to, 1, "neither twice, nor what its own region hears itself")
 }
+
+// A gateway without requests wakes up as often as its report is refreshed; one with requests
+// looks for changes more often, and the first request ends its rest at once.
+func TestAGatewayAtRestSeldomWakesUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gossipOf("g", "z")
+		turns := func(busy bool, span time.Duration) int {
+			count := 0
+			for began := time.Now(); time.Since(began) < span; count++ {
+				require.True(t, g.awaitTurn(t.Context(), busy))
+			}
+			return count
+		}
+		require.Equal(t, 20, turns(false, 10*time.Second))
+		require.Equal(t, 200, turns(true, 10*time.Second))
+		time.AfterFunc(120*time.Millisecond, func() { g.directory.Pick(time.Unix(1000, 0), backend.Demand{Service: "llm"}) })
+		began := time.Now()
+		g.awaitTurn(t.Context(), false)
+		require.Equal(t, 120*time.Millisecond, time.Since(began))
+	})
+}
