--- a/internal/backend/changes_test.go
+++ b/internal/backend/changes_test.go
@@ -168,3 +168,11 @@
 		d.Loads(start)
 	}
 }
+
+func BenchmarkCapacityOf10000(b *testing.B) {
+	d := NewDirectory("z")
+	d.Update(start, engines(10_000), false)
+	for b.Loop() {
+		d.Capacity(start, "llm")
+	}
+}
