The room of a large service is summed at most twenty times a second

Cause: each new program, and each poll of a request that waits, looked at all instances of its service: requests times instances.

Ruled out: keeping the sum up to date with each change. It depends on time (failures that count on, instances that lapse), and each place that changes it would have to know that.

Change: above 256 instances a sum is used for 50 ms, with this gateway's own requests counted exactly. Smaller services are summed each time as before.

--- a/internal/backend/changes.go
+++ b/internal/backend/changes.go
@@ -89,10 +89,13 @@
 		known = &member{cache: newPromptCache()}
 		moved = known
 	case startedAgain(known.instance, instance):
+		d.inFlight[known.instance.Service] -= known.inFlight
 		known = &member{cache: newPromptCache()}
 		moved, reborn = known, true
 		d.forgetReports(instance.ID)
 	case known.instance.Service != instance.Service || known.instance.Zone != instance.Zone:
+		d.inFlight[known.instance.Service] -= known.inFlight
+		d.inFlight[instance.Service] += known.inFlight
 		moved = known
 	}
 	if moved != nil {
@@ -142,6 +145,7 @@
 		}
 		delete(d.unlisted, id)
 		delete(d.members, id)
+		d.inFlight[known.instance.Service] -= known.inFlight
 		gone = append(gone, known)
 	}
 	return gone
--- a/internal/backend/changes_test.go
+++ b/internal/backend/changes_test.go
@@ -150,6 +150,27 @@
 	require.Equal(t, 4010, missing(100))
 }
 
+// Of a large service the sum is made again when it is as old as the loads of others are, and
+// this gateway's own requests count at once; of a small one it is always exact.
+func TestCapacityOfALargeServiceIsNotSummedEachTime(t *testing.T) {
+	for count, seen := range map[int]int{summedAlways: 3, summedAlways + 1: 0} {
+		d := NewDirectory("z")
+		d.Update(start, engines(count), false)
+		busy := func(at time.Duration) int { return d.Capacity(start.Add(at), "llm").Busy }
+		require.Zero(t, busy(0))
+		d.RemoteLoads(start, LoadSource{Gateway: "g2"}, map[string]int{"e01": 3})
+		require.Equal(t, seen, busy(capacityLife-1), count)
+		choice, _ := d.Pick(start, Demand{Service: "llm"})
+		require.Equal(t, seen+1, busy(capacityLife-1), count)
+		require.Equal(t, 4, busy(capacityLife), count)
+		d.End(start, choice, Answered)
+		require.Equal(t, 3, busy(capacityLife), count)
+		d.Pick(start, Demand{Service: "llm"})
+		d.Update(start, nil, false)
+		require.Zero(t, d.inFlight["llm"])
+	}
+}
+
 func BenchmarkOneChangeOf10000(b *testing.B) {
 	d := NewDirectory("z")
 	all := engines(10_000)
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -129,6 +129,9 @@
 	turn, seed uint64
 	// samples numbers the placements.
 	samples uint64
+	// inFlight counts this gateway's requests by service; sums holds the last sums of capacity.
+	inFlight map[string]int
+	sums     map[string]capacitySum
 	// paces is what is known of how fast each service works.
 	paces map[string]*pace
 	// cold bounds what goes to cold instances; nextColdChange is when the first of them becomes
@@ -144,7 +147,7 @@
 		zone: zone, placed: make(chan struct{}, 1), members: map[string]*member{}, unlisted: map[string]bool{}, loaded: map[string]*member{},
 		byService: map[string][]*member{}, near: map[string][]*member{}, regional: map[string][]*member{},
 		reports: map[LoadSource]remoteReport{}, ranLast: map[string]string{},
-		paces: map[string]*pace{}, network: networkCosts{zone: zone, roundTrips: map[string]*mean{}},
+		inFlight: map[string]int{}, sums: map[string]capacitySum{}, paces: map[string]*pace{}, network: networkCosts{zone: zone, roundTrips: map[string]*mean{}},
 		cold: coldstart.NewGate("", coldstart.Policy{}),
 	}
 }
@@ -323,6 +326,7 @@
 		return
 	}
 	known.inFlight--
+	d.inFlight[known.instance.Service]--
 	switch ended {
 	case Answered:
 		known.answered()
--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -107,6 +107,7 @@
 		}
 	}
 	best.inFlight++
+	d.inFlight[best.instance.Service]++
 	d.loaded[best.instance.ID] = best
 	select {
 	case d.placed <- struct{}{}:
