--- a/internal/backend/changes.go
+++ b/internal/backend/changes.go
@@ -18,11 +18,6 @@
 	relistedSingly = 16
 )
 
-// Update replaces the list of instances, as Change does with all of them.
-func (d *Directory) Update(now time.Time, instances []Instance, incomplete bool) (ended []string) {
-	return d.Change(now, Changes{All: true, Listed: instances}, incomplete)
-}
-
 // Change applies changes of the list of instances. It returns the ids of instances that are
 // gone, and of those that started again: nothing that was believed of them holds. Its work
 // follows the changes, not the instances there are.
--- a/internal/backend/directory_test.go
+++ b/internal/backend/directory_test.go
@@ -25,6 +25,11 @@
 	return Choice{Instance: Instance{ID: id}, member: d.members[id]}
 }
 
+// Update replaces the list of instances.
+func (d *Directory) Update(now time.Time, instances []Instance, incomplete bool) (ended []string) {
+	return d.Change(now, Changes{All: true, Listed: instances}, incomplete)
+}
+
 func TestAnIncompleteListTakesNoInstanceAway(t *testing.T) {
 	d := NewDirectory("z")
 	d.Update(start, engines(3), false)
--- a/internal/coldstart/gate.go
+++ b/internal/coldstart/gate.go
@@ -152,21 +152,6 @@
 	}
 }
 
-// List replaces the list of instances, as Change does with all of them.
-func (g *Gate) List(now time.Time, entries []Entry) {
-	listed := make(map[string]bool, len(entries))
-	for _, entry := range entries {
-		listed[entry.ID] = true
-	}
-	var gone []string
-	for id := range g.instances {
-		if !listed[id] {
-			gone = append(gone, id)
-		}
-	}
-	g.Change(now, entries, gone)
-}
-
 // Change takes entries that are new or changed, and the ids of instances that the list lacks now.
 // The first call lists all instances: they were there before this process and are not new; they
 // are cold if they say so.
--- a/internal/coldstart/gate_test.go
+++ b/internal/coldstart/gate_test.go
@@ -23,6 +23,21 @@
 	return gate
 }
 
+// List replaces the list of instances.
+func (g *Gate) List(now time.Time, entries []Entry) {
+	listed := make(map[string]bool, len(entries))
+	for _, entry := range entries {
+		listed[entry.ID] = true
+	}
+	var gone []string
+	for id := range g.instances {
+		if !listed[id] {
+			gone = append(gone, id)
+		}
+	}
+	g.Change(now, entries, gone)
+}
+
 func entry(coldFor time.Duration) Entry {
 	return Entry{ID: "i", Service: "engines", Zone: "z", ColdFor: coldFor}
 }
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -26,9 +26,9 @@
 		Name: "call", Host: "apps.test", Prefix: "/call/", Kind: route.Safe, Attempts: 2, Timeout: 3 * time.Second,
 		Targets: []route.Target{{Service: "apps", Weight: 1}},
 	}}, []route.Service{{Name: "apps", ConnectionLimit: 100}}, route.Limits{}))
-	s.directory.Update(time.Now(), []backend.Instance{{
+	s.directory.Change(time.Now(), backend.Changes{All: true, Listed: []backend.Instance{{
 		ID: "i", Service: "apps", Zone: "z", Address: strings.TrimPrefix(instance.URL, "http://"), Slots: 2,
-	}}, false)
+	}}}, false)
 }
 
 // askFor sends a request with an id.
--- a/internal/overload/replay_test.go
+++ b/internal/overload/replay_test.go
@@ -163,7 +163,7 @@
 	for i := range played.Gateways {
 		directory := backend.NewDirectory(fmt.Sprint(i % played.Zones))
 		directory.SeedWith(fmt.Sprint("g", i))
-		directory.Update(start, listed, false)
+		directory.Change(start, backend.Changes{All: true, Listed: listed}, false)
 		r.gateways = append(r.gateways, &gatewayModel{directory: directory, policy: newPolicy()})
 	}
 	for _, changed := range played.Changes {
