Load reports carry sections of features, and the slowdown of requests by load is learned

Cause: what a gateway learns of load stays with it, and reports hold counts of requests only. Change: internal/tally adds up figures of gateways (replaced by source, dropped when silent); a report section belongs to one feature and is passed over by versions that do not know it; backend.slowdown keeps the mean time of requests by the share of slots in use. The operator's guarantees are a setting; load control is on where they ask for it or where streams may run at several instances. Nothing decides by it yet. Ruled out: one more field of the report for each feature (each reads and ages by itself).

--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -19,6 +19,7 @@
 	"swiftbank.dev/swiftbank/internal/backend"
 	"swiftbank.dev/swiftbank/internal/place"
 	"swiftbank.dev/swiftbank/internal/replicaset"
+	"swiftbank.dev/swiftbank/internal/tally"
 	"swiftbank.dev/swiftbank/internal/traffic"
 	"swiftbank.dev/swiftbank/internal/wait"
 )
@@ -54,6 +55,9 @@
 	// Passed is set in a report of another region that a neighbour forwards: it is not
 	// forwarded again.
 	Passed bool
+	// Version orders the reports of one gateway; Sections holds the figures of features.
+	Version  tally.Version
+	Sections map[string][]byte
 }
 
 // Gossip shares the load that each gateway puts on the instances, so that gateways
@@ -65,6 +69,10 @@
 	directory *backend.Directory
 	traffic   *traffic.Counter
 
+	// sections are the parts of the reports that belong to features; sent numbers the reports.
+	sections []reportSection
+	sent     uint64
+
 	// heardAt is when a report last came, since started; others is how many gateways
 	// there are besides this one.
 	started time.Time
@@ -182,7 +190,7 @@
 		now := time.Now()
 		if now.Sub(distantAt) >= distantInterval {
 			distantAt = now
-			g.sendTo(socket, g.takeDistant(), loadReport{Gateway: g.node, Zone: g.zone, Loads: g.directory.ZoneLoads(now)})
+			g.sendTo(socket, g.takeDistant(), g.zoneReport(now))
 		}
 		loads := g.directory.Loads(now)
 		if maps.Equal(loads, last) && now.Sub(sentAt) < gossipRefresh {
@@ -192,11 +200,24 @@
 		g.mu.Lock()
 		neighbours, remotes := g.neighbours.take(neighbourFanout), g.remotes.take(remoteFanout)
 		g.mu.Unlock()
-		g.sendTo(socket, neighbours, loadReport{Gateway: g.node, Loads: loads})
-		g.sendTo(socket, remotes, loadReport{Gateway: g.node, Zone: g.zone, Loads: g.directory.ZoneLoads(now)})
+		g.sendTo(socket, neighbours, loadReport{Gateway: g.node, Loads: loads, Version: g.nextVersion(), Sections: g.ownSections(now)})
+		g.sendTo(socket, remotes, g.zoneReport(now))
+	}
+}
+
+// zoneReport returns what another zone is told.
+func (g *Gossip) zoneReport(now time.Time) loadReport {
+	return loadReport{
+		Gateway: g.node, Zone: g.zone, Loads: g.directory.ZoneLoads(now), Version: g.nextVersion(), Sections: g.zoneSections(now),
 	}
 }
 
+// nextVersion numbers a report. Only the sending goroutine calls it.
+func (g *Gossip) nextVersion() tally.Version {
+	g.sent++
+	return tally.Version{Started: g.started.UnixNano(), Number: g.sent}
+}
+
 // awaitTurn waits until this gateway's load may have changed: for gossipInterval while requests
 // are in flight, and else until one is placed, but not past gossipRefresh. A gateway of a large
 // fleet has none most of the time, and would wake up twenty times a second for nothing.
@@ -281,6 +302,7 @@
 // themselves.
 func (g *Gossip) take(now time.Time, report loadReport) {
 	g.heardAt.Store(int64(now.Sub(g.started)))
+	g.takeSections(now, report)
 	switch report.Zone {
 	case "":
 		g.directory.RemoteLoads(now, backend.LoadSource{Gateway: report.Gateway}, report.Loads)
--- /dev/null
+++ b/internal/gateway/sections.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/gob"
+	"time"
+
+	"swiftbank.dev/swiftbank/internal/tally"
+)
+
+// reportSection is a part of the load reports that belongs to one feature. Its figures travel
+// with each report, so they must stay few: a gateway sends up to 60 reports a second. Versions
+// that do not know a section pass over it.
+type reportSection interface {
+	// name is its key in the reports.
+	name() string
+	// own returns this gateway's figures, encoded, and zone those of the own zone's gateways
+	// together; nil leaves the section out.
+	own(now time.Time) []byte
+	zone(now time.Time) []byte
+	// take applies what a source reported, unless it is older than what that source said
+	// before.
+	take(now time.Time, source tally.Source, version tally.Version, figures []byte)
+}
+
+// AddSection adds a section to the load reports. It must be called before Run.
+func (g *Gossip) AddSection(section reportSection) {
+	g.sections = append(g.sections, section)
+}
+
+// ownSections and zoneSections return what the sections tell in a report.
+func (g *Gossip) ownSections(now time.Time) map[string][]byte {
+	return g.encodeSections(func(section reportSection) []byte { return section.own(now) })
+}
+
+func (g *Gossip) zoneSections(now time.Time) map[string][]byte {
+	return g.encodeSections(func(section reportSection) []byte { return section.zone(now) })
+}
+
+func (g *Gossip) encodeSections(figures func(reportSection) []byte) map[string][]byte {
+	var encoded map[string][]byte
+	for _, section := range g.sections {
+		told := figures(section)
+		if len(told) == 0 {
+			continue
+		}
+		if encoded == nil {
+			encoded = map[string][]byte{}
+		}
+		encoded[section.name()] = told
+	}
+	return encoded
+}
+
+// takeSections hands the figures of a report to its sections. A report of the own zone by
+// another gateway of it holds what is known here already.
+func (g *Gossip) takeSections(now time.Time, report loadReport) {
+	source := tally.Source{Gateway: report.Gateway}
+	switch report.Zone {
+	case "":
+	case g.zone:
+		return
+	default:
+		source = tally.Source{Zone: report.Zone}
+	}
+	for _, section := range g.sections {
+		if figures := report.Sections[section.name()]; figures != nil {
+			section.take(now, source, report.Version, figures)
+		}
+	}
+}
+
+// encodeFigures returns figures as they travel in a section, nil if there are none.
+func encodeFigures[K comparable](figures map[K]float64) []byte {
+	if len(figures) == 0 {
+		return nil
+	}
+	var message bytes.Buffer
+	if gob.NewEncoder(&message).Encode(figures) != nil {
+		return nil
+	}
+	return message.Bytes()
+}
+
+// decodeFigures reads what encodeFigures wrote; ok is false where that cannot be read.
+func decodeFigures[K comparable](encoded []byte) (figures map[K]float64, ok bool) {
+	err := gob.NewDecoder(bytes.NewReader(encoded)).Decode(&figures)
+	return figures, err == nil
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -54,6 +54,8 @@
 	Evacuations bool
 	// Copies is how many disks must hold a turn before it counts.
 	Copies int
+	// LoadControl says that the operator asks for load control on all services.
+	LoadControl bool
 	// ColdStarts is by how much cold instances may get more than their limit.
 	ColdStarts coldstart.Policy
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -123,12 +123,15 @@
 	byHost map[string][]*Route
 	// mostUrgent is the least priority of the routes to each service.
 	mostUrgent map[string]int
+	// mostAttempts is the largest number of attempts of the streaming routes to each service.
+	mostAttempts map[string]int
 }
 
 // NewTable indexes the routes.
 func NewTable(version uint64, routes []*Route, services []Service, limits Limits) *Table {
 	table := &Table{
 		Version: version, Services: map[string]Service{}, Limits: limits, byHost: map[string][]*Route{}, mostUrgent: map[string]int{},
+		mostAttempts: map[string]int{},
 	}
 	for _, service := range services {
 		table.Services[service.Name] = service
@@ -152,6 +155,9 @@
 		if !known || route.Priority < least {
 			t.mostUrgent[target.Service] = route.Priority
 		}
+		if route.Kind == Streaming {
+			t.mostAttempts[target.Service] = max(t.mostAttempts[target.Service], route.Attempts)
+		}
 	}
 }
 
@@ -161,6 +167,9 @@
 	return max(0, route.Priority-t.mostUrgent[service])
 }
 
+// StreamAttempts returns how many instances may run one streaming request of the service at most.
+func (t *Table) StreamAttempts(service string) int { return t.mostAttempts[service] }
+
 // Match returns the route of a request, or nil when there is none. The port of
 // the host is ignored.
 func (t *Table) Match(host, path string) *Route {
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -69,6 +69,8 @@
 	// instance may get more in a second than its service's limit.
 	ColdOverage float64 `koanf:"coldOverage" validate:"gte=1"`
 	ColdSlack   float64 `koanf:"coldSlack" validate:"gte=0"`
+	// Guarantees names what the operator's agreement with the callers holds.
+	Guarantees []string `koanf:"guarantees"`
 }
 
 // Replica holds the settings of a replica.
--- /dev/null
+++ b/internal/tally/tally_test.go
@@ -0,0 +1,39 @@
+package tally
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestRepeatedAndLostReportsLeaveNoError(t *testing.T) {
+	now := time.Unix(1000, 0)
+	sums := New[string](time.Second)
+	a, zone := Source{Gateway: "a"}, Source{Zone: "z"}
+	sums.Replace(now, a, map[string]float64{"x": 2})
+	sums.Replace(now, a, map[string]float64{"x": 3, "y": 0.1})
+	sums.Replace(now, a, map[string]float64{"x": 3, "y": 0.1})
+	sums.Replace(now, zone, map[string]float64{"x": 4})
+	require.Equal(t, 7.0, sums.Sum(now, "x"))
+	require.Equal(t, map[string]float64{"x": 5, "y": 0.1, "own": 1}, sums.WithZone(now, map[string]float64{"x": 2, "own": 1}),
+		"what other zones have is not passed on as the own zone's")
+	sums.Replace(now, a, map[string]float64{"x": 1})
+	require.Equal(t, map[string]float64{"x": 5}, sums.Sums(now))
+}
+
+func TestASilentSourceStopsCounting(t *testing.T) {
+	now := time.Unix(1000, 0)
+	sums := New[string](time.Second)
+	sums.Replace(now, Source{Gateway: "a"}, map[string]float64{"x": 2})
+	sums.Replace(now.Add(900*time.Millisecond), Source{Gateway: "b"}, map[string]float64{"x": 5})
+	require.Equal(t, 7.0, sums.Sum(now.Add(time.Second), "x"))
+	require.Equal(t, 5.0, sums.Sum(now.Add(1100*time.Millisecond), "x"))
+	require.Zero(t, sums.Sources(now.Add(3*time.Second)))
+}
+
+func TestVersionsOrderTheReportsOfASource(t *testing.T) {
+	require.True(t, Version{Started: 1, Number: 9}.Before(Version{Started: 2, Number: 1}), "a restarted process counts anew")
+	require.True(t, Version{Started: 1, Number: 1}.Before(Version{Started: 1, Number: 2}))
+	require.False(t, Version{Started: 1, Number: 2}.Before(Version{Started: 1, Number: 2}))
+}
