--- /dev/null
+++ b/internal/command/timeline.go
@@ -0,0 +1,70 @@
+package command
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"swiftbank.dev/swiftbank/internal/timeline"
+)
+
+// defaultSpan is the span of time that one row of a timeline covers.
+const defaultSpan = 2 * time.Second
+
+func newTimelineCommand() *cobra.Command {
+	command := &cobra.Command{
+		Use:   "timeline [LOG...]",
+		Short: "Sum up from the logs of gateways who was served, refused and late, and when",
+		Long: "Reads log files of gateways, or standard input, and prints for each span of time what became\n" +
+			"of the requests, by route, zone or tenant: how many were answered, refused and failed, how\n" +
+			"many came for programs that had no time left, and how long answers took.",
+		Example: "  swiftbank timeline --by zone --span 2s gateway-*.log",
+	}
+	output := outputFlag(command)
+	span := command.Flags().Duration("span", defaultSpan, "time that one row covers")
+	by := command.Flags().String("by", string(timeline.ByRoute), "what requests are told apart by: route, zone or tenant")
+	command.RunE = func(command *cobra.Command, files []string) error {
+		if err := checkOutput(*output); err != nil {
+			return err
+		}
+		group := timeline.Group(*by)
+		if !slices.Contains(timeline.Groups(), group) || *span <= 0 {
+			return exitWith(ExitUsage, fmt.Errorf("timeline: --by %s --span %s: write route, zone or tenant and a span above 0", *by, *span))
+		}
+		log, err := readLogs(command.InOrStdin(), files)
+		if err != nil {
+			return exitWith(ExitUsage, err)
+		}
+		rows := timeline.Make(log, *span, group)
+		if *output == "json" {
+			return printJSON(command.OutOrStdout(), rows)
+		}
+		printTimeline(command.OutOrStdout(), rows)
+		return nil
+	}
+	return command
+}
+
+func printTimeline(out io.Writer, rows []timeline.Row) {
+	fmt.Fprintf(out, "%8s  %-24s %8s %8s %8s %8s %15s %15s  %s\n",
+		"from s", "group", "answered", "refused", "failed", "late", "first ms 50/95", "took ms 50/95", "reasons")
+	for _, row := range rows {
+		fmt.Fprintf(out, "%8.1f  %-24s %8d %8d %8d %8d %7.0f/%7.0f %7.0f/%7.0f  %s\n",
+			row.FromS, row.Group, row.Answered, row.Refused, row.Failed, row.LateStarts,
+			row.FirstMS.Median, row.FirstMS.P95, row.TookMS.Median, row.TookMS.P95, reasonList(row.Reasons))
+	}
+}
+
+// reasonList returns the reasons with their counts in the order of their names.
+func reasonList(reasons map[string]int) string {
+	var listed []string
+	for _, name := range slices.Sorted(maps.Keys(reasons)) {
+		listed = append(listed, fmt.Sprintf("%s=%d", name, reasons[name]))
+	}
+	return strings.Join(listed, " ")
+}
--- /dev/null
+++ b/internal/timeline/timeline.go
@@ -0,0 +1,112 @@
+// Package timeline sums up the request lines of gateways' logs by spans of time, and within
+// them by route, zone or tenant: it shows which callers pay for a load, and when. It reads
+// what explain.Log holds and decides nothing.
+package timeline
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"swiftbank.dev/swiftbank/internal/explain"
+)
+
+// Group says by what the requests of a span are told apart.
+type Group string
+
+// The groups.
+const (
+	ByRoute  Group = "route"
+	ByZone   Group = "zone"
+	ByTenant Group = "tenant"
+)
+
+// Groups lists all groups.
+func Groups() []Group { return []Group{ByRoute, ByZone, ByTenant} }
+
+// Row is what became of the requests of one group in one span of time.
+type Row struct {
+	// FromS is the start of the span in seconds after the first request.
+	FromS float64 `json:"from_s"`
+	Group string  `json:"group"`
+	// Answered counts requests with a whole answer, Refused those that have not run, Failed
+	// all others.
+	Answered int `json:"answered"`
+	Refused  int `json:"refused"`
+	Failed   int `json:"failed"`
+	// LateStarts counts the requests whose program had no time left when they came.
+	LateStarts int `json:"late_starts"`
+	// FirstMS and TookMS are the median and the 95th percentile of the time to the first event
+	// and of the whole time of answered requests, in milliseconds.
+	FirstMS Quantiles `json:"first_ms"`
+	TookMS  Quantiles `json:"took_ms"`
+	// Reasons counts the refused and failed requests by result.
+	Reasons map[string]int `json:"reasons,omitempty"`
+}
+
+// Quantiles are two quantiles of a set of values; zero where there are none.
+type Quantiles struct {
+	Median float64 `json:"median"`
+	P95    float64 `json:"p95"`
+}
+
+// requestEvent is the log event of a finished request; startEvent says in which zone a node is.
+const (
+	requestEvent = "request"
+	startEvent   = "start"
+)
+
+// Make returns the rows of a log in the order of time, the groups of a span by name.
+func Make(log *explain.Log, span time.Duration, by Group) []Row {
+	zones := zonesOf(log)
+	cells := map[cellKey]*cell{}
+	var first time.Time
+	for _, line := range log.Lines {
+		if line.Event == requestEvent && (first.IsZero() || line.Time.Before(first)) {
+			first = line.Time
+		}
+	}
+	for _, line := range log.Lines {
+		request := entry(line)
+		if line.Event != requestEvent || request.text("route") == "" {
+			continue
+		}
+		key := cellKey{span: int64(line.Time.Sub(first) / span), group: request.group(by, zones)}
+		if cells[key] == nil {
+			cells[key] = newCell()
+		}
+		cells[key].add(request)
+	}
+	return rows(cells, span)
+}
+
+type cellKey struct {
+	span  int64
+	group string
+}
+
+func rows(cells map[cellKey]*cell, span time.Duration) []Row {
+	keys := slices.SortedFunc(maps.Keys(cells), func(a, b cellKey) int {
+		return cmp.Or(cmp.Compare(a.span, b.span), cmp.Compare(a.group, b.group))
+	})
+	all := make([]Row, 0, len(keys))
+	for _, key := range keys {
+		row := cells[key].row()
+		row.FromS = (time.Duration(key.span) * span).Seconds()
+		row.Group = key.group
+		all = append(all, row)
+	}
+	return all
+}
+
+// zonesOf returns the zone of each node by its start line.
+func zonesOf(log *explain.Log) map[string]string {
+	zones := map[string]string{}
+	for _, line := range log.Lines {
+		if line.Event == startEvent {
+			zones[line.Node] = entry(line).text("zone")
+		}
+	}
+	return zones
+}
