New programs begin by what the programs under way will need

Change: internal/admission learns per route what programs ask for and how turns slow each other down, sums what gateways report, and admits the part of the new programs that fits in the forecast. It acts where load control decides; the setting programAdmission turns it off. The replay of recorded loads learns programs that unfold, and reports that are late, lost or doubled.

Ruled out by the replay (internal/overload, programs-that-unfold): admitting what fills the free room within a report's age, which settles well below the room; learning at any load how much longer a program may take, which shrinks the room to its floor once refused callers come back.

In the first seconds of the first burst too much is admitted still.

--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,176 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"swiftbank.dev/swiftbank/internal/admission"
+	"swiftbank.dev/swiftbank/internal/tally"
+)
+
+var (
+	start  = time.Unix(1000, 0)
+	urgent = admission.Kind{Service: "s", Route: "urgent"}
+	usual  = admission.Kind{Service: "s", Route: "usual", Rank: 1}
+)
+
+const (
+	turnTook = 100 * time.Millisecond
+	turnGap  = 150 * time.Millisecond
+	// many slots hide how many are in use: then the forecast alone counts.
+	many = 100000
+)
+
+// play has programs of a kind begin at a rate a second, each with some later turns one after
+// another, and returns when it ended. All gateways see turns of each program by turns, and tell
+// each other; programs begin at the first one.
+func play(kind admission.Kind, from time.Time, perS, turns int, span time.Duration, gateways ...*admission.Controller) time.Time {
+	type due struct {
+		at      time.Time
+		program string
+		number  int
+	}
+	const step = 10 * time.Millisecond
+	var next []due
+	every := time.Second / time.Duration(perS)
+	for now := from; now.Before(from.Add(span)); now = now.Add(step) {
+		if now.Sub(from)%every < step {
+			id := fmt.Sprint(kind.Route, now.UnixNano())
+			gateways[0].Decide(now, admission.Request{ID: id, Kind: kind}, admission.Load{Slots: many})
+			gateways[0].Began(now, admission.Beginning{Kind: kind, Program: id, Left: 2 * time.Second})
+			for turn := range turns + 1 {
+				next = append(next, due{at: now.Add(turnTook + time.Duration(turn)*turnGap), program: id, number: turn})
+			}
+		}
+		var left []due
+		for _, each := range next {
+			if each.at.After(now) {
+				left = append(left, each)
+				continue
+			}
+			gateway := gateways[each.number%len(gateways)]
+			gateway.TurnEnded(now, admission.Turn{Kind: kind, Program: each.program, First: each.number == 0, Took: turnTook, Share: 0.1})
+		}
+		next = left
+		for i, said := range gateways {
+			for j, heard := range gateways {
+				if i != j {
+					heard.Take(now, tally.Source{Gateway: fmt.Sprint(i)}, said.Figures(now))
+				}
+			}
+		}
+	}
+	return from.Add(span)
+}
+
+// decide asks about one program.
+func decide(c *admission.Controller, now time.Time, kind admission.Kind, load admission.Load) admission.Decision {
+	return c.Decide(now, admission.Request{ID: "r", Kind: kind, Objective: now.Add(20 * time.Millisecond), Deadline: now.Add(3 * time.Second)}, load)
+}
+
+func TestAllProgramsBeginBeforeTheirKindIsKnown(t *testing.T) {
+	decision := decide(admission.NewController(), start, usual, admission.Load{Slots: 10, Busy: 10})
+	require.Equal(t, admission.Admit, decision.Verdict)
+	require.False(t, decision.Known)
+}
+
+// At a steady rate, as many slots are in use as programs begin in the slot time of one.
+func TestForecastIsTheSlotTimeOfProgramsUnderWay(t *testing.T) {
+	for _, turns := range []int{8, 16} {
+		const perS = 20
+		c := admission.NewController()
+		end := play(urgent, start, perS, turns, 10*time.Second, c)
+		decision := decide(c, end, urgent, admission.Load{Slots: many})
+		slots := perS * float64(turns+1) * turnTook.Seconds()
+		// It looks a tenth of a second ahead, in which some programs end.
+		require.InEpsilon(t, slots, decision.Committed, 0.25)
+		require.LessOrEqual(t, decision.Committed, slots)
+	}
+}
+
+func TestProgramIsRefusedOnlyWhileRoomIsShort(t *testing.T) {
+	c := admission.NewController()
+	end := play(urgent, start, 20, 4, 6*time.Second, c)
+	require.Equal(t, admission.Admit, decide(c, end, urgent, admission.Load{Slots: 100, Busy: 10}).Verdict)
+	full := decide(c, end, urgent, admission.Load{Slots: 5, Busy: 5000})
+	require.Equal(t, admission.Refuse, full.Verdict)
+	require.Positive(t, full.Wait)
+	require.LessOrEqual(t, full.Wait, 1500*time.Millisecond, "a new attempt needs time")
+}
+
+func TestLessUrgentProgramsLeaveWhatUrgentOnesWillAsk(t *testing.T) {
+	c := admission.NewController()
+	end := play(usual, start, 10, 4, 4*time.Second, c)
+	end = play(urgent, end, 20, 4, 4*time.Second, c)
+	load := admission.Load{Slots: 12, Busy: 10}
+	before, after := decide(c, end, urgent, load), decide(c, end, usual, load)
+	require.Zero(t, before.Reserved)
+	require.Positive(t, after.Reserved)
+	require.Less(t, after.Chance, before.Chance)
+}
+
+// A gateway sees only part of each program. Whatever part it is, the sums over all gateways say
+// what one gateway would say that saw everything.
+func TestPartsOfProgramsTellTheWhole(t *testing.T) {
+	whole, first, second := admission.NewController(), admission.NewController(), admission.NewController()
+	end := play(urgent, start, 20, 4, 6*time.Second, whole)
+	play(urgent, start, 20, 4, 6*time.Second, first, second)
+	load := admission.Load{Slots: many}
+	require.InEpsilon(t, decide(whole, end, urgent, load).Committed, decide(first, end, urgent, load).Committed, 0.15)
+}
+
+func TestLostTurnsDoNotTeachShortPrograms(t *testing.T) {
+	all, cut := admission.NewController(), admission.NewController()
+	end := play(urgent, start, 20, 4, 6*time.Second, all)
+	play(urgent, start, 20, 4, 6*time.Second, cut)
+	for range 20 {
+		cut.TurnLost(end, urgent)
+	}
+	load := admission.Load{Slots: many}
+	require.Greater(t, decide(cut, end, urgent, load).Committed, decide(all, end, urgent, load).Committed)
+}
+
+func TestSilentGatewayStopsCounting(t *testing.T) {
+	busy, other := admission.NewController(), admission.NewController()
+	end := play(urgent, start, 20, 4, 6*time.Second, busy)
+	for range 2 {
+		other.Take(end, tally.Source{Gateway: "busy"}, busy.Figures(end)) // twice is once
+	}
+	heard := decide(other, end, urgent, admission.Load{Slots: many})
+	require.InEpsilon(t, decide(busy, end, urgent, admission.Load{Slots: many}).Committed, heard.Committed, 0.05)
+	require.Zero(t, decide(other, end.Add(time.Minute), urgent, admission.Load{Slots: many}).Sources)
+}
+
+func TestReportsAreSmall(t *testing.T) {
+	c := admission.NewController()
+	end := play(urgent, start, 20, 4, 3*time.Second, c)
+	play(usual, end, 20, 8, 3*time.Second, c)
+	for share := range 8 {
+		c.TurnEnded(end, admission.Turn{Kind: usual, First: true, Took: turnTook, Share: float64(share) / 8})
+	}
+	encoded, err := admission.Encode(c.Figures(end))
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(encoded), 300)
+}
+
+// More slots in use never make it likelier that a program begins.
+func TestChanceFallsAsSlotsFill(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		perS, turns := rapid.SampledFrom([]int{10, 20, 50}).Draw(t, "rate"), rapid.IntRange(0, 10).Draw(t, "turns")
+		slots := rapid.IntRange(1, 50).Draw(t, "slots")
+		less, more := rapid.IntRange(0, 50).Draw(t, "less"), rapid.IntRange(0, 50).Draw(t, "more")
+		chance := func(busy int) float64 {
+			c := admission.NewController()
+			end := play(urgent, start, perS, turns, 4*time.Second, c)
+			decide(c, end, urgent, admission.Load{Slots: slots, Busy: slots})
+			return decide(c, end, urgent, admission.Load{Slots: slots, Busy: min(slots, busy)}).Chance
+		}
+		if chance(max(less, more)) > chance(min(less, more)) {
+			t.Fatal("a fuller service admits more")
+		}
+	})
+}
--- /dev/null
+++ b/internal/admission/decision.go
@@ -0,0 +1,158 @@
+package admission
+
+import (
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Request is the first request of a program that asks to begin.
+type Request struct {
+	ID   string
+	Kind Kind
+	// Objective is until when it may be held, Deadline when its caller leaves.
+	Objective, Deadline time.Time
+	// Left is the time that its program has; 0 if it names none.
+	Left time.Duration
+}
+
+// Load is what is believed of a service's instances.
+type Load struct {
+	// Slots is how many requests they run at once, Busy how many of these are in use.
+	Slots, Busy int
+}
+
+// Verdict is what a program's first request is told.
+type Verdict uint8
+
+const (
+	// Admit means that the program begins.
+	Admit Verdict = iota + 1
+	// Hold means to decide again after the pause.
+	Hold
+	// Refuse means to refuse now.
+	Refuse
+)
+
+// String returns the name used in logs.
+func (v Verdict) String() string {
+	switch v {
+	case Admit:
+		return "admit"
+	case Hold:
+		return "hold"
+	default:
+		return "refuse"
+	}
+}
+
+// Decision is what becomes of a program's first request, with what it rests on.
+type Decision struct {
+	Verdict Verdict
+	// Known is false while too little was learned to decide: then all programs begin.
+	Known bool
+	// Wait is when to decide again, or when a refused caller should come back.
+	Wait time.Duration
+	// Room is how many slots may be in use. Committed is what programs under way are expected
+	// to use at the moment that leaves the least room, Reserved what more urgent programs are
+	// expected to ask by then.
+	Room, Committed, Reserved float64
+	// Asked is how many programs as urgent as this one ask to begin a second, over all
+	// gateways, Chance the part of them that may begin.
+	Asked, Chance float64
+	// Sources is how many other gateways and zones the figures include.
+	Sources int
+}
+
+const (
+	// reportTime is how old the figures of a gateway's neighbour are for each of its sources: it
+	// hears two of them each 50 ms. leastReportTime holds for few gateways, mostReportTime
+	// bounds by how much a large fleet may slow the beginning of programs.
+	reportTime      = 25 * time.Millisecond
+	leastReportTime = 100 * time.Millisecond
+	mostReportTime  = time.Second
+	// leastPause is the least time until a held request is decided about again.
+	leastPause = 25 * time.Millisecond
+	// longestWait is the longest time that a forecast reaches.
+	longestWait = 8 * time.Second
+	// waitShare is the part of the caller's time left after which it must come back: later, a
+	// new attempt has less time than this one had.
+	waitShare = 0.5
+	// waitSpread is the part of a wait by which callers are spread to either side.
+	waitSpread = 0.5
+)
+
+// Decide decides whether a program may begin now.
+//
+// Gateways decide on figures that are some reports old. If each admitted programs for as long
+// as the figures show room, all would fill the same room until they hear of each other, then
+// all refuse until it is free, in waves. So they admit a part of those that ask: the part that
+// could begin from now on without exceeding the room at any moment of the forecast.
+func (c *Controller) Decide(now time.Time, request Request, load Load) Decision {
+	name := groupOf(request.Kind)
+	own := c.kind(now, name)
+	service := c.service(now, name.service())
+	own.sums[asked]++
+	view := c.view(now, name.service(), service)
+	decision := Decision{Verdict: Admit, Sources: c.others.Sources(now)}
+	program := view.of(name).estimate
+	if !program.known || load.Slots == 0 {
+		return decision
+	}
+	decision.Known = true
+	service.calibrate(now, view.expected(0), load)
+	forecast := forecast{view: view, factor: service.factor, busy: float64(load.Busy), rank: name.rank()}
+	decision.Room = float64(load.Slots) * view.bearable(name.rank())
+	decision.Asked = view.asked(name.rank())
+	reports := min(mostReportTime, max(leastReportTime, reportTime*time.Duration(decision.Sources)))
+	tightest := forecast.tightest(decision.Room, reports.Seconds())
+	decision.Committed, decision.Reserved, decision.Chance = tightest.committed, tightest.reserved, tightest.chance
+	if uniform(request.ID, now) < decision.Chance {
+		return decision
+	}
+	expected := forecast.until(decision.Room, program)
+	if decision.Chance > 0 {
+		expected = min(longestWait, time.Duration(float64(reports)/decision.Chance))
+	}
+	decision.refuse(now, request, min(expected, program.slack(request.Left)))
+	return decision
+}
+
+// refuse holds the request if it may be admitted before its objective is over, and else says
+// when to come back.
+func (d *Decision) refuse(now time.Time, request Request, expected time.Duration) {
+	spread := 1 + waitSpread*(2*uniform(request.ID+"/wait", now)-1)
+	d.Wait = max(leastPause, time.Duration(spread*float64(expected)))
+	if now.Add(d.Wait).Before(request.Objective) {
+		d.Verdict = Hold
+		return
+	}
+	d.Verdict = Refuse
+	longest := time.Duration(waitShare * float64(request.Deadline.Sub(now)))
+	centre := min(expected, time.Duration(float64(longest)/(1+waitSpread)))
+	d.Wait = max(leastPause, time.Duration(spread*float64(centre)))
+}
+
+// uniform maps an id at a moment to a number from 0 to 1.
+func uniform(id string, now time.Time) float64 {
+	const bits = 53
+	return float64(xxhash.Sum64String(id+strconv.FormatInt(now.UnixNano(), 36))>>(64-bits)) / (1 << bits)
+}
+
+// calibrate moves the factor between the slots in use and those expected.
+func (s *serviceState) calibrate(now time.Time, expected float64, load Load) {
+	after := now.Sub(s.calibratedAt)
+	s.calibratedAt = now
+	const leastShare = 0.05
+	if after <= 0 || expected < leastShare*float64(load.Slots) {
+		return
+	}
+	seen := min(calibrationMost, max(1.0/calibrationMost, float64(load.Busy)/expected))
+	s.factor += (1 - fading(after.Seconds(), calibrationTime.Seconds())) * (seen - s.factor)
+}
+
+func remembered(after time.Duration) float64 {
+	return math.Exp2(-after.Seconds() / learningHalfLife.Seconds())
+}
--- /dev/null
+++ b/internal/admission/forecast.go
@@ -0,0 +1,178 @@
+package admission
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// viewed is a kind as all gateways know it.
+type viewed struct {
+	group    group
+	sums     *sums
+	estimate estimate
+}
+
+// view is a service as all gateways know it.
+type view struct {
+	// kinds are sorted by group.
+	kinds    []viewed
+	slowdown []point
+}
+
+// view adds up what is known of a service and keeps the estimates.
+func (c *Controller) view(now time.Time, name group, service *serviceState) view {
+	total := c.fleetOf(now, name)
+	service.points = total.slowdown.points()
+	seen := view{slowdown: service.points}
+	for each, known := range total.kinds {
+		estimate := known.estimated()
+		if own := c.kinds[each]; own != nil {
+			own.estimate = estimate
+		}
+		seen.kinds = append(seen.kinds, viewed{group: each, sums: known, estimate: estimate})
+	}
+	slices.SortFunc(seen.kinds, func(a, b viewed) int { return cmp.Compare(a.group, b.group) })
+	return seen
+}
+
+// of returns a kind of the service.
+func (v view) of(name group) viewed {
+	for _, kind := range v.kinds {
+		if kind.group == name {
+			return kind
+		}
+	}
+	return viewed{group: name, sums: &sums{}}
+}
+
+// expected returns the slots that programs under way will use after a time in seconds.
+func (v view) expected(after float64) float64 {
+	total := 0.0
+	for _, kind := range v.kinds {
+		total += kind.estimate.expected(kind.sums, after)
+	}
+	return total
+}
+
+// reserved returns the slots that programs more urgent than a rank will ask for until after a
+// time in seconds, with one standard deviation of it: arrivals are independent.
+func (v view) reserved(rank int, after float64) float64 {
+	total, variance := 0.0, 0.0
+	for _, kind := range v.kinds {
+		if kind.group.rank() >= rank {
+			continue
+		}
+		coming := kind.estimate.coming(kind.sums[asked], after)
+		total += coming
+		variance += coming * kind.estimate.most()
+	}
+	return total + math.Sqrt(variance)
+}
+
+// asking returns the slots that programs of a rank will ask for until after a time in seconds.
+func (v view) asking(rank int, after float64) float64 {
+	total := 0.0
+	for _, kind := range v.kinds {
+		if kind.group.rank() == rank {
+			total += kind.estimate.coming(kind.sums[asked], after)
+		}
+	}
+	return total
+}
+
+// asked returns how many programs of a rank ask to begin a second.
+func (v view) asked(rank int) float64 {
+	total := 0.0
+	for _, kind := range v.kinds {
+		if kind.group.rank() == rank {
+			total += kind.sums[asked]
+		}
+	}
+	return total
+}
+
+// bearable returns the share of the slots in use that programs of a rank and more urgent ones
+// bear.
+func (v view) bearable(rank int) float64 {
+	least := 1.0
+	for _, kind := range v.kinds {
+		if kind.group.rank() <= rank && kind.estimate.stretch > 0 {
+			least = min(least, bearable(v.slowdown, kind.estimate.stretch))
+		}
+	}
+	return least
+}
+
+// forecast is the use of a service's slots in the next seconds as it concerns one rank.
+type forecast struct {
+	view view
+	// factor is the slots in use for each one that is expected, busy those in use now.
+	factor, busy float64
+	rank         int
+}
+
+// committed returns the slots that what is under way will use after a time in seconds. What is
+// in use without an expectation, such as that of programs whose gateway is gone, is taken to
+// end as other programs do.
+func (f forecast) committed(after float64) float64 {
+	unexplained := max(0, f.busy-f.factor*f.view.expected(0))
+	longest := 0.0
+	for _, kind := range f.view.kinds {
+		longest = max(longest, kind.estimate.stage)
+	}
+	return f.factor*f.view.expected(after) + unexplained*fading(after, longest)
+}
+
+// forecastStep is the distance of the moments that a forecast looks at, in seconds.
+const forecastStep = 0.25
+
+// moment is a moment of the forecast.
+type moment struct {
+	committed, reserved float64
+	// chance is the part of the programs that ask which leaves the room unexceeded.
+	chance float64
+}
+
+// at returns what the forecast says of the moment after a time in seconds.
+func (f forecast) at(room, after float64) moment {
+	seen := moment{committed: f.committed(after), reserved: f.view.reserved(f.rank, after), chance: 1}
+	free := room - seen.committed - seen.reserved
+	asking := f.view.asking(f.rank, after)
+	switch {
+	case free <= 0:
+		seen.chance = 0
+	case asking > free:
+		seen.chance = free / asking
+	}
+	return seen
+}
+
+// tightest returns the moment at which the least part of the programs that ask finds room, from
+// the time on at which a decision is known to other gateways, and while programs that begin now
+// are under way.
+func (f forecast) tightest(room, from float64) moment {
+	const stages = 3
+	until := from
+	for _, kind := range f.view.kinds {
+		until = max(until, stages*kind.estimate.stage)
+	}
+	least := f.at(room, from)
+	for after := from + forecastStep; after <= min(longestWait.Seconds(), until); after += forecastStep {
+		if next := f.at(room, after); next.chance < least.chance {
+			least = next
+		}
+	}
+	return least
+}
+
+// until returns when there is room for one more program.
+func (f forecast) until(room float64, program estimate) time.Duration {
+	for after := forecastStep; after < longestWait.Seconds(); after += forecastStep {
+		if f.committed(after)+f.view.reserved(f.rank, after)+program.most() <= room {
+			return time.Duration(after * float64(time.Second))
+		}
+	}
+	return longestWait
+}
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -68,11 +68,13 @@
 	server := gateway.New(gateway.Options{
 		Node: config.Node, Zone: config.Zone, Dialect: platform.Dialect(), Directory: directory, Replicas: replicas,
 		Log: process.log, Metrics: metrics, Copies: config.TolerateMachines + 1,
-		Evacuations: config.EvacuationLimit > 0,
-		LoadControl: platform.AsksForLoadControl(config.Guarantees),
-		ColdStarts:  coldstart.Policy{Overage: config.ColdOverage, Slack: config.ColdSlack},
+		Evacuations:      config.EvacuationLimit > 0,
+		LoadControl:      platform.AsksForLoadControl(config.Guarantees),
+		ProgramAdmission: config.ProgramAdmission,
+		ColdStarts:       coldstart.Policy{Overage: config.ColdOverage, Slack: config.ColdSlack},
 	})
 	gossip := gateway.NewGossip(config.Node, config.Zone, config.Places(), directory, sent)
+	gossip.AddSection(server.ProgramSection())
 	store := platform.NewStore(config.StoreAddress, metrics.StoreCall, process.storeCallFailed)
 	knowledge := feed.NewNode(feed.Options{
 		Node: config.Node, Zone: config.Zone, Places: config.Places(), Role: replicaset.RoleGateway, Seeds: config.Seeds, FirstStart: config.FirstStart, Store: store,
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -258,6 +258,9 @@
 			value("load"), orNone(value("reason")))
 	case "send_failed":
 		return fmt.Sprintf("send to %s failed after %s ms, verdict %s: %s", value("instance"), value("since_ms"), value("verdict"), value("reason"))
+	case "program_admission":
+		return fmt.Sprintf("new program, verdict %s: room for %s of %s slots, %s committed, %s reserved for more urgent ones, %s of rank %s ask a second of which a part of %s may begin; wait %s ms",
+			value("verdict"), value("room"), value("slots"), value("committed"), value("reserved"), value("asked_per_s"), value("rank"), value("chance"), value("wait"))
 	case "limit_reached":
 		return fmt.Sprintf("tenant %s is beyond its limit of %s a second and a burst of %s under configuration %s: %s, asked last, has an allowance in %s ms",
 			value("tenant"), value("limit_per_s"), value("limit_burst"), value("config"), value("lender"), value("wait"))
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -58,6 +58,9 @@
 // waitForSlot pauses before instances are asked again. It reports false when the request
 // is refused, or its caller is gone.
 func (s *Server) waitForSlot(ctx context.Context, r *request) bool {
+	if r.isHeld() {
+		return s.holdProgram(ctx, r)
+	}
 	now := time.Now()
 	capacity := s.capacity(now, r)
 	decision := s.overload.refused(now, r.service.Name, s.overloadRequest(r), capacity)
@@ -72,7 +75,7 @@
 
 // admits reports whether the request may ask instances now.
 func (s *Server) admits(r *request) bool {
-	return !r.first || s.overload.admits(r.service.Name, s.overloadRequest(r), s.capacity(time.Now(), r))
+	return !r.first || s.overload.admits(r.service.Name, s.overloadRequest(r), s.capacity(time.Now(), r)) && s.mayBegin(r)
 }
 
 // capacity returns what is believed of the request's service.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"swiftbank.dev/swiftbank/internal/admission"
 	"swiftbank.dev/swiftbank/internal/backend"
 	"swiftbank.dev/swiftbank/internal/route"
 	"swiftbank.dev/swiftbank/internal/tenant"
@@ -36,6 +37,8 @@
 	first bool
 	// polls counts the polls that found no slot.
 	polls int
+	// admission is what was last decided about the beginning of its program, for first requests.
+	admission admission.Decision
 	// retryAfter is when its caller may come back once it is refused for lack of room.
 	retryAfter time.Duration
 	// outcome is filled in for the log line at the end.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -67,7 +67,7 @@
 				return nil, failure
 			}
 			if !s.waitForSlot(ctx, r) {
-				return nil, last
+				return nil, r.failureOf(last)
 			}
 			refused = 0
 			demand.Exclude = demand.Exclude[:excluded]
@@ -76,6 +76,7 @@
 		sent, failure := s.send(ctx, r, choice)
 		if failure == nil {
 			s.overload.taken(r)
+			s.programBegan(r)
 			return sent, nil
 		}
 		if failure.Verdict != verdict.NotRun || ctx.Err() != nil {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -56,6 +56,9 @@
 	Copies int
 	// LoadControl says that the operator asks for load control on all services.
 	LoadControl bool
+	// ProgramAdmission says that new programs are admitted by what programs under way will
+	// need, where load control decides.
+	ProgramAdmission bool
 	// ColdStarts is by how much cold instances may get more than their limit.
 	ColdStarts coldstart.Policy
 }
@@ -98,6 +101,8 @@
 	allowances *allowances
 	// overload holds the requests that wait for a slot at an instance.
 	overload *queues
+	// programs are those under way.
+	programs *programs
 
 	// members reads the product's own objects; changes of them are handed over one by one.
 	members *replicaset.Reader
@@ -112,7 +117,7 @@
 	s := &Server{
 		options: options, dialect: options.Dialect, log: options.Log, directory: options.Directory,
 		replicas: options.Replicas, metrics: options.Metrics, splitter: route.NewSplitter(options.Node), started: time.Now(),
-		allowances: newAllowances(), overload: newQueues(), members: replicaset.NewReader(),
+		allowances: newAllowances(), overload: newQueues(), programs: newPrograms(options.Log, options.Metrics), members: replicaset.NewReader(),
 	}
 	s.pool = backend.NewPool(s.metrics.connections.Inc)
 	s.pool.UseFar(s.directory.OtherRegion)
@@ -232,6 +237,7 @@
 		name, version = r.route.Name, r.table.Version
 	}
 	s.metrics.request(o, took)
+	s.noteLostTurn(r)
 	s.log.Info().Str("event", "request").Str("id", r.id).Str("program", r.header.Get(s.dialect.Program)).
 		Str("tenant", r.tenantName()).Str("key_fingerprint", r.keyFingerprint).Str("route", name).Uint64("config", version).Str("service", r.service.Name).
 		Int("status", o.status).Str("result", o.result).Str("reason", o.reason).
--- a/internal/overload/policies_test.go
+++ b/internal/overload/policies_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"swiftbank.dev/swiftbank/internal/admission"
 	"swiftbank.dev/swiftbank/internal/overload"
 )
 
@@ -11,10 +12,15 @@
 	queue *overload.Queue
 	// equal gives all requests one rank.
 	equal bool
+	// programs admits new programs by what those under way will need; nil to leave that out.
+	programs *admission.Controller
 }
 
 func newDecided() waitPolicy { return &decided{queue: overload.NewQueue()} }
-func newEqual() waitPolicy   { return &decided{queue: overload.NewQueue(), equal: true} }
+func newAdmitting() waitPolicy {
+	return &decided{queue: overload.NewQueue(), programs: admission.NewController()}
+}
+func newEqual() waitPolicy { return &decided{queue: overload.NewQueue(), equal: true} }
 
 func (p *decided) refused(now, _ time.Time, request overload.Request, capacity overload.Capacity) (pause, retryAfter time.Duration) {
 	if p.equal {
--- /dev/null
+++ b/internal/overload/programs_test.go
@@ -0,0 +1,273 @@
+package overload_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"swiftbank.dev/swiftbank/internal/admission"
+	"swiftbank.dev/swiftbank/internal/backend"
+	"swiftbank.dev/swiftbank/internal/overload"
+	"swiftbank.dev/swiftbank/internal/tally"
+)
+
+// reportTrouble is what goes wrong with the reports on programs.
+type reportTrouble struct {
+	// MostLateMS bounds by how much a report is late, evenly; Lost and Doubled are the shares of
+	// reports that never come, or come twice.
+	MostLateMS, Lost, Doubled float64
+	// The first gateway reports nothing from SilentAtMS on, or starts again at RestartAtMS,
+	// where these are set.
+	SilentAtMS, RestartAtMS float64
+}
+
+// reportsAtOnce is how many others a gateway reports to each time.
+const reportsAtOnce = 2
+
+// width returns how many requests a turn makes at once.
+func (k kind) width(turn int) int {
+	if turn < len(k.Widths) {
+		return k.Widths[turn]
+	}
+	return 1
+}
+
+// playPrograms has the gateways report on programs.
+func (r *replayed) playPrograms(newPolicy func() waitPolicy) {
+	if r.load.Watch != nil {
+		r.load.Watch(r)
+	}
+	if policy, decides := newPolicy().(*decided); !decides || policy.programs == nil {
+		return
+	}
+	r.after(reportEvery, func() { r.reportPrograms(1) })
+	if at := r.load.Reports.RestartAtMS; at > 0 {
+		r.after(milliseconds(at), func() { r.gateways[0].policy = newPolicy() })
+	}
+}
+
+func (r *replayed) reportPrograms(number int) {
+	trouble := r.load.Reports
+	for i, gateway := range r.gateways {
+		if i == 0 && trouble.SilentAtMS > 0 && r.now.After(r.began.Add(milliseconds(trouble.SilentAtMS))) {
+			continue
+		}
+		figures := gateway.policy.(*decided).programs.Figures(r.now)
+		encoded, err := admission.Encode(figures)
+		for told := range reportsAtOnce {
+			other := r.gateways[(i+1+(number*reportsAtOnce+told)%(len(r.gateways)-1))%len(r.gateways)]
+			copies := 1
+			switch chance := r.random.Float64(); {
+			case chance < trouble.Lost || err != nil:
+				copies = 0
+			case chance < trouble.Lost+trouble.Doubled:
+				copies = 2
+			}
+			for range copies {
+				r.after(milliseconds(trouble.MostLateMS*r.random.Float64()), func() {
+					if said, err := admission.Decode(encoded); err == nil {
+						other.policy.(*decided).programs.Take(r.now, tally.Source{Gateway: fmt.Sprint(i)}, said)
+					}
+				})
+			}
+		}
+	}
+	r.after(reportEvery, func() { r.reportPrograms(number + 1) })
+}
+
+func (c *call) programKind() admission.Kind {
+	return admission.Kind{Service: "s", Route: c.kind, Rank: c.spec.Rank}
+}
+
+// mayBegin reports whether the program of a first request may begin.
+func (r *replayed) mayBegin(c *call, policy *decided, id string, capacity overload.Capacity) bool {
+	if policy.programs == nil || !c.first || c.admission.Verdict == admission.Admit {
+		return true
+	}
+	c.admission = policy.programs.Decide(r.now, admission.Request{
+		ID: id, Kind: c.programKind(), Objective: c.began.Add(milliseconds(2.5 * c.spec.WorkMS)), Deadline: c.deadline,
+		Left: c.began.Add(milliseconds(c.spec.ObjectiveMS)).Sub(r.now),
+	}, admission.Load{Slots: capacity.Slots, Busy: capacity.Busy})
+	if c.admission.Verdict != admission.Admit {
+		return false
+	}
+	policy.programs.Began(r.now, admission.Beginning{
+		Kind: c.programKind(), Program: c.program, Share: float64(capacity.Busy) / float64(max(1, capacity.Slots)),
+		Left: c.began.Add(milliseconds(c.spec.ObjectiveMS)).Sub(r.now),
+	})
+	return true
+}
+
+// held returns what the admission of programs says of a request that may not begin.
+func (c *call) held() (pause, retryAfter time.Duration, held bool) {
+	switch decision := c.admission; decision.Verdict {
+	case admission.Hold:
+		return decision.Wait, 0, true
+	case admission.Refuse:
+		c.admission = admission.Decision{}
+		return 0, decision.Wait, true
+	default:
+		return 0, 0, false
+	}
+}
+
+func (g *gatewayModel) turnEnded(now time.Time, c *call, choice backend.Choice) {
+	policy, decides := g.policy.(*decided)
+	if !decides || policy.programs == nil || c.spec.Turns == 0 {
+		return
+	}
+	capacity := g.directory.Capacity(now, "s")
+	policy.programs.TurnEnded(now, admission.Turn{
+		Kind: c.programKind(), Program: c.program, First: c.first, Took: now.Sub(choice.PickedAt),
+		Share: float64(capacity.Busy) / float64(max(1, capacity.Slots)),
+	})
+}
+
+// The loads on programs that unfold hold a burst from burstFrom to burstTo, in which programs
+// ask at burstFactor times the rate that fits.
+const (
+	burstFrom = 12 * time.Second
+	burstTo   = 24 * time.Second
+)
+
+// unfolding returns the load on programs that unfold with so many times its rates in the burst.
+func unfolding(t *testing.T, factor float64) load {
+	played := readLoad(t, "programs-that-unfold")
+	for place, wave := range played.Arrivals {
+		if milliseconds(wave.FromMS) == burstFrom {
+			played.Arrivals[place].PerS *= factor
+		}
+	}
+	return played
+}
+
+// replayAll plays a load with several seeds and adds up what became of the callers.
+func replayAll(played load, way func() waitPolicy) map[string]*outcome {
+	const seeds = 2
+	total := map[string]*outcome{}
+	for seed := range uint64(seeds) {
+		for kind, seen := range replay(played, seed+1, way) {
+			if total[kind] == nil {
+				total[kind] = &outcome{}
+			}
+			total[kind].InTime += seen.InTime
+			total[kind].Late += seen.Late
+			total[kind].RefusedAgain += seen.RefusedFirst + seen.RefusedAgain
+			total[kind].TimesInTime = append(total[kind].TimesInTime, seen.TimesInTime...)
+		}
+	}
+	return total
+}
+
+// inTime returns the part of a kind's callers that were served in time.
+func inTime(seen *outcome) float64 {
+	return float64(seen.InTime) / float64(seen.InTime+seen.Late+seen.RefusedAgain+seen.Failed)
+}
+
+// between counts the programs that ended in time in a span of the load.
+func between(outcomes map[string]*outcome, from, to time.Duration) int {
+	count := 0
+	for _, seen := range outcomes {
+		for _, at := range seen.TimesInTime {
+			if at >= from && at < to {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+const (
+	// settleTime is how long after the begin or the end of a burst programs that were admitted
+	// before are under way: as long as the longest one may take.
+	settleTime = 2400 * time.Millisecond
+	// leastGoodput is the part of the goodput without a burst that is left in any burst.
+	leastGoodput = 0.9
+)
+
+// goodput returns how many programs ended in time while the burst lasted.
+func goodput(outcomes map[string]*outcome) int {
+	return between(outcomes, burstFrom+settleTime, burstTo)
+}
+
+var playedWithoutBurst map[string]*outcome
+
+// withoutBurst returns what becomes of the callers while as many ask as fit.
+func withoutBurst(t *testing.T) map[string]*outcome {
+	if playedWithoutBurst == nil {
+		playedWithoutBurst = replayAll(unfolding(t, 1), newAdmitting)
+	}
+	return playedWithoutBurst
+}
+
+func TestGoodputStaysWhileTooManyProgramsAsk(t *testing.T) {
+	usual := goodput(withoutBurst(t))
+	for _, factor := range []float64{1.5, 2, 3} {
+		t.Run(fmt.Sprint(factor, " times"), func(t *testing.T) {
+			played := unfolding(t, factor)
+			kept := replayAll(played, newAdmitting)
+			require.GreaterOrEqual(t, float64(goodput(kept)), leastGoodput*float64(usual))
+			require.GreaterOrEqual(t, inTime(kept["urgent"]), inTime(kept["usual"]))
+		})
+	}
+}
+
+// Admission by the slots that are free now was weighed: it serves fewer in time.
+func TestFreeSlotsAloneAdmitTooManyPrograms(t *testing.T) {
+	played := unfolding(t, 2)
+	require.Greater(t, goodput(replayAll(played, newAdmitting)), goodput(replayAll(played, newDecided)))
+}
+
+func TestGoodputIsBackOnceABurstIsOver(t *testing.T) {
+	from, to := burstTo+settleTime, burstTo+settleTime+8*time.Second
+	usual := between(withoutBurst(t), from, to)
+	after := between(replayAll(unfolding(t, 3), newAdmitting), from, to)
+	require.GreaterOrEqual(t, float64(after), leastGoodput*float64(usual))
+}
+
+func TestGoodputStaysWhileReportsFail(t *testing.T) {
+	usual := goodput(withoutBurst(t))
+	for name, trouble := range map[string]reportTrouble{
+		"late":                    {MostLateMS: 600},
+		"lost":                    {MostLateMS: 100, Lost: 0.5},
+		"doubled":                 {MostLateMS: 100, Doubled: 0.5},
+		"one gateway silent":      {MostLateMS: 100, SilentAtMS: 10000},
+		"one gateway starts anew": {MostLateMS: 100, RestartAtMS: 16000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			played := unfolding(t, 2)
+			played.Reports = trouble
+			require.GreaterOrEqual(t, float64(goodput(replayAll(played, newAdmitting))), leastGoodput*float64(usual))
+		})
+	}
+}
+
+// Gateways that all admit on the same report, and all refuse on the next one, would leave the
+// slots full and empty by turns.
+func TestProgramsAreAdmittedWithoutWaves(t *testing.T) {
+	const look = 100 * time.Millisecond
+	played := unfolding(t, 3)
+	var running []float64
+	var sample func(r *replayed)
+	sample = func(r *replayed) {
+		if at := r.now.Sub(r.began); at >= burstFrom+settleTime && at < burstTo {
+			total := 0
+			for _, machine := range r.machines {
+				total += machine.running
+			}
+			running = append(running, float64(total))
+		}
+		r.after(look, func() { sample(r) })
+	}
+	played.Watch = sample
+	replay(played, 1, newAdmitting)
+	sum, most := 0.0, 0.0
+	for _, each := range running {
+		sum += each
+		most = max(most, each)
+	}
+	require.LessOrEqual(t, most, 2*sum/float64(len(running)))
+	require.Less(t, most, float64(played.Instances*played.Slots))
+}
--- a/internal/overload/replay_test.go
+++ b/internal/overload/replay_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"swiftbank.dev/swiftbank/internal/admission"
 	"swiftbank.dev/swiftbank/internal/backend"
 	"swiftbank.dev/swiftbank/internal/overload"
 )
@@ -34,9 +35,13 @@
 	// Contention is by how much longer a request takes that begins on an instance whose other
 	// slots are busy, as a share of its own time.
 	Contention float64
-	Kinds      map[string]kind
-	Arrivals   []arrivals
-	Changes    []change
+	// Reports says how those on programs arrive; see reportTrouble.
+	Reports reportTrouble
+	// Watch is called at the start; nil for none.
+	Watch    func(*replayed) `json:"-"`
+	Kinds    map[string]kind
+	Arrivals []arrivals
+	Changes  []change
 	// About says which load this is, Expect what has to become of the callers by kind.
 	About  string
 	Expect map[string]expectation
@@ -53,8 +58,10 @@
 // kind is a kind of request: a program of some turns, or a single request.
 type kind struct {
 	// Calls says that these are single requests of programs that have begun.
-	Calls               bool
-	Turns               int
+	Calls bool
+	Turns int
+	// Widths is how many requests each turn makes at once; 1 where it is left out.
+	Widths              []int
 	WorkMS, ObjectiveMS float64
 	DeadlineMS          float64
 	Rank, TenantRank    int
@@ -82,6 +89,8 @@
 	InTime, Late, RefusedFirst, RefusedAgain, Failed int
 	HeldInVain                                       time.Duration
 	Asks, FailedAsks                                 int
+	// TimesInTime is when programs ended in time, after the load began.
+	TimesInTime []time.Duration
 }
 
 // waitPolicy decides about a request that was not taken, at one gateway.
@@ -113,6 +122,7 @@
 
 type replayed struct {
 	load     load
+	began    time.Time
 	random   *rand.Rand
 	now      time.Time
 	events   events
@@ -121,6 +131,7 @@
 	machines []*instanceModel
 	outcomes map[string]*outcome
 	next     int
+	programs int
 }
 
 type gatewayModel struct {
@@ -131,6 +142,7 @@
 // call is one caller's request over all its attempts.
 type call struct {
 	kind     string
+	program  string
 	spec     kind
 	zone     int
 	began    time.Time
@@ -139,7 +151,9 @@
 	work     time.Duration
 	attempts int
 	refusals int
-	end      func(ok bool)
+	// admission is what was last decided about the beginning of its program.
+	admission admission.Decision
+	end       func(ok bool)
 }
 
 func readLoad(t *testing.T, name string) load {
@@ -154,6 +168,7 @@
 func replay(played load, seed uint64, newPolicy func() waitPolicy) map[string]*outcome {
 	r := &replayed{load: played, random: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(1000, 0), outcomes: map[string]*outcome{}}
 	start := r.now
+	r.began = start
 	var listed []backend.Instance
 	for i := range played.Instances {
 		id := fmt.Sprintf("i%02d", i)
@@ -176,6 +191,7 @@
 		}
 	}
 	r.after(reportEvery, r.report)
+	r.playPrograms(newPolicy)
 	end := start.Add(time.Duration(played.Seconds * float64(time.Second)))
 	for len(r.events) > 0 && r.now.Before(end) {
 		next := heap.Pop(&r.events).(event)
@@ -234,23 +250,26 @@
 	spec := r.load.Kinds[name]
 	began := r.now
 	turns := max(1, spec.Turns)
+	r.programs++
+	program := fmt.Sprint("p", r.programs)
 	var turn func(done int)
 	turn = func(done int) {
 		if done == turns {
 			if r.now.Sub(began) <= milliseconds(spec.ObjectiveMS) {
 				r.of(name).InTime++
+				r.of(name).TimesInTime = append(r.of(name).TimesInTime, r.now.Sub(r.began))
 			} else {
 				r.of(name).Late++
 			}
 			return
 		}
-		c := &call{kind: name, spec: spec, zone: zone, began: r.now, deadline: r.now.Add(milliseconds(spec.DeadlineMS))}
-		c.first = spec.Turns > 0 && done == 0
-		c.work = milliseconds(spec.WorkMS * math.Exp(0.5*r.random.NormFloat64()-0.125))
-		c.end = func(ok bool) {
+		open, lost := spec.width(done), false
+		end := func(c *call, ok bool) {
+			open--
 			switch {
-			case ok:
+			case ok && open == 0 && !lost:
 				turn(done + 1)
+			case ok || lost:
 			case c.refusals == 0:
 				r.of(name).Failed++
 			case c.refusals == 1:
@@ -258,8 +277,15 @@
 			default:
 				r.of(name).RefusedAgain++
 			}
+			lost = lost || !ok
+		}
+		for range spec.width(done) {
+			c := &call{kind: name, program: program, spec: spec, zone: zone, began: r.now, deadline: r.now.Add(milliseconds(spec.DeadlineMS))}
+			c.first = spec.Turns > 0 && done == 0
+			c.work = milliseconds(spec.WorkMS * math.Exp(0.5*r.random.NormFloat64()-0.125))
+			c.end = func(ok bool) { end(c, ok) }
+			r.attempt(c)
 		}
-		r.attempt(c)
 	}
 	turn(0)
 }
@@ -312,6 +338,7 @@
 					Kind: c.kind, Took: r.now.Sub(choice.PickedAt), First: r.now.Sub(choice.PickedAt), Events: 1,
 				})
 				gateway.policy.taken(r.now, id)
+				gateway.turnEnded(r.now, c, choice)
 				c.end(true)
 			case ran:
 				gateway.policy.left(id)
@@ -328,7 +355,7 @@
 func (r *replayed) admitted(c *call, gateway *gatewayModel, id string) bool {
 	policy, decides := gateway.policy.(*decided)
 	request, capacity := r.asked(c, gateway, id)
-	return !decides || policy.queue.Admits(request, capacity)
+	return !decides || policy.queue.Admits(request, capacity) && r.mayBegin(c, policy, id, capacity)
 }
 
 func (r *replayed) asked(c *call, gateway *gatewayModel, id string) (overload.Request, overload.Capacity) {
@@ -341,7 +368,10 @@
 
 func (r *replayed) wait(c *call, gateway *gatewayModel, id string, arrived time.Time) {
 	request, capacity := r.asked(c, gateway, id)
-	pause, retryAfter := gateway.policy.refused(r.now, arrived, request, capacity)
+	pause, retryAfter, held := c.held()
+	if !held {
+		pause, retryAfter = gateway.policy.refused(r.now, arrived, request, capacity)
+	}
 	if pause > 0 {
 		r.after(pause, func() { r.look(c, gateway, id, arrived) })
 		return
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -71,6 +71,9 @@
 	ColdSlack   float64 `koanf:"coldSlack" validate:"gte=0"`
 	// Guarantees names what the operator's agreement with the callers holds.
 	Guarantees []string `koanf:"guarantees"`
+	// ProgramAdmission says that new programs are admitted by what programs under way will
+	// need, where load control decides.
+	ProgramAdmission bool `koanf:"programAdmission"`
 }
 
 // Replica holds the settings of a replica.
@@ -107,7 +110,7 @@
 
 // LoadGateway reads the settings of a gateway.
 func LoadGateway(path string, overrides []string) (Gateway, error) {
-	return loadFile(path, overrides, Gateway{Member: defaultMember(), ColdOverage: 1})
+	return loadFile(path, overrides, Gateway{Member: defaultMember(), ColdOverage: 1, ProgramAdmission: true})
 }
 
 // LoadReplica reads the settings of a replica.
