swiftbank pressure: figures of load control summed over gateways

Cause: whether the fleet has room, and who is refused, could be read from single gateways only. Test: two gateways summed, one that does not answer named.

--- /dev/null
+++ b/internal/command/pressure_test.go
@@ -0,0 +1,30 @@
+package command
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestPressureSumsGatewaysAndSaysWhichDidNotAnswer(t *testing.T) {
+	page := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "# TYPE swiftbank_admission_room gauge\nswiftbank_admission_room{node=\"g\",service=\"llm\"} 5\n")
+	}))
+	defer page.Close()
+	gone := httptest.NewServer(http.NotFoundHandler())
+	defer gone.Close()
+	address := strings.TrimPrefix(page.URL, "http://")
+	command := newPressureCommand()
+	var out, failures bytes.Buffer
+	command.SetOut(&out)
+	command.SetErr(&failures)
+	command.SetArgs([]string{address, address, strings.TrimPrefix(gone.URL, "http://")})
+	require.Error(t, command.Execute())
+	require.Regexp(t, `swiftbank_admission_room +service=llm +10\.0 +5\.0 +5\.0 +2`, out.String())
+	require.Contains(t, failures.String(), "HTTP status 404")
+}
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -81,7 +81,7 @@
 	}
 	root.CompletionOptions.DisableDefaultCmd = true
 	root.AddCommand(
-		newNodeCommand(), newGatewayCommand(), newReplicaCommand(), newExplainCommand(), newTimelineCommand(), newDemoCommand(), newVersionCommand(),
+		newNodeCommand(), newGatewayCommand(), newReplicaCommand(), newExplainCommand(), newTimelineCommand(), newPressureCommand(), newDemoCommand(), newVersionCommand(),
 		newValidateCommand(), newDiffCommand(), newApplyCommand(), newGetCommand(), newHistoryCommand(),
 		newStatusCommand(), newDrainCommand(), newSimulateCommand(), newExperimentCommand(), newRecordCommand(), newReplayCommand(), newLoadCommand(),
 	)
--- /dev/null
+++ b/internal/loadstatus/loadstatus_test.go
@@ -0,0 +1,40 @@
+package loadstatus_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"swiftbank.dev/swiftbank/internal/loadstatus"
+)
+
+const first = `
+# TYPE swiftbank_admission_room gauge
+swiftbank_admission_room{node="g1",service="llm"} 40
+# TYPE swiftbank_admission_refused_total counter
+swiftbank_admission_refused_total{node="g1",service="llm",rank="1"} 3
+# TYPE swiftbank_requests_total counter
+swiftbank_requests_total{node="g1"} 9
+`
+
+const second = `
+# TYPE swiftbank_admission_room gauge
+swiftbank_admission_room{node="g2",service="llm"} 44
+# TYPE swiftbank_admission_refused_total counter
+swiftbank_admission_refused_total{node="g2",service="llm",rank="1"} 4
+`
+
+func TestFiguresAreSummedOverGateways(t *testing.T) {
+	status := loadstatus.New([]string{"swiftbank_admission_"})
+	require.NoError(t, status.Add(strings.NewReader(first)))
+	require.NoError(t, status.Add(strings.NewReader(second)))
+	require.Equal(t, []loadstatus.Row{
+		{Metric: "swiftbank_admission_refused_total", Labels: []string{"rank=1", "service=llm"}, Sum: 7, Least: 3, Most: 4, Gateways: 2},
+		{Metric: "swiftbank_admission_room", Labels: []string{"service=llm"}, Sum: 84, Least: 40, Most: 44, Gateways: 2},
+	}, status.Rows())
+}
+
+func TestWhatIsNoMetricsPageIsAnError(t *testing.T) {
+	require.Error(t, loadstatus.New(nil).Add(strings.NewReader("<html>")))
+}
