--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -292,7 +292,7 @@
 	}
 	replica.open(now)
 	if replica.send(request) {
-		replica.expect(now)
+		replica.silence.Await(now)
 		c.credit.sent()
 	}
 }
--- a/internal/quorum/forward.go
+++ b/internal/quorum/forward.go
@@ -79,7 +79,7 @@
 		if !replica.up {
 			return replica.forwardOnceUp(passed)
 		}
-		replica.expect(now)
+		replica.silence.Await(now)
 		return replica.send(passed)
 	}
 	return false
--- a/internal/quorum/link.go
+++ b/internal/quorum/link.go
@@ -18,9 +18,8 @@
 	zone string
 	link *peer.Link[ledger.Request, ledger.Reply]
 	up   bool
-	// unansweredSince is when the oldest request was sent that no reply has followed;
-	// zero while there is none.
-	unansweredSince time.Time
+	// silence is how long no reply has followed a request.
+	silence peer.Silence
 	// answers estimates how long this replica takes to answer.
 	answers roundTrip
 	// relaying is set while requests go by another gateway.
@@ -120,13 +119,6 @@
 	}
 }
 
-// expect notes that a request was sent.
-func (r *replicaLink) expect(now time.Time) {
-	if r.unansweredSince.IsZero() {
-		r.unansweredSince = now
-	}
-}
-
 // Sent implements peer.SentCounter.
 func (r *replicaLink) Sent(_ net.Addr, request ledger.Request, bytes int) {
 	r.client.traffic.SentToZone(request.Kind(), r.zone, bytes)
@@ -135,10 +127,10 @@
 // renewIfSilent replaces a connection on which nothing was answered for long. The client's lock
 // is held.
 func (r *replicaLink) renewIfSilent(now time.Time) {
-	if !r.up || r.unansweredSince.IsZero() || now.Sub(r.unansweredSince) < peer.AnswerTimeout {
+	if !r.up || !r.silence.IsDead(now) {
 		return
 	}
-	r.unansweredSince = time.Time{}
+	r.silence.End()
 	r.client.log.Warn().Str("event", "connection_silent").Str("peer", r.node.Name).Msg("")
 	r.link.Renew()
 }
@@ -149,7 +141,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r.up = true
-	r.unansweredSince = time.Time{}
+	r.silence.End()
 	c.log.Info().Str("event", "dependency_regained").Str("dependency", "replica").Str("peer", r.node.Name).Msg("")
 	if c.set.Epoch > 0 {
 		r.send(ledger.Request{Adopt: &ledger.Adopt{Set: c.set}})
@@ -180,7 +172,7 @@
 	c := r.client
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r.unansweredSince = time.Time{}
+	r.silence.End()
 	if r.relaying {
 		r.relaying = false
 		c.log.Info().Str("event", "relay_retry_ended").Str("peer", r.node.Name).Msg("")
--- a/internal/quorum/relay.go
+++ b/internal/quorum/relay.go
@@ -61,8 +61,8 @@
 	link   *peer.Link[RelayRequest, RelayReply]
 	// idle closes the connection when it was not used for relayIdle.
 	idle *time.Timer
-	// unansweredSince is when the oldest request was sent that no reply has followed.
-	unansweredSince time.Time
+	// silence is how long no reply has followed a request.
+	silence peer.Silence
 }
 
 // SetGateways replaces the gateways by those that the registry lists.
@@ -125,9 +125,7 @@
 		r.closeIfSilent(now, name)
 		link := r.open(name)
 		link.idle.Reset(relayIdle)
-		if link.unansweredSince.IsZero() {
-			link.unansweredSince = now
-		}
+		link.silence.Await(now)
 		r.order.asked(now, name)
 		link.link.Send(request)
 		r.counted()
@@ -157,7 +155,7 @@
 // lock.
 func (r *Relays) closeIfSilent(now time.Time, name string) {
 	link := r.links[name]
-	if link == nil || link.unansweredSince.IsZero() || now.Sub(link.unansweredSince) < peer.AnswerTimeout {
+	if link == nil || !link.silence.IsDead(now) {
 		return
 	}
 	r.log.Warn().Str("event", "connection_silent").Str("peer", name).Msg("")
@@ -193,7 +191,7 @@
 func (l *relayLink) Received(reply RelayReply) {
 	r := l.relays
 	r.mu.Lock()
-	l.unansweredSince = time.Time{}
+	l.silence.End()
 	r.mu.Unlock()
 	if reply.Unreachable {
 		r.mu.Lock()
--- a/internal/quorum/relayretry.go
+++ b/internal/quorum/relayretry.go
@@ -16,7 +16,7 @@
 	if !replica.up {
 		return replica.opening(now)
 	}
-	return replica.unansweredSince.IsZero() || now.Sub(replica.unansweredSince) <= c.timeoutOf(replica)
+	return !replica.silence.LastsLongerThan(c.timeoutOf(replica), now)
 }
 
 // timeoutOf is how long a replica may take to answer: replicas of other regions take longer.
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -53,23 +53,23 @@
 	adopted uint64
 	place   ledger.HandoverPlace
 	adoptAt time.Time
-	// unansweredSince is when the oldest question was asked that nothing has followed.
-	unansweredSince time.Time
+	// silence is how long nothing has followed a question.
+	silence peer.Silence
 }
 
 // send queues a request to the peer, and notes since when an answer is awaited.
 func (p *peerState) send(request ledger.Request) {
-	if p.link.Send(request) && p.unansweredSince.IsZero() {
-		p.unansweredSince = time.Now()
+	if p.link.Send(request) {
+		p.silence.Await(time.Now())
 	}
 }
 
 // renewIfSilent replaces a connection on which nothing was answered for long.
 func (p *peerState) renewIfSilent(now time.Time) {
-	if !p.up || p.unansweredSince.IsZero() || now.Sub(p.unansweredSince) < peer.AnswerTimeout {
+	if !p.up || !p.silence.IsDead(now) {
 		return
 	}
-	p.unansweredSince = time.Time{}
+	p.silence.End()
 	p.server.log.Warn().Str("event", "connection_silent").Str("peer", p.node.Name).Msg("")
 	p.link.Renew()
 }
@@ -79,7 +79,7 @@
 	p.server.post(func() {
 		p.up = true
 		p.asking = false
-		p.unansweredSince = time.Time{}
+		p.silence.End()
 		p.stopFetching()
 		p.adoptAt = time.Time{}
 		own := p.server.own()
@@ -109,7 +109,7 @@
 
 func (p *peerState) receive(reply ledger.Reply) {
 	p.heardAt = time.Now()
-	p.unansweredSince = time.Time{}
+	p.silence.End()
 	p.disk = reply.Disk
 	switch {
 	case reply.Inventory != nil:
