The test of a gateway that follows a replica waits for what it checks

Cause: on a busy machine the test failed 35 times in 6000 runs (race detector, four processes of the test beside eight busy loops), all at the list of instances. Configuration and instances are told by separate calls, and a replica that is still reading sends the second in a later answer; the test waited for the first only. With that mended the same load showed two more of the kind: 4 of 6000 asked for fresh knowledge before the replica had read every kind, and 7 of 6000 found that the gateway had read the store, for it was configured as one that restarts, which waits 100 ms for its upstream, while its replica started beside it.

Ruled out: the product. A gateway is ready only once it has a list of instances (Server.Ready asks isInformed), whatever came before.

Change: the test waits for the replica to vouch for all kinds before the gateway starts, says that the fleet starts for the first time, and waits for the list and for fresh knowledge before it checks them. What it requires is the same: exactly one instance, and no list read from the store.

--- a/internal/feed/node_test.go
+++ b/internal/feed/node_test.go
@@ -178,13 +178,33 @@
 	}, 30*time.Second, 5*time.Millisecond)
 }
 
+// awaitInstances waits for the first list of instances: it comes by a call of its own, and
+// from a replica that is still reading in a later answer than the configuration.
+func (l *listener) awaitInstances(t *testing.T) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return len(l.instances) > 0
+	}, 30*time.Second, 5*time.Millisecond)
+}
+
+// awaitFresh waits until the knowledge is as good as the store's own word: the replica reads
+// each kind by itself, and vouches for them once it has all.
+func (l *listener) awaitFresh(t *testing.T) {
+	t.Helper()
+	require.Eventually(t, func() bool { return l.Status().Fresh() }, 30*time.Second, 5*time.Millisecond)
+}
+
 func TestAGatewayLearnsFromAReplicaAndDoesNotRead(t *testing.T) {
 	store, untouched := newMemoryStore(), newMemoryStore()
 	store.putConfiguration(7)
 	store.put(Instances, instance("i-1", 0))
 	replica := startNode(t, Options{Node: "r", Zone: "z", Role: replicaset.RoleReplica, Store: store}, nil)
-	gateway := startNode(t, Options{Node: "g", Zone: "z", Role: replicaset.RoleGateway, Seeds: []string{replica.address}, Store: untouched}, nil)
+	replica.awaitFresh(t)
+	gateway := startNode(t, Options{Node: "g", Zone: "z", Role: replicaset.RoleGateway, FirstStart: true, Seeds: []string{replica.address}, Store: untouched}, nil)
 	gateway.awaitVersion(t, 7)
+	gateway.awaitInstances(t)
 	gateway.locked(func() {
 		require.Equal(t, "b", gateway.table.Match("one.test", "/a/b/c").Name)
 		require.True(t, gateway.table.Services["llm"].Generates)
@@ -193,7 +213,7 @@
 	})
 	store.putConfiguration(8)
 	gateway.awaitVersion(t, 8)
-	require.True(t, gateway.Status().Fresh())
+	gateway.awaitFresh(t)
 	require.Zero(t, untouched.lists)
 }
 
