What programs bear is learned from usual programs only, and hopeless ones yield

Change: the stretch is learned from programs that began while no refused caller could be back, and from none that is late. The first two seconds after a start teach no times of turns, a step of the slowdown remembers fewer turns, and less than half of the slots are room while turns were seen on loaded instances only. While not all programs may begin, those that cannot be in time any more are refused. Programs are taken to begin at the decided rate for a second, not for good: long programs left room unused after a burst.

Ruled out: a higher floor of the room alone.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -174,3 +174,32 @@
 		}
 	})
 }
+
+// Instances on which requests slow each other down have room for fewer programs than slots, and
+// for the fewer the less time programs have.
+func TestRoomIsWhereProgramsBecomeLate(t *testing.T) {
+	room := func(left time.Duration) float64 {
+		const slots = 100
+		c := admission.NewController()
+		now := start
+		for number := range 200 {
+			now = now.Add(200 * time.Millisecond)
+			id, share := fmt.Sprint(number), 0.1
+			if number%40 >= 20 {
+				share = 0.8
+			}
+			took := time.Duration(float64(turnTook) * (1 + 2*share))
+			decide(c, now, urgent, admission.Load{Slots: slots})
+			c.Began(now, admission.Beginning{Kind: urgent, Program: id, Left: left, Share: share, Usual: true})
+			for turn := range 5 {
+				c.TurnEnded(now.Add(time.Duration(turn)*took), admission.Turn{Kind: urgent, Program: id, First: turn == 0, Took: took, Share: share})
+			}
+			now = now.Add(5 * took)
+		}
+		return decide(c, now, urgent, admission.Load{Slots: slots}).Room
+	}
+	require.Equal(t, 100.0, room(10*time.Second), "all slots may be in use")
+	require.Less(t, room(900*time.Millisecond), 80.0)
+	require.Less(t, room(750*time.Millisecond), room(900*time.Millisecond))
+	require.GreaterOrEqual(t, room(10*time.Millisecond), 25.0, "it never closes")
+}
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -13,13 +13,17 @@
 	// mostPrograms bounds the programs whose beginnings are remembered; twice as many at most.
 	mostPrograms = 2048
 	// mostSlowdown is up to which slowdown a program's time tells how long it takes without
-	// other load: beyond it, what is taken off for the load is no small part any more, and
-	// callers that were refused come back with less time than programs of their kind have.
+	// other load: beyond it, what is taken off for the load is no small part any more. Nor
+	// does a program tell it that is late, or that began while refused callers may have come
+	// back: they have less time than programs of their kind have.
 	mostSlowdown = 1.5
+	// warmUp is for how long after a start the times of requests are left out: the first to end
+	// are the short ones, and the slots in use are not known yet.
+	warmUp = 2 * time.Second
 	// shareTime is over which time the share of the slots in use is taken.
 	shareTime = time.Second
 	// calibrationTime is over which time the slots in use are compared with those expected.
-	calibrationTime = 3 * time.Second
+	calibrationTime = time.Second
 	// calibrationMost bounds the factor between them to either side.
 	calibrationMost = 2
 )
@@ -39,18 +43,21 @@
 	// estimate is what all gateways know of it by the last decision.
 	estimate estimate
 	at       time.Time
+	// refusedUntil is until when callers that were refused, or may have been, come back.
+	refusedUntil time.Time
 }
 
 // serviceState is what this gateway knows of a service itself.
 type serviceState struct {
 	slowdown slowdown
-	at       time.Time
 	// points are the slowdown by all gateways as of the last decision.
 	points []point
 	// share is the share of the slots in use over the last second or so: a turn's time tells
 	// of the load that it met, not of that at its end.
 	share   float64
 	shareAt time.Time
+	// since is when the service was first heard of.
+	since time.Time
 	// factor is the slots in use for each one that is expected; calibratedAt is when it was
 	// last moved.
 	factor       float64
@@ -63,6 +70,8 @@
 	at       time.Time
 	left     time.Duration
 	slowdown float64
+	// usual says that no callers came back then.
+	usual bool
 }
 
 // NewController returns a controller that knows nothing.
@@ -87,17 +96,16 @@
 	return known
 }
 
-// service returns what is known of a service, as of now.
+// service returns what is known of a service.
 func (c *Controller) service(now time.Time, name group) *serviceState {
 	known := c.services[name]
 	if known == nil {
 		if len(c.services) >= mostRemembered {
 			clear(c.services)
 		}
-		known = &serviceState{at: now, factor: 1, calibratedAt: now}
+		known = &serviceState{factor: 1, calibratedAt: now, since: now}
 		c.services[name] = known
 	}
-	known.fade(now)
 	return known
 }
 
@@ -114,13 +122,6 @@
 // seconds.
 const minimumStage = 0.05
 
-func (s *serviceState) fade(now time.Time) {
-	if after := now.Sub(s.at); after > 0 {
-		s.slowdown.fade(remembered(after))
-		s.at = now
-	}
-}
-
 // Beginning is a program's first request that an instance took.
 type Beginning struct {
 	Kind    Kind
@@ -129,6 +130,8 @@
 	Left time.Duration
 	// Share is the part of the service's slots in use.
 	Share float64
+	// Usual is what the decision said.
+	Usual bool
 }
 
 // Began notes that a program began.
@@ -143,7 +146,7 @@
 	}
 	service := c.service(now, name.service())
 	service.noteShare(now, program.Share)
-	c.programs[program.Program] = beginning{at: now, left: program.Left, slowdown: service.present()}
+	c.programs[program.Program] = beginning{at: now, left: program.Left, slowdown: service.present(), usual: program.Usual}
 }
 
 // Turn is a request that was answered whole.
@@ -165,7 +168,9 @@
 	service := c.service(now, name.service())
 	took := milliseconds(turn.Took)
 	service.noteShare(now, turn.Share)
-	service.slowdown.observe(service.share, took)
+	if now.Sub(service.since) >= warmUp {
+		service.slowdown.observe(service.share, took)
+	}
 	known.sums[turnMS] += took
 	known.sums[turnSquares] += took * took
 	if turn.First {
@@ -183,17 +188,19 @@
 	known.sums[aged]++
 	known.sums[ageMS] += milliseconds(age)
 	slowdown := service.present()
-	if began.left > 0 && max(began.slowdown, slowdown) <= mostSlowdown {
-		known.sums.addPhase(age.Seconds() / began.left.Seconds() / ((began.slowdown + slowdown) / 2))
+	if age < began.left && began.usual && max(began.slowdown, slowdown) <= mostSlowdown {
+		known.sums.addPhase(began.left, time.Duration(float64(age)*2/(began.slowdown+slowdown)))
 	}
 }
 
-// addPhase adds the part of a program's time that was over.
-func (s *sums) addPhase(over float64) {
-	s[phased] -= s[phased] / phaseMemory
-	s[phase] -= s[phase] / phaseMemory
+// addPhase adds how much of a program's time would have been over without other load.
+func (s *sums) addPhase(left, over time.Duration) {
+	for each := phased; each <= calmMS; each++ {
+		s[each] -= s[each] / phaseMemory
+	}
 	s[phased]++
-	s[phase] += over
+	s[phase] += over.Seconds() / left.Seconds()
+	s[calmMS] += milliseconds(over)
 }
 
 // present returns by how much slower than without other load requests are now.
--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"math"
 	"strconv"
 	"time"
 
@@ -14,7 +13,7 @@
 	Kind Kind
 	// Objective is until when it may be held, Deadline when its caller leaves.
 	Objective, Deadline time.Time
-	// Left is the time that its program has; 0 if it names none.
+	// Left is the time that its program has, below 0 if it is late; 0 if it names none.
 	Left time.Duration
 }
 
@@ -62,10 +61,19 @@
 	// Asked is how many programs as urgent as this one ask to begin a second, over all
 	// gateways, Chance the part of them that may begin.
 	Asked, Chance float64
+	// Usual says that programs are known to begin as they ask, and did for as long as callers
+	// that were refused may come back.
+	Usual bool
+	// Hopeless says that the program is refused because it cannot be in time any more, and
+	// others could.
+	Hopeless bool
 	// Sources is how many other gateways and zones the figures include.
 	Sources int
 }
 
+// Short reports whether not all programs of the rank may begin.
+func (d Decision) Short() bool { return d.Known && d.Chance < 1 }
+
 const (
 	// reportTime is how old the figures of a gateway's neighbour are for each of its sources: it
 	// hears two of them each 50 ms. leastReportTime holds for few gateways, mostReportTime
@@ -89,34 +97,47 @@
 // Gateways decide on figures that are some reports old. If each admitted programs for as long
 // as the figures show room, all would fill the same room until they hear of each other, then
 // all refuse until it is free, in waves. So they admit a part of those that ask: the part that
-// could begin from now on without exceeding the room at any moment of the forecast.
+// could begin within the next second without exceeding the room at any moment of the forecast.
 func (c *Controller) Decide(now time.Time, request Request, load Load) Decision {
 	name := groupOf(request.Kind)
 	own := c.kind(now, name)
 	service := c.service(now, name.service())
-	own.sums[asked]++
+	own.sums[asked] += 1 / askedTime.Seconds()
 	view := c.view(now, name.service(), service)
 	decision := Decision{Verdict: Admit, Sources: c.others.Sources(now)}
 	program := view.of(name).estimate
 	if !program.known || load.Slots == 0 {
+		own.refusedUntil = request.Deadline
 		return decision
 	}
 	decision.Known = true
 	service.calibrate(now, view.expected(0), load)
 	forecast := forecast{view: view, factor: service.factor, busy: float64(load.Busy), rank: name.rank()}
-	decision.Room = float64(load.Slots) * view.bearable(name.rank())
+	decision.Room = float64(load.Slots) * view.bearable(name.rank(), program, request.Left != 0)
 	decision.Asked = view.asked(name.rank())
 	reports := min(mostReportTime, max(leastReportTime, reportTime*time.Duration(decision.Sources)))
 	tightest := forecast.tightest(decision.Room, reports.Seconds())
 	decision.Committed, decision.Reserved, decision.Chance = tightest.committed, tightest.reserved, tightest.chance
+	if decision.Short() {
+		own.refusedUntil = request.Deadline
+	}
+	if decision.Short() && program.hopeless(request.Left) {
+		// Admitted, it would make another one late. It asks for nothing that can be given.
+		own.sums[asked] = max(0, own.sums[asked]-1/askedTime.Seconds())
+		decision.Hopeless = true
+		decision.refuse(now, request, longestWait)
+		return decision
+	}
+	decision.Usual = !now.Before(own.refusedUntil)
 	if uniform(request.ID, now) < decision.Chance {
 		return decision
 	}
 	expected := forecast.until(decision.Room, program)
 	if decision.Chance > 0 {
+		// The next decision that rests on other figures may admit it.
 		expected = min(longestWait, time.Duration(float64(reports)/decision.Chance))
 	}
-	decision.refuse(now, request, min(expected, program.slack(request.Left)))
+	decision.refuse(now, request, max(reports, min(expected, program.slack(request.Left))))
 	return decision
 }
 
@@ -152,7 +173,3 @@
 	seen := min(calibrationMost, max(1.0/calibrationMost, float64(load.Busy)/expected))
 	s.factor += (1 - fading(after.Seconds(), calibrationTime.Seconds())) * (seen - s.factor)
 }
-
-func remembered(after time.Duration) float64 {
-	return math.Exp2(-after.Seconds() / learningHalfLife.Seconds())
-}
--- a/internal/admission/figures.go
+++ b/internal/admission/figures.go
@@ -21,8 +21,8 @@
 	// mostKinds and mostServices bound a report: it tells of the kinds with the most programs.
 	mostKinds    = 3
 	mostServices = 2
-	// leastTold is the count below which a report leaves figures out: so it is empty once no
-	// programs have come for some minutes.
+	// leastTold is the count below which a report leaves figures out: so it tells of no kinds
+	// once no programs have come for some minutes.
 	leastTold = 0.05
 	// mostRemembered bounds the kinds that a gateway learns.
 	mostRemembered = 256
@@ -107,7 +107,6 @@
 		}
 	}
 	for name, known := range c.services {
-		known.fade(now)
 		for place, value := range known.slowdown {
 			if value > leastTold {
 				figures[Key{group: name, place: uint8(place)}] = value
--- a/internal/admission/forecast.go
+++ b/internal/admission/forecast.go
@@ -71,13 +71,16 @@
 	return total + math.Sqrt(variance)
 }
 
-// asking returns the slots that programs of a rank will ask for until after a time in seconds.
+// asking returns the slots that programs of a rank which ask within the admission span will use
+// after a time in seconds.
 func (v view) asking(rank int, after float64) float64 {
 	total := 0.0
 	for _, kind := range v.kinds {
-		if kind.group.rank() == rank {
-			total += kind.estimate.coming(kind.sums[asked], after)
+		if kind.group.rank() != rank {
+			continue
 		}
+		rate, before := kind.sums[asked], max(0, after-admissionSpan)
+		total += kind.estimate.coming(rate, after) - kind.estimate.coming(rate, before)
 	}
 	return total
 }
@@ -93,10 +96,14 @@
 	return total
 }
 
-// bearable returns the share of the slots in use that programs of a rank and more urgent ones
-// bear.
-func (v view) bearable(rank int) float64 {
+// bearable returns the share of the slots in use that a program and the kinds of its rank and of
+// more urgent ones bear. A program whose deadline is known, but not how much of its time its
+// kind needs, is taken to bear the slowdown up to which that is learned.
+func (v view) bearable(rank int, program estimate, hasDeadline bool) float64 {
 	least := 1.0
+	if program.stretch == 0 && hasDeadline {
+		least = bearable(v.slowdown, mostSlowdown)
+	}
 	for _, kind := range v.kinds {
 		if kind.group.rank() <= rank && kind.estimate.stretch > 0 {
 			least = min(least, bearable(v.slowdown, kind.estimate.stretch))
@@ -125,8 +132,18 @@
 	return f.factor*f.view.expected(after) + unexplained*fading(after, longest)
 }
 
-// forecastStep is the distance of the moments that a forecast looks at, in seconds.
-const forecastStep = 0.25
+// reserved returns the slots that more urgent programs will ask for until after a time in
+// seconds.
+func (f forecast) reserved(after float64) float64 { return f.factor * f.view.reserved(f.rank, after) }
+
+const (
+	// forecastStep is the distance of the moments that a forecast looks at, in seconds.
+	forecastStep = 0.25
+	// admissionSpan is for how long, in seconds, programs are taken to begin at the rate that is
+	// decided now. Taken for longer, long programs fill room that becomes free only slowly;
+	// it must exceed the time that reports take, or all gateways fill it at once.
+	admissionSpan = 1.0
+)
 
 // moment is a moment of the forecast.
 type moment struct {
@@ -137,9 +154,9 @@
 
 // at returns what the forecast says of the moment after a time in seconds.
 func (f forecast) at(room, after float64) moment {
-	seen := moment{committed: f.committed(after), reserved: f.view.reserved(f.rank, after), chance: 1}
+	seen := moment{committed: f.committed(after), reserved: f.reserved(after), chance: 1}
 	free := room - seen.committed - seen.reserved
-	asking := f.view.asking(f.rank, after)
+	asking := f.factor * f.view.asking(f.rank, after)
 	switch {
 	case free <= 0:
 		seen.chance = 0
@@ -170,7 +187,7 @@
 // until returns when there is room for one more program.
 func (f forecast) until(room float64, program estimate) time.Duration {
 	for after := forecastStep; after < longestWait.Seconds(); after += forecastStep {
-		if f.committed(after)+f.view.reserved(f.rank, after)+program.most() <= room {
+		if f.committed(after)+f.reserved(after)+program.most() <= room {
 			return time.Duration(after * float64(time.Second))
 		}
 	}
--- a/internal/admission/kind.go
+++ b/internal/admission/kind.go
@@ -30,11 +30,12 @@
 	aged
 	ageMS
 	// phased counts those whose program names its deadline and met little load, phase sums the
-	// part of the program's time that would have been over without any. These two fade with
-	// what is added, not with time: they are learned while there is little load, and used when
-	// there is much.
+	// part of the program's time that would have been over without any, calmMS that time in
+	// milliseconds. These fade with what is added, not with time: they are learned while there
+	// is little load, and used when there is much.
 	phased
 	phase
+	calmMS
 	// asked is how many first requests come a second.
 	asked
 	// first counts programs under way in their first turn. early and unfolded count them in
@@ -51,9 +52,9 @@
 	// followed within a minute.
 	learningHalfLife = 30 * time.Second
 	// askedTime is over which time the rate of first requests is taken.
-	askedTime = time.Second
+	askedTime = 500 * time.Millisecond
 	// phaseMemory is how many turns with little load count.
-	phaseMemory = 200
+	phaseMemory = 50
 	// leastBegun is how many programs tell what a kind asks for.
 	leastBegun = 20
 	// cutShare is the part of a program that is taken back from the count when one of its
@@ -79,6 +80,8 @@
 	// stretch is how many times as long as on instances without other load the turns of a
 	// program may take; 0 if that is not known.
 	stretch float64
+	// span is how long a program takes without other load, in seconds; 0 if that is not known.
+	span float64
 	// spread is the standard deviation of a turn's slot time, as a part of its mean.
 	spread float64
 }
@@ -108,6 +111,7 @@
 	}
 	if s[phased] >= leastAged && s[phase] > 0 {
 		e.stretch = e.meanPhase() * s[phased] / s[phase] / e.usualExcess()
+		e.span = s[calmMS] / s[phased] / e.meanPhase() / inMS
 	}
 	return e
 }
@@ -130,6 +134,13 @@
 	return time.Duration(max(0, 1-1/needed) * float64(left))
 }
 
+// hopeless reports whether a program cannot be in time any more with the given time left: it is
+// late, or has less than half of what programs of its kind need without other load. Some are
+// shorter than others.
+func (e estimate) hopeless(left time.Duration) bool {
+	return left < 0 || left > 0 && left.Seconds() < e.span/2
+}
+
 // most returns the largest number of slots that one program is expected to use at once.
 func (e estimate) most() float64 { return max(1, e.turns*e.turn/(math.E*e.stage)) }
 
--- a/internal/admission/slowdown.go
+++ b/internal/admission/slowdown.go
@@ -5,20 +5,28 @@
 // time on a single instance does.
 //
 // The first half of it counts requests by the share in use, the second half sums their times
-// in milliseconds. Both fade, and can be added over gateways.
+// in milliseconds. Each step fades with what is added to it, not with time: the next burst
+// finds what the last one taught. Both can be added over gateways.
 type slowdown [2 * shareSteps]float64
 
 const (
 	// shareSteps is into how many parts the slots of a service are divided.
 	shareSteps = 8
+	// requestMemory is how many requests of a step count.
+	requestMemory = 40
 	// leastRequests is how many requests tell the mean time of a step.
-	leastRequests = 30
+	leastRequests = 20
 	// leastSteps is over how many steps the growth must be known before it is taken to go on
 	// beyond them: the difference of two neighbours is mostly chance.
 	leastSteps = 2
-	// calmShare is the part of the slots that may always be in use: a request beside few
-	// others takes about as long as alone, and with less in use nothing would be learned.
-	calmShare = 0.25
+	// leastStretch is the slowdown that is borne at least: programs that are late with it are
+	// late whatever is refused, so others must not be refused for them.
+	leastStretch = 1.4
+	// baseShare is up to which share in use the time of requests may stand for that without
+	// other load. While only more is known, no more than unknownShare may be in use: under
+	// load that nobody saw begin, it would else never be learned how much slower requests are.
+	baseShare    = 0.5
+	unknownShare = baseShare - 1.0/shareSteps
 	// searchSteps is how finely the bearable share is searched for.
 	searchSteps = 64
 )
@@ -26,17 +34,12 @@
 // observe adds a request's time in milliseconds.
 func (s *slowdown) observe(share, took float64) {
 	step := min(shareSteps-1, max(0, int(share*shareSteps)))
+	s[step] -= s[step] / requestMemory
+	s[shareSteps+step] -= s[shareSteps+step] / requestMemory
 	s[step]++
 	s[shareSteps+step] += took
 }
 
-// fade leaves a part of what was learned.
-func (s *slowdown) fade(remembered float64) {
-	for place := range s {
-		s[place] *= remembered
-	}
-}
-
 // point is the mean time at a share of the slots in use.
 type point struct{ share, took float64 }
 
@@ -54,10 +57,13 @@
 	return known
 }
 
+// based reports whether it is known how long requests take with few slots in use.
+func based(known []point) bool { return len(known) > 0 && known[0].share <= baseShare }
+
 // at returns by how much longer than with few in use a request takes at a share of the slots;
 // 1 before that is known. Beyond the largest share that was seen it goes on to grow as before.
 func at(known []point, share float64) float64 {
-	if len(known) == 0 || known[0].share > 0.5 || share <= known[0].share {
+	if !based(known) || share <= known[0].share {
 		return 1
 	}
 	calm := known[0]
@@ -77,12 +83,15 @@
 }
 
 // bearable returns the share of the slots in use up to which requests take at most so many
-// times as long as with few in use.
+// times as long as with few in use, or leastStretch times.
 func bearable(known []point, most float64) float64 {
+	if !based(known) {
+		return unknownShare
+	}
 	for step := 1; step <= searchSteps; step++ {
 		share := float64(step) / searchSteps
-		if at(known, share) > most {
-			return max(calmShare, float64(step-1)/searchSteps)
+		if at(known, share) > max(leastStretch, most) {
+			return float64(step-1) / searchSteps
 		}
 	}
 	return 1
--- a/internal/gateway/programs.go
+++ b/internal/gateway/programs.go
@@ -100,6 +100,7 @@
 	now := time.Now()
 	began := admission.Beginning{
 		Kind: r.programKind(), Program: r.header.Get(s.dialect.Program), Left: r.programLeft(), Share: s.shareInUse(now, r.service.Name),
+		Usual: r.admission.Usual,
 	}
 	s.programs.mu.Lock()
 	defer s.programs.mu.Unlock()
@@ -142,14 +143,14 @@
 // those that admit one.
 func (s *Server) logAdmission(r *request, kind admission.Kind, load admission.Load) {
 	decision := r.admission
-	if !decision.Known || decision.Chance >= 1 {
+	if !decision.Short() {
 		return
 	}
 	s.log.Info().Str("event", "program_admission").Str("id", r.id).Str("program", r.header.Get(s.dialect.Program)).
 		Str("service", kind.Service).Int("rank", kind.Rank).Str("verdict", decision.Verdict.String()).
 		Int("slots", load.Slots).Int("busy", load.Busy).Float64("room", decision.Room).Float64("committed", decision.Committed).
 		Float64("reserved", decision.Reserved).Float64("asked_per_s", decision.Asked).
-		Float64("chance", decision.Chance).Int("sources", decision.Sources).Dur("wait", decision.Wait).
+		Float64("chance", decision.Chance).Bool("hopeless", decision.Hopeless).Int("sources", decision.Sources).Dur("wait", decision.Wait).
 		Int64("program_left_ms", r.programLeftMS()).Int64("age_ms", time.Since(r.arrived).Milliseconds()).
 		Int64("list_age_ms", s.listAge().Milliseconds()).Msg("")
 }
--- /dev/null
+++ b/internal/gateway/programs_test.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"swiftbank.dev/swiftbank/internal/admission"
+	"swiftbank.dev/swiftbank/internal/backend"
+	"swiftbank.dev/swiftbank/internal/route"
+	"swiftbank.dev/swiftbank/internal/tally"
+	"swiftbank.dev/swiftbank/internal/verdict"
+)
+
+// firstOfProgram returns the first request of a program, of a kind that the gateway knows to
+// ask for more than the one instance has.
+func firstOfProgram(t *testing.T, s *Server) *request {
+	s.options.LoadControl, s.options.ProgramAdmission = true, true
+	s.dialect.Program = "X-Test-Program"
+	served := &route.Route{
+		Name: "turn", Host: "apps.test", Prefix: "/turn/", Kind: route.Streaming, Attempts: 1, Objective: time.Millisecond,
+		Targets: []route.Target{{Service: "llm", Weight: 1}},
+	}
+	llm := route.Service{Name: "llm", Generates: true}
+	s.ConfigurationChanged(route.NewTable(2, []*route.Route{served}, []route.Service{llm}, route.Limits{}))
+	s.directory.Change(time.Now(), backend.Changes{All: true, Listed: []backend.Instance{{ID: "i", Service: "llm", Zone: "z", Slots: 2}}}, false)
+	now := time.Now()
+	r := &request{
+		id: "r", arrived: now, deadline: now.Add(3 * time.Second), first: true, route: served, table: s.table.Load(), service: llm,
+		header: http.Header{"X-Test-Program": {"p"}},
+	}
+	for i := range 100 {
+		s.programs.controller.Began(now.Add(-10*time.Second), admission.Beginning{Kind: r.programKind(), Program: fmt.Sprint(i)})
+	}
+	for i := range 100 {
+		for turn := range 2 {
+			ended := admission.Turn{Kind: r.programKind(), Program: fmt.Sprint(i), First: turn == 0, Took: time.Second}
+			s.programs.controller.TurnEnded(now.Add(-8*time.Second), ended)
+		}
+	}
+	s.mayBegin(r) // the first decision brings what was learned to use
+	for range 100 {
+		s.programBegan(r)
+	}
+	r.admission = admission.Decision{}
+	return r
+}
+
+func TestNewProgramIsRefusedWhileThoseUnderWayLeaveNoRoom(t *testing.T) {
+	s := gatewayOf(t)
+	r := firstOfProgram(t, s)
+	require.False(t, s.mayBegin(r))
+	require.False(t, s.holdProgram(t.Context(), r))
+	failure := r.failureOf(&backend.Failure{})
+	require.Equal(t, verdict.NotRun, failure.Verdict)
+	require.Positive(t, s.failed(t.Context(), r, failure, false).retryAfter)
+}
+
+func TestProgramsThatHaveBegunAndOtherDeploymentsAreNotHeld(t *testing.T) {
+	for name, change := range map[string]func(*Server, *request){
+		"begun":              func(_ *Server, r *request) { r.first = false },
+		"no program":         func(s *Server, r *request) { r.header.Del(s.dialect.Program) },
+		"switched off":       func(s *Server, _ *request) { s.options.ProgramAdmission = false },
+		"no load control":    func(s *Server, _ *request) { s.options.LoadControl = false },
+		"no streams of text": func(_ *Server, r *request) { r.service.Generates = false },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := gatewayOf(t)
+			r := firstOfProgram(t, s)
+			change(s, r)
+			require.True(t, s.admits(r))
+		})
+	}
+}
+
+func TestGatewaysHearOfEachOthersPrograms(t *testing.T) {
+	one, other := gatewayOf(t), gatewayOf(t)
+	r := firstOfProgram(t, one)
+	now := time.Now()
+	said, heard := one.ProgramSection(), other.ProgramSection()
+	source, version := tally.Source{Gateway: "one"}, tally.Version{Started: 1, Number: 2}
+	heard.take(now, source, version, said.own(now))
+	heard.take(now, source, tally.Version{Started: 1, Number: 1}, said.own(now.Add(time.Hour))) // overtaken
+	decision := other.programs.controller.Decide(now, admission.Request{ID: "x", Kind: r.programKind()}, admission.Load{Slots: 2})
+	require.True(t, decision.Known)
+	require.Equal(t, 1, decision.Sources)
+	require.Less(t, decision.Chance, 1.0)
+}
--- a/internal/overload/programs_test.go
+++ b/internal/overload/programs_test.go
@@ -18,9 +18,9 @@
 	// MostLateMS bounds by how much a report is late, evenly; Lost and Doubled are the shares of
 	// reports that never come, or come twice.
 	MostLateMS, Lost, Doubled float64
-	// The first gateway reports nothing from SilentAtMS on, or starts again at RestartAtMS,
-	// where these are set.
-	SilentAtMS, RestartAtMS float64
+	// The first gateway reports nothing from SilentAtMS on, or starts again at RestartAtMS, or
+	// all of them start again at RestartAllAtMS, where these are set.
+	SilentAtMS, RestartAtMS, RestartAllAtMS float64
 }
 
 // reportsAtOnce is how many others a gateway reports to each time.
@@ -46,6 +46,13 @@
 	if at := r.load.Reports.RestartAtMS; at > 0 {
 		r.after(milliseconds(at), func() { r.gateways[0].policy = newPolicy() })
 	}
+	if at := r.load.Reports.RestartAllAtMS; at > 0 {
+		r.after(milliseconds(at), func() {
+			for _, gateway := range r.gateways {
+				gateway.policy = newPolicy()
+			}
+		})
+	}
 }
 
 func (r *replayed) reportPrograms(number int) {
@@ -95,7 +102,7 @@
 	}
 	policy.programs.Began(r.now, admission.Beginning{
 		Kind: c.programKind(), Program: c.program, Share: float64(capacity.Busy) / float64(max(1, capacity.Slots)),
-		Left: c.began.Add(milliseconds(c.spec.ObjectiveMS)).Sub(r.now),
+		Left: c.began.Add(milliseconds(c.spec.ObjectiveMS)).Sub(r.now), Usual: c.admission.Usual,
 	})
 	return true
 }
@@ -227,6 +234,35 @@
 	require.GreaterOrEqual(t, float64(after), leastGoodput*float64(usual))
 }
 
+// patient has all callers come back until their deadline.
+func patient(played load) load {
+	const attempts = 10
+	for name, kind := range played.Kinds {
+		kind.Retries = attempts
+		played.Kinds[name] = kind
+	}
+	return played
+}
+
+// Most programs that ask while callers come back again and again cannot be in time any more.
+// Admitted, they would make those late that still can.
+func TestGoodputStaysWhileCallersComeBack(t *testing.T) {
+	played := patient(unfolding(t, 3))
+	from := burstTo + milliseconds(played.Kinds["urgent"].DeadlineMS) + settleTime
+	to := from + 8*time.Second
+	kept := replayAll(played, newAdmitting)
+	require.GreaterOrEqual(t, float64(goodput(kept)), leastGoodput*float64(goodput(withoutBurst(t))))
+	require.GreaterOrEqual(t, float64(between(kept, from, to)), leastGoodput*float64(between(withoutBurst(t), from, to)))
+}
+
+// Gateways that all learn anew in the middle of a burst meet late programs and callers that
+// were refused before, and must not take them for the usual ones.
+func TestForecastServesMoreAfterAllGatewaysStartAnewInABurst(t *testing.T) {
+	played := patient(unfolding(t, 3))
+	played.Reports.RestartAllAtMS = 16000
+	require.Greater(t, goodput(replayAll(played, newAdmitting)), goodput(replayAll(played, newDecided)))
+}
+
 func TestGoodputStaysWhileReportsFail(t *testing.T) {
 	usual := goodput(withoutBurst(t))
 	for name, trouble := range map[string]reportTrouble{
