--- a/internal/backend/reportedload_test.go
+++ b/internal/backend/reportedload_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -75,11 +76,12 @@
 	stepping map[string]bool
 	turns    map[string]*replayedTurn
 	aged     bool
-	// slowed is an engine whose steps take slowFactor times as long; "" is none.
-	slowed string
+	// stretch is how many times as long as usual the steps of an engine take.
+	stretch func(id string) float64
 
 	read, ended int
 	first       time.Duration
+	took        []time.Duration
 }
 
 func (p *placementReplay) at(at time.Time, do func(now time.Time)) {
@@ -126,9 +128,7 @@
 	if !busy || p.stepping[id] {
 		return
 	}
-	if id == p.slowed {
-		due = due.Add((slowFactor - 1) * due.Sub(now))
-	}
+	due = now.Add(time.Duration(p.stretch(id) * float64(due.Sub(now))))
 	p.stepping[id] = true
 	p.at(due, func(now time.Time) { p.step(now, id) })
 }
@@ -151,6 +151,7 @@
 func (p *placementReplay) end(now time.Time, turn *replayedTurn) {
 	p.ended++
 	p.first += turn.first
+	p.took = append(p.took, now.Sub(turn.sentAt))
 	turn.gateway.End(now, turn.choice, Answered)
 	turn.gateway.Observe(now, turn.choice, Observation{
 		Missing: turn.choice.Missing, Load: turn.choice.Load, First: turn.first, Took: now.Sub(turn.sentAt), Events: answerTokens,
@@ -175,12 +176,14 @@
 	// read is how many tokens engines read for a turn, first the mean time to a first event.
 	read  float64
 	first time.Duration
+	// took is the 95th percentile of a turn's time.
+	took time.Duration
 }
 
-func replayPlacement(gateways int, aged bool, slowed string) placed {
+func replayPlacement(gateways int, aged bool, stretch func(id string) float64) placed {
 	p := &placementReplay{
 		random: rand.New(rand.NewPCG(1, uint64(gateways))), engines: map[string]*enginemodel.Engine{}, stepping: map[string]bool{},
-		turns: map[string]*replayedTurn{}, aged: aged, slowed: slowed,
+		turns: map[string]*replayedTurn{}, aged: aged, stretch: stretch,
 	}
 	var listed []Instance
 	for i := range replayEngines {
@@ -199,18 +202,35 @@
 		next := heap.Pop(&p.agenda).(timed)
 		next.do(next.at)
 	}
-	return placed{read: float64(p.read) / float64(p.ended), first: p.first / time.Duration(p.ended)}
+	slices.Sort(p.took)
+	return placed{
+		read: float64(p.read) / float64(p.ended), first: p.first / time.Duration(p.ended), took: p.took[len(p.took)*95/100],
+	}
+}
+
+// equal, threeSpeeds and oneSlowed are the engines that the load is replayed on.
+func equal(string) float64 { return 1 }
+
+func threeSpeeds(id string) float64 {
+	return []float64{1 / 0.7, 1 / 0.7, 1 / 1.7}[int(id[len(id)-1]-'0')%3]
+}
+
+func oneSlowed(id string) float64 {
+	if id == "e05" {
+		return slowFactor
+	}
+	return 1
 }
 
 // With one gateway that sees all requests nothing is old, and both ways are the same.
 func TestProgramsStayWithTheirPromptsHoweverManyGatewaysPlace(t *testing.T) {
 	const mostOfOne = 1.2
-	for name, slowed := range map[string]string{"equal engines": "", "one of them slowed": "e05"} {
+	for name, stretch := range map[string]func(string) float64{"equal engines": equal, "three speeds": threeSpeeds, "one slowed": oneSlowed} {
 		t.Run(name, func(t *testing.T) {
-			one := replayPlacement(1, true, slowed)
-			require.Equal(t, replayPlacement(1, false, slowed), one)
+			one := replayPlacement(1, true, stretch)
+			require.Equal(t, replayPlacement(1, false, stretch), one)
 			for _, gateways := range []int{8, 50} {
-				whole, aged := replayPlacement(gateways, false, slowed), replayPlacement(gateways, true, slowed)
+				whole, aged := replayPlacement(gateways, false, stretch), replayPlacement(gateways, true, stretch)
 				t.Logf("%d gateways: one that sees all %v, reports as they are %v, by their age %v", gateways, one, whole, aged)
 				require.Less(t, aged.read, whole.read)
 				require.Less(t, aged.first, whole.first)
