--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -77,6 +77,9 @@
 	HeldShare float64 `koanf:"heldShare" validate:"gte=0,lte=0.5"`
 	// Guarantees names what the operator's agreement with the callers holds.
 	Guarantees []string `koanf:"guarantees"`
+	// ProgramAdmission says that new programs are admitted by what programs under way will
+	// need, where load control decides.
+	ProgramAdmission bool `koanf:"programAdmission"`
 }
 
 // HeldBytes returns how many bytes may be held for callers.
@@ -116,9 +119,14 @@
 	return Member{MemoryMB: 256, Grace: 8 * time.Second, TolerateMachines: 1, LogLevel: "info"}
 }
 
+// defaultHeldShare leaves the rest of a gateway's memory to the process itself.
+const defaultHeldShare = 0.25
+
 // LoadGateway reads the settings of a gateway.
 func LoadGateway(path string, overrides []string) (Gateway, error) {
-	return loadFile(path, overrides, Gateway{Member: defaultMember(), ColdOverage: 1, ReportsAge: true, HeldShare: 0.25})
+	return loadFile(path, overrides, Gateway{
+		Member: defaultMember(), ColdOverage: 1, ReportsAge: true, HeldShare: defaultHeldShare, ProgramAdmission: true,
+	})
 }
 
 // LoadReplica reads the settings of a replica.
