A steady tenant within its limit is no longer refused by its lender

Cause: a lender keeps the ends of lendings in steps of 100 ms. Each lending within a step of an earlier one's end joined it and put its end off, so a tenant for which one lender lends more often than ten times a second never got credit back: with a limit of 100 a second and a steady 50 it was refused at the 536th request, and served again only a window after it stopped.

Ruled out: steps on a fixed grid of the time of day (Truncate drops the monotonic clock, so a jump of the clock would move ends).

Change: a lending joins only those whose ends lie within a step of the first one's. Ends still only move later, so the bound on what counts is kept.

Before and after: go test ./internal/quota -run Steady fails at request 535 without the change and passes with it; TestNoSpanExceedsTheLimit is unchanged and passes.

--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -32,15 +32,16 @@
 	unsynced int
 }
 
-// lending is a number of allowances that count until a time.
+// lending is a number of allowances that count until a time. first is the end of the first of
+// them by itself.
 type lending struct {
-	count int
-	until time.Time
+	count        int
+	first, until time.Time
 }
 
 const (
-	// countStep is how exactly the end of a count is kept: lendings of one step count until
-	// the last one's end, which bounds their number.
+	// countStep is how exactly the end of a count is kept: lendings whose ends lie within one
+	// step of the first one's count until the last one's end, which bounds their number.
 	countStep = 100 * time.Millisecond
 	// aheadShare is the part of the credit that may be lent ahead at once: what one gateway
 	// does not use, others miss until it counts no more. Returning it was weighed: a message
@@ -213,7 +214,7 @@
 	c.unsynced += allowances
 	for i := range c.lent {
 		known := &c.lent[i]
-		if until.Sub(known.until).Abs() < countStep {
+		if after := until.Sub(known.first); after >= 0 && after < countStep {
 			known.count += allowances
 			if until.After(known.until) {
 				known.until = until
@@ -221,7 +222,7 @@
 			return
 		}
 	}
-	c.lent = append(c.lent, lending{count: allowances, until: until})
+	c.lent = append(c.lent, lending{count: allowances, first: until, until: until})
 }
 
 // sum returns what counts now.
