--- a/internal/backend/reportedload_test.go
+++ b/internal/backend/reportedload_test.go
@@ -240,3 +240,28 @@
 		})
 	}
 }
+
+// What is reported of one instance is told apart from the usual load as far as its requests last.
+func TestReportsCountByTheirAgeBesideTheRequests(t *testing.T) {
+	for name, test := range map[string]struct {
+		interval, took time.Duration
+		least, most    float64
+	}{
+		"young reports of long requests": {10 * time.Millisecond, 10 * time.Second, 7.9, 8},
+		"old reports of short requests":  {2 * time.Second, 100 * time.Millisecond, 2, 2.1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := NewDirectory("z")
+			d.Update(start, engines(4), false)
+			d.paceOf("llm").duration.add(milliseconds(test.took), paceGain)
+			now := start
+			for range 3 {
+				now = now.Add(test.interval)
+				d.RemoteLoads(now, LoadSource{Gateway: "g2"}, map[string]int{"e00": 8})
+			}
+			expected := d.expectedLoad(now, d.members["e00"])
+			require.GreaterOrEqual(t, expected, test.least)
+			require.LessOrEqual(t, expected, test.most)
+		})
+	}
+}
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -45,7 +45,7 @@
 	if limit <= 0 {
 		limit = defaultBody
 	}
-	if failure := s.holdRequest(r); failure != nil {
+	if failure := s.holdRequest(r, headerBytes(incoming)); failure != nil {
 		return failure
 	}
 	body, failure := s.readBody(w, r, incoming, limit)
--- a/internal/gateway/heldmemory.go
+++ b/internal/gateway/heldmemory.go
@@ -104,13 +104,13 @@
 	return s.held != nil && (s.options.LoadControl || slices.ContainsFunc(r.route.Targets, controlled))
 }
 
-// holdRequest counts a request that begins, or refuses it.
-func (s *Server) holdRequest(r *request) *refusal {
+// holdRequest counts a request that begins with its header, or refuses it.
+func (s *Server) holdRequest(r *request, headerBytes int) *refusal {
 	if !s.boundsMemory(r) {
 		return nil
 	}
 	s.held.mu.Lock()
-	begun, bound := s.held.budget.Begin(r.tenantName(), requestBytes)
+	begun, bound := s.held.budget.Begin(r.tenantName(), requestBytes+int64(headerBytes))
 	s.held.mu.Unlock()
 	if bound != memorybudget.Within {
 		return s.refuseHeld(r, bound)
