--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -253,9 +253,9 @@
 	value := func(name string) string { return text(line.Fields[name]) }
 	switch line.Event {
 	case "request":
-		return fmt.Sprintf("answered %s (%s) after %s ms on route %s under configuration %s: %s sends, last to %s with %s requests there; %s",
+		return fmt.Sprintf("answered %s (%s) after %s ms on route %s under configuration %s: %s sends, last to %s with %s requests there%s; %s",
 			value("status"), value("result"), value("took_ms"), value("route"), value("config"), value("sends"), orNone(value("instance")),
-			value("load"), orNone(value("reason")))
+			value("load"), describeExpected(line), orNone(value("reason")))
 	case "send_failed":
 		return fmt.Sprintf("send to %s failed after %s ms, verdict %s: %s", value("instance"), value("since_ms"), value("verdict"), value("reason"))
 	case "program_admission":
@@ -290,6 +290,16 @@
 	}
 }
 
+// describeExpected says what a placement made of reported load, where it went by its age.
+func describeExpected(line Line) string {
+	age := text(line.Fields["reports_age_ms"])
+	if age == "" || age == "0" {
+		return ""
+	}
+	return fmt.Sprintf(" (%s expected, for reports were %s ms old) and %s prompt tokens to read",
+		text(line.Fields["expected_load"]), age, text(line.Fields["missing"]))
+}
+
 func text(value any) string {
 	switch typed := value.(type) {
 	case nil:
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -56,3 +56,14 @@
 	require.Equal(t, "tenant riga is beyond its limit of 12.5 a second and a burst of 6 under configuration 4: replica-2, asked last, has an allowance in 740 ms",
 		log.Explain("r9").Steps[0].About)
 }
+
+func TestAPlacementByOldReportsAndABoundOfMemoryAreExplained(t *testing.T) {
+	for line, about := range map[string]string{
+		`{"time":1,"node":"g","event":"request","id":"r1","status":200,"result":"answered","took_ms":80,"route":"chat","config":4,"sends":1,"instance":"i-1","load":7,"expected_load":2.5,"reports_age_ms":480,"missing":310,"reason":""}`: "answered 200 (answered) after 80 ms on route chat under configuration 4: 1 sends, last to i-1 with 7 requests there (2.5 expected, for reports were 480 ms old) and 310 prompt tokens to read; none",
+		`{"time":1,"node":"g","event":"memory_bound","id":"r1","tenant":"riga","bound":"tenant","ran":false,"held_bytes":4096,"in_flight":3}`:                                                                                              "memory for callers is used up, bound \"tenant\", with 4096 bytes held by 3 requests; it may have run: false",
+	} {
+		var log Log
+		require.NoError(t, log.Read(strings.NewReader(line)))
+		require.Equal(t, about, log.Explain("r1").Steps[0].About)
+	}
+}
