Credit of a tenant's limit is set aside for programs that have begun

Cause: programs begin while their tenant's limit has no credit left for their later requests; most of them end unfinished with all that they used.

Change: gateways tell the parts of programs; a tenant's home lender (rendezvous hashing among the cell's voters) learns how many requests a program makes and holds new ones back while those that began within the window need the whole limit. Later requests are never held back. Only where the guarantees call for load control and limitSetAside is on.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -69,8 +69,8 @@
 		Node: config.Node, Zone: config.Zone, Dialect: platform.Dialect(), Directory: directory, Replicas: replicas,
 		Log: process.log, Metrics: metrics, Copies: config.TolerateMachines + 1,
 		Evacuations: config.EvacuationLimit > 0,
-		LoadControl: platform.AsksForLoadControl(config.Guarantees),
-		ColdStarts:  coldstart.Policy{Overage: config.ColdOverage, Slack: config.ColdSlack},
+		LoadControl: platform.AsksForLoadControl(config.Guarantees), LimitSetAside: config.LimitSetAside,
+		ColdStarts: coldstart.Policy{Overage: config.ColdOverage, Slack: config.ColdSlack},
 	})
 	gossip := gateway.NewGossip(config.Node, config.Zone, config.Places(), directory, sent)
 	store := platform.NewStore(config.StoreAddress, metrics.StoreCall, process.storeCallFailed)
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -259,6 +259,10 @@
 	case "send_failed":
 		return fmt.Sprintf("send to %s failed after %s ms, verdict %s: %s", value("instance"), value("since_ms"), value("verdict"), value("reason"))
 	case "limit_reached":
+		if value("held") == "true" {
+			return fmt.Sprintf("tenant %s holds back new programs: %s began within the window, each makes %s requests, its limit of %s a second and a burst of %s has credit for %s; %s, its home lender, expects credit for a whole one in %s ms",
+				value("tenant"), value("begun"), value("per_program"), value("limit_per_s"), value("limit_burst"), value("credit"), value("lender"), value("wait"))
+		}
 		return fmt.Sprintf("tenant %s is beyond its limit of %s a second and a burst of %s under configuration %s: %s, asked last, has an allowance in %s ms",
 			value("tenant"), value("limit_per_s"), value("limit_burst"), value("config"), value("lender"), value("wait"))
 	case "stream_resumed":
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -56,3 +56,11 @@
 	require.Equal(t, "tenant riga is beyond its limit of 12.5 a second and a burst of 6 under configuration 4: replica-2, asked last, has an allowance in 740 ms",
 		log.Explain("r9").Steps[0].About)
 }
+
+func TestAProgramThatIsHeldBackIsExplained(t *testing.T) {
+	const line = `{"time":90000,"node":"gateway-1","event":"limit_reached","id":"r9","tenant":"riga","lender":"replica-2","limit_per_s":12.5,"limit_burst":6,"wait":740,"part":"first","held":true,"credit":31,"begun":4,"per_program":17.5,"config":4}`
+	var log Log
+	require.NoError(t, log.Read(strings.NewReader(line)))
+	require.Equal(t, "tenant riga holds back new programs: 4 began within the window, each makes 17.5 requests, its limit of 12.5 a second and a burst of 6 has credit for 31; replica-2, its home lender, expects credit for a whole one in 740 ms",
+		log.Explain("r9").Steps[0].About)
+}
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -34,13 +34,34 @@
 
 func newAllowances() *allowances { return &allowances{borrower: quota.NewBorrower()} }
 
-// arrive counts a request, and uses an allowance for it if there is one.
-func (a *allowances) arrive(tenant string) bool {
+// arrive counts a request, and uses an allowance for it if there is one. The first request of
+// a program uses none before its tenant's home lender was asked: what is here serves begun
+// programs first.
+func (a *allowances) arrive(tenant string, part quota.Part) bool {
+	if part == quota.PartFirst {
+		return false
+	}
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.borrower.Arrived(now, tenant)
-	return a.borrower.Take(now, tenant)
+	return a.take(now, tenant, part)
+}
+
+// take uses an allowance. The caller holds the lock.
+func (a *allowances) take(now time.Time, tenant string, part quota.Part) bool {
+	taken := a.borrower.Take(now, tenant)
+	if taken && part != quota.PartUntold {
+		a.borrower.Served(now, tenant, part)
+	}
+	return taken
+}
+
+// short notes that a later request of a program was refused.
+func (a *allowances) short(tenant string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.borrower.Short(time.Now(), tenant)
 }
 
 // unanswered notes that a lender did not answer.
@@ -50,50 +71,54 @@
 	a.borrower.Unanswered(time.Now(), lender)
 }
 
-// next returns the lender to ask.
-func (a *allowances) next(tenant string, lenders []string) quota.NextStep {
+// next returns the lender to ask. admitted says that the tenant's home lender has answered.
+func (a *allowances) next(tenant string, lenders []string, part quota.Part, admitted bool) quota.NextStep {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.borrower.Next(time.Now(), tenant, lenders)
+	return a.borrower.NextOf(time.Now(), tenant, lenders, part, admitted)
 }
 
 // lent adds a loan and uses an allowance of it for the request that asked.
-func (a *allowances) lent(sentAt time.Time, lender string, asked quota.Borrow, lent quota.Loan) bool {
+func (a *allowances) lent(sentAt time.Time, lender string, asked quota.Borrow, part quota.Part, lent quota.Loan) bool {
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.borrower.Lent(now, sentAt, lender, asked, lent)
-	return a.borrower.Take(now, asked.Tenant)
+	return a.take(now, asked.Tenant, part)
 }
 
 // withinLimit lets the request go on if its tenant's limit allows that.
 func (s *Server) withinLimit(ctx context.Context, r *request) *refusal {
-	if r.tenant == nil || !r.tenant.Limit.Limited() || s.allowances.arrive(r.tenant.Name) {
+	if r.tenant == nil || !r.tenant.Limit.Limited() {
+		return nil
+	}
+	part := s.programPart(r)
+	if s.allowances.arrive(r.tenant.Name, part) {
 		return nil
 	}
 	began := time.Now()
 	defer func() { r.outcome.limitMS = sinceMS(began) }()
 	ctx, cancel := context.WithTimeout(ctx, min(limitTimeout, time.Until(r.deadline)/limitDivisor))
 	defer cancel()
-	return s.borrow(ctx, r)
+	return s.borrow(ctx, r, part)
 }
 
 // borrow asks the lenders of the tenant's cell one after another for an allowance. A request is
 // beyond its tenant's limit once most of them say that they have none left: one voter that is
 // down must neither make each such request wait for it nor hide when there is credit again.
-func (s *Server) borrow(ctx context.Context, r *request) *refusal {
+func (s *Server) borrow(ctx context.Context, r *request, part quota.Part) *refusal {
 	name := r.tenant.Name
 	cell := s.replicas.OfTenant(name)
 	if cell == nil {
 		return refuseFor(verdict.CodeUnavailable, replicaRetry, "no replicas are known yet")
 	}
 	lenders := cell.Lenders(name)
-	for {
-		step := s.allowances.next(name, lenders)
+	for admitted := false; ; {
+		step := s.allowances.next(name, lenders, part, admitted)
 		switch {
 		case step.Lender != "":
 		case step.Told > 0:
-			s.logBeyondLimit(r, step.Wait)
+			s.noteBeyondLimit(r, part, quota.Loan{Wait: step.Wait})
 			return beyondLimit(max(step.Wait, leastLimitRetry))
 		default:
 			return refuseFor(verdict.CodeUnavailable, replicaRetry, "too few replicas answered on the tenant's limit")
@@ -101,6 +126,7 @@
 		r.outcome.lender = step.Lender
 		sentAt := time.Now()
 		lent, err := s.askLender(ctx, cell, step.Lender, step.Asked)
+		admitted = admitted || err == nil && step.Asked.Part == quota.PartFirst
 		switch {
 		case ctx.Err() != nil:
 			return refuseFor(verdict.CodeUnavailable, replicaRetry, "too few replicas answered on the tenant's limit")
@@ -109,7 +135,10 @@
 			s.log.Warn().Str("event", "lender_unanswered").Str("id", r.id).Str("tenant", name).Str("lender", step.Lender).Msg("")
 		case lent.Unable:
 			lenders = slices.DeleteFunc(lenders, func(other string) bool { return other == step.Lender })
-		case lent.Unlimited || s.allowances.lent(sentAt, step.Lender, step.Asked, lent):
+		case lent.Held:
+			s.noteBeyondLimit(r, part, lent)
+			return beyondLimit(max(lent.Wait, leastLimitRetry))
+		case lent.Unlimited || s.allowances.lent(sentAt, step.Lender, step.Asked, part, lent):
 			return nil
 		}
 	}
@@ -121,12 +150,18 @@
 	return cell.Borrow(ctx, name, asked)
 }
 
-// logBeyondLimit writes which limit a request is beyond, and when there is credit again.
-func (s *Server) logBeyondLimit(r *request, wait time.Duration) {
+// noteBeyondLimit counts and logs which limit a request is beyond, and when there is credit
+// again: for a whole program where the home lender held a new one back.
+func (s *Server) noteBeyondLimit(r *request, part quota.Part, lent quota.Loan) {
 	limit := r.tenant.Limit
+	if part == quota.PartLater {
+		s.allowances.short(r.tenant.Name)
+	}
+	s.metrics.beyondLimit(part, lent.Held)
 	s.log.Info().Str("event", "limit_reached").Str("id", r.id).Str("tenant", r.tenant.Name).Str("lender", r.outcome.lender).
-		Float64("limit_per_s", limit.PerSecond).Float64("limit_burst", limit.Burst).Dur("wait", wait).
-		Uint64("config", r.table.Version).Msg("")
+		Float64("limit_per_s", limit.PerSecond).Float64("limit_burst", limit.Burst).Dur("wait", lent.Wait).
+		Str("part", part.String()).Bool("held", lent.Held).Int("credit", lent.Forecast.Credit).Int("begun", lent.Forecast.Begun).
+		Float64("per_program", lent.Forecast.PerProgram).Uint64("config", r.table.Version).Msg("")
 }
 
 // beyondLimit refuses a request beyond its tenant's limit until there is credit again.
--- /dev/null
+++ b/internal/gateway/limitparts.go
@@ -0,0 +1,37 @@
+package gateway
+
+import (
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"swiftbank.dev/swiftbank/internal/quota"
+)
+
+// programPart says which part of a program the request is, where credit of limits is set aside
+// for begun programs. A request without a program may be refused like a new one: nothing is
+// lost with it.
+func (s *Server) programPart(r *request) quota.Part {
+	switch {
+	case !s.options.LoadControl || !s.options.LimitSetAside:
+		return quota.PartUntold
+	case r.first || r.header.Get(s.dialect.Program) == "":
+		return quota.PartFirst
+	default:
+		return quota.PartLater
+	}
+}
+
+// addLimits registers the metrics of tenants' limits.
+func (m *Metrics) addLimits(labels prometheus.Labels) {
+	m.beyond = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "swiftbank_limit_refusals_total", ConstLabels: labels,
+		Help: "Requests refused by their tenant's limit, by the part of a program and whether credit was set aside for begun ones.",
+	}, []string{"part", "held"})
+	m.Registry.MustRegister(m.beyond)
+}
+
+// beyondLimit counts a request refused by its tenant's limit.
+func (m *Metrics) beyondLimit(part quota.Part, held bool) {
+	m.beyond.WithLabelValues(part.String(), strconv.FormatBool(held)).Inc()
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -56,6 +56,9 @@
 	Copies int
 	// LoadControl says that the operator asks for load control on all services.
 	LoadControl bool
+	// LimitSetAside says that, under load control, credit of tenants' limits is set aside for
+	// begun programs.
+	LimitSetAside bool
 	// ColdStarts is by how much cold instances may get more than their limit.
 	ColdStarts coldstart.Policy
 }
--- a/internal/ledger/compatibility_test.go
+++ b/internal/ledger/compatibility_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"swiftbank.dev/swiftbank/internal/quota"
 )
 
 // recorded returns a reader of messages that the released version 0.7 wrote.
@@ -53,3 +55,38 @@
 	require.NoError(t, gob.NewDecoder(&message).Decode(&read))
 	require.Equal(t, cachedPrompt07{Instance: "e", Part: "x", Tokens: 9}, read)
 }
+
+// borrow07 and loan07 are a Borrow and a Loan as version 0.7 knows them.
+type borrow07 struct {
+	Tenant         string
+	Waiting, Ahead int
+}
+
+type loan07 struct {
+	Waiting, Ahead        int
+	Life, AheadLife, Wait time.Duration
+	Unlimited, Unable     bool
+}
+
+func recode(t *testing.T, from, to any) {
+	var message bytes.Buffer
+	require.NoError(t, gob.NewEncoder(&message).Encode(from))
+	require.NoError(t, gob.NewDecoder(&message).Decode(to))
+}
+
+// A lender of the version before lends to whoever asks; one that is held back has to wait in
+// its words as well.
+func TestLendersAndGatewaysOfTwoVersionsUnderstandEachOther(t *testing.T) {
+	var old borrow07
+	recode(t, quota.Borrow{Tenant: "t", Waiting: 1, Ahead: 2, Part: quota.PartFirst, Told: quota.Told{First: 1, Later: 9}}, &old)
+	require.Equal(t, borrow07{Tenant: "t", Waiting: 1, Ahead: 2}, old)
+	var asked quota.Borrow
+	recode(t, old, &asked)
+	require.Equal(t, quota.Borrow{Tenant: "t", Waiting: 1, Ahead: 2}, asked)
+	var oldLoan loan07
+	recode(t, quota.Loan{Held: true, Wait: time.Second, Forecast: quota.Forecast{Begun: 3, PerProgram: 6.5}}, &oldLoan)
+	require.Equal(t, loan07{Wait: time.Second}, oldLoan)
+	var loan quota.Loan
+	recode(t, oldLoan, &loan)
+	require.Equal(t, quota.Loan{Wait: time.Second}, loan)
+}
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -35,6 +35,10 @@
 	// demand counts the requests of late, which lose their weight over demandSpan.
 	demand   float64
 	demandAt time.Time
+	// home is the tenant's home lender, untold what it does not know of. That is below zero for
+	// requests that it lent to and that have not gone on yet.
+	home   string
+	untold Told
 }
 
 // allowance is a number of requests that may go on.
@@ -161,9 +165,17 @@
 // have been lent at that moment.
 func (b *Borrower) Lent(now, sentAt time.Time, lender string, asked Borrow, lent Loan) {
 	known := b.of(now, asked.Tenant)
-	if lent.Wait > 0 {
+	// Otherwise a request beyond the limit would ask it again and again: what it says of its
+	// credit would not count while it is taken for silent.
+	delete(b.unansweredUntil, lender)
+	if lent.Wait > 0 && !lent.Held {
 		known.emptyUntil[lender] = now.Add(lent.Wait)
 	}
+	if lender == known.home {
+		known.untold.add(asked.Part, -lent.Waiting)
+	} else {
+		known.untold.Lent += lent.Waiting + lent.Ahead
+	}
 	if lent.Waiting > 0 {
 		known.held = append(known.held, allowance{count: lent.Waiting, expires: sentAt.Add(lent.Life)})
 	}
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -14,6 +14,10 @@
 	policy  Policy
 	tenants *tenant.Index
 	counts  map[string]*count
+	// programs are the accounts of the tenants whose home lender this is, learned what the
+	// programs of all of them taught.
+	programs map[string]*account
+	learned  ratio
 	// adopted is this voter's share of each limit by the newest set of voters. Until raiseAt
 	// it lends no more than by any of its shares earlier.
 	adopted share
@@ -53,7 +57,7 @@
 
 // NewLender returns a lender without a share.
 func NewLender(policy Policy) *Lender {
-	return &Lender{policy: policy, counts: map[string]*count{}}
+	return &Lender{policy: policy, counts: map[string]*count{}, programs: map[string]*account{}}
 }
 
 // SetTenants replaces the tenants and their limits. nil knows of none.
@@ -124,6 +128,9 @@
 	case !listed.Limit.Limited():
 		return Loan{Unlimited: true}, false
 	}
+	if held, isHeld := l.holdBack(now, asked, listed.Limit); isHeld {
+		return held, false
+	}
 	known := l.countOf(asked.Tenant)
 	credit := l.credit(now, listed.Limit, known)
 	lent = Loan{Life: l.policy.life(), AheadLife: aheadLife}
@@ -131,6 +138,7 @@
 	lent.Ahead = max(0, min(asked.Ahead, (credit-lent.Waiting)/aheadShare))
 	known.add(lent.Waiting, now.Add(lent.Life+l.policy.Window))
 	known.add(lent.Ahead, now.Add(lent.AheadLife+l.policy.Window))
+	l.noteLent(now, asked, lent)
 	if lent.Waiting == 0 {
 		lent.Wait = l.nextCredit(now, known)
 	}
@@ -167,11 +175,9 @@
 	return known
 }
 
-// most is what may count at once of a limit here: a share of the limit, half the overage and
-// half the slack, and one request at least in the whole cell, or the smallest limits could not
-// be lent at all.
+// most is what may count at once of a limit here: this voter's share of what is lendable.
 func (l *Lender) most(limit tenant.Limit) int {
-	requests := max(1, l.policy.inWindow(limit)*(1+l.policy.Overage/2)+l.policy.Slack/2)
+	requests := l.policy.lendable(limit)
 	most := l.adopted.of(requests)
 	for _, earlier := range l.earlier {
 		most = min(most, earlier.of(requests))
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -45,6 +45,13 @@
 	return limit.PerSecond*p.Window.Seconds() + limit.Burst
 }
 
+// lendable returns what all voters together may lend at once of a limit: the limit, half the
+// overage and half the slack, and one request at least, or the smallest limits could not be
+// lent at all.
+func (p Policy) lendable(limit tenant.Limit) float64 {
+	return max(1, p.inWindow(limit)*(1+p.Overage/2)+p.Slack/2)
+}
+
 // life is how long an allowance is good that was lent to a request that waits.
 func (p Policy) life() time.Duration {
 	return max(leastLife, time.Duration(p.Overage/2*float64(p.Window)))
@@ -57,6 +64,10 @@
 	// soon.
 	Waiting int
 	Ahead   int
+	// Part is which part of a program the waiting request is, and Told what went on at this
+	// gateway since it last asked the tenant's home lender; both are for that lender only.
+	Part Part
+	Told Told
 }
 
 // Loan answers a Borrow.
@@ -71,4 +82,9 @@
 	Unlimited bool
 	// Unable says that the lender cannot tell: it does not know the tenant, or has no share.
 	Unable bool
+	// Held says that a new program is refused because credit is set aside for begun ones; Wait
+	// is then when there is credit for a whole one, and Forecast what that rests on. Lenders of
+	// the version before never say so.
+	Held     bool
+	Forecast Forecast
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -224,6 +224,8 @@
 	flying []flight
 	// used are the times at which requests went on.
 	used []time.Time
+	// told says that gateways tell the parts of programs.
+	told bool
 	// disks are the lenders' lendings that are on their disks.
 	disks map[string][]diskLending
 }
@@ -333,7 +335,7 @@
 		s.used = append(s.used, now)
 		return
 	}
-	step := holder.Next(now, "t0", s.names)
+	step := holder.NextOf(now, "t0", s.names, s.part(), s.told && s.chance(0.3))
 	lender, asked := step.Lender, step.Asked
 	if lender == "" {
 		return
@@ -351,6 +353,18 @@
 	})
 }
 
+// part returns the part of a program that a request is.
+func (s *schedule) part() Part {
+	switch {
+	case !s.told:
+		return PartUntold
+	case s.chance(0.2):
+		return PartFirst
+	default:
+		return PartLater
+	}
+}
+
 func (s *schedule) lent(now, sentAt time.Time, gateway int, lender string, asked Borrow, lent Loan) {
 	if now.Before(s.sleeps[gateway]) {
 		s.flying = append(s.flying, flight{at: s.sleeps[gateway], deliver: func(then time.Time) { s.lent(then, sentAt, gateway, lender, asked, lent) }})
@@ -418,6 +432,17 @@
 	}
 }
 
+// The parts of programs change who is lent to, and never how much.
+func TestNoSpanExceedsTheLimitWherePartsAreTold(t *testing.T) {
+	for seed := range uint64(100) {
+		s := newSchedule(seed)
+		s.told = true
+		s.play()
+		allowed := int(math.Floor(s.policy.inWindow(s.limit)*(1+s.policy.Overage) + s.policy.Slack))
+		require.LessOrEqual(t, s.mostInASpan(), allowed, "seed %d", seed)
+	}
+}
+
 // What lies within the limit is served, wherever it arrives: a small limit by one gateway,
 // also where it all comes at once.
 func TestASmallLimitIsServedInFull(t *testing.T) {
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -1,6 +1,9 @@
 package replica
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -26,6 +29,8 @@
 
 	allowances   *prometheus.CounterVec
 	loansRefused prometheus.Counter
+	programsHeld prometheus.Counter
+	setAside     *prometheus.GaugeVec
 }
 
 // NewMetrics registers a replica's metrics.
@@ -63,7 +68,13 @@
 	m.loansRefused = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "swiftbank_replica_loans_refused_total", Help: "Requests for an allowance of a tenant that had none left here.", ConstLabels: labels,
 	})
-	m.Registry.MustRegister(m.allowances, m.loansRefused)
+	m.programsHeld = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "swiftbank_replica_programs_held_total", Help: "Requests of new programs refused as home lender, for credit that is set aside for begun ones.", ConstLabels: labels,
+	})
+	m.setAside = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "swiftbank_replica_limit_set_aside", Help: "Requests that begun programs are likely to make still, of the tenants with most of them.", ConstLabels: labels,
+	}, []string{"tenant"})
+	m.Registry.MustRegister(m.allowances, m.loansRefused, m.programsHeld, m.setAside)
 	m.Registry.MustRegister(m.feedAge, m.feedReading, m.store, m.requests, m.syncs, m.batch, m.epoch, m.turns, m.programs, m.bytes)
 	return m
 }
@@ -88,6 +99,20 @@
 	m.batch.Observe(float64(records))
 }
 
+// setAsideTenants bounds the series of set-asides.
+const setAsideTenants = 8
+
+// observeSetAsides shows the largest set-asides.
+func (m *Metrics) observeSetAsides(asides map[string]float64) {
+	names := slices.SortedFunc(maps.Keys(asides), func(a, b string) int {
+		return cmp.Or(cmp.Compare(asides[b], asides[a]), cmp.Compare(a, b))
+	})
+	m.setAside.Reset()
+	for _, name := range names[:min(len(names), setAsideTenants)] {
+		m.setAside.WithLabelValues(name).Set(asides[name])
+	}
+}
+
 func (m *Metrics) observeState(state *ledger.State) {
 	turns, programs, bytes := state.Size()
 	m.epoch.Set(float64(state.Set().Epoch))
@@ -117,7 +142,10 @@
 func (m *Metrics) lent(lent quota.Loan) {
 	m.allowances.WithLabelValues("waiting").Add(float64(lent.Waiting))
 	m.allowances.WithLabelValues("ahead").Add(float64(lent.Ahead))
-	if lent.Wait > 0 {
+	switch {
+	case lent.Held:
+		m.programsHeld.Inc()
+	case lent.Wait > 0:
 		m.loansRefused.Inc()
 	}
 }
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -71,6 +71,9 @@
 	ColdSlack   float64 `koanf:"coldSlack" validate:"gte=0"`
 	// Guarantees names what the operator's agreement with the callers holds.
 	Guarantees []string `koanf:"guarantees"`
+	// LimitSetAside sets credit of tenants' limits aside for programs that have begun, where the
+	// guarantees call for load control.
+	LimitSetAside bool `koanf:"limitSetAside"`
 }
 
 // Replica holds the settings of a replica.
@@ -107,7 +110,7 @@
 
 // LoadGateway reads the settings of a gateway.
 func LoadGateway(path string, overrides []string) (Gateway, error) {
-	return loadFile(path, overrides, Gateway{Member: defaultMember(), ColdOverage: 1})
+	return loadFile(path, overrides, Gateway{Member: defaultMember(), ColdOverage: 1, LimitSetAside: true})
 }
 
 // LoadReplica reads the settings of a replica.
