--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -73,6 +73,7 @@
 		ProgramAdmission: config.ProgramAdmission,
 		ReportsAge:       config.ReportsAge,
 		HeldBytes:        config.HeldBytes(),
+		LimitSetAside:    config.LimitSetAside,
 		ColdStarts:       coldstart.Policy{Overage: config.ColdOverage, Slack: config.ColdSlack},
 	})
 	gossip := gateway.NewGossip(config.Node, config.Zone, config.Places(), directory, sent)
