--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -14,6 +14,10 @@
 	policy  Policy
 	tenants *tenant.Index
 	counts  map[string]*count
+	// programs are the accounts of the tenants whose home lender this is, learned what the
+	// programs of all of them taught.
+	programs map[string]*account
+	learned  ratio
 	// adopted is this voter's share of each limit by the newest set of voters. Until raiseAt
 	// it lends no more than by any of its shares earlier.
 	adopted share
@@ -32,15 +36,16 @@
 	unsynced int
 }
 
-// lending is a number of allowances that count until a time.
+// lending is a number of allowances that count until a time. first is the end of the first of
+// them by itself.
 type lending struct {
-	count int
-	until time.Time
+	count        int
+	first, until time.Time
 }
 
 const (
-	// countStep is how exactly the end of a count is kept: lendings of one step count until
-	// the last one's end, which bounds their number.
+	// countStep is how exactly the end of a count is kept: lendings whose ends lie within one
+	// step of the first one's count until the last one's end, which bounds their number.
 	countStep = 100 * time.Millisecond
 	// aheadShare is the part of the credit that may be lent ahead at once: what one gateway
 	// does not use, others miss until it counts no more. Returning it was weighed: a message
@@ -52,7 +57,7 @@
 
 // NewLender returns a lender without a share.
 func NewLender(policy Policy) *Lender {
-	return &Lender{policy: policy, counts: map[string]*count{}}
+	return &Lender{policy: policy, counts: map[string]*count{}, programs: map[string]*account{}}
 }
 
 // SetTenants replaces the tenants and their limits. nil knows of none.
@@ -123,6 +128,9 @@
 	case !listed.Limit.Limited():
 		return Loan{Unlimited: true}, false
 	}
+	if held, isHeld := l.holdBack(now, asked, listed.Limit); isHeld {
+		return held, false
+	}
 	known := l.countOf(asked.Tenant)
 	credit := l.credit(now, listed.Limit, known)
 	lent = Loan{Life: l.policy.life(), AheadLife: aheadLife}
@@ -130,6 +138,7 @@
 	lent.Ahead = max(0, min(asked.Ahead, (credit-lent.Waiting)/aheadShare))
 	known.add(lent.Waiting, now.Add(lent.Life+l.policy.Window))
 	known.add(lent.Ahead, now.Add(lent.AheadLife+l.policy.Window))
+	l.noteLent(now, asked, lent)
 	if lent.Waiting == 0 {
 		lent.Wait = l.nextCredit(now, known)
 	}
@@ -166,11 +175,9 @@
 	return known
 }
 
-// most is what may count at once of a limit here: a share of the limit, half the overage and
-// half the slack, and one request at least in the whole cell, or the smallest limits could not
-// be lent at all.
+// most is what may count at once of a limit here: this voter's share of what is lendable.
 func (l *Lender) most(limit tenant.Limit) int {
-	requests := max(1, l.policy.inWindow(limit)*(1+l.policy.Overage/2)+l.policy.Slack/2)
+	requests := l.policy.lendable(limit)
 	most := l.adopted.of(requests)
 	for _, earlier := range l.earlier {
 		most = min(most, earlier.of(requests))
@@ -213,7 +220,7 @@
 	c.unsynced += allowances
 	for i := range c.lent {
 		known := &c.lent[i]
-		if until.Sub(known.until).Abs() < countStep {
+		if after := until.Sub(known.first); after >= 0 && after < countStep {
 			known.count += allowances
 			if until.After(known.until) {
 				known.until = until
@@ -221,7 +228,7 @@
 			return
 		}
 	}
-	c.lent = append(c.lent, lending{count: allowances, until: until})
+	c.lent = append(c.lent, lending{count: allowances, first: until, until: until})
 }
 
 // sum returns what counts now.
