--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -74,6 +74,9 @@
 // Short reports whether not all programs of the rank may begin.
 func (d Decision) Short() bool { return d.Known && d.Chance < 1 }
 
+// askedOnce is what one first request adds to the rate of them.
+const askedOnce = float64(time.Second) / float64(askedTime)
+
 const (
 	// reportTime is how old the figures of a gateway's neighbour are for each of its sources: it
 	// hears two of them each 50 ms. leastReportTime holds for few gateways, mostReportTime
@@ -102,7 +105,7 @@
 	name := groupOf(request.Kind)
 	own := c.kind(now, name)
 	service := c.service(now, name.service())
-	own.sums[asked] += 1 / askedTime.Seconds()
+	own.sums[asked] += askedOnce
 	view := c.view(now, name.service(), service)
 	decision := Decision{Verdict: Admit, Sources: c.others.Sources(now)}
 	program := view.of(name).estimate
@@ -110,37 +113,45 @@
 		own.refusedUntil = request.Deadline
 		return decision
 	}
-	decision.Known = true
 	service.calibrate(now, view.expected(0), load)
 	forecast := forecast{view: view, factor: service.factor, busy: float64(load.Busy), rank: name.rank()}
-	decision.Room = float64(load.Slots) * view.bearable(name.rank(), program, request.Left != 0)
-	decision.Asked = view.asked(name.rank())
 	reports := min(mostReportTime, max(leastReportTime, reportTime*time.Duration(decision.Sources)))
-	tightest := forecast.tightest(decision.Room, reports.Seconds())
-	decision.Committed, decision.Reserved, decision.Chance = tightest.committed, tightest.reserved, tightest.chance
+	decision.Room = float64(load.Slots) * view.bearable(name.rank(), program, request.Left != 0)
+	decision.weigh(forecast, reports)
 	if decision.Short() {
 		own.refusedUntil = request.Deadline
 	}
-	if decision.Short() && program.hopeless(request.Left) {
+	decision.Usual = !now.Before(own.refusedUntil)
+	switch {
+	case decision.Short() && program.hopeless(request.Left):
 		// Admitted, it would make another one late. It asks for nothing that can be given.
-		own.sums[asked] = max(0, own.sums[asked]-1/askedTime.Seconds())
+		own.sums[asked] = max(0, own.sums[asked]-askedOnce)
 		decision.Hopeless = true
 		decision.refuse(now, request, longestWait)
-		return decision
-	}
-	decision.Usual = !now.Before(own.refusedUntil)
-	if uniform(request.ID, now) < decision.Chance {
-		return decision
-	}
-	expected := forecast.until(decision.Room, program)
-	if decision.Chance > 0 {
-		// The next decision that rests on other figures may admit it.
-		expected = min(longestWait, time.Duration(float64(reports)/decision.Chance))
+	case uniform(request.ID, now) >= decision.Chance:
+		expected := min(decision.expected(forecast, program, reports), program.slack(request.Left))
+		decision.refuse(now, request, max(reports, expected))
 	}
-	decision.refuse(now, request, max(reports, min(expected, program.slack(request.Left))))
 	return decision
 }
 
+// weigh sets what of the forecast decides.
+func (d *Decision) weigh(forecast forecast, reports time.Duration) {
+	d.Known = true
+	d.Asked = forecast.view.asked(forecast.rank)
+	tightest := forecast.tightest(d.Room, reports.Seconds())
+	d.Committed, d.Reserved, d.Chance = tightest.committed, tightest.reserved, tightest.chance
+}
+
+// expected returns when a program that may not begin now may begin: once other figures lead to
+// another decision, or there is room at all.
+func (d *Decision) expected(forecast forecast, program estimate, reports time.Duration) time.Duration {
+	if d.Chance > 0 {
+		return min(longestWait, time.Duration(float64(reports)/d.Chance))
+	}
+	return forecast.until(d.Room, program)
+}
+
 // refuse holds the request if it may be admitted before its objective is over, and else says
 // when to come back.
 func (d *Decision) refuse(now time.Time, request Request, expected time.Duration) {
--- a/internal/admission/slowdown.go
+++ b/internal/admission/slowdown.go
@@ -21,7 +21,7 @@
 	leastSteps = 2
 	// leastStretch is the slowdown that is borne at least: programs that are late with it are
 	// late whatever is refused, so others must not be refused for them.
-	leastStretch = 1.4
+	leastStretch = 1.25
 	// baseShare is up to which share in use the time of requests may stand for that without
 	// other load. While only more is known, no more than unknownShare may be in use: under
 	// load that nobody saw begin, it would else never be learned how much slower requests are.
--- a/internal/overload/programs_test.go
+++ b/internal/overload/programs_test.go
@@ -214,6 +214,7 @@
 	for _, factor := range []float64{1.5, 2, 3} {
 		t.Run(fmt.Sprint(factor, " times"), func(t *testing.T) {
 			played := unfolding(t, factor)
+			played.Seconds = burstTo.Seconds()
 			kept := replayAll(played, newAdmitting)
 			require.GreaterOrEqual(t, float64(goodput(kept)), leastGoodput*float64(usual))
 			require.GreaterOrEqual(t, inTime(kept["urgent"]), inTime(kept["usual"]))
@@ -224,6 +225,7 @@
 // Admission by the slots that are free now was weighed: it serves fewer in time.
 func TestFreeSlotsAloneAdmitTooManyPrograms(t *testing.T) {
 	played := unfolding(t, 2)
+	played.Seconds = burstTo.Seconds()
 	require.Greater(t, goodput(replayAll(played, newAdmitting)), goodput(replayAll(played, newDecided)))
 }
 
@@ -260,6 +262,7 @@
 func TestForecastServesMoreAfterAllGatewaysStartAnewInABurst(t *testing.T) {
 	played := patient(unfolding(t, 3))
 	played.Reports.RestartAllAtMS = 16000
+	played.Seconds = burstTo.Seconds()
 	require.Greater(t, goodput(replayAll(played, newAdmitting)), goodput(replayAll(played, newDecided)))
 }
 
@@ -274,6 +277,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			played := unfolding(t, 2)
+			played.Seconds = burstTo.Seconds()
 			played.Reports = trouble
 			require.GreaterOrEqual(t, float64(goodput(replayAll(played, newAdmitting))), leastGoodput*float64(usual))
 		})
