A short program leaves only what is asked while it is under way

Short programs, the less urgent ones there, are refused from second 12 to 17 with 96 to 158 of 270 slots in use and turns as fast as without load: they had to leave what long urgent programs would ask up to 8 seconds later, when they are over themselves.

Change: the forecast looks as far as the program itself takes.

Before and after: the new test fails without it.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -113,6 +113,19 @@
 	require.Less(t, after.Chance, before.Chance)
 }
 
+func TestShortProgramsLeaveOnlyWhatIsAskedWhileTheyAreUnderWay(t *testing.T) {
+	c := admission.NewController()
+	short, long := usual, admission.Kind{Service: "s", Route: "long", Rank: 1}
+	end := play(short, start, 10, 2, 4*time.Second, c)
+	end = play(long, end, 10, 30, 10*time.Second, c)
+	end = play(urgent, end, 10, 16, 8*time.Second, c)
+	for range 40 { // many urgent ones ask at once
+		c.Decide(end, admission.Request{ID: "u", Kind: urgent}, admission.Load{Slots: many})
+	}
+	load := admission.Load{Slots: 100, Busy: 10}
+	require.Less(t, decide(c, end, short, load).Reserved, decide(c, end, long, load).Reserved)
+}
+
 // A gateway sees only part of each program. Whatever part it is, the sums over all gateways say
 // what one gateway would say that saw everything.
 func TestPartsOfProgramsTellTheWhole(t *testing.T) {
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -13,9 +13,7 @@
 	// mostPrograms bounds the programs whose beginnings are remembered; twice as many at most.
 	mostPrograms = 2048
 	// mostSlowdown is up to which slowdown a program's time tells how long it takes without
-	// other load: beyond it, what is taken off for the load is no small part any more. Nor
-	// does a program tell it that is late, or that began while refused callers may have come
-	// back: they have less time than programs of their kind have.
+	// other load: beyond it, what is taken off for the load is no small part any more.
 	mostSlowdown = 1.5
 	// warmUp is for how long after a start the times of requests are left out: the first to end
 	// are the short ones, and the slots in use are not known yet.
@@ -89,7 +87,7 @@
 		if len(c.kinds) >= mostRemembered {
 			clear(c.kinds)
 		}
-		known = &kindState{at: now}
+		known = &kindState{at: now, estimate: estimate{stage: leastStage}}
 		c.kinds[name] = known
 	}
 	known.fade(now)
@@ -109,19 +107,14 @@
 	return known
 }
 
+// fade moves the sums on to now.
 func (k *kindState) fade(now time.Time) {
 	if after := now.Sub(k.at); after > 0 {
-		e := k.estimate
-		e.stage = max(e.stage, e.turn, minimumStage)
-		k.sums.fade(after.Seconds(), e)
+		k.sums.fade(after.Seconds(), k.estimate)
 		k.at = now
 	}
 }
 
-// minimumStage keeps the programs of a kind of which nothing is known yet for a moment, in
-// seconds.
-const minimumStage = 0.05
-
 // Beginning is a program's first request that an instance took.
 type Beginning struct {
 	Kind    Kind
@@ -177,19 +170,29 @@
 		return
 	}
 	known.sums[later]++
-	began, remembered := c.programs[turn.Program]
-	if !remembered {
-		began, remembered = c.previous[turn.Program]
+	if began, remembered := c.beginning(turn.Program); remembered {
+		age := max(0, now.Sub(began.at)-turn.Took/2)
+		known.sums.learnAge(began, age, service.present())
 	}
-	if !remembered {
-		return
+}
+
+// beginning returns how a program began, if it began here of late.
+func (c *Controller) beginning(program string) (beginning, bool) {
+	if began, remembered := c.programs[program]; remembered {
+		return began, true
 	}
-	age := max(0, now.Sub(began.at)-turn.Took/2)
-	known.sums[aged]++
-	known.sums[ageMS] += milliseconds(age)
-	slowdown := service.present()
+	began, remembered := c.previous[program]
+	return began, remembered
+}
+
+// learnAge learns from the age of a program in the middle of a later turn.
+func (s *sums) learnAge(began beginning, age time.Duration, slowdown float64) {
+	s[aged]++
+	s[ageMS] += milliseconds(age)
+	// A program that is late, or that began while refused callers may have come back, does not
+	// tell how much of their time programs of its kind need: it had less than they have.
 	if age < began.left && began.usual && max(began.slowdown, slowdown) <= mostSlowdown {
-		known.sums.addPhase(began.left, time.Duration(float64(age)*2/(began.slowdown+slowdown)))
+		s.addPhase(began.left, time.Duration(float64(age)*2/(began.slowdown+slowdown)))
 	}
 }
 
--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -117,7 +117,7 @@
 	forecast := forecast{view: view, factor: service.factor, busy: float64(load.Busy), rank: name.rank()}
 	reports := min(mostReportTime, max(leastReportTime, reportTime*time.Duration(decision.Sources)))
 	decision.Room = float64(load.Slots) * view.bearable(name.rank(), program, request.Left != 0)
-	decision.weigh(forecast, reports)
+	decision.weigh(forecast, program, reports)
 	if decision.Short() {
 		own.refusedUntil = request.Deadline
 	}
@@ -136,10 +136,10 @@
 }
 
 // weigh sets what of the forecast decides.
-func (d *Decision) weigh(forecast forecast, reports time.Duration) {
+func (d *Decision) weigh(forecast forecast, program estimate, reports time.Duration) {
 	d.Known = true
 	d.Asked = forecast.view.asked(forecast.rank)
-	tightest := forecast.tightest(d.Room, reports.Seconds())
+	tightest := forecast.tightest(d.Room, reports.Seconds(), program)
 	d.Committed, d.Reserved, d.Chance = tightest.committed, tightest.reserved, tightest.chance
 }
 
--- a/internal/admission/forecast.go
+++ b/internal/admission/forecast.go
@@ -167,16 +167,12 @@
 }
 
 // tightest returns the moment at which the least part of the programs that ask finds room, from
-// the time on at which a decision is known to other gateways, and while programs that begin now
-// are under way.
-func (f forecast) tightest(room, from float64) moment {
+// the time on at which a decision is known to other gateways, and while a program that begins
+// now is under way: a short one need not leave what will be asked when it is over.
+func (f forecast) tightest(room, from float64, program estimate) moment {
 	const stages = 3
-	until := from
-	for _, kind := range f.view.kinds {
-		until = max(until, stages*kind.estimate.stage)
-	}
 	least := f.at(room, from)
-	for after := from + forecastStep; after <= min(longestWait.Seconds(), until); after += forecastStep {
+	for after := from + forecastStep; after <= min(longestWait.Seconds(), stages*program.stage); after += forecastStep {
 		if next := f.at(room, after); next.chance < least.chance {
 			least = next
 		}
--- a/internal/admission/kind.go
+++ b/internal/admission/kind.go
@@ -57,6 +57,11 @@
 	phaseMemory = 50
 	// leastBegun is how many programs tell what a kind asks for.
 	leastBegun = 20
+	// leastAged is how many later turns tell how old programs become.
+	leastAged = 10
+	// leastStage is the least time of a stage in seconds, and that of a kind of which nothing is
+	// known yet.
+	leastStage = 0.05
 	// cutShare is the part of a program that is taken back from the count when one of its
 	// turns is lost: half of its turns are over on average, and half of the callers go on
 	// with another attempt.
@@ -89,11 +94,7 @@
 // estimated returns what the sums say of one program. Turns that are still to come do not
 // teach that programs are short.
 func (s *sums) estimated() estimate {
-	const (
-		leastStage = 0.05
-		leastAged  = 10
-		inMS       = 1000
-	)
+	const inMS = 1000
 	complete := max(s[begun]-s[early]-s[unfolded], leastCounted*s[begun])
 	e := estimate{known: complete >= leastBegun}
 	if complete > 0 {
