--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -258,6 +258,9 @@
 			value("load"), orNone(value("reason")))
 	case "send_failed":
 		return fmt.Sprintf("send to %s failed after %s ms, verdict %s: %s", value("instance"), value("since_ms"), value("verdict"), value("reason"))
+	case "program_admission":
+		return fmt.Sprintf("new program, verdict %s: room for %s of %s slots, %s committed, %s reserved for more urgent ones, %s of rank %s ask a second of which a part of %s may begin; wait %s ms",
+			value("verdict"), value("room"), value("slots"), value("committed"), value("reserved"), value("asked_per_s"), value("rank"), value("chance"), value("wait"))
 	case "limit_reached":
 		if value("held") == "true" {
 			return fmt.Sprintf("tenant %s holds back new programs: %s began within the window, each makes %s requests, its limit of %s a second and a burst of %s has credit for %s; %s, its home lender, expects credit for a whole one in %s ms",
@@ -265,6 +268,9 @@
 		}
 		return fmt.Sprintf("tenant %s is beyond its limit of %s a second and a burst of %s under configuration %s: %s, asked last, has an allowance in %s ms",
 			value("tenant"), value("limit_per_s"), value("limit_burst"), value("config"), value("lender"), value("wait"))
+	case "memory_bound":
+		return fmt.Sprintf("memory for callers is used up, bound %q, with %s bytes held by %s requests; it may have run: %s",
+			value("bound"), value("held_bytes"), value("in_flight"), value("ran"))
 	case "stream_resumed":
 		return fmt.Sprintf("stream taken up again behind event %q of %s: %s", value("last_event"), value("instance"), value("reason"))
 	case "history_missing":
