Tenants share scarce room fairly

Cause: one tenant at several times its usual, within its limit, takes the slots of all others; nothing but its rank and rate bound it.

While room is short, new programs of a tenant half or more above its share rank one lower in the order of waiting and are admitted with the others' chance divided by one plus the excess. Begun ones are never put behind. Only where the guarantees call for load control, and fairShares is on.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -174,3 +174,25 @@
 		}
 	})
 }
+
+// While room is short, a tenant at three times its share begins a third of the programs that
+// others begin; while there is room, all it asks for.
+func TestATenantAboveItsShareBeginsFewerProgramsWhileRoomIsShort(t *testing.T) {
+	begins := func(slots int, excess float64) int {
+		c := admission.NewController()
+		end := play(urgent, start, 20, 4, 6*time.Second, c)
+		admitted := 0
+		for number := range 1000 {
+			request := admission.Request{ID: fmt.Sprint(number), Kind: urgent, Objective: end, Deadline: end.Add(3 * time.Second), Excess: excess}
+			if c.Decide(end, request, admission.Load{Slots: slots, Busy: 9}).Verdict == admission.Admit {
+				admitted++
+			}
+		}
+		return admitted
+	}
+	require.Equal(t, begins(1000, 0), begins(1000, 2))
+	others, above := begins(11, 0), begins(11, 2)
+	require.Positive(t, above)
+	require.Less(t, others, 1000)
+	require.InEpsilon(t, float64(others)/3, above, 0.5)
+}
--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -16,6 +16,8 @@
 	Objective, Deadline time.Time
 	// Left is the time that its program has; 0 if it names none.
 	Left time.Duration
+	// Excess is how far above its fair share the program's tenant is; 0 within it.
+	Excess float64
 }
 
 // Load is what is believed of a service's instances.
@@ -109,7 +111,7 @@
 	reports := min(mostReportTime, max(leastReportTime, reportTime*time.Duration(decision.Sources)))
 	tightest := forecast.tightest(decision.Room, reports.Seconds())
 	decision.Committed, decision.Reserved, decision.Chance = tightest.committed, tightest.reserved, tightest.chance
-	if uniform(request.ID, now) < decision.Chance {
+	if uniform(request.ID, now) < request.fairChance(decision.Chance) {
 		return decision
 	}
 	expected := forecast.until(decision.Room, program)
@@ -120,6 +122,16 @@
 	return decision
 }
 
+// fairChance returns the chance of the request's tenant to begin a program, where all together
+// have the given one. While room is short, a tenant at twice its fair share begins half of the
+// programs that others begin, and the room goes to those with the next decisions.
+func (r Request) fairChance(chance float64) float64 {
+	if chance >= 1 {
+		return chance
+	}
+	return chance / (1 + r.Excess)
+}
+
 // refuse holds the request if it may be admitted before its objective is over, and else says
 // when to come back.
 func (d *Decision) refuse(now time.Time, request Request, expected time.Duration) {
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -74,10 +74,14 @@
 		ReportsAge:       config.ReportsAge,
 		HeldBytes:        config.HeldBytes(),
 		LimitSetAside:    config.LimitSetAside,
+		FairShares:       config.FairShares,
 		ColdStarts:       coldstart.Policy{Overage: config.ColdOverage, Slack: config.ColdSlack},
 	})
 	gossip := gateway.NewGossip(config.Node, config.Zone, config.Places(), directory, sent)
 	gossip.AddSection(server.ProgramSection())
+	if config.FairShares && platform.AsksForLoadControl(config.Guarantees) {
+		gossip.AddSection(server.ShareSection())
+	}
 	store := platform.NewStore(config.StoreAddress, metrics.StoreCall, process.storeCallFailed)
 	knowledge := feed.NewNode(feed.Options{
 		Node: config.Node, Zone: config.Zone, Places: config.Places(), Role: replicaset.RoleGateway, Seeds: config.Seeds, FirstStart: config.FirstStart, Store: store,
--- /dev/null
+++ b/internal/gateway/fairshare.go
@@ -0,0 +1,123 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"swiftbank.dev/swiftbank/internal/fairshare"
+	"swiftbank.dev/swiftbank/internal/tally"
+	"swiftbank.dev/swiftbank/internal/tenant"
+)
+
+// surelyAbove is the excess from which a tenant is put behind others: below it, the age of what
+// other gateways reported may make up the difference.
+const surelyAbove = 0.5
+
+// tenantShares is the service that tenants had of late. It is safe for concurrent use.
+type tenantShares struct {
+	excess prometheus.Histogram
+
+	mu     sync.Mutex
+	shares *fairshare.Shares
+}
+
+func newTenantShares(metrics *Metrics) *tenantShares {
+	excess := prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "swiftbank_tenant_excess", ConstLabels: metrics.labels, Buckets: []float64{0, surelyAbove, 1, 2, 4, 8},
+		Help: "How far above its fair share a new program's tenant was, 0 within it, at each decision.",
+	})
+	metrics.Registry.MustRegister(excess)
+	return &tenantShares{excess: excess, shares: fairshare.New()}
+}
+
+// setWeights weighs tenants by the rates of their limits: these are the parts of the service
+// that the operator has granted.
+func (t *tenantShares) setWeights(tenants *tenant.Index) {
+	weights := map[string]float64{}
+	for _, listed := range tenants.Tenants() {
+		if listed.Limit.Limited() {
+			weights[listed.Name] = listed.Limit.PerSecond
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.shares.SetWeights(weights)
+}
+
+// sharesFairly reports whether tenants share the request's service fairly while room is short.
+func (s *Server) sharesFairly(r *request) bool {
+	return s.options.LoadControl && s.options.FairShares && r.tenant != nil && s.loadControlled(r)
+}
+
+// tenantServed counts the slot time of a request that was answered whole.
+func (s *Server) tenantServed(now time.Time, r *request, took time.Duration) {
+	if !s.sharesFairly(r) {
+		return
+	}
+	s.shares.mu.Lock()
+	defer s.shares.mu.Unlock()
+	s.shares.shares.Served(now, r.tenant.Name, took)
+}
+
+// tenantExcess returns how far above its fair share the tenant of a new program is: 0 within
+// it, and for what is not surely above it. Begun programs have none: they are not put behind.
+func (s *Server) tenantExcess(r *request) float64 {
+	if !r.first || !s.sharesFairly(r) {
+		return 0
+	}
+	s.shares.mu.Lock()
+	excess := s.shares.shares.Excess(time.Now(), r.tenant.Name)
+	s.shares.mu.Unlock()
+	s.shares.excess.Observe(excess)
+	r.outcome.excess = excess
+	if excess < surelyAbove {
+		return 0
+	}
+	return excess
+}
+
+// excessRank is by how many ranks a tenant above its share is put behind others.
+func excessRank(excess float64) int {
+	if excess > 0 {
+		return 1
+	}
+	return 0
+}
+
+// ShareSection returns the part of the load reports that tells of the service of tenants.
+func (s *Server) ShareSection() reportSection { return &shareSection{shares: s.shares} }
+
+// shareSection reports the service that tenants had.
+type shareSection struct {
+	shares   *tenantShares
+	versions newestVersions
+}
+
+func (p *shareSection) name() string { return "shares" }
+
+func (p *shareSection) own(now time.Time) []byte {
+	p.shares.mu.Lock()
+	defer p.shares.mu.Unlock()
+	return encodeFigures(p.shares.shares.Own(now))
+}
+
+func (p *shareSection) zone(now time.Time) []byte {
+	p.shares.mu.Lock()
+	defer p.shares.mu.Unlock()
+	return encodeFigures(p.shares.shares.Zone(now))
+}
+
+func (p *shareSection) take(now time.Time, source tally.Source, version tally.Version, encoded []byte) {
+	if !p.versions.isNewer(source, version) {
+		return
+	}
+	figures, readable := decodeFigures[fairshare.Key](encoded)
+	if !readable {
+		return
+	}
+	p.shares.mu.Lock()
+	defer p.shares.mu.Unlock()
+	p.shares.shares.Reported(now, source, figures)
+}
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -18,6 +18,7 @@
 	}
 	s.table.Store(table)
 	s.boundIdle()
+	s.shares.setWeights(table.Tenants)
 	s.directory.SetColdServices(time.Now(), coldServices(table))
 	s.log.Info().Str("event", "configuration_changed").Uint64("version", table.Version).Int("routes", table.RouteCount()).
 		Dur("age", s.knowledgeAge()).Msg("")
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -95,7 +95,7 @@
 		RouteRank:     r.table.RankOf(r.route, r.service.Name),
 	}
 	if r.tenant != nil {
-		request.TenantRank = r.tenant.Priority
+		request.TenantRank = r.tenant.Priority + excessRank(s.tenantExcess(r))
 	}
 	return request
 }
@@ -111,5 +111,5 @@
 		Int("waiting", decision.Waiting).Int("rank", decision.Rank).Int("looks", r.polls).
 		Float64("chance", decision.Chance).Dur("expected", decision.Expected).Dur("left", decision.Left).
 		Dur("retry_after", decision.RetryAfter).Int64("age_ms", now.Sub(r.arrived).Milliseconds()).
-		Int64("list_age_ms", s.listAge().Milliseconds()).Msg("")
+		Int64("list_age_ms", s.listAge().Milliseconds()).Float64("excess", r.outcome.excess).Msg("")
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -117,6 +117,7 @@
 		seen.First = firstAt.Sub(sent.sentAt)
 	}
 	s.directory.Observe(now, sent.choice, seen)
+	s.tenantServed(now, r, seen.Took)
 	s.programTurnEnded(now, r, seen.Took)
 }
 
--- a/internal/gateway/programs.go
+++ b/internal/gateway/programs.go
@@ -58,7 +58,7 @@
 	now := time.Now()
 	capacity := s.directory.Capacity(now, r.service.Name)
 	load := admission.Load{Slots: capacity.Slots, Busy: capacity.Busy}
-	asked := admission.Request{ID: r.id, Kind: r.programKind(), Objective: r.arrived.Add(r.route.Objective), Deadline: r.deadline, Left: r.programLeft()}
+	asked := admission.Request{ID: r.id, Kind: r.programKind(), Objective: r.arrived.Add(r.route.Objective), Deadline: r.deadline, Left: r.programLeft(), Excess: s.tenantExcess(r)}
 	s.programs.mu.Lock()
 	r.admission = s.programs.controller.Decide(now, asked, load)
 	s.programs.mu.Unlock()
@@ -151,7 +151,7 @@
 		Float64("reserved", decision.Reserved).Float64("asked_per_s", decision.Asked).
 		Float64("chance", decision.Chance).Int("sources", decision.Sources).Dur("wait", decision.Wait).
 		Int64("program_left_ms", r.programLeftMS()).Int64("age_ms", time.Since(r.arrived).Milliseconds()).
-		Int64("list_age_ms", s.listAge().Milliseconds()).Msg("")
+		Int64("list_age_ms", s.listAge().Milliseconds()).Float64("excess", r.outcome.excess).Msg("")
 }
 
 // ProgramSection returns the part of the load reports that tells of programs under way.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -71,6 +71,8 @@
 	firstMS   float64
 	commitMS  float64
 	events    int
+	// excess is how far above its fair share the tenant of a new program was.
+	excess float64
 	// others is what the program's other turns were charged, epoch the replica set's.
 	others int64
 	epoch  uint64
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -67,6 +67,8 @@
 	// LimitSetAside says that, under load control, credit of tenants' limits is set aside for
 	// begun programs.
 	LimitSetAside bool
+	// FairShares says that, under load control, tenants share scarce room fairly.
+	FairShares bool
 	// ColdStarts is by how much cold instances may get more than their limit.
 	ColdStarts coldstart.Policy
 }
@@ -109,6 +111,8 @@
 	allowances *allowances
 	// overload holds the requests that wait for a slot at an instance.
 	overload *queues
+	// shares is the service that tenants had of late.
+	shares *tenantShares
 	// held counts the memory held for callers; nil where it is not bounded. unreadLimit is how
 	// long they may leave an answer unread.
 	held        *heldMemory
@@ -129,7 +133,7 @@
 	s := &Server{
 		options: options, dialect: options.Dialect, log: options.Log, directory: options.Directory,
 		replicas: options.Replicas, metrics: options.Metrics, splitter: route.NewSplitter(options.Node), started: time.Now(),
-		allowances: newAllowances(), overload: newQueues(), programs: newPrograms(options.Log, options.Metrics), members: replicaset.NewReader(),
+		allowances: newAllowances(), overload: newQueues(), shares: newTenantShares(options.Metrics), programs: newPrograms(options.Log, options.Metrics), members: replicaset.NewReader(),
 		held: newHeldMemory(options.HeldBytes), unreadLimit: unreadLimit,
 	}
 	s.pool = backend.NewPool(s.metrics.connections.Inc)
--- a/internal/settings/loadcontrol.go
+++ b/internal/settings/loadcontrol.go
@@ -17,11 +17,14 @@
 	// LimitSetAside sets credit of tenants' limits aside for programs that have begun, where the
 	// guarantees ask for load control.
 	LimitSetAside bool `koanf:"limitSetAside"`
+	// FairShares puts new programs of tenants above their fair share behind others while room is
+	// short.
+	FairShares bool `koanf:"fairShares"`
 }
 
 // defaultHeldShare leaves the rest of a gateway's memory to the process itself.
 const defaultHeldShare = 0.25
 
 func defaultLoadControl() LoadControl {
-	return LoadControl{ReportsAge: true, HeldShare: defaultHeldShare, ProgramAdmission: true, LimitSetAside: true}
+	return LoadControl{ReportsAge: true, HeldShare: defaultHeldShare, ProgramAdmission: true, LimitSetAside: true, FairShares: true}
 }
