Room is rationed only where the operator says that callers compete for it

Cause: admission of programs by forecast also decided where streams may be run by several instances.

--- a/internal/gateway/fairshare.go
+++ b/internal/gateway/fairshare.go
@@ -48,7 +48,7 @@
 
 // sharesFairly reports whether tenants share the request's service fairly while room is short.
 func (s *Server) sharesFairly(r *request) bool {
-	return s.options.LoadControl && s.options.FairShares && r.tenant != nil && s.loadControlled(r)
+	return s.options.FairShares && r.tenant != nil && s.rationed(r)
 }
 
 // tenantServed counts the slot time of a request that was answered whole.
--- a/internal/gateway/programs.go
+++ b/internal/gateway/programs.go
@@ -33,7 +33,7 @@
 // decidesPrograms reports whether new programs of the request's kind are admitted by what
 // programs under way will need.
 func (s *Server) decidesPrograms(r *request) bool {
-	return s.options.ProgramAdmission && r.header.Get(s.dialect.Program) != "" && s.loadControlled(r)
+	return s.options.ProgramAdmission && r.header.Get(s.dialect.Program) != "" && s.rationed(r)
 }
 
 // programLeft returns how much time the request's program had when it came, 0 if it names none.
