Answers after a long wait reach their callers; bodies have a limit of time

Cause: the limit of time for writes (30 s) was set as a request began, and anew with each event and each whole answer, but not with refusals: a request that waited for longer than it had its connection closed in place of its 502, 503 or 504. Found by the test of a body that never ends, whose 400 did not arrive. A stream without events, taken up again at its end, had the same fault.

Change: each answer sets the limit anew. A body has 30 s as well: a caller that stopped sending held its request for good.

Test: TestARefusalAfterALongWaitReachesItsCaller fails without the change (unexpected EOF).

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -145,6 +145,7 @@
 	if failure.retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(failure.retryAfter.Seconds(), 'f', -1, 64))
 	}
+	s.awaitReader(w, r)
 	body := []byte(`{"error":"` + string(failure.code) + `"}`)
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(failure.status)
--- a/internal/gateway/heldmemory.go
+++ b/internal/gateway/heldmemory.go
@@ -19,8 +19,9 @@
 	requestBytes = 32 << 10
 	// bodyCopies is how often a request's body is held: as it came, and as it is sent.
 	bodyCopies = 2
-	// unreadLimit is how long a caller may leave what is written to it unread, before its
-	// connection is closed: longer than networks stall, and than instances wait for a reader.
+	// unreadLimit is how long a caller may leave what is written to it unread, and how long it may
+	// take for a body, before its connection is closed: longer than networks stall, and than
+	// instances wait for a reader.
 	unreadLimit = 30 * time.Second
 )
 
@@ -119,14 +120,17 @@
 	return nil
 }
 
-// readBody reads a request's body of up to limit bytes, as far as there is memory for it.
+// readBody reads a request's body of up to limit bytes, as far as there is memory for it. After
+// a failure the limit of time stays: the server reads what is left of the body.
 func (s *Server) readBody(w http.ResponseWriter, r *request, incoming *http.Request, limit int64) ([]byte, *refusal) {
+	s.limitReading(w, r, time.Now().Add(s.unreadLimit))
 	source := http.MaxBytesReader(w, incoming.Body, limit)
 	body, err := io.ReadAll(growingReader{source: source, held: r.held, copies: bodyCopies})
 	var large *http.MaxBytesError
 	var full *memoryError
 	switch {
 	case err == nil:
+		s.limitReading(w, r, time.Time{})
 		return body, nil
 	case errors.As(err, &large):
 		return nil, &refusal{status: http.StatusRequestEntityTooLarge, code: verdict.CodeTooLarge, reason: "the body is larger than allowed"}
@@ -154,8 +158,17 @@
 // awaitReader gives a caller time to read what is written next. Without a limit a caller that
 // reads nothing would hold its request, and the connection to its instance, for good.
 func (s *Server) awaitReader(w http.ResponseWriter, r *request) {
-	err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.unreadLimit))
+	s.logUnlimited(r, http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.unreadLimit)))
+}
+
+// limitReading bounds how long a caller may take for a body; zero lifts the limit.
+func (s *Server) limitReading(w http.ResponseWriter, r *request, until time.Time) {
+	s.logUnlimited(r, http.NewResponseController(w).SetReadDeadline(until))
+}
+
+// logUnlimited writes that a caller's connection took no limit of time.
+func (s *Server) logUnlimited(r *request, err error) {
 	if err != nil && !errors.Is(err, http.ErrNotSupported) {
-		s.log.Warn().Str("event", "write_deadline_failed").Str("id", r.id).Err(err).Msg("")
+		s.log.Warn().Str("event", "caller_unlimited").Str("id", r.id).Err(err).Msg("")
 	}
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -222,7 +222,7 @@
 	}
 	defer s.finish(r)
 	defer func() { r.held.release() }()
-	s.awaitReader(w, r)
+	s.awaitReader(w, r) // the limit of the connection's last request may be over
 	if s.stopping.Load() || s.wasIsolated.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/slowreader_test.go
+++ b/internal/gateway/slowreader_test.go
@@ -94,6 +94,35 @@
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
 
+func TestACallerThatNeverEndsItsBodyIsCutOff(t *testing.T) {
+	s, address, began := streamingGateway(t, 8<<20)
+	s.unreadLimit = 300 * time.Millisecond
+	caller, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = caller.Close() })
+	_, err = fmt.Fprint(caller, "POST /turn/1 HTTP/1.1\r\nHost: apps.test\r\nX-Test-Id: r\r\nContent-Length: 9\r\n\r\nbegun")
+	require.NoError(t, err)
+	answer, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadRequest, answer.StatusCode)
+	require.Zero(t, began.Load())
+	require.Eventually(t, func() bool { return s.inFlight.Load() == 0 && s.held.held() == 0 }, 20*time.Second, time.Millisecond)
+}
+
+// A request may be under way for longer than its caller may leave an answer unread.
+func TestARefusalAfterALongWaitReachesItsCaller(t *testing.T) {
+	s, address, _ := streamingGateway(t, 8<<20)
+	s.unreadLimit = 50 * time.Millisecond
+	broken := withSmallSockets(t, func(http.ResponseWriter, *http.Request) {
+		<-time.After(4 * s.unreadLimit)
+		panic(http.ErrAbortHandler)
+	})
+	s.directory.Change(time.Now(), backend.Changes{All: true, Listed: []backend.Instance{{ID: "i", Service: "llm", Zone: "z", Address: broken, Slots: 1}}}, false)
+	answer, err := http.ReadResponse(bufio.NewReader(askSlowly(t, address, 1)), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, answer.StatusCode)
+}
+
 // The limit is one of each write: who reads on, however slowly, gets the whole answer.
 func TestASlowCallerThatReadsOnGetsTheWholeAnswer(t *testing.T) {
 	s, address, _ := streamingGateway(t, 8<<20)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -205,6 +205,7 @@
 	if failure := s.complete(ctx, t); failure != nil {
 		return failure
 	}
+	s.awaitReader(w, t.request)
 	t.begin(w, sent) // a stream resumed at its end has no events
 	return nil
 }
