Allowances lent ahead and not used are missing from a limit

And the requests of a program were learned over 64 programs, fewer than begin together in a wave under a limit of that size.

Change: the home lender counts what was lent and not used and takes it off the limit; only it lends ahead to gateways that tell the parts of programs, and only while half of its share is left. The memory is four windows of programs at least. A refused later request weighs a tenth of one in place of a twentieth.

--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -160,7 +160,7 @@
 	s.metrics.beyondLimit(part, lent.Held)
 	s.log.Info().Str("event", "limit_reached").Str("id", r.id).Str("tenant", r.tenant.Name).Str("lender", r.outcome.lender).
 		Float64("limit_per_s", limit.PerSecond).Float64("limit_burst", limit.Burst).Dur("wait", lent.Wait).
-		Str("part", part.String()).Bool("held", lent.Held).Int("credit", lent.Forecast.Credit).Int("begun", lent.Forecast.Begun).
+		Str("part", part.String()).Bool("held", lent.Held).Int("credit", lent.Forecast.Credit).Int("begun", lent.Forecast.Begun).Int("unused", lent.Forecast.Unused).
 		Float64("per_program", lent.Forecast.PerProgram).Uint64("config", r.table.Version).Msg("")
 }
 
--- a/internal/quota/home.go
+++ b/internal/quota/home.go
@@ -52,6 +52,7 @@
 	if step.Lender == home && part == PartLater {
 		return known.tell(now, tenant, home, part)
 	}
+	step.Asked.Ahead = 0 // only the home lender knows what is lent ahead and not used
 	return step
 }
 
--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -135,7 +135,9 @@
 	credit := l.credit(now, listed.Limit, known)
 	lent = Loan{Life: l.policy.life(), AheadLife: aheadLife}
 	lent.Waiting = max(0, min(asked.Waiting, credit))
-	lent.Ahead = max(0, min(asked.Ahead, (credit-lent.Waiting)/aheadShare))
+	if l.mayLendAhead(asked, listed.Limit, credit) {
+		lent.Ahead = max(0, min(asked.Ahead, (credit-lent.Waiting)/aheadShare))
+	}
 	known.add(lent.Waiting, now.Add(lent.Life+l.policy.Window))
 	known.add(lent.Ahead, now.Add(lent.AheadLife+l.policy.Window))
 	l.noteLent(now, asked, lent)
--- a/internal/quota/programs.go
+++ b/internal/quota/programs.go
@@ -68,18 +68,23 @@
 	Credit     int
 	Begun      int
 	PerProgram float64
+	// Unused is how many allowances were lent within the window and not used.
+	Unused int
 }
 
 const (
-	// learnedFirsts is over how many programs the later requests of one are averaged.
-	learnedFirsts = 64
+	// learnedFirsts is over how many programs at least the later requests of one are averaged,
+	// learnedWindows over how many windows: programs that begin together have not made their
+	// later requests yet.
+	learnedFirsts  = 64
+	learnedWindows = 4
 	// priorFirsts is how many programs of a tenant weigh as much as what the programs of all
 	// tenants have taught.
 	priorFirsts = 2
 	// shortWeight is what one refusal of a later request weighs in the length of programs:
 	// callers repeat a request that is refused, and all its refusals together stand for one
 	// request that the program still had to make.
-	shortWeight = 0.05
+	shortWeight = 0.1
 	// newShare is the part of a new program that must fit: with the whole of it, limits of a few
 	// programs a window would be left unused by up to one program.
 	newShare = 0.5
@@ -92,7 +97,9 @@
 type account struct {
 	// begun counts the programs that began within the window, lent the allowances that count.
 	begun, lent count
-	learned     ratio
+	// served counts the requests that went on with them.
+	served  count
+	learned ratio
 	// toldAt is when a gateway last told of the tenant.
 	toldAt time.Time
 }
@@ -102,8 +109,9 @@
 // must not make programs seem longer.
 type ratio struct{ firsts, laters, short float64 }
 
-func (r *ratio) add(told Told) {
-	kept := math.Pow(1-1.0/learnedFirsts, float64(told.First))
+func (r *ratio) add(told Told, begun int) {
+	memory := max(learnedFirsts, float64(learnedWindows*begun))
+	kept := math.Pow(1-1/memory, float64(told.First))
 	r.firsts = r.firsts*kept + float64(told.First)
 	r.laters = r.laters*kept + float64(told.Later)
 	r.short = r.short*kept + float64(told.Short)
@@ -119,19 +127,20 @@
 
 // look returns the account under a limit that allows so many requests in a window.
 func (a *account) look(now time.Time, most float64, others ratio) Forecast {
+	lent := a.lent.sum(now)
 	return Forecast{
-		Credit: int(most) - a.lent.sum(now), Begun: a.begun.sum(now),
-		PerProgram: min(most, a.learned.perProgram(others)),
+		Credit: int(most) - lent, Begun: a.begun.sum(now),
+		PerProgram: min(most, a.learned.perProgram(others)), Unused: max(0, lent-a.served.sum(now)),
 	}
 }
 
 // fits reports whether a new program may begin besides so many others: what the programs that
 // began within the window ask for in all must be within what the limit allows in one. A program
 // is counted whole while it is short beside the window, and by its share of each window while
-// it is longer. After a window without a new program one always fits, however wrong the
+// it is longer. Allowances that were lent ahead and not used are missing from the limit. After a window without a new program one always fits, however wrong the
 // forecast is.
 func (f Forecast) fits(begun int, most float64) bool {
-	return begun == 0 || (float64(begun)+newShare)*f.PerProgram <= most
+	return begun == 0 || (float64(begun)+newShare)*f.PerProgram <= most-float64(f.Unused)
 }
 
 // wait returns when a whole new program fits and there is credit for its first request.
@@ -156,7 +165,8 @@
 	a.toldAt = now
 	a.begun.add(told.First, now.Add(policy.Window))
 	a.lent.add(told.Lent, now.Add(policy.life()+policy.Window))
-	a.learned.add(told)
+	a.served.add(told.First+told.Later, now.Add(policy.life()+policy.Window))
+	a.learned.add(told, a.begun.sum(now))
 }
 
 // programsOf returns the account of a tenant.
@@ -208,10 +218,16 @@
 	l.tell(now, l.programsOf(now, asked.Tenant), told)
 }
 
+// mayLendAhead reports whether credit may be lent ahead: what is not used of it is missing to
+// begun programs, so a home lender does so only while more than half of its share is left.
+func (l *Lender) mayLendAhead(asked Borrow, limit tenant.Limit, credit int) bool {
+	return asked.Part == PartUntold || 2*credit > l.most(limit)
+}
+
 // tell counts requests in a tenant's account and in what all programs teach.
 func (l *Lender) tell(now time.Time, known *account, told Told) {
 	known.tell(now, l.policy, told)
-	l.learned.add(told)
+	l.learned.add(told, known.begun.sum(now))
 }
 
 // SetAsides returns what begun programs are likely to ask for still, by tenant, where that is a
