A program that may not begin uses no allowance of its tenant's limit

Change: where credit is set aside, a new program is admitted before its limit is asked. What was admitted is not decided again.

--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -93,6 +93,11 @@
 		return nil
 	}
 	part := s.programPart(r)
+	if part == quota.PartFirst && r.first {
+		if failure := s.awaitBeginning(ctx, r); failure != nil {
+			return failure
+		}
+	}
 	if s.allowances.arrive(r.tenant.Name, part) {
 		return nil
 	}
--- a/internal/gateway/limitparts.go
+++ b/internal/gateway/limitparts.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"strconv"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"swiftbank.dev/swiftbank/internal/backend"
 	"swiftbank.dev/swiftbank/internal/quota"
+	"swiftbank.dev/swiftbank/internal/verdict"
 )
 
 // programPart says which part of a program the request is, where credit of limits is set aside
@@ -22,6 +25,18 @@
 	}
 }
 
+// awaitBeginning holds a new program until there is room for it, or refuses it: one that may not
+// begin must not use up its tenant's limit, nor teach that programs are short.
+func (s *Server) awaitBeginning(ctx context.Context, r *request) *refusal {
+	for !s.mayBegin(r) {
+		if !s.holdProgram(ctx, r) {
+			last := &backend.Failure{Verdict: verdict.NotRun, Reason: "the time was over before the program could begin"}
+			return s.failed(ctx, r, r.failureOf(last), false)
+		}
+	}
+	return nil
+}
+
 // addLimits registers the metrics of tenants' limits.
 func (m *Metrics) addLimits(labels prometheus.Labels) {
 	m.beyond = prometheus.NewCounterVec(prometheus.CounterOpts{
--- a/internal/gateway/limitparts_test.go
+++ b/internal/gateway/limitparts_test.go
@@ -1,12 +1,18 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"swiftbank.dev/swiftbank/internal/admission"
 	"swiftbank.dev/swiftbank/internal/quota"
+	"swiftbank.dev/swiftbank/internal/route"
+	"swiftbank.dev/swiftbank/internal/tenant"
+	"swiftbank.dev/swiftbank/internal/verdict"
 )
 
 func TestWhichPartOfAProgramARequestIs(t *testing.T) {
@@ -22,3 +28,31 @@
 		require.Equal(t, quota.PartUntold, of("p", true))
 	}
 }
+
+// A program that is refused for want of room asks no lender: it must not use up its tenant's
+// limit.
+func TestAProgramThatMayNotBeginUsesNoAllowance(t *testing.T) {
+	s := gatewayOf(t)
+	oneInstance(t, s, func(http.ResponseWriter, *http.Request) {})
+	s.options.LoadControl, s.options.LimitSetAside, s.options.ProgramAdmission = true, true, true
+	now := time.Now()
+	r := &request{
+		id: "r", first: true, arrived: now, deadline: now.Add(time.Second), table: s.table.Load(), route: &route.Route{Name: "call"},
+		service: route.Service{Name: "apps", Generates: true}, header: http.Header{"X-Test-Program": {"p"}},
+		tenant: &tenant.Tenant{Name: "t", Limit: tenant.Limit{PerSecond: 1}},
+	}
+	for number := range 200 { // twenty programs a second of two turns of a second, on two slots
+		at := now.Add(time.Duration(number-200) * 50 * time.Millisecond)
+		began := admission.Beginning{Kind: r.programKind(), Program: fmt.Sprint(number), Left: time.Second}
+		s.programs.controller.Began(at, began)
+		s.programs.controller.TurnEnded(at, admission.Turn{Kind: began.Kind, Program: began.Program, First: true, Took: time.Second, Share: 1})
+		s.programs.controller.TurnEnded(at, admission.Turn{Kind: began.Kind, Program: began.Program, Took: time.Second, Share: 1})
+	}
+	refused := s.withinLimit(t.Context(), r)
+	require.NotNil(t, refused)
+	require.Equal(t, "the programs under way leave no room for a new one", refused.reason)
+	require.Equal(t, verdict.CodeOverloaded, refused.code)
+
+	s.options.ProgramAdmission = false
+	require.Equal(t, "no replicas are known yet", s.withinLimit(t.Context(), r).reason)
+}
