--- a/internal/quota/programs.go
+++ b/internal/quota/programs.go
@@ -76,7 +76,10 @@
 	// learnedFirsts is over how many programs at least the later requests of one are averaged,
 	// learnedWindows over how many windows: programs that begin together have not made their
 	// later requests yet.
-	learnedFirsts  = 64
+	learnedFirsts = 64
+	// youngDivisor divides the window into the time until a program that began counts: its later
+	// requests come after it, and in a burst of programs they would seem to make none.
+	youngDivisor   = 4
 	learnedWindows = 4
 	// priorFirsts is how many programs of a tenant weigh as much as what the programs of all
 	// tenants have taught.
@@ -98,7 +101,9 @@
 	// begun counts the programs that began within the window, lent the allowances that count.
 	begun, lent count
 	// served counts the requests that went on with them.
-	served  count
+	served count
+	// young counts programs that teach no length yet.
+	young   count
 	learned ratio
 	// toldAt is when a gateway last told of the tenant.
 	toldAt time.Time
@@ -160,13 +165,26 @@
 	return max(wait, time.Millisecond)
 }
 
+// grown returns how many programs are young no longer since it was asked last.
+func (a *account) grown(now time.Time) int {
+	before := 0
+	for _, lent := range a.young.lent {
+		before += lent.count
+	}
+	return before - a.young.sum(now)
+}
+
 // tell counts what a gateway told.
-func (a *account) tell(now time.Time, policy Policy, told Told) {
+// It returns what of that teaches how long programs are.
+func (a *account) tell(now time.Time, policy Policy, told Told) Told {
 	a.toldAt = now
 	a.begun.add(told.First, now.Add(policy.Window))
 	a.lent.add(told.Lent, now.Add(policy.life()+policy.Window))
 	a.served.add(told.First+told.Later, now.Add(policy.life()+policy.Window))
+	a.young.add(told.First, now.Add(policy.Window/youngDivisor))
+	told.First = a.grown(now)
 	a.learned.add(told, a.begun.sum(now))
+	return told
 }
 
 // programsOf returns the account of a tenant.
@@ -226,8 +244,8 @@
 
 // tell counts requests in a tenant's account and in what all programs teach.
 func (l *Lender) tell(now time.Time, known *account, told Told) {
-	known.tell(now, l.policy, told)
-	l.learned.add(told, known.begun.sum(now))
+	taught := known.tell(now, l.policy, told)
+	l.learned.add(taught, known.begun.sum(now))
 }
 
 // SetAsides returns what begun programs are likely to ask for still, by tenant, where that is a
