--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -15,6 +15,8 @@
 	Objective, Deadline time.Time
 	// Left is the time that its program has, below 0 if it is late; 0 if it names none.
 	Left time.Duration
+	// Excess is how far above its fair share the program's tenant is; 0 within it.
+	Excess float64
 }
 
 // Load is what is believed of a service's instances.
@@ -128,7 +130,7 @@
 		own.sums[asked] = max(0, own.sums[asked]-askedOnce)
 		decision.Hopeless = true
 		decision.refuse(now, request, longestWait)
-	case uniform(request.ID, now) >= decision.Chance:
+	case uniform(request.ID, now) >= request.fairChance(decision.Chance):
 		expected := min(decision.expected(forecast, program, reports), program.slack(request.Left))
 		decision.refuse(now, request, max(reports, expected))
 	}
@@ -152,6 +154,16 @@
 	return forecast.until(d.Room, program)
 }
 
+// fairChance returns the chance of the request's tenant to begin a program, where all together
+// have the given one. While room is short, a tenant at twice its fair share begins half of the
+// programs that others begin, and the room goes to those with the next decisions.
+func (r Request) fairChance(chance float64) float64 {
+	if chance >= 1 {
+		return chance
+	}
+	return chance / (1 + r.Excess)
+}
+
 // refuse holds the request if it may be admitted before its objective is over, and else says
 // when to come back.
 func (d *Decision) refuse(now time.Time, request Request, expected time.Duration) {
