--- a/internal/backend/expectedend.go
+++ b/internal/backend/expectedend.go
@@ -37,10 +37,37 @@
 	detourOfConnection = 2.0
 )
 
-// fewOf draws the instances to compare, with a probability in proportion to their speed, and adds
-// those that may hold parts of the prompt. It answers loads that come through many gateways, whose
-// placements would otherwise follow the same reports. The caller holds the lock.
-func (d *Directory) fewOf(now time.Time, candidates []*member, demand Demand) []*member {
+// finalists returns the instances that may hold parts of the prompt, and the best of a few others.
+// These are drawn with a probability in proportion to their speed, and compared by what is reported
+// of them. It answers loads that come through many gateways, whose placements would otherwise
+// follow the same reports. The caller holds the lock.
+func (d *Directory) finalists(now time.Time, candidates []*member, demand Demand) []*member {
+	holders := d.holders(demand)
+	var finalists, others []*member
+	for _, candidate := range candidates {
+		candidate.lasting.follow(now, candidate.remote)
+		if slices.Contains(holders, candidate.instance.ID) {
+			finalists = append(finalists, candidate)
+		} else {
+			others = append(others, candidate)
+		}
+	}
+	var best *member
+	least := math.Inf(1)
+	for _, candidate := range d.draw(now, others, demand) {
+		if cost, _ := d.cost(now, candidate, float64(candidate.load(now)), demand); cost < least {
+			best, least = candidate, cost
+		}
+	}
+	if best != nil {
+		finalists = append(finalists, best)
+	}
+	return finalists
+}
+
+// draw returns a few of the candidates, the fast and near ones more often. The caller holds the
+// lock.
+func (d *Directory) draw(now time.Time, candidates []*member, demand Demand) []*member {
 	compared := comparedAtOnce
 	if slots, busy := d.slotsOf(now, demand.Service); busy*calmShare < slots {
 		compared = comparedCalm
@@ -48,27 +75,45 @@
 	if len(candidates) <= compared {
 		return candidates
 	}
-	type drawn struct {
-		candidate *member
-		rank      float64
-	}
-	order := make([]drawn, 0, len(candidates))
-	var few []*member
-	holders := d.holders(demand)
+	// The least of exponential numbers with rates in proportion to speed.
+	ranks := make(map[*member]float64, len(candidates))
 	for _, candidate := range candidates {
-		if slices.Contains(holders, candidate.instance.ID) {
-			few = append(few, candidate)
-			continue
-		}
-		// The least of exponential numbers with rates in proportion to speed.
 		uniform := (float64(d.nextMixed()>>uniformShift) + 1) / uniformRange
-		order = append(order, drawn{candidate, -math.Log(uniform) * d.speeds.View(now, candidate.key).Factor() * d.detour(candidate)})
+		ranks[candidate] = -math.Log(uniform) * d.speeds.View(now, candidate.key).Factor() * d.detour(candidate)
 	}
-	slices.SortFunc(order, func(a, b drawn) int { return cmp.Compare(a.rank, b.rank) })
-	for _, known := range order[:min(compared, len(order))] {
-		few = append(few, known.candidate)
+	slices.SortFunc(candidates, func(a, b *member) int { return cmp.Compare(ranks[a], ranks[b]) })
+	return candidates[:compared]
+}
+
+// lastingLoad is what other gateways report of an instance's load, as a mean over about a second.
+type lastingLoad struct {
+	value float64
+	at    time.Time
+}
+
+// lastingSpan is the time over which reported loads are averaged.
+const lastingSpan = time.Second
+
+// follow brings the mean up to a time with what is reported then.
+func (l *lastingLoad) follow(now time.Time, reported int) float64 {
+	gain := 1.0
+	if !l.at.IsZero() {
+		gain = 1 - math.Exp(-max(0, now.Sub(l.at).Seconds())/lastingSpan.Seconds())
 	}
-	return few
+	l.value += gain * (float64(reported) - l.value)
+	l.at = now
+	return l.value
+}
+
+// lastingLoad returns how many requests to expect at an instance: as expectedLoad does, but of what
+// is over as many are expected again as the instance has had, for fast ones have more than slow
+// ones. A prompt is not left for an instance that only its last report lets seem empty. The caller
+// holds the lock.
+func (d *Directory) lastingLoad(now time.Time, candidate *member) float64 {
+	trusted := d.intervals.stillRunning(d.paceOf(candidate.instance.Service).durationMS())
+	lasting := candidate.lasting.follow(now, candidate.remote)
+	own := float64(candidate.inFlight + candidate.heldFailures(now))
+	return own + trusted*float64(candidate.remote) + (1-trusted)*lasting
 }
 
 // detour returns how many times less often an instance is drawn for the way to it: what crosses
@@ -105,17 +150,17 @@
 // speed: fast ones get all requests while they are calm, and as many more than slow ones under
 // load as they work faster. Each time is the instance's own: what waits at a slow instance waits
 // longer. The caller holds the lock.
-func (d *Directory) expectedEnd(now time.Time, candidate *member, load, missing int, demand Demand) float64 {
+func (d *Directory) expectedEnd(now time.Time, candidate *member, load float64, missing int, demand Demand) float64 {
 	slots := max(1, candidate.instance.Slots)
 	base, growth := d.usualTimes(demand.Service, slots)
 	view := d.speeds.View(now, candidate.key)
-	running := float64(min(load, slots))
-	waiting := float64(max(0, load-slots+1))
+	running := min(load, float64(slots))
+	waiting := max(0, load-float64(slots)+1)
 	reading := float64(missing) * d.paceOf(demand.Service).readingMS()
 	own := base + growth*running + reading
 	others := running * (growth + reading)
 	if !demand.Generates {
-		own, others = base+growth*running, float64(load)
+		own, others = base+growth*running, load
 	}
 	queue := waiting * (base + growth*float64(slots)) / float64(slots)
 	lost := 1 - min(mostFailing, view.Failing)
--- a/internal/backend/expectedend_test.go
+++ b/internal/backend/expectedend_test.go
@@ -172,7 +172,7 @@
 func byDirectory(byExpectedEnd bool) placer {
 	return func(f *fleet, gateway int) (int, func(), func(first, took time.Duration)) {
 		directory := f.gateways[gateway]
-		choice, _ := directory.Pick(f.now, backend.Demand{Service: "s", Generates: true, ByExpectedEnd: byExpectedEnd})
+		choice, _ := directory.Pick(f.now, backend.Demand{Service: "s", Generates: true, ByExpectedEnd: byExpectedEnd, ReportsAge: true})
 		engine, _ := strconv.Atoi(choice.Instance.ID)
 		silent := true
 		if sign := directory.ExpectSign(f.now, choice, true); sign.Within > 0 {
@@ -285,3 +285,36 @@
 	ended(time.Millisecond, time.Second)
 	require.Len(t, directory.SpeedReport(f.now, false, reportEntries), 1)
 }
+
+// A program whose prompt one instance holds, before two instances of which others report.
+func TestAPromptIsNotLeftForWhatOneReportSays(t *testing.T) {
+	now := time.Unix(replayedEpoch, 0)
+	directory := backend.NewDirectory("z0")
+	directory.Change(now, backend.Changes{All: true, Listed: []backend.Instance{
+		{ID: "held", Service: "s", Zone: "z0", Slots: replayedSlots}, {ID: "other", Service: "s", Zone: "z0", Slots: replayedSlots},
+	}}, false)
+	parts := []backend.Part{{ID: "history", Tokens: 3000}}
+	turn := func() string {
+		choice, _ := directory.Pick(now, backend.Demand{
+			Service: "s", Generates: true, ByExpectedEnd: true, ReportsAge: true, Parts: parts,
+			Cached: []backend.Cached{{Instance: "held", Part: 0, Tokens: 3000}},
+		})
+		directory.End(now, choice, backend.Answered)
+		return choice.Instance.ID
+	}
+	report := func(held, other int) {
+		now = now.Add(600 * time.Millisecond)
+		directory.RemoteLoads(now, backend.LoadSource{Gateway: "g"}, map[string]int{"held": held, "other": other})
+	}
+	for range 20 {
+		report(3, 3)
+		require.Equal(t, "held", turn())
+	}
+	report(4, 1)
+	require.Equal(t, "held", turn(), "one report")
+	for range 8 {
+		report(6, 0)
+		turn()
+	}
+	require.Equal(t, "other", turn(), "it has been fuller for seconds")
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"swiftbank.dev/swiftbank/internal/admission"
 	"swiftbank.dev/swiftbank/internal/backend"
 	"swiftbank.dev/swiftbank/internal/route"
 	"swiftbank.dev/swiftbank/internal/tenant"
@@ -30,12 +31,16 @@
 	target         string
 	header         http.Header
 	body           []byte
+	// held is what the request holds of the memory for callers; nil where that is not bounded.
+	held *holding
 	// lostAnswer is set once an instance may have run it and gave no whole answer.
 	lostAnswer bool
 	// first says that it is the first request of a program.
 	first bool
 	// polls counts the polls that found no slot.
 	polls int
+	// admission is what was last decided about the beginning of its program, for first requests.
+	admission admission.Decision
 	// retryAfter is when its caller may come back once it is refused for lack of room.
 	retryAfter time.Duration
 	// outcome is filled in for the log line at the end.
@@ -49,10 +54,15 @@
 	reason   string
 	instance string
 	// born is when the instance started, in Unix milliseconds; 0 where it does not say.
-	born       uint64
-	sends      int
-	load       int
-	cost       float64
+	born  uint64
+	sends int
+	load  int
+	cost  float64
+	// expectedLoad is load as far as reports of the age reportsAgeMS let it be told.
+	expectedLoad float64
+	reportsAgeMS int64
+	// missing is how many prompt tokens the instance was believed to have to read.
+	missing    int
 	candidates int
 	// lender was asked last for an allowance of the tenant's; limitMS is how long that took.
 	lender    string
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -70,7 +70,7 @@
 				return nil, failure
 			}
 			if !s.waitForSlot(ctx, r) {
-				return nil, last
+				return nil, r.failureOf(last)
 			}
 			refused = 0
 			demand.Exclude = demand.Exclude[:excluded]
@@ -79,6 +79,7 @@
 		sent, failure := s.send(ctx, r, choice)
 		if failure == nil {
 			s.overload.taken(r)
+			s.programBegan(r)
 			return sent, nil
 		}
 		if failure.Verdict != verdict.NotRun || ctx.Err() != nil {
@@ -108,7 +109,9 @@
 	r.outcome.sends++
 	r.outcome.instance, r.outcome.born = choice.Instance.ID, choice.Instance.Born
 	r.outcome.load, r.outcome.cost, r.outcome.candidates = choice.Load, choice.Cost, choice.Candidates
+	r.outcome.expectedLoad, r.outcome.reportsAgeMS, r.outcome.missing = choice.Expected, choice.ReportsAge.Milliseconds(), choice.Missing
 	s.metrics.sent(choice.Instance.Zone)
+	s.metrics.missing.Add(float64(choice.Missing))
 	sendCtx, release := context.WithCancel(ctx)
 	var watch *livenessWatch
 	if r.route.Kind == route.Streaming {
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -71,8 +71,22 @@
 	ColdSlack   float64 `koanf:"coldSlack" validate:"gte=0"`
 	// InstanceSpeeds places requests by the speeds of single instances where load control is on.
 	InstanceSpeeds bool `koanf:"instanceSpeeds"`
+	// ReportsAge says that placement under load control counts other gateways' reports of load
+	// less the older they are.
+	ReportsAge bool `koanf:"reportsAge"`
+	// HeldShare is the share of the memory that may be held for callers under load control; 0
+	// does not bound it.
+	HeldShare float64 `koanf:"heldShare" validate:"gte=0,lte=0.5"`
 	// Guarantees names what the operator's agreement with the callers holds.
 	Guarantees []string `koanf:"guarantees"`
+	// ProgramAdmission says that new programs are admitted by what programs under way will
+	// need, where load control decides.
+	ProgramAdmission bool `koanf:"programAdmission"`
+}
+
+// HeldBytes returns how many bytes may be held for callers.
+func (g Gateway) HeldBytes() int64 {
+	return int64(g.HeldShare * float64(int64(g.MemoryMB)<<20))
 }
 
 // Replica holds the settings of a replica.
@@ -107,9 +121,14 @@
 	return Member{MemoryMB: 256, Grace: 8 * time.Second, TolerateMachines: 1, LogLevel: "info"}
 }
 
+// defaultHeldShare leaves the rest of a gateway's memory to the process itself.
+const defaultHeldShare = 0.25
+
 // LoadGateway reads the settings of a gateway.
 func LoadGateway(path string, overrides []string) (Gateway, error) {
-	return loadFile(path, overrides, Gateway{Member: defaultMember(), ColdOverage: 1, InstanceSpeeds: true})
+	return loadFile(path, overrides, Gateway{
+		Member: defaultMember(), ColdOverage: 1, InstanceSpeeds: true, ReportsAge: true, HeldShare: defaultHeldShare, ProgramAdmission: true,
+	})
 }
 
 // LoadReplica reads the settings of a replica.
