--- a/internal/backend/expectedend.go
+++ b/internal/backend/expectedend.go
@@ -45,7 +45,6 @@
 	holders := d.holders(demand)
 	var finalists, others []*member
 	for _, candidate := range candidates {
-		candidate.lasting.follow(now, candidate.remote)
 		if slices.Contains(holders, candidate.instance.ID) {
 			finalists = append(finalists, candidate)
 		} else {
@@ -85,35 +84,49 @@
 	return candidates[:compared]
 }
 
-// lastingLoad is what other gateways report of an instance's load, as a mean over about a second.
-type lastingLoad struct {
-	value float64
-	at    time.Time
+// loadBySpeed returns how many requests to expect at an instance: as expectedLoad does, but of what
+// is over as many are expected again as its speed draws, for fast instances have more than slow
+// ones. A prompt is not left for an instance that only its last report lets seem empty. The caller
+// holds the lock.
+func (d *Directory) loadBySpeed(now time.Time, candidate *member) float64 {
+	service := candidate.instance.Service
+	trusted := d.intervals.stillRunning(d.paceOf(service).durationMS())
+	share := d.stableSpeed(now, candidate) / d.meanSpeed(now, service)
+	usual := d.remotePerSlot(now, service) * float64(max(1, candidate.instance.Slots)) * share
+	own := float64(candidate.inFlight + candidate.heldFailures(now))
+	return own + trusted*float64(candidate.remote) + (1-trusted)*usual
+}
+
+// stableSpeed returns how many times as fast as usual an instance works. The caller holds the lock.
+func (d *Directory) stableSpeed(now time.Time, known *member) float64 {
+	return math.Exp(-d.speeds.View(now, known.key).Stable)
 }
 
-// lastingSpan is the time over which reported loads are averaged.
-const lastingSpan = time.Second
+// meanSpeedLife is how long a mean of all instances' speeds is used again: stable speeds change
+// over half a minute, and a mean over 10,000 instances takes a millisecond.
+const meanSpeedLife = time.Second
 
-// follow brings the mean up to a time with what is reported then.
-func (l *lastingLoad) follow(now time.Time, reported int) float64 {
-	gain := 1.0
-	if !l.at.IsZero() {
-		gain = 1 - math.Exp(-max(0, now.Sub(l.at).Seconds())/lastingSpan.Seconds())
-	}
-	l.value += gain * (float64(reported) - l.value)
-	l.at = now
-	return l.value
+// speedMean is the mean speed of a service's instances by their slots, as it was at a time.
+type speedMean struct {
+	value float64
+	at    time.Time
 }
 
-// lastingLoad returns how many requests to expect at an instance: as expectedLoad does, but of what
-// is over as many are expected again as the instance has had, for fast ones have more than slow
-// ones. A prompt is not left for an instance that only its last report lets seem empty. The caller
-// holds the lock.
-func (d *Directory) lastingLoad(now time.Time, candidate *member) float64 {
-	trusted := d.intervals.stillRunning(d.paceOf(candidate.instance.Service).durationMS())
-	lasting := candidate.lasting.follow(now, candidate.remote)
-	own := float64(candidate.inFlight + candidate.heldFailures(now))
-	return own + trusted*float64(candidate.remote) + (1-trusted)*lasting
+// meanSpeed returns the mean of a service's stable speeds. The caller holds the lock.
+func (d *Directory) meanSpeed(now time.Time, service string) float64 {
+	known := d.meanSpeeds[service]
+	if age := now.Sub(known.at); known.value > 0 && age >= 0 && age < meanSpeedLife {
+		return known.value
+	}
+	sum, slots := 0.0, 0.0
+	for _, listed := range d.byService[service] {
+		weight := float64(max(1, listed.instance.Slots))
+		sum += weight * d.stableSpeed(now, listed)
+		slots += weight
+	}
+	known = speedMean{value: sum / max(1, slots), at: now}
+	d.meanSpeeds[service] = known
+	return known.value
 }
 
 // detour returns how many times less often an instance is drawn for the way to it: what crosses
--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -118,7 +118,7 @@
 		expected := float64(load)
 		switch {
 		case demand.ReportsAge && demand.ByExpectedEnd:
-			expected = d.lastingLoad(now, candidate)
+			expected = d.loadBySpeed(now, candidate)
 		case demand.ReportsAge:
 			expected = d.expectedLoad(now, candidate)
 		}
