--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -262,6 +262,10 @@
 		return fmt.Sprintf("new program, verdict %s: room for %s of %s slots, %s committed, %s reserved for more urgent ones, %s of rank %s ask a second of which a part of %s may begin; wait %s ms",
 			value("verdict"), value("room"), value("slots"), value("committed"), value("reserved"), value("asked_per_s"), value("rank"), value("chance"), value("wait"))
 	case "limit_reached":
+		if value("held") == "true" {
+			return fmt.Sprintf("tenant %s holds back new programs: %s began within the window, each makes %s requests, its limit of %s a second and a burst of %s has credit for %s; %s, its home lender, expects credit for a whole one in %s ms",
+				value("tenant"), value("begun"), value("per_program"), value("limit_per_s"), value("limit_burst"), value("credit"), value("lender"), value("wait"))
+		}
 		return fmt.Sprintf("tenant %s is beyond its limit of %s a second and a burst of %s under configuration %s: %s, asked last, has an allowance in %s ms",
 			value("tenant"), value("limit_per_s"), value("limit_burst"), value("config"), value("lender"), value("wait"))
 	case "memory_bound":
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -39,6 +39,8 @@
 	memoryBound *prometheus.CounterVec
 	// missing counts the prompt tokens that instances were believed to have to read.
 	missing prometheus.Counter
+	// beyond counts requests refused by their tenant's limit.
+	beyond *prometheus.CounterVec
 }
 
 // NewMetrics registers a gateway's metrics.
@@ -89,6 +91,7 @@
 	m.Registry.MustRegister(m.evacuated, m.feedAge, m.feedReading, m.requests, m.latency, m.reserve, m.commit, m.connections, m.sends, m.relayed, m.store)
 	m.addCold(labels)
 	m.addSpeeds(labels)
+	m.addLimits(labels)
 	return m
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -66,6 +66,9 @@
 	// ProgramAdmission says that new programs are admitted by what programs under way will
 	// need, where load control decides.
 	ProgramAdmission bool
+	// LimitSetAside says that, under load control, credit of tenants' limits is set aside for
+	// begun programs.
+	LimitSetAside bool
 	// ColdStarts is by how much cold instances may get more than their limit.
 	ColdStarts coldstart.Policy
 }
