--- a/internal/backend/expectedend_test.go
+++ b/internal/backend/expectedend_test.go
@@ -77,32 +77,48 @@
 // answer, and of its end.
 type placer func(f *fleet, gateway int) (engine int, begun func(), ended func(first, took time.Duration))
 
-// replayFleet plays turns through gateways and returns the mean and the 99th percentile of their
-// times in milliseconds.
-func replayFleet(seed uint64, gateways int, perSecond float64, slowness func(int, time.Duration) float64, place placer) (mean, p99 float64) {
+// newFleet returns a fleet through whose gateways turns are to come.
+func newFleet(seed uint64, gateways int, perSecond float64, slowness func(int, time.Duration) float64, place placer) *fleet {
 	f := &fleet{
 		random: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(replayedEpoch, 0), start: time.Unix(replayedEpoch, 0),
 		running: make([]int, replayedEngines), waiting: make([][]func(), replayedEngines), slowness: slowness,
 	}
-	var listed []backend.Instance
-	for i := range replayedEngines {
-		listed = append(listed, backend.Instance{ID: fmt.Sprint(i), Service: "s", Zone: zoneOf(i), Slots: replayedSlots, Born: 1})
-	}
 	for i := range gateways {
-		directory := backend.NewDirectory(zoneOf(i))
-		directory.SeedWith(fmt.Sprint("g", i))
-		directory.Change(f.now, backend.Changes{All: true, Listed: listed}, false)
-		f.gateways = append(f.gateways, directory)
+		f.gateways = append(f.gateways, newGateway(f.now, i))
 		f.after(time.Duration(f.random.Int64N(int64(reportEvery))), func() { f.report(i, 0) })
 	}
 	for at := 0.0; at < replayedFor.Seconds(); at += f.random.ExpFloat64() / perSecond {
 		f.after(time.Duration(at*float64(time.Second)), func() { f.turn(place) })
 	}
-	for len(f.events) > 0 && f.now.Before(f.start.Add(replayedFor)) {
+	return f
+}
+
+// newGateway returns what a gateway knows at its start.
+func newGateway(now time.Time, number int) *backend.Directory {
+	var listed []backend.Instance
+	for i := range replayedEngines {
+		listed = append(listed, backend.Instance{ID: fmt.Sprint(i), Service: "s", Zone: zoneOf(i), Slots: replayedSlots, Born: 1})
+	}
+	directory := backend.NewDirectory(zoneOf(number))
+	directory.SeedWith(fmt.Sprint("g", number))
+	directory.Change(now, backend.Changes{All: true, Listed: listed}, false)
+	return directory
+}
+
+// run plays the turns up to a time.
+func (f *fleet) run(until time.Duration) {
+	for len(f.events) > 0 && f.now.Before(f.start.Add(until)) {
 		next := heap.Pop(&f.events).(fleetEvent)
 		f.now = next.at
 		next.run()
 	}
+}
+
+// replayFleet plays turns through gateways and returns the mean and the 99th percentile of their
+// times in milliseconds.
+func replayFleet(seed uint64, gateways int, perSecond float64, slowness func(int, time.Duration) float64, place placer) (mean, p99 float64) {
+	f := newFleet(seed, gateways, perSecond, slowness, place)
+	f.run(replayedFor)
 	slices.Sort(f.took)
 	for _, took := range f.took {
 		mean += took / float64(len(f.took))
@@ -316,3 +332,22 @@
 	directory.TakeSpeeds(now, tally.Source{Gateway: "g"}, tally.Version{Number: 1}, []instancespeed.Entry{{Key: instancespeed.KeyOf("held", "", 0), Figures: slow}})
 	require.Equal(t, "other", turn(), "the holder is known to be slow")
 }
+
+func TestAGatewayThatStartsKnowsTheFleetsViewWithinASecond(t *testing.T) {
+	const started, known = 6 * time.Second, 7 * time.Second
+	f := newFleet(1, 50, 240, threeSpeeds, byDirectory(true))
+	f.run(started)
+	f.gateways[0] = newGateway(f.now, 0)
+	f.run(known)
+	believed := map[string]float64{}
+	for _, speed := range f.gateways[0].Speeds(f.now) {
+		believed[speed.Instance] = speed.Believed.Factor()
+	}
+	right := 0
+	for engine := range replayedEngines {
+		if slow := threeSpeeds(engine, 0) > 1; slow == (believed[fmt.Sprint(engine)] > 1) {
+			right++
+		}
+	}
+	require.GreaterOrEqual(t, right, replayedEngines*9/10)
+}
