Where instances are known to be alike, loads and prompts decide as without speeds

Ruled out: expected end only once instances are known to be uneven (three speeds, calm: mean 215 ms in place of 114): where each zone has one speed, its gateways never see another while they stay in their zone.

Change: it decides until 20 observations of each instance on average are known and stable speeds deviate by less than 0.15 as logarithms; then as without, but an instance that all gateways find slow is avoided by all.

Before and after (go test ./internal/backend -run TestUneven -v, 50 gateways, mean / p99 in ms): equal speeds 208 / 509 -> 212 / 527 (without 211 / 548), one slowed 212 to 217 -> 223 / 575 (without 228 / 615), three speeds unchanged.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -147,9 +147,9 @@
 	coldObserver   ColdObserver
 	// speeds is what all gateways observed of the instances, models what this one knows of each
 	// service; for requests that are placed by their expected end.
-	speeds     *instancespeed.Board
-	models     map[string]*instancespeed.Model
-	meanSpeeds map[string]speedMean
+	speeds  *instancespeed.Board
+	models  map[string]*instancespeed.Model
+	spreads map[string]speedSpread
 }
 
 // NewDirectory returns an empty directory of a gateway in the zone.
@@ -160,7 +160,7 @@
 		reports: map[LoadSource]remoteReport{}, ranLast: map[string]string{},
 		inFlight: map[string]int{}, sums: map[string]capacitySum{}, remotes: map[string]remoteSum{}, paces: map[string]*pace{}, network: networkCosts{zone: zone, roundTrips: map[string]*mean{}},
 		cold:   coldstart.NewGate("", coldstart.Policy{}),
-		speeds: instancespeed.NewBoard(), models: map[string]*instancespeed.Model{}, meanSpeeds: map[string]speedMean{},
+		speeds: instancespeed.NewBoard(), models: map[string]*instancespeed.Model{}, spreads: map[string]speedSpread{},
 	}
 }
 
--- a/internal/backend/expectedend.go
+++ b/internal/backend/expectedend.go
@@ -29,6 +29,17 @@
 	return view.Factor()*(own+queue)/lost + view.Refusing*milliseconds(fullPause)
 }
 
+// toldSlowness returns how many times longer than usual a request takes at an instance by what all
+// gateways observed, 1 within what chance explains: an instance that is slow for a moment is avoided
+// by all at once, also where instances are alike. The caller holds the lock.
+func (d *Directory) toldSlowness(now time.Time, candidate *member) float64 {
+	view := d.speeds.View(now, candidate.key)
+	if view.Slower() < slowLeast {
+		return 1
+	}
+	return view.Factor()
+}
+
 // usualTimes returns how long a request takes on an instance of usual speed without others, and by
 // how much longer for each one there, in milliseconds. The caller holds the lock.
 func (d *Directory) usualTimes(service string, slots int) (base, growth float64) {
@@ -57,7 +68,7 @@
 func (d *Directory) loadBySpeed(now time.Time, candidate *member) float64 {
 	service := candidate.instance.Service
 	trusted := d.intervals.stillRunning(d.paceOf(service).durationMS())
-	share := d.stableSpeed(now, candidate) / d.meanSpeed(now, service)
+	share := d.stableSpeed(now, candidate) / d.spreadOf(now, service).mean
 	usual := d.remotePerSlot(now, service) * float64(max(1, candidate.instance.Slots)) * share
 	own := float64(candidate.inFlight + candidate.heldFailures(now))
 	return own + trusted*float64(candidate.remote) + (1-trusted)*usual
@@ -68,29 +79,44 @@
 	return math.Exp(-d.speeds.View(now, known.key).Stable)
 }
 
-// meanSpeedLife is how long a mean of all instances' speeds is used again: stable speeds change
-// over half a minute, and a mean over 10,000 instances takes a millisecond.
-const meanSpeedLife = time.Second
+const (
+	// speedsLife is how long the spread of all instances' speeds is used again: stable speeds change
+	// over half a minute, and a look at 10,000 instances takes a millisecond.
+	speedsLife = time.Second
+	// alikeBelow is the standard deviation of the speeds, as logarithms, below which a service's
+	// instances count as alike, once alikeWeight observations of each are known on average; they do
+	// so until it is above alikeUntil. Less is within what single requests differ by.
+	alikeBelow  = 0.15
+	alikeUntil  = 0.2
+	alikeWeight = 20
+)
 
-// speedMean is the mean speed of a service's instances by their slots, as it was at a time.
-type speedMean struct {
-	value float64
-	at    time.Time
+// speedSpread is how far the stable speeds of a service's instances lie apart, as it was at a time.
+type speedSpread struct {
+	at time.Time
+	// mean is the mean speed by slots.
+	mean  float64
+	alike bool
 }
 
-// meanSpeed returns the mean of a service's stable speeds. The caller holds the lock.
-func (d *Directory) meanSpeed(now time.Time, service string) float64 {
-	known := d.meanSpeeds[service]
-	if age := now.Sub(known.at); known.value > 0 && age >= 0 && age < meanSpeedLife {
-		return known.value
+// spreadOf returns how far a service's stable speeds lie apart. The caller holds the lock.
+func (d *Directory) spreadOf(now time.Time, service string) speedSpread {
+	known := d.spreads[service]
+	if age := now.Sub(known.at); known.mean > 0 && age >= 0 && age < speedsLife {
+		return known
 	}
-	sum, slots := 0.0, 0.0
+	speeds, slots, logs, squares, observed := 0.0, 0.0, 0.0, 0.0, 0.0
+	count := float64(max(1, len(d.byService[service])))
 	for _, listed := range d.byService[service] {
 		weight := float64(max(1, listed.instance.Slots))
-		sum += weight * d.stableSpeed(now, listed)
-		slots += weight
+		view := d.speeds.View(now, listed.key)
+		speeds, slots = speeds+weight*math.Exp(-view.Stable), slots+weight
+		logs, squares = logs+view.Stable/count, squares+view.Stable*view.Stable/count
+		observed += view.Weight / count
 	}
-	known = speedMean{value: sum / max(1, slots), at: now}
-	d.meanSpeeds[service] = known
-	return known.value
+	deviation := math.Sqrt(max(0, squares-logs*logs))
+	alike := observed >= alikeWeight && deviation < alikeBelow || known.alike && deviation < alikeUntil
+	known = speedSpread{at: now, mean: speeds / max(1, slots), alike: alike}
+	d.spreads[service] = known
+	return known
 }
--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -104,6 +104,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.reportColdIfDue(now)
+	choice := Choice{PickedAt: now, byExpectedEnd: demand.ByExpectedEnd}
+	// Where all instances work alike, loads and prompts decide.
+	demand.ByExpectedEnd = demand.ByExpectedEnd && !d.spreadOf(now, demand.Service).alike
 	candidates := d.candidates(now, demand)
 	if demand.ByExpectedEnd {
 		candidates = d.finalists(now, candidates, demand)
@@ -112,7 +115,7 @@
 		return Choice{}, false
 	}
 	var best *member
-	choice := Choice{PickedAt: now, Candidates: len(candidates), byExpectedEnd: demand.ByExpectedEnd}
+	choice.Candidates = len(candidates)
 	for _, candidate := range candidates { // of equals the first one, which differs each time
 		load := candidate.load(now)
 		expected := float64(load)
@@ -283,7 +286,7 @@
 	known := d.paceOf(demand.Service)
 	slots := float64(max(1, candidate.instance.Slots))
 	waiting := max(0, load-slots+1)
-	cost += (candidate.slowness.factor(now) - 1) * known.durationMS()
+	cost += (max(candidate.slowness.factor(now), d.toldSlowness(now, candidate)) - 1) * known.durationMS()
 	if !demand.Generates {
 		return cost + load + known.durationMS()*waiting, 0
 	}
