--- a/internal/backend/expectedend_test.go
+++ b/internal/backend/expectedend_test.go
@@ -351,3 +351,35 @@
 	}
 	require.GreaterOrEqual(t, right, replayedEngines*9/10)
 }
+
+// told returns a gateway that heard of so many observations of each engine, of speeds as given.
+func told(weight float64, slower func(engine int) float64) *backend.Directory {
+	now := time.Unix(replayedEpoch, 0)
+	directory := newGateway(now, 0)
+	var entries []instancespeed.Entry
+	for engine := range replayedEngines {
+		seen := instancespeed.Evidence{Weight: weight, Sum: weight * slower(engine)}
+		entries = append(entries, instancespeed.Entry{Key: instancespeed.KeyOf(fmt.Sprint(engine), "", 1), Figures: instancespeed.Figures{Stable: seen}})
+	}
+	directory.TakeSpeeds(now, tally.Source{Gateway: "g"}, tally.Version{Number: 1}, entries)
+	return directory
+}
+
+// chosen returns where a gateway places a row of turns.
+func chosen(directory *backend.Directory, byExpectedEnd bool) []string {
+	var row []string
+	for range replayedEngines {
+		choice, _ := directory.Pick(time.Unix(replayedEpoch, 0), backend.Demand{Service: "s", Generates: true, ReportsAge: true, ByExpectedEnd: byExpectedEnd})
+		row = append(row, choice.Instance.ID)
+	}
+	return row
+}
+
+func TestInstancesKnownToBeAlikeArePlacedAsWithoutSpeeds(t *testing.T) {
+	alike := func(engine int) float64 { return 0.1 * float64(engine%2) }
+	uneven := func(engine int) float64 { return float64(engine % 2) }
+	before := chosen(told(0, alike), false)
+	require.Equal(t, before, chosen(told(100, alike), true))
+	require.NotEqual(t, before, chosen(told(2, alike), true), "too little is known")
+	require.NotEqual(t, before, chosen(told(100, uneven), true))
+}
