--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -70,6 +70,7 @@
 		Log: process.log, Metrics: metrics, Copies: config.TolerateMachines + 1,
 		Evacuations:      config.EvacuationLimit > 0,
 		LoadControl:      platform.AsksForLoadControl(config.Guarantees),
+		InstanceSpeeds:   config.InstanceSpeeds,
 		ProgramAdmission: config.ProgramAdmission,
 		ReportsAge:       config.ReportsAge,
 		HeldBytes:        config.HeldBytes(),
@@ -79,6 +80,9 @@
 	})
 	gossip := gateway.NewGossip(config.Node, config.Zone, config.Places(), directory, sent)
 	gossip.AddSection(server.ProgramSection())
+	if config.InstanceSpeeds {
+		gossip.AddSection(gateway.NewSpeedSection(directory, process.log, metrics))
+	}
 	if config.FairShares && platform.AsksForLoadControl(config.Guarantees) {
 		gossip.AddSection(server.ShareSection())
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -56,6 +56,8 @@
 	Copies int
 	// LoadControl says that the operator asks for load control on all services.
 	LoadControl bool
+	// InstanceSpeeds places requests by the speeds of single instances where load control is on.
+	InstanceSpeeds bool
 	// ReportsAge says that other gateways' reports of load count less the older they are, where
 	// load control decides.
 	ReportsAge bool
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -143,7 +143,8 @@
 	demand := backend.Demand{
 		Service: t.service.Name, Generates: t.service.Generates, Parts: t.parts, Cached: t.cached(),
 		Homes:    t.homes(),
-		Priority: t.route.Priority, ReportsAge: s.options.ReportsAge && s.loadControlled(t.request),
+		Priority: t.route.Priority, ByExpectedEnd: s.placesByExpectedEnd(t.request),
+		ReportsAge: s.options.ReportsAge && s.loadControlled(t.request),
 	}
 	if t.reservation != nil {
 		demand.Preferred = t.reservation.Instance
--- a/internal/settings/loadcontrol.go
+++ b/internal/settings/loadcontrol.go
@@ -11,6 +11,9 @@
 	ReportsAge bool `koanf:"reportsAge"`
 	// HeldShare is the share of the memory that may be held for callers; 0 does not bound it.
 	HeldShare float64 `koanf:"heldShare" validate:"gte=0,lte=0.5"`
+	// InstanceSpeeds says that requests go where they are expected to end soonest, by the speeds of
+	// single instances.
+	InstanceSpeeds bool `koanf:"instanceSpeeds"`
 	// ProgramAdmission says that new programs are admitted by what programs under way will
 	// need.
 	ProgramAdmission bool `koanf:"programAdmission"`
@@ -26,5 +29,5 @@
 const defaultHeldShare = 0.25
 
 func defaultLoadControl() LoadControl {
-	return LoadControl{ReportsAge: true, HeldShare: defaultHeldShare, ProgramAdmission: true, LimitSetAside: true, FairShares: true}
+	return LoadControl{ReportsAge: true, InstanceSpeeds: true, HeldShare: defaultHeldShare, ProgramAdmission: true, LimitSetAside: true, FairShares: true}
 }
