--- a/internal/command/pressure_test.go
+++ b/internal/command/pressure_test.go
@@ -13,7 +13,7 @@
 
 func TestPressureSumsGatewaysAndSaysWhichDidNotAnswer(t *testing.T) {
 	page := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(w, "# TYPE swiftbank_admission_room gauge\nswiftbank_admission_room{node=\"g\",service=\"llm\"} 5\n")
+		_, _ = io.WriteString(w, "# TYPE swiftbank_program_room_slots gauge\nswiftbank_program_room_slots{node=\"g\",service=\"llm\"} 5\n")
 	}))
 	defer page.Close()
 	gone := httptest.NewServer(http.NotFoundHandler())
@@ -25,6 +25,6 @@
 	command.SetErr(&failures)
 	command.SetArgs([]string{address, address, strings.TrimPrefix(gone.URL, "http://")})
 	require.Error(t, command.Execute())
-	require.Regexp(t, `swiftbank_admission_room +service=llm +10\.0 +5\.0 +5\.0 +2`, out.String())
+	require.Regexp(t, `swiftbank_program_room_slots +service=llm +10\.0 +5\.0 +5\.0 +2`, out.String())
 	require.Contains(t, failures.String(), "HTTP status 404")
 }
