Turns of begun programs wait in one order over all gateways

Cause: less urgent programs that were admitted while there was room unfold into many turns at once. Each turn is sent as soon as an instance has a believed free slot, engines work on all of them more slowly, and urgent programs are late.

Ruled out, replayed (internal/overload, testdata/load/order): polling as it was; a coordinator that grants leases of slots (about as many urgent programs in time, two messages for each turn that asks).

Change: gateways tell each other in the load reports how many turns wait by class, how long turns take by the share of slots in use, and how much time programs have beyond what they usually take. From that each computes the same level; less urgent turns and those of late programs wait behind it for a bounded part of their own slack, and bar less urgent new programs meanwhile. In force where load control is; switch turnOrder.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -70,9 +70,11 @@
 		Log: process.log, Metrics: metrics, Copies: config.TolerateMachines + 1,
 		Evacuations: config.EvacuationLimit > 0,
 		LoadControl: platform.AsksForLoadControl(config.Guarantees),
+		TurnOrder:   config.TurnOrder,
 		ColdStarts:  coldstart.Policy{Overage: config.ColdOverage, Slack: config.ColdSlack},
 	})
 	gossip := gateway.NewGossip(config.Node, config.Zone, config.Places(), directory, sent)
+	gossip.AddSection(server.TurnOrder())
 	store := platform.NewStore(config.StoreAddress, metrics.StoreCall, process.storeCallFailed)
 	knowledge := feed.NewNode(feed.Options{
 		Node: config.Node, Zone: config.Zone, Places: config.Places(), Role: replicaset.RoleGateway, Seeds: config.Seeds, FirstStart: config.FirstStart, Store: store,
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -261,6 +261,9 @@
 	case "limit_reached":
 		return fmt.Sprintf("tenant %s is beyond its limit of %s a second and a burst of %s under configuration %s: %s, asked last, has an allowance in %s ms",
 			value("tenant"), value("limit_per_s"), value("limit_burst"), value("config"), value("lender"), value("wait"))
+	case "turn_order":
+		return fmt.Sprintf("turn %s (%s) after %s ms of at most %s: %s of %s slots in use, urgent turns bear a share of %s; %s turns wait before it, %s beside it",
+			value("verdict"), value("reason"), value("held_ms"), value("longest"), value("busy"), value("slots"), value("bearable"), value("ahead"), value("same"))
 	case "stream_resumed":
 		return fmt.Sprintf("stream taken up again behind event %q of %s: %s", value("last_event"), value("instance"), value("reason"))
 	case "history_missing":
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -21,6 +21,13 @@
 {"time":90000,"node":"gateway-1","event":"log_dropped","lines":7}
 `
 
+func TestAHeldTurnIsExplained(t *testing.T) {
+	line := Line{Event: "turn_order", Fields: map[string]any{
+		"verdict": "held", "reason": "order", "held_ms": 0.0, "longest": 400.0, "busy": 80.0, "slots": 90.0, "bearable": 0.5, "ahead": 3.0, "same": 7.0,
+	}}
+	require.Equal(t, "turn held (order) after 0 ms of at most 400: 80 of 90 slots in use, urgent turns bear a share of 0.5; 3 turns wait before it, 7 beside it", describe(line))
+}
+
 func TestTheStepsOfARequestComeInOrder(t *testing.T) {
 	var log Log
 	require.NoError(t, log.Read(strings.NewReader(recorded)))
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -30,6 +30,8 @@
 	coldWithheld prometheus.Counter
 	feedReading  prometheus.Gauge
 	budgets      *prometheus.CounterVec
+	// turnsHeld and turnsReleased count turns that wait for more urgent ones, and why they go.
+	turnsHeld, turnsReleased *prometheus.CounterVec
 }
 
 // NewMetrics registers a gateway's metrics.
@@ -73,6 +75,7 @@
 	m.evacuated = prometheus.NewGauge(prometheus.GaugeOpts{Name: "swiftbank_evacuated_zones", Help: "Zones whose instances get nothing further.", ConstLabels: labels})
 	m.Registry.MustRegister(m.evacuated, m.feedAge, m.feedReading, m.requests, m.latency, m.reserve, m.commit, m.connections, m.sends, m.relayed, m.store)
 	m.addCold(labels)
+	m.addTurnOrder(labels)
 	return m
 }
 
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -77,7 +77,12 @@
 
 // capacity returns what is believed of the request's service.
 func (s *Server) capacity(now time.Time, r *request) overload.Capacity {
-	return overload.Capacity(s.directory.Capacity(now, r.service.Name))
+	capacity := overload.Capacity(s.directory.Capacity(now, r.service.Name))
+	if r.first && r.table.RankOf(r.route, r.service.Name) > 0 {
+		// Begun programs go before new ones that are not more urgent.
+		capacity.Busy += s.turnsWaiting(now, r)
+	}
+	return capacity
 }
 
 // overloadRequest returns what the decision needs to know of a request.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -108,6 +108,7 @@
 		seen.First = firstAt.Sub(sent.sentAt)
 	}
 	s.directory.Observe(now, sent.choice, seen)
+	s.learnTurn(now, r, seen.Took)
 }
 
 // endedWith tells an instance's own failures from its answers.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -47,6 +47,7 @@
 // sendUntilTaken sends the request to one instance after another until one does
 // not refuse it. A failure's verdict says whether the request may have run.
 func (s *Server) sendUntilTaken(ctx context.Context, r *request, demand backend.Demand) (*attempt, *backend.Failure) {
+	s.awaitTurn(ctx, r)
 	defer s.overload.left(r)
 	refused := 0
 	excluded := len(demand.Exclude)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -56,6 +56,8 @@
 	Copies int
 	// LoadControl says that the operator asks for load control on all services.
 	LoadControl bool
+	// TurnOrder holds turns of begun programs in one order where load control is called for.
+	TurnOrder bool
 	// ColdStarts is by how much cold instances may get more than their limit.
 	ColdStarts coldstart.Policy
 }
@@ -98,6 +100,8 @@
 	allowances *allowances
 	// overload holds the requests that wait for a slot at an instance.
 	overload *queues
+	// orders holds the turns of begun programs that wait for more urgent ones.
+	orders *turnOrders
 
 	// members reads the product's own objects; changes of them are handed over one by one.
 	members *replicaset.Reader
@@ -112,7 +116,7 @@
 	s := &Server{
 		options: options, dialect: options.Dialect, log: options.Log, directory: options.Directory,
 		replicas: options.Replicas, metrics: options.Metrics, splitter: route.NewSplitter(options.Node), started: time.Now(),
-		allowances: newAllowances(), overload: newQueues(), members: replicaset.NewReader(),
+		allowances: newAllowances(), overload: newQueues(), orders: newTurnOrders(), members: replicaset.NewReader(),
 	}
 	s.pool = backend.NewPool(s.metrics.connections.Inc)
 	s.pool.UseFar(s.directory.OtherRegion)
--- a/internal/overload/replay_test.go
+++ b/internal/overload/replay_test.go
@@ -34,6 +34,9 @@
 	// Contention is by how much longer a request takes that begins on an instance whose other
 	// slots are busy, as a share of its own time.
 	Contention float64
+	// FirstShare is the part of its time after which a request's first event comes; 0 means
+	// that it comes at the end.
+	FirstShare float64
 	Kinds      map[string]kind
 	Arrivals   []arrivals
 	Changes    []change
@@ -59,6 +62,12 @@
 	DeadlineMS          float64
 	Rank, TenantRank    int
 	Retries             int
+	// Programs that unfold pause for PauseMS between turns, and after a SubShare of them start
+	// SubAgents of SubTurns turns each. They have AimFactor times their time on idle instances,
+	// and ObjectiveMS,
+	// and Stay is the share of their turns that come through the gateway of the first one.
+	PauseMS, SubShare, AimFactor, Stay float64
+	SubAgents, SubTurns                int
 }
 
 type arrivals struct {
@@ -121,11 +130,17 @@
 	machines []*instanceModel
 	outcomes map[string]*outcome
 	next     int
+	// hold, if set, lets a call look for a slot once it may.
+	hold func(c *call, gateway int, id string, look func())
 }
 
 type gatewayModel struct {
 	directory *backend.Directory
 	policy    waitPolicy
+	// waiting, if set, returns how many turns of begun programs wait at all gateways.
+	waiting func() int
+	// observed, if set, hears how long a request took.
+	observed func(took time.Duration)
 }
 
 // call is one caller's request over all its attempts.
@@ -136,6 +151,11 @@
 	began    time.Time
 	deadline time.Time
 	first    bool
+	// program is the call's program, ends when that should be over; zero for calls of none.
+	program string
+	// home, if set, returns the gateway to choose in place of a random one.
+	home     func(random int) int
+	ends     time.Time
 	work     time.Duration
 	attempts int
 	refusals int
@@ -150,8 +170,8 @@
 	return read
 }
 
-// replay plays a load with a policy for each gateway and returns what became of the callers.
-func replay(played load, seed uint64, newPolicy func() waitPolicy) map[string]*outcome {
+// newReplayed returns a load that has not begun, with a policy for each gateway.
+func newReplayed(played load, seed uint64, newPolicy func() waitPolicy) *replayed {
 	r := &replayed{load: played, random: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(1000, 0), outcomes: map[string]*outcome{}}
 	start := r.now
 	var listed []backend.Instance
@@ -169,20 +189,31 @@
 	for _, changed := range played.Changes {
 		r.after(milliseconds(changed.AtMS), func() { r.apply(changed) })
 	}
-	for _, wave := range played.Arrivals {
+	return r
+}
+
+// replay plays a load with a policy for each gateway and returns what became of the callers.
+func replay(played load, seed uint64, newPolicy func() waitPolicy) map[string]*outcome {
+	r := newReplayed(played, seed, newPolicy)
+	r.after(reportEvery, r.report)
+	r.play(r.arrive)
+	return r.outcomes
+}
+
+// play lets callers arrive and runs all events.
+func (r *replayed) play(arrive func(kind string, zone int)) {
+	for _, wave := range r.load.Arrivals {
 		gap := 1000 / wave.PerS
 		for at := wave.FromMS; at < wave.ToMS; at += gap * r.random.ExpFloat64() {
-			r.after(milliseconds(at), func() { r.arrive(wave.Kind, wave.Zone) })
+			r.after(milliseconds(at), func() { arrive(wave.Kind, wave.Zone) })
 		}
 	}
-	r.after(reportEvery, r.report)
-	end := start.Add(time.Duration(played.Seconds * float64(time.Second)))
+	end := r.now.Add(time.Duration(r.load.Seconds * float64(time.Second)))
 	for len(r.events) > 0 && r.now.Before(end) {
 		next := heap.Pop(&r.events).(event)
 		r.now = next.at
 		next.run()
 	}
-	return r.outcomes
 }
 
 func milliseconds(value float64) time.Duration {
@@ -273,8 +304,15 @@
 	if c.zone > 0 {
 		number -= number%r.load.Zones - (c.zone - 1)
 	}
-	gateway := r.gateways[number]
-	r.look(c, gateway, id, r.now)
+	if c.home != nil {
+		number = c.home(number)
+	}
+	look := func() { r.look(c, r.gateways[number], id, r.now) }
+	if r.hold == nil {
+		look()
+		return
+	}
+	r.hold(c, number, id, look)
 }
 
 // look asks instances until one takes the request or enough have refused it.
@@ -308,9 +346,13 @@
 			}
 			switch {
 			case result == backend.Answered:
+				took := r.now.Sub(choice.PickedAt)
 				gateway.directory.Observe(r.now, choice, backend.Observation{
-					Kind: c.kind, Took: r.now.Sub(choice.PickedAt), First: r.now.Sub(choice.PickedAt), Events: 1,
+					Kind: c.kind, Load: choice.Load, Took: took, First: time.Duration(r.firstShare() * float64(took)), Events: 1,
 				})
+				if gateway.observed != nil {
+					gateway.observed(took)
+				}
 				gateway.policy.taken(r.now, id)
 				c.end(true)
 			case ran:
@@ -325,6 +367,13 @@
 	next(0)
 }
 
+func (r *replayed) firstShare() float64 {
+	if r.load.FirstShare == 0 {
+		return 1
+	}
+	return r.load.FirstShare
+}
+
 func (r *replayed) admitted(c *call, gateway *gatewayModel, id string) bool {
 	policy, decides := gateway.policy.(*decided)
 	request, capacity := r.asked(c, gateway, id)
@@ -333,6 +382,9 @@
 
 func (r *replayed) asked(c *call, gateway *gatewayModel, id string) (overload.Request, overload.Capacity) {
 	believed := gateway.directory.Capacity(r.now, "s")
+	if gateway.waiting != nil && c.first && c.spec.Rank > 0 {
+		believed.Busy += gateway.waiting()
+	}
 	return overload.Request{
 		ID: id, First: c.first, Begun: c.spec.Calls || c.spec.Turns > 0 && !c.first, RouteRank: c.spec.Rank, TenantRank: c.spec.TenantRank, Deadline: c.deadline,
 		Objective: c.began.Add(milliseconds(2.5 * c.spec.WorkMS)), ObjectiveTime: milliseconds(2.5 * c.spec.WorkMS),
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -69,6 +69,9 @@
 	// instance may get more in a second than its service's limit.
 	ColdOverage float64 `koanf:"coldOverage" validate:"gte=1"`
 	ColdSlack   float64 `koanf:"coldSlack" validate:"gte=0"`
+	// TurnOrder lets turns of begun programs wait for more urgent ones where load control is
+	// called for.
+	TurnOrder bool `koanf:"turnOrder"`
 	// Guarantees names what the operator's agreement with the callers holds.
 	Guarantees []string `koanf:"guarantees"`
 }
@@ -107,7 +110,7 @@
 
 // LoadGateway reads the settings of a gateway.
 func LoadGateway(path string, overrides []string) (Gateway, error) {
-	return loadFile(path, overrides, Gateway{Member: defaultMember(), ColdOverage: 1})
+	return loadFile(path, overrides, Gateway{Member: defaultMember(), ColdOverage: 1, TurnOrder: true})
 }
 
 // LoadReplica reads the settings of a replica.
