--- a/internal/gateway/turnorder_test.go
+++ b/internal/gateway/turnorder_test.go
@@ -121,3 +121,20 @@
 	}
 	require.Less(t, len(waitingReport(now, 1000, services...).own(now)), 2*300)
 }
+
+// A new program that is more urgent than the turns that wait does not wait for them.
+func TestWaitingTurnsBarOnlyNewProgramsThatAreNotMoreUrgent(t *testing.T) {
+	now := time.Now()
+	s := gatewayOf(t)
+	r := fullService(t, s, true, true)
+	s.orders.take(now, tally.Source{Gateway: "other"}, tally.Version{}, waitingReport(now, 3, "llm").own(now))
+	urgent, usual := *r.route, *r.route
+	urgent.Name, usual.Name, usual.Priority, usual.Prefix = "urgent", "usual", 1, "/usual"
+	r.table = route.NewTable(3, []*route.Route{&urgent, &usual}, []route.Service{r.service}, route.Limits{})
+	r.first, r.route = true, &urgent
+	require.Equal(t, 1, s.capacity(now, r).Busy)
+	r.route = &usual
+	require.Equal(t, 4, s.capacity(now, r).Busy)
+	r.first = false
+	require.Equal(t, 1, s.capacity(now, r).Busy, "begun programs wait in the order, not for it")
+}
