--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -253,17 +253,27 @@
 	value := func(name string) string { return text(line.Fields[name]) }
 	switch line.Event {
 	case "request":
-		return fmt.Sprintf("answered %s (%s) after %s ms on route %s under configuration %s: %s sends, last to %s with %s requests there; %s",
+		return fmt.Sprintf("answered %s (%s) after %s ms on route %s under configuration %s: %s sends, last to %s with %s requests there%s; %s",
 			value("status"), value("result"), value("took_ms"), value("route"), value("config"), value("sends"), orNone(value("instance")),
-			value("load"), orNone(value("reason")))
+			value("load"), describeExpected(line), orNone(value("reason")))
 	case "send_failed":
 		return fmt.Sprintf("send to %s failed after %s ms, verdict %s: %s", value("instance"), value("since_ms"), value("verdict"), value("reason"))
+	case "program_admission":
+		return fmt.Sprintf("new program, verdict %s: room for %s of %s slots, %s committed, %s reserved for more urgent ones, %s of rank %s ask a second of which a part of %s may begin; wait %s ms",
+			value("verdict"), value("room"), value("slots"), value("committed"), value("reserved"), value("asked_per_s"), value("rank"), value("chance"), value("wait"))
 	case "limit_reached":
+		if value("held") == "true" {
+			return fmt.Sprintf("tenant %s holds back new programs: %s began within the window, each makes %s requests, its limit of %s a second and a burst of %s has credit for %s; %s, its home lender, expects credit for a whole one in %s ms",
+				value("tenant"), value("begun"), value("per_program"), value("limit_per_s"), value("limit_burst"), value("credit"), value("lender"), value("wait"))
+		}
 		return fmt.Sprintf("tenant %s is beyond its limit of %s a second and a burst of %s under configuration %s: %s, asked last, has an allowance in %s ms",
 			value("tenant"), value("limit_per_s"), value("limit_burst"), value("config"), value("lender"), value("wait"))
 	case "turn_order":
 		return fmt.Sprintf("turn %s (%s) after %s ms of at most %s: %s of %s slots in use, urgent turns bear a share of %s; %s turns wait before it, %s beside it",
 			value("verdict"), value("reason"), value("held_ms"), value("longest"), value("busy"), value("slots"), value("bearable"), value("ahead"), value("same"))
+	case "memory_bound":
+		return fmt.Sprintf("memory for callers is used up, bound %q, with %s bytes held by %s requests; it may have run: %s",
+			value("bound"), value("held_bytes"), value("in_flight"), value("ran"))
 	case "stream_resumed":
 		return fmt.Sprintf("stream taken up again behind event %q of %s: %s", value("last_event"), value("instance"), value("reason"))
 	case "history_missing":
@@ -287,6 +297,16 @@
 	}
 }
 
+// describeExpected says what a placement made of reported load, where it went by its age.
+func describeExpected(line Line) string {
+	age := text(line.Fields["reports_age_ms"])
+	if age == "" || age == "0" {
+		return ""
+	}
+	return fmt.Sprintf(" (%s expected, for reports were %s ms old) and %s prompt tokens to read",
+		text(line.Fields["expected_load"]), age, text(line.Fields["missing"]))
+}
+
 func text(value any) string {
 	switch typed := value.(type) {
 	case nil:
--- a/internal/overload/replay_test.go
+++ b/internal/overload/replay_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"swiftbank.dev/swiftbank/internal/admission"
 	"swiftbank.dev/swiftbank/internal/backend"
 	"swiftbank.dev/swiftbank/internal/overload"
 )
@@ -37,9 +38,13 @@
 	// FirstShare is the part of its time after which a request's first event comes; 0 means
 	// that it comes at the end.
 	FirstShare float64
-	Kinds      map[string]kind
-	Arrivals   []arrivals
-	Changes    []change
+	// Reports says how those on programs arrive; see reportTrouble.
+	Reports reportTrouble
+	// Watch is called at the start; nil for none.
+	Watch    func(*replayed) `json:"-"`
+	Kinds    map[string]kind
+	Arrivals []arrivals
+	Changes  []change
 	// About says which load this is, Expect what has to become of the callers by kind.
 	About  string
 	Expect map[string]expectation
@@ -56,8 +61,10 @@
 // kind is a kind of request: a program of some turns, or a single request.
 type kind struct {
 	// Calls says that these are single requests of programs that have begun.
-	Calls               bool
-	Turns               int
+	Calls bool
+	Turns int
+	// Widths is how many requests each turn makes at once; 1 where it is left out.
+	Widths              []int
 	WorkMS, ObjectiveMS float64
 	DeadlineMS          float64
 	Rank, TenantRank    int
@@ -91,6 +98,8 @@
 	InTime, Late, RefusedFirst, RefusedAgain, Failed int
 	HeldInVain                                       time.Duration
 	Asks, FailedAsks                                 int
+	// TimesInTime is when programs ended in time, after the load began.
+	TimesInTime []time.Duration
 }
 
 // waitPolicy decides about a request that was not taken, at one gateway.
@@ -122,6 +131,7 @@
 
 type replayed struct {
 	load     load
+	began    time.Time
 	random   *rand.Rand
 	now      time.Time
 	events   events
@@ -131,7 +141,8 @@
 	outcomes map[string]*outcome
 	next     int
 	// hold, if set, lets a call look for a slot once it may.
-	hold func(c *call, gateway int, id string, look func())
+	hold     func(c *call, gateway int, id string, look func())
+	programs int
 }
 
 type gatewayModel struct {
@@ -146,20 +157,22 @@
 // call is one caller's request over all its attempts.
 type call struct {
 	kind     string
+	program  string
 	spec     kind
 	zone     int
 	began    time.Time
 	deadline time.Time
 	first    bool
-	// program is the call's program, ends when that should be over; zero for calls of none.
-	program string
 	// home, if set, returns the gateway to choose in place of a random one.
-	home     func(random int) int
+	home func(random int) int
+	// ends is when its program should be over; zero for calls of none.
 	ends     time.Time
 	work     time.Duration
 	attempts int
 	refusals int
-	end      func(ok bool)
+	// admission is what was last decided about the beginning of its program.
+	admission admission.Decision
+	end       func(ok bool)
 }
 
 func readLoad(t *testing.T, name string) load {
@@ -174,6 +187,7 @@
 func newReplayed(played load, seed uint64, newPolicy func() waitPolicy) *replayed {
 	r := &replayed{load: played, random: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(1000, 0), outcomes: map[string]*outcome{}}
 	start := r.now
+	r.began = start
 	var listed []backend.Instance
 	for i := range played.Instances {
 		id := fmt.Sprintf("i%02d", i)
@@ -196,6 +210,7 @@
 func replay(played load, seed uint64, newPolicy func() waitPolicy) map[string]*outcome {
 	r := newReplayed(played, seed, newPolicy)
 	r.after(reportEvery, r.report)
+	r.playPrograms(newPolicy)
 	r.play(r.arrive)
 	return r.outcomes
 }
@@ -265,23 +280,26 @@
 	spec := r.load.Kinds[name]
 	began := r.now
 	turns := max(1, spec.Turns)
+	r.programs++
+	program := fmt.Sprint("p", r.programs)
 	var turn func(done int)
 	turn = func(done int) {
 		if done == turns {
 			if r.now.Sub(began) <= milliseconds(spec.ObjectiveMS) {
 				r.of(name).InTime++
+				r.of(name).TimesInTime = append(r.of(name).TimesInTime, r.now.Sub(r.began))
 			} else {
 				r.of(name).Late++
 			}
 			return
 		}
-		c := &call{kind: name, spec: spec, zone: zone, began: r.now, deadline: r.now.Add(milliseconds(spec.DeadlineMS))}
-		c.first = spec.Turns > 0 && done == 0
-		c.work = milliseconds(spec.WorkMS * math.Exp(0.5*r.random.NormFloat64()-0.125))
-		c.end = func(ok bool) {
+		open, lost := spec.width(done), false
+		end := func(c *call, ok bool) {
+			open--
 			switch {
-			case ok:
+			case ok && open == 0 && !lost:
 				turn(done + 1)
+			case ok || lost:
 			case c.refusals == 0:
 				r.of(name).Failed++
 			case c.refusals == 1:
@@ -289,8 +307,15 @@
 			default:
 				r.of(name).RefusedAgain++
 			}
+			lost = lost || !ok
+		}
+		for range spec.width(done) {
+			c := &call{kind: name, program: program, spec: spec, zone: zone, began: r.now, deadline: r.now.Add(milliseconds(spec.DeadlineMS))}
+			c.first = spec.Turns > 0 && done == 0
+			c.work = milliseconds(spec.WorkMS * math.Exp(0.5*r.random.NormFloat64()-0.125))
+			c.end = func(ok bool) { end(c, ok) }
+			r.attempt(c)
 		}
-		r.attempt(c)
 	}
 	turn(0)
 }
@@ -354,6 +379,7 @@
 					gateway.observed(took)
 				}
 				gateway.policy.taken(r.now, id)
+				gateway.turnEnded(r.now, c, choice)
 				c.end(true)
 			case ran:
 				gateway.policy.left(id)
@@ -377,7 +403,7 @@
 func (r *replayed) admitted(c *call, gateway *gatewayModel, id string) bool {
 	policy, decides := gateway.policy.(*decided)
 	request, capacity := r.asked(c, gateway, id)
-	return !decides || policy.queue.Admits(request, capacity)
+	return !decides || policy.queue.Admits(request, capacity) && r.mayBegin(c, policy, id, capacity)
 }
 
 func (r *replayed) asked(c *call, gateway *gatewayModel, id string) (overload.Request, overload.Capacity) {
@@ -393,7 +419,10 @@
 
 func (r *replayed) wait(c *call, gateway *gatewayModel, id string, arrived time.Time) {
 	request, capacity := r.asked(c, gateway, id)
-	pause, retryAfter := gateway.policy.refused(r.now, arrived, request, capacity)
+	pause, retryAfter, held := c.held()
+	if !held {
+		pause, retryAfter = gateway.policy.refused(r.now, arrived, request, capacity)
+	}
 	if pause > 0 {
 		r.after(pause, func() { r.look(c, gateway, id, arrived) })
 		return
--- a/internal/overload/unfold_test.go
+++ b/internal/overload/unfold_test.go
@@ -46,7 +46,7 @@
 	steps := r.draw(spec, spec.Turns, true)
 	aim := time.Duration(spec.AimFactor*float64(idleTime(spec, steps))) + milliseconds(spec.ObjectiveMS)
 	r.next++
-	program := &unfolding{replayed: r, id: fmt.Sprint("p", r.next), first: -1, name: name, zone: zone, spec: spec, ends: r.now.Add(aim)}
+	program := &programRun{replayed: r, id: fmt.Sprint("p", r.next), first: -1, name: name, zone: zone, spec: spec, ends: r.now.Add(aim)}
 	program.run(steps, func() {
 		switch {
 		case program.lost:
@@ -58,8 +58,8 @@
 	})
 }
 
-// unfolding is a program on its way; lost is set once a turn of it was refused for good.
-type unfolding struct {
+// programRun is a program on its way; lost is set once a turn of it was refused for good.
+type programRun struct {
 	*replayed
 	id      string
 	name    string
@@ -73,7 +73,7 @@
 
 // gateway returns the gateway of a turn: often that of the first turn, whose connection the
 // caller keeps.
-func (p *unfolding) gateway(random int) int {
+func (p *programRun) gateway(random int) int {
 	if p.first < 0 {
 		p.first = random
 	}
@@ -84,7 +84,7 @@
 }
 
 // run makes the turns one after another.
-func (p *unfolding) run(steps []step, done func()) {
+func (p *programRun) run(steps []step, done func()) {
 	if len(steps) == 0 || p.lost {
 		done()
 		return
@@ -107,7 +107,7 @@
 }
 
 // join runs sub-agents side by side.
-func (p *unfolding) join(agents [][]step, done func()) {
+func (p *programRun) join(agents [][]step, done func()) {
 	left := len(agents)
 	if left == 0 {
 		done()
@@ -124,7 +124,7 @@
 }
 
 // lose counts the program once.
-func (p *unfolding) lose(c *call) {
+func (p *programRun) lose(c *call) {
 	if p.lost {
 		return
 	}
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -69,11 +69,12 @@
 	// instance may get more in a second than its service's limit.
 	ColdOverage float64 `koanf:"coldOverage" validate:"gte=1"`
 	ColdSlack   float64 `koanf:"coldSlack" validate:"gte=0"`
-	// TurnOrder lets turns of begun programs wait for more urgent ones where load control is
-	// called for.
-	TurnOrder bool `koanf:"turnOrder"`
-	// Guarantees names what the operator's agreement with the callers holds.
-	Guarantees []string `koanf:"guarantees"`
+	LoadControl `koanf:",squash"`
+}
+
+// HeldBytes returns how many bytes may be held for callers.
+func (g Gateway) HeldBytes() int64 {
+	return int64(g.HeldShare * float64(int64(g.MemoryMB)<<20))
 }
 
 // Replica holds the settings of a replica.
@@ -110,7 +111,7 @@
 
 // LoadGateway reads the settings of a gateway.
 func LoadGateway(path string, overrides []string) (Gateway, error) {
-	return loadFile(path, overrides, Gateway{Member: defaultMember(), ColdOverage: 1, TurnOrder: true})
+	return loadFile(path, overrides, Gateway{Member: defaultMember(), ColdOverage: 1, LoadControl: defaultLoadControl()})
 }
 
 // LoadReplica reads the settings of a replica.
