A zone's report of the order is bounded like a gateway's own

Cause: a zone's report held the services of all its gateways' reports, two of each. Change: both keep the two services with the most turns. Test: twenty neighbours with a service each. go test ./internal/gateway ./internal/overload.

--- a/internal/gateway/turnorder.go
+++ b/internal/gateway/turnorder.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -37,6 +38,9 @@
 	return orderKey(o.hash<<8 | uint32(figure))
 }
 
+func (k orderKey) service() uint32              { return uint32(k) >> 8 }
+func (k orderKey) figure() overload.OrderFigure { return overload.OrderFigure(k) }
+
 // turnOrders holds the order of waiting of each service, and what other gateways told of
 // theirs. It is a section of the load reports, and safe for concurrent use.
 type turnOrders struct {
@@ -86,35 +90,49 @@
 func (o *turnOrders) own(now time.Time) []byte {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return encodeFigures(o.figures(now))
+	return encodeFigures(busiest(o.figures(now)))
 }
 
 // zone implements reportSection.
 func (o *turnOrders) zone(now time.Time) []byte {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return encodeFigures(o.heard.WithZone(now, o.figures(now)))
+	return encodeFigures(busiest(o.heard.WithZone(now, o.figures(now))))
 }
 
-// figures returns what is told of the services with the most turns. A service whose turns wait
-// no longer is still told of, or others would go by what waited before.
+// figures returns this gateway's own. A service whose turns wait no longer is still told of, or
+// others would go by what waited before.
 func (o *turnOrders) figures(now time.Time) map[orderKey]float64 {
-	told := make([]*serviceOrder, 0, len(o.byService))
-	for _, known := range o.byService {
-		told = append(told, known)
-	}
-	slices.SortFunc(told, func(a, b *serviceOrder) int {
-		return cmp.Or(-cmp.Compare(a.order.Turns(), b.order.Turns()), cmp.Compare(a.hash, b.hash))
-	})
 	figures := map[orderKey]float64{}
-	for _, known := range told[:min(orderedServices, len(told))] {
+	for _, known := range o.byService {
 		for figure, value := range known.order.Figures(now) {
-			figures[known.key(figure)] = coarse(value)
+			figures[known.key(figure)] = value
 		}
 	}
 	return figures
 }
 
+// busiest returns the figures of the services with the most turns, as they are told.
+func busiest(figures map[orderKey]float64) map[orderKey]float64 {
+	turns := map[uint32]float64{}
+	for key, value := range figures {
+		if key.figure().CountsTurns() {
+			turns[key.service()] += value
+		}
+	}
+	services := slices.SortedFunc(maps.Keys(turns), func(a, b uint32) int {
+		return cmp.Or(-cmp.Compare(turns[a], turns[b]), cmp.Compare(a, b))
+	})
+	services = services[:min(orderedServices, len(services))]
+	told := map[orderKey]float64{}
+	for key, value := range figures {
+		if slices.Contains(services, key.service()) {
+			told[key] = coarse(value)
+		}
+	}
+	return told
+}
+
 // coarse returns a figure with an error below 1 in 4,000, which takes 4 bytes in a report in
 // place of 9.
 func coarse(value float64) float64 {
--- a/internal/gateway/turnorder_test.go
+++ b/internal/gateway/turnorder_test.go
@@ -119,7 +119,13 @@
 	for number := range 20 {
 		services = append(services, fmt.Sprint("s", number))
 	}
-	require.Less(t, len(waitingReport(now, 1000, services...).own(now)), 2*300)
+	orders := waitingReport(now, 1000, services...)
+	require.Less(t, len(orders.own(now)), 2*300)
+	for number := range 20 {
+		neighbour := waitingReport(now, 1000, fmt.Sprint("n", number))
+		orders.take(now, tally.Source{Gateway: fmt.Sprint(number)}, tally.Version{}, neighbour.own(now))
+	}
+	require.Less(t, len(orders.zone(now)), 2*300, "nor does a zone's grow with the services that its gateways tell of")
 }
 
 // A new program that is more urgent than the turns that wait does not wait for them.
--- a/internal/overload/orderfigures.go
+++ b/internal/overload/orderfigures.go
@@ -65,8 +65,10 @@
 	return programTimes{programs: f[from], turns: f[from+1], aim: f[from+2], known: f[from+3], passed: f[from+4]}
 }
 
-// Turns returns how many turns this gateway learned from of late.
-func (o *Order) Turns() float64 { return o.urgent.turns + o.others.turns }
+// CountsTurns reports whether the figure counts turns, those that wait or were learned from.
+func (f OrderFigure) CountsTurns() bool {
+	return f < waitingClasses || f == figureUrgent+1 || f == figureOthers+1
+}
 
 // Observe learns from a turn of a program that had so much time left when it came; calm tells
 // whether there was room then.
