--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -118,6 +118,7 @@
 	}
 	s.directory.Observe(now, sent.choice, seen)
 	s.learnTurn(now, r, seen.Took)
+	s.tenantServed(now, r, seen.Took)
 	s.programTurnEnded(now, r, seen.Took)
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -69,6 +69,8 @@
 	// LimitSetAside says that, under load control, credit of tenants' limits is set aside for
 	// begun programs.
 	LimitSetAside bool
+	// FairShares says that, under load control, tenants share scarce room fairly.
+	FairShares bool
 	// ColdStarts is by how much cold instances may get more than their limit.
 	ColdStarts coldstart.Policy
 }
@@ -113,6 +115,8 @@
 	overload *queues
 	// orders holds the turns of begun programs that wait for more urgent ones.
 	orders *turnOrders
+	// shares is the service that tenants had of late.
+	shares *tenantShares
 	// held counts the memory held for callers; nil where it is not bounded. unreadLimit is how
 	// long they may leave an answer unread.
 	held        *heldMemory
@@ -134,7 +138,7 @@
 		options: options, dialect: options.Dialect, log: options.Log, directory: options.Directory,
 		replicas: options.Replicas, metrics: options.Metrics, splitter: route.NewSplitter(options.Node), started: time.Now(),
 		orders:     newTurnOrders(),
-		allowances: newAllowances(), overload: newQueues(), programs: newPrograms(options.Log, options.Metrics), members: replicaset.NewReader(),
+		allowances: newAllowances(), overload: newQueues(), shares: newTenantShares(options.Metrics), programs: newPrograms(options.Log, options.Metrics), members: replicaset.NewReader(),
 		held: newHeldMemory(options.HeldBytes), unreadLimit: unreadLimit,
 	}
 	s.pool = backend.NewPool(s.metrics.connections.Inc)
