--- a/internal/overload/order_load_test.go
+++ b/internal/overload/order_load_test.go
@@ -35,6 +35,7 @@
 func TestUrgentProgramsEndInTimeWhileOthersUnfold(t *testing.T) {
 	for name, seeds := range map[string]uint64{"unfolding-over-urgent": 2, "unfolding-over-urgent-70": 1, "bursts-in-a-row": 2, "engines-leave": 2} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			before, _, _ := played(t, name, seeds, polling, onTime, nil)
 			kept, usual, _ := played(t, name, seeds, level, onTime, nil)
 			require.Greater(t, kept.InTime, before.InTime)
@@ -47,6 +48,7 @@
 // A coordinator that hears of the load as late as all others keeps no more urgent programs in
 // time, and takes messages for each turn that asks.
 func TestTheOrderNeedsNoCoordinator(t *testing.T) {
+	t.Parallel()
 	kept, _, without := played(t, "unfolding-over-urgent", 1, level, onTime, nil)
 	granted, _, with := played(t, "unfolding-over-urgent", 1, coordinator, onTime, nil)
 	require.Greater(t, float64(kept.InTime), 0.9*float64(granted.InTime))
@@ -59,6 +61,7 @@
 		"late": {late: 400 * time.Millisecond}, "lost": {lost: 0.3}, "doubled": {doubled: 0.3},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			before, _, _ := played(t, "unfolding-over-urgent", 1, polling, travel, nil)
 			kept, _, _ := played(t, "unfolding-over-urgent", 1, level, travel, nil)
 			require.Greater(t, kept.InTime, before.InTime)
@@ -68,6 +71,7 @@
 
 // What a gateway told before it fell silent counts for a moment only.
 func TestASilentReporterHoldsNobodyBack(t *testing.T) {
+	t.Parallel()
 	travel := reports{silent: 3, silentFrom: 8 * time.Second}
 	before, _, _ := played(t, "unfolding-over-urgent", 1, polling, travel, nil)
 	kept, usual, _ := played(t, "unfolding-over-urgent", 1, level, travel, nil)
@@ -77,6 +81,7 @@
 
 // A gateway that starts in a burst has learned nothing; the others tell it.
 func TestAGatewayThatStartsInABurstKeepsTheOrder(t *testing.T) {
+	t.Parallel()
 	restart := func(o *ordered) { o.after(8*time.Second, func() { o.restart(3) }) }
 	before, _, _ := played(t, "unfolding-over-urgent", 1, polling, onTime, nil)
 	kept, _, _ := played(t, "unfolding-over-urgent", 1, level, onTime, restart)
