The order of waiting is in force where room is rationed

Cause: main rations room only where the operator asks for that; elsewhere a service is expected to have room for all but for moments. Turns were held wherever streams may run several times, too. Change: the order follows rationed().

--- a/internal/gateway/turnorder.go
+++ b/internal/gateway/turnorder.go
@@ -163,7 +163,7 @@
 func (s *Server) TurnOrder() reportSection { return s.orders }
 
 // ordered reports whether the request's service has an order of waiting.
-func (s *Server) ordered(r *request) bool { return s.options.TurnOrder && s.loadControlled(r) }
+func (s *Server) ordered(r *request) bool { return s.options.TurnOrder && s.rationed(r) }
 
 // turnsWaiting returns how many turns of begun programs wait at all gateways for the request's
 // service.
