--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -209,8 +209,18 @@
 // present returns by how much slower than without other load requests are now.
 func (s *serviceState) present() float64 { return at(s.points, s.share) }
 
+// mayComeBack notes until when a caller that is refused may come back.
+func (k *kindState) mayComeBack(until time.Time) {
+	if until.After(k.refusedUntil) {
+		k.refusedUntil = until
+	}
+}
+
 // noteShare adds the share of the slots in use to its mean.
 func (s *serviceState) noteShare(now time.Time, share float64) {
+	if now.Before(s.shareAt) {
+		return // the time of a request that was read before another one's
+	}
 	weight := 1.0
 	if !s.shareAt.IsZero() {
 		weight = 1 - fading(now.Sub(s.shareAt).Seconds(), shareTime.Seconds())
--- a/internal/admission/decision.go
+++ b/internal/admission/decision.go
@@ -80,9 +80,9 @@
 const askedOnce = float64(time.Second) / float64(askedTime)
 
 const (
-	// reportTime is how old the figures of a gateway's neighbour are for each of its sources: it
-	// hears two of them each 50 ms. leastReportTime holds for few gateways, mostReportTime
-	// bounds by how much a large fleet may slow the beginning of programs.
+	// reportTime times the number of sources is how old a gateway's figures are at its neighbours:
+	// each gateway hears two sources in 50 ms. leastReportTime is the least, for few gateways;
+	// mostReportTime the most, so that a large fleet does not delay programs for longer.
 	reportTime      = 25 * time.Millisecond
 	leastReportTime = 100 * time.Millisecond
 	mostReportTime  = time.Second
@@ -112,7 +112,7 @@
 	decision := Decision{Verdict: Admit, Sources: c.others.Sources(now)}
 	program := view.of(name).estimate
 	if !program.known || load.Slots == 0 {
-		own.refusedUntil = request.Deadline
+		own.mayComeBack(request.Deadline)
 		return decision
 	}
 	service.calibrate(now, view.expected(0), load)
@@ -121,7 +121,7 @@
 	decision.Room = float64(load.Slots) * view.bearable(name.rank(), program, request.Left != 0)
 	decision.weigh(forecast, program, reports)
 	if decision.Short() {
-		own.refusedUntil = request.Deadline
+		own.mayComeBack(request.Deadline)
 	}
 	decision.Usual = !now.Before(own.refusedUntil)
 	switch {
--- a/internal/admission/kind.go
+++ b/internal/admission/kind.go
@@ -19,9 +19,9 @@
 type figure uint8
 
 const (
-	// begun counts programs, later the turns that follow first ones; turnMS is the slot time
-	// of both in milliseconds, turnSquares its squares. All of them fade. A gateway sees some turns of many programs and
-	// all turns of few: only ratios of these sums mean something.
+	// begun counts programs, later the turns that follow first ones; turnMS sums the slot time of
+	// both in milliseconds, turnSquares its squares. All fade with time. A gateway sees some turns
+	// of many programs and all turns of few, so only ratios of these sums mean something.
 	begun figure = iota
 	later
 	turnMS
@@ -36,7 +36,7 @@
 	phased
 	phase
 	calmMS
-	// asked is how many first requests come a second.
+	// asked is how often a second first requests are decided about; a held one counts each time.
 	asked
 	// first counts programs under way in their first turn. early and unfolded count them in
 	// the two stages before their later turns: the time that a program takes from one stage to
--- a/internal/backend/pace.go
+++ b/internal/backend/pace.go
@@ -60,8 +60,6 @@
 	// first is the mean time to a stream's first event in milliseconds, recentFirst that of
 	// the last few streams.
 	first, recentFirst mean
-	// slowdown is how requests slow each other down.
-	slowdown slowdown
 }
 
 func newPace() *pace { return &pace{typical: map[string]*mean{}} }
@@ -82,7 +80,6 @@
 // as a logarithm; ok is false where that cannot be told.
 func (p *pace) observe(seen Observation, slots int) (slower float64, ok bool) {
 	p.duration.add(milliseconds(seen.Took), paceGain)
-	p.slowdown.observe(seen.Took, seen.Load, slots)
 	if seen.Events > 0 {
 		p.read.add(float64(seen.Missing), paceGain)
 		p.first.add(milliseconds(seen.First), paceGain)
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -99,7 +99,8 @@
 		},
 	})
 	process.log.Info().Str("event", "start").Str("role", "gateway").Str("zone", config.Zone).
-		Str("callers", config.CallerAddress).Str("store", config.StoreAddress).Msg("")
+		Str("callers", config.CallerAddress).Str("store", config.StoreAddress).
+		Bool("load_control", platform.AsksForLoadControl(config.Guarantees)).Msg("")
 	var running conc.WaitGroup
 	running.Go(func() { knowledge.Run(life) })
 	running.Go(func() { process.failing("gossip", gossip.Run(life, config.PeerAddress)) })
--- a/internal/command/pressure.go
+++ b/internal/command/pressure.go
@@ -26,7 +26,7 @@
 		Use:   "pressure METRICS-ADDRESS...",
 		Short: "Print from gateways' metrics what room there is, who waits and who is refused, and why",
 		Long: "Reads the metrics of gateways and prints each figure of load control summed over them, with the\n" +
-			"least and the most of single gateways. Exits with 1 when a gateway did not answer.",
+			"least and the most of single gateways; histograms are left out. Exits with 1 when a gateway did not answer.",
 		Example: "  swiftbank pressure 10.1.0.19:9100 10.1.0.20:9100",
 		Args:    cobra.MinimumNArgs(1),
 	}
--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -34,8 +34,8 @@
 	leastServed = time.Millisecond
 )
 
-// Key stands for a tenant in reports: the lower half of a hash of its name. Two of 9,700 tenants
-// share one with a chance of one in a hundred, and count as one then.
+// Key stands for a tenant in reports: the lower half of a hash of its name. Among 10,000 tenants
+// two share a key with a probability of about 1 in 90; they count as one.
 type Key uint32
 
 // others is the entry of the tenants that a report does not name.
@@ -57,11 +57,13 @@
 	reported *tally.Tally[Key]
 	// weights are the tenants' weights by the configuration.
 	weights map[Key]float64
+	// mean is the weight of tenants without one.
+	mean float64
 }
 
 // New returns shares of which nothing is known.
 func New() *Shares {
-	return &Shares{own: Figures{}, reported: tally.New[Key](reportLife)}
+	return &Shares{own: Figures{}, reported: tally.New[Key](reportLife), mean: 1}
 }
 
 // SetWeights replaces the weights of tenants; those without one weigh as the mean of the others.
@@ -70,6 +72,7 @@
 	for tenant, weight := range weights {
 		s.weights[KeyOf(tenant)] = weight
 	}
+	s.mean = meanOf(s.weights)
 }
 
 // Served counts slot time that a request of the tenant had.
@@ -138,8 +141,8 @@
 }
 
 // Excess returns how far above its fair share a tenant is: 0 within it, 1 at twice as much. The
-// fair share is the service of the tenants that had any, by their weights. Tenants that no report
-// names are within theirs.
+// fair share is of the service of the tenants that reports name, by their weights; tenants that no
+// report names are within theirs.
 func (s *Shares) Excess(now time.Time, tenant string) float64 {
 	s.settle(now)
 	served := s.reported.Sums(now)
@@ -152,31 +155,30 @@
 		return 0
 	}
 	var total, weights float64
-	mean := s.meanWeight()
 	// In the order of the keys, so that rounding does not depend on the order of the map.
 	for _, known := range slices.Sorted(maps.Keys(served)) {
 		total += served[known]
-		weights += s.weight(known, mean)
+		weights += s.weight(known)
 	}
-	fair := total * s.weight(key, mean) / weights
+	fair := total * s.weight(key) / weights
 	return max(0, served[key]/fair-1)
 }
 
-// meanWeight returns the weight of tenants without one.
-func (s *Shares) meanWeight() float64 {
-	if len(s.weights) == 0 {
+// meanOf returns the mean of the weights, 1 if there are none.
+func meanOf(weights map[Key]float64) float64 {
+	if len(weights) == 0 {
 		return 1
 	}
 	sum := 0.0
-	for _, key := range slices.Sorted(maps.Keys(s.weights)) {
-		sum += s.weights[key]
+	for _, key := range slices.Sorted(maps.Keys(weights)) {
+		sum += weights[key]
 	}
-	return sum / float64(len(s.weights))
+	return sum / float64(len(weights))
 }
 
-func (s *Shares) weight(key Key, mean float64) float64 {
+func (s *Shares) weight(key Key) float64 {
 	if weight := s.weights[key]; weight > 0 {
 		return weight
 	}
-	return mean
+	return s.mean
 }
--- a/internal/gateway/instancespeed.go
+++ b/internal/gateway/instancespeed.go
@@ -15,9 +15,8 @@
 )
 
 const (
-	// speedPause times the sources that are heard of is the least time between two reports that
-	// tell of speeds: what a gateway sends stays below 4 KB a second in a fleet of hundreds, where
-	// as much comes from more sources.
+	// speedPause times the number of sources is the least time between two reports of speeds, so
+	// that the traffic of one gateway does not grow with the fleet.
 	speedPause = 4 * time.Millisecond
 	// speedEntries bounds what one report tells of instances' speeds: 12 bytes each.
 	speedEntries = 24
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -6,6 +6,8 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -36,7 +38,8 @@
 			runs++
 			r.lostAnswer = true
 		}
-		if r.route.Kind == route.Safe && failure.Verdict != verdict.NotRun && runs < r.route.Attempts && ctx.Err() == nil {
+		// A request that ran and whose answer there is no memory for would need as much again.
+		if r.route.Kind == route.Safe && failure.Verdict == verdict.MayHaveRun && runs < r.route.Attempts && ctx.Err() == nil {
 			demand.Exclude = append(demand.Exclude, r.outcome.instance)
 			continue
 		}
@@ -100,12 +103,34 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	r.outcome.status = response.StatusCode
 	r.outcome.result = "answered"
-	s.awaitReader(w, r)
 	w.WriteHeader(response.StatusCode)
-	_, _ = w.Write(body)
+	s.writeWhole(w, r, body)
 	return nil
 }
 
+// writePiece is how many bytes a caller gets at once: it has the time for a write for each.
+const writePiece = 64 << 10
+
+// writeWhole hands a whole answer to the caller. One that leaves, or reads nothing, gets an answer
+// that is cut off.
+func (s *Server) writeWhole(w http.ResponseWriter, r *request, body []byte) {
+	for piece := range slices.Chunk(body, writePiece) {
+		s.awaitReader(w, r)
+		if _, err := w.Write(piece); err != nil {
+			r.outcome.reason = s.writeFailure(err)
+			return
+		}
+	}
+}
+
+// writeFailure says why an answer could not be written to its caller.
+func (s *Server) writeFailure(err error) string {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return "the caller read nothing for " + s.unreadLimit.String()
+	}
+	return "the caller left"
+}
+
 // observe tells the directory how long a whole answer took. firstAt is when its first
 // event came, if it was a stream.
 func (s *Server) observe(r *request, sent *attempt, firstAt time.Time, events int) {
--- a/internal/gateway/programs.go
+++ b/internal/gateway/programs.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strconv"
@@ -36,12 +37,13 @@
 	return s.options.ProgramAdmission && r.header.Get(s.dialect.Program) != "" && s.rationed(r)
 }
 
-// programLeft returns how much time the request's program had when it came, 0 if it names none.
-func (r *request) programLeft() time.Duration {
+// programLeft returns how much time the request's program has, 0 if it names none. One whose time
+// is over at this moment is late.
+func (r *request) programLeft(now time.Time) time.Duration {
 	if r.programEnds.IsZero() {
 		return 0
 	}
-	return r.programEnds.Sub(r.arrived)
+	return cmp.Or(r.programEnds.Sub(now), -1)
 }
 
 // programKind returns the kind of the request's program.
@@ -58,7 +60,7 @@
 	now := time.Now()
 	capacity := s.directory.Capacity(now, r.service.Name)
 	load := admission.Load{Slots: capacity.Slots, Busy: capacity.Busy}
-	asked := admission.Request{ID: r.id, Kind: r.programKind(), Objective: r.arrived.Add(r.route.Objective), Deadline: r.deadline, Left: r.programLeft(), Excess: s.tenantExcess(r)}
+	asked := admission.Request{ID: r.id, Kind: r.programKind(), Objective: r.arrived.Add(r.route.Objective), Deadline: r.deadline, Left: r.programLeft(now), Excess: s.tenantExcess(r)}
 	s.programs.mu.Lock()
 	r.admission = s.programs.controller.Decide(now, asked, load)
 	s.programs.mu.Unlock()
@@ -99,7 +101,7 @@
 	}
 	now := time.Now()
 	began := admission.Beginning{
-		Kind: r.programKind(), Program: r.header.Get(s.dialect.Program), Left: r.programLeft(), Share: s.shareInUse(now, r.service.Name),
+		Kind: r.programKind(), Program: r.header.Get(s.dialect.Program), Left: r.programLeft(now), Share: s.shareInUse(now, r.service.Name),
 		Usual: r.admission.Usual,
 	}
 	s.programs.mu.Lock()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -261,10 +261,10 @@
 		t.begin(w, sent)
 		s.awaitReader(w, t.request)
 		if _, err := w.Write(event.raw); err != nil {
-			return &backend.Failure{Verdict: verdict.Ran, Reason: "the caller left"}
+			return &backend.Failure{Verdict: verdict.Ran, Reason: s.writeFailure(err)}
 		}
 		if err := flusher.Flush(); err != nil {
-			return &backend.Failure{Verdict: verdict.Ran, Reason: "the caller left"}
+			return &backend.Failure{Verdict: verdict.Ran, Reason: s.writeFailure(err)}
 		}
 	}
 }
--- a/internal/loadstatus/loadstatus.go
+++ b/internal/loadstatus/loadstatus.go
@@ -1,5 +1,5 @@
 // Package loadstatus sums up what gateways' metrics say of load control over the whole fleet:
-// room, what is committed, who waits and who was refused, by service, rank and tenant.
+// room, what is committed and who was refused, by service and rank. Histograms are left out.
 package loadstatus
 
 import (
--- a/internal/quota/borrower.go
+++ b/internal/quota/borrower.go
@@ -165,8 +165,8 @@
 // have been lent at that moment.
 func (b *Borrower) Lent(now, sentAt time.Time, lender string, asked Borrow, lent Loan) {
 	known := b.of(now, asked.Tenant)
-	// Otherwise a request beyond the limit would ask it again and again: what it says of its
-	// credit would not count while it is taken for silent.
+	// It answers again: while it is taken for silent, what it says of its credit does not count,
+	// and requests beyond the limit would ask it again and again.
 	delete(b.unansweredUntil, lender)
 	if lent.Wait > 0 && !lent.Held {
 		known.emptyUntil[lender] = now.Add(lent.Wait)
--- a/internal/quota/programs.go
+++ b/internal/quota/programs.go
@@ -142,13 +142,13 @@
 // fits reports whether a new program may begin besides so many others: what the programs that
 // began within the window ask for in all must be within what the limit allows in one. A program
 // is counted whole while it is short beside the window, and by its share of each window while
-// it is longer. Allowances that were lent ahead and not used are missing from the limit. After a window without a new program one always fits, however wrong the
-// forecast is.
+// it is longer. Allowances that were lent ahead and not used are missing from the limit. After a
+// window without a new program one always fits, however wrong the forecast is.
 func (f Forecast) fits(begun int, most float64) bool {
 	return begun == 0 || (float64(begun)+newShare)*f.PerProgram <= most-float64(f.Unused)
 }
 
-// wait returns when a whole new program fits and there is credit for its first request.
+// wait returns when a new program fits (see fits) and there is credit for its first request.
 func (a *account) wait(now time.Time, seen Forecast, most float64) time.Duration {
 	var wait time.Duration
 	begun := seen.Begun
@@ -174,8 +174,7 @@
 	return before - a.young.sum(now)
 }
 
-// tell counts what a gateway told.
-// It returns what of that teaches how long programs are.
+// tell counts what a gateway told, and returns the part that teaches how long programs are.
 func (a *account) tell(now time.Time, policy Policy, told Told) Told {
 	a.toldAt = now
 	a.begun.add(told.First, now.Add(policy.Window))
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -83,8 +83,8 @@
 	// Unable says that the lender cannot tell: it does not know the tenant, or has no share.
 	Unable bool
 	// Held says that a new program is refused because credit is set aside for begun ones; Wait
-	// is then when there is credit for a whole one, and Forecast what that rests on. Lenders of
-	// the version before never say so.
+	// is then when there is credit for a whole one, and Forecast what that rests on. Lenders that
+	// do not know this field never say so.
 	Held     bool
 	Forecast Forecast
 }
--- a/internal/tally/tally.go
+++ b/internal/tally/tally.go
@@ -4,7 +4,9 @@
 package tally
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -61,13 +63,7 @@
 	}
 }
 
-// Sum returns the sum over all sources, without this gateway's own figures.
-func (t *Tally[K]) Sum(now time.Time, key K) float64 {
-	t.expire(now)
-	return t.sums[key]
-}
-
-// Sums returns the sums of all keys.
+// Sums returns the sums of all keys over all sources, without this gateway's own figures.
 func (t *Tally[K]) Sums(now time.Time) map[K]float64 {
 	t.expire(now)
 	return maps.Clone(t.sums)
@@ -81,17 +77,25 @@
 	if total == nil {
 		total = map[K]float64{}
 	}
-	for source, said := range t.sources {
+	for _, source := range t.sorted() {
 		if source.Zone != "" {
 			continue
 		}
-		for key, value := range said.figures {
+		for key, value := range t.sources[source].figures {
 			total[key] += value
 		}
 	}
 	return total
 }
 
+// sorted returns the sources in an order of their own, so that rounding does not depend on the
+// order of the map.
+func (t *Tally[K]) sorted() []Source {
+	return slices.SortedFunc(maps.Keys(t.sources), func(a, b Source) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Gateway, b.Gateway))
+	})
+}
+
 // Sources returns how many sources count.
 func (t *Tally[K]) Sources(now time.Time) int {
 	t.expire(now)
@@ -114,9 +118,10 @@
 	dropped := t.sources[source].figures
 	delete(t.sources, source)
 	// Summing anew keeps rounding errors from growing with each report.
-	for key := range dropped {
-		for _, said := range t.sources {
-			if value, known := said.figures[key]; known {
+	for _, other := range t.sorted() {
+		said := t.sources[other].figures
+		for key := range dropped {
+			if value, known := said[key]; known {
 				t.sums[key] += value
 			}
 		}
--- a/internal/timeline/cell.go
+++ b/internal/timeline/cell.go
@@ -67,7 +67,7 @@
 			record(c.first, request.number("first_ms"))
 		}
 		return
-	case hasNotRun(status):
+	case isRefusal(status):
 		c.refused++
 	default:
 		c.failed++
@@ -75,8 +75,8 @@
 	c.reasons[request.text("result")]++
 }
 
-// hasNotRun reports whether a status promises that the request has not run.
-func hasNotRun(status int) bool {
+// isRefusal reports whether a status turns a request away that another time or place may serve.
+func isRefusal(status int) bool {
 	switch status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusPaymentRequired:
 		return true
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -30,8 +30,8 @@
 	// FromS is the start of the span in seconds after the first request.
 	FromS float64 `json:"from_s"`
 	Group string  `json:"group"`
-	// Answered counts requests with a whole answer, Refused those that have not run, Failed
-	// all others.
+	// Answered counts requests with a whole answer, Refused those turned away for lack of
+	// room, credit, budget or knowledge, Failed all others, whether or not they ran.
 	Answered int `json:"answered"`
 	Refused  int `json:"refused"`
 	Failed   int `json:"failed"`
