Log whether an instance ended under a request, and which attempts are one request

A send_failed line had the reason 'unexpected EOF' for an ended instance and for a reset connection alike, and nothing tied the attempts of a caller together.

The attempt is made in the background after a broken connection only.

--- a/internal/backend/changes.go
+++ b/internal/backend/changes.go
@@ -102,6 +102,7 @@
 		d.members[instance.ID] = m
 	}
 	m.instance = instance
+	d.addresses[instance.Address] = instance.ID
 	m.key = instancespeed.KeyOf(instance.ID, instance.Address, instance.Born)
 	m.unlistedUntil = time.Time{}
 	m.evacuated = d.evacuated[instance.Zone]
@@ -150,6 +151,9 @@
 		}
 		delete(d.unlisted, id)
 		delete(d.members, id)
+		if d.addresses[m.instance.Address] == id {
+			delete(d.addresses, m.instance.Address)
+		}
 		d.inFlight[m.instance.Service] -= m.inFlight
 		expired = append(expired, m)
 	}
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -120,6 +120,8 @@
 	// requests of this gateway. They keep frequent operations from scanning all members.
 	unlisted map[string]bool
 	loaded   map[string]*member
+	// addresses maps each address to the instance that was listed there last.
+	addresses map[string]string
 	// byService holds the members of each service, sorted by id.
 	byService map[string][]*member
 	// sameZone holds those in the gateway's zone; sameRegion those in the gateway's region, if
@@ -162,7 +164,7 @@
 // NewDirectory returns an empty directory for a gateway in the given zone.
 func NewDirectory(zone string) *Directory {
 	return &Directory{
-		zone: zone, placed: make(chan struct{}, 1), members: map[string]*member{}, unlisted: map[string]bool{}, loaded: map[string]*member{},
+		zone: zone, placed: make(chan struct{}, 1), members: map[string]*member{}, unlisted: map[string]bool{}, loaded: map[string]*member{}, addresses: map[string]string{},
 		byService: map[string][]*member{}, sameZone: map[string][]*member{}, sameRegion: map[string][]*member{},
 		reports: map[LoadSource]loadReport{}, lastInstances: map[string]string{},
 		inFlight: map[string]int{}, sums: map[string]capacitySum{}, remoteSums: map[string]remoteSum{}, versions: map[string]serviceVersions{}, serviceSpeeds: map[string]*serviceSpeed{}, network: networkCosts{zone: zone, roundTrips: map[string]*mean{}},
--- /dev/null
+++ b/internal/backend/entrystate.go
@@ -0,0 +1,36 @@
+package backend
+
+// EntryState is what the list says about an instance that was known before.
+type EntryState uint8
+
+const (
+	// EntryListed means that the instance is listed unchanged.
+	EntryListed EntryState = iota
+	// EntryLeaving means that the instance has announced that it leaves.
+	EntryLeaving
+	// EntryGone means that the instance is no longer listed. It left without an announcement, and may still
+	// finish its requests, or it stopped renewing its entry.
+	EntryGone
+	// EntryReplaced means that the instance has started again, or that another one is listed at its address.
+	EntryReplaced
+)
+
+// String returns the name used in logs.
+func (e EntryState) String() string { return [...]string{"listed", "leaving", "gone", "replaced"}[e] }
+
+// EntryStateOf compares an instance, as known before, with the list.
+func (d *Directory) EntryStateOf(instance Instance) EntryState {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m := d.members[instance.ID]
+	switch {
+	case m == nil && d.addresses[instance.Address] != "", m != nil && hasRestarted(instance, m.instance):
+		return EntryReplaced
+	case m == nil:
+		return EntryGone
+	case m.instance.Leaving:
+		return EntryLeaving
+	default:
+		return EntryListed
+	}
+}
--- a/internal/backend/liveness.go
+++ b/internal/backend/liveness.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/peer"
@@ -34,13 +35,28 @@
 	mu sync.Mutex
 	// lastActivity is when the instance last sent data on any connection.
 	lastActivity time.Time
-	// probedAt and down are the time and the result of the last probe. probeDone is closed at the
-	// end of the current probe; it is nil if none is running.
-	probedAt  time.Time
-	down      bool
-	probeDone chan struct{}
+	// probedAt and contact are the time and the result of the last probe, probeStarted is when it or the
+	// current one began. probeDone is closed at the end of the current probe; it is nil if none is running.
+	probeStarted, probedAt time.Time
+	contact                Contact
+	probeDone              chan struct{}
 }
 
+// Contact is the result of a connection attempt to an instance.
+type Contact uint8
+
+const (
+	// NoContact means that the instance's machine did not answer, or that it was not tried.
+	NoContact Contact = iota
+	// Refused means that nothing listens at the address: the instance's process has ended.
+	Refused
+	// Accepted means that something accepts connections at the address, which may be another instance.
+	Accepted
+)
+
+// String returns the name used in logs.
+func (c Contact) String() string { return [...]string{"no_contact", "refused", "accepted"}[c] }
+
 // recordActivity records that the instance sent data.
 func (l *liveness) recordActivity(now time.Time) {
 	l.mu.Lock()
@@ -74,14 +90,11 @@
 		state.mu.Unlock()
 		return false
 	case state.probeDone == nil && now.Sub(state.probedAt) < probeResultTTL:
-		down := state.down
+		down := state.contact == NoContact
 		state.mu.Unlock()
 		return down
-	case state.probeDone == nil:
-		state.probeDone = make(chan struct{})
-		go p.probe(state, instance)
 	}
-	done := state.probeDone
+	done := p.startProbe(now, state, instance)
 	state.mu.Unlock()
 	select {
 	case <-done:
@@ -90,7 +103,45 @@
 	}
 	state.mu.Lock()
 	defer state.mu.Unlock()
-	return state.down && now.Sub(state.lastActivity) >= idleTimeout
+	return state.contact == NoContact && now.Sub(state.lastActivity) >= idleTimeout
+}
+
+// startProbe starts a probe unless one is running, and returns the channel that is closed at its end. The
+// caller must hold the lock of the state.
+func (p *Pool) startProbe(now time.Time, state *liveness, instance Instance) <-chan struct{} {
+	if state.probeDone == nil {
+		state.probeDone, state.probeStarted = make(chan struct{}), now
+		go p.probe(state, instance)
+	}
+	return state.probeDone
+}
+
+// ContactSince returns the result of a probe that began after the given time. Concurrent callers share one
+// probe. known is false if the context ends first.
+func (p *Pool) ContactSince(ctx context.Context, instance Instance, since time.Time) (contact Contact, known bool) {
+	state := p.livenessOf(instance.ID)
+	for {
+		state.mu.Lock()
+		if state.probeDone == nil && state.probeStarted.After(since) {
+			defer state.mu.Unlock()
+			return state.contact, true
+		}
+		done := p.startProbe(time.Now(), state, instance)
+		state.mu.Unlock()
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return NoContact, false
+		}
+	}
+}
+
+// LastActivity returns when an instance last sent data on any connection; zero if it never did.
+func (p *Pool) LastActivity(id string) time.Time {
+	state := p.livenessOf(id)
+	state.mu.Lock()
+	defer state.mu.Unlock()
+	return state.lastActivity
 }
 
 // probe checks whether the instance's machine responds. Connections that it opens are kept for the
@@ -102,37 +153,43 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	answers := make(chan bool, probeAttempts)
+	answers := make(chan Contact, probeAttempts)
 	for attempt := range probeAttempts {
 		go func() { answers <- p.probeOnce(ctx, time.Duration(attempt)*probeInterval, instance) }()
 	}
-	down := true
+	contact := NoContact
 	for range probeAttempts {
-		if <-answers {
-			down = false
+		if answer := <-answers; answer != NoContact {
+			contact = max(contact, answer)
 			cancel()
 		}
 	}
 	state.mu.Lock()
-	state.probedAt, state.down = time.Now(), down
+	state.probedAt, state.contact = time.Now(), contact
 	close(state.probeDone)
 	state.probeDone = nil
 	state.mu.Unlock()
 }
 
-// probeOnce makes one connection attempt after a pause and reports whether the machine responds.
-func (p *Pool) probeOnce(ctx context.Context, pause time.Duration, instance Instance) bool {
+// probeOnce makes one connection attempt after a pause.
+func (p *Pool) probeOnce(ctx context.Context, pause time.Duration, instance Instance) Contact {
 	if pause > 0 && !wait.For(ctx, pause) {
-		return false
+		return NoContact
 	}
 	p.Opened()
 	limit, _ := ctx.Deadline()
 	opened, err := peer.Dialer(time.Until(limit)).DialContext(ctx, "tcp", instance.Address)
-	if err == nil {
+	switch {
+	case err == nil:
 		p.put(instance, newConnection(opened), idleDefault)
-		return true
+		return Accepted
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Refused
+	case isTimeout(err) || errors.Is(err, context.Canceled):
+		return NoContact
+	default:
+		return Accepted // another error, such as a reset, is an answer of the machine
 	}
-	return !isTimeout(err) && !errors.Is(err, context.Canceled)
 }
 
 // isTimeout reports whether an attempt got no response. A refusal or a reset is a response of the
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -53,7 +53,7 @@
 	if failure != nil {
 		return failure
 	}
-	r.body = body
+	r.input, r.body = body, body
 	s.mu.Lock()
 	service := s.splitter.Next(r.route)
 	s.mu.Unlock()
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -20,6 +20,8 @@
 	// has left, in milliseconds.
 	Program         string
 	ProgramDeadline string
+	// Session names the line of turns that the request belongs to.
+	Session string
 	// TokenBudget is the number of tokens that all turns of the program may generate.
 	TokenBudget string
 	// TokenCount is "PROMPT,MAX": the prompt's tokens and the most tokens to generate.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -29,7 +29,7 @@
 	for runs := 0; ; {
 		sent, failure := s.sendUntilAccepted(ctx, r, demand)
 		if failure == nil {
-			failure = s.relayAnswer(w, r, sent)
+			failure = s.relayAnswer(ctx, w, r, sent)
 			if failure == nil {
 				return
 			}
@@ -66,7 +66,7 @@
 
 // relayAnswer reads a complete answer and writes it to the caller. An incomplete answer, or one
 // without an instance's signature, is a failure.
-func (s *Server) relayAnswer(w http.ResponseWriter, r *request, sent *attempt) *backend.Failure {
+func (s *Server) relayAnswer(ctx context.Context, w http.ResponseWriter, r *request, sent *attempt) *backend.Failure {
 	defer sent.release()
 	answer := sent.answer
 	body, err := io.ReadAll(accountingReader{source: io.LimitReader(answer.Body(), maxAnswerBytes), held: r.held, copies: 1})
@@ -82,6 +82,7 @@
 		s.directory.EndFailed(time.Now(), sent.choice, backend.Failed)
 		failure := &backend.Failure{Verdict: verdict.MayHaveRun, Reason: "the answer was interrupted: " + err.Error()}
 		s.logSendFailure(r, sent.choice, failure)
+		s.examineLostRun(r, sent.choice, causeOfLoss(ctx, false, sent.watch))
 		return failure
 	}
 	answer.Finish()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -8,6 +8,7 @@
 
 	"swiftbank.dev/swiftbank/internal/admission"
 	"swiftbank.dev/swiftbank/internal/backend"
+	"swiftbank.dev/swiftbank/internal/quarantine"
 	"swiftbank.dev/swiftbank/internal/route"
 	"swiftbank.dev/swiftbank/internal/tenant"
 )
@@ -30,7 +31,11 @@
 	method         string
 	target         string
 	header         http.Header
-	body           []byte
+	// input is the body as the caller sent it, body the one that instances get: it begins with the history.
+	input, body []byte
+	// key identifies the request over all attempts of its caller; it is computed when it is needed.
+	key    quarantine.Key
+	hasKey bool
 	// held is the request's memory for callers; nil where that is not bounded.
 	held *holding
 	// lostAnswer is set once an instance may have run the request without a complete answer.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/backend"
@@ -131,7 +132,8 @@
 		release = func() { watch.stop(); cancel() }
 	}
 	stopOverdueWatch := s.watchOverdue(sendCtx, r, choice)
-	answerTimer := time.AfterFunc(s.answerTimeout(r), release)
+	var overdue atomic.Bool
+	answerTimer := time.AfterFunc(s.answerTimeout(r), func() { overdue.Store(true); release() })
 	sentAt := time.Now()
 	call := s.instanceCall(r, choice.Instance)
 	call.MaySend = func() bool { return s.directory.MaySend(time.Now(), choice) }
@@ -146,6 +148,9 @@
 		watch.explain(failure)
 		s.directory.EndFailed(time.Now(), choice, outcomeOfFailedSend(ctx, failure))
 		s.logSendFailure(r, choice, failure)
+		if failure.Verdict != verdict.NotRun {
+			s.examineLostRun(r, choice, causeOfLoss(ctx, overdue.Load(), watch))
+		}
 		return nil, failure
 	}
 	s.pool.RecordActivity(time.Now(), choice.Instance.ID)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -265,7 +265,7 @@
 		Int("status", o.status).Str("result", o.result).Str("reason", o.reason).
 		Str("instance", o.instance).Str("instance_version", o.instanceVersion).Str("stream_version", o.streamVersion).Str("version_source", o.versionSource).Str("resumes", r.header.Get(s.dialect.Resumes)).Str("last_event", r.header.Get(s.dialect.LastEvent)).Int("sends", o.sends).Int("load", o.load).Float64("expected_load", o.expectedLoad).Int64("reports_age_ms", o.reportsAgeMS).Float64("cost", o.cost).Int("missing", o.uncachedTokens).
 		Int("candidates", o.candidates).Str("lender", o.lender).Float64("limit_ms", o.limitMS).Float64("reserve_ms", o.reserveMS).Float64("first_ms", o.firstMS).
-		Float64("commit_ms", o.commitMS).Int("events", o.events).Int64("charged", o.otherCharges).Bool("asked_regions", o.askedAllRegions).Uint64("epoch", o.epoch).
+		Float64("commit_ms", o.commitMS).Int("events", o.events).Str("request_key", r.loggedKey()).Int64("charged", o.otherCharges).Bool("asked_regions", o.askedAllRegions).Uint64("epoch", o.epoch).
 		Str("previous", r.header.Get(s.dialect.PreviousTurn)).Int64("list_age_ms", s.instanceListAge().Milliseconds()).
 		Int64("program_left_ms", r.programLeftMS()).Int64("took_ms", took.Milliseconds()).Msg("")
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -23,7 +23,6 @@
 	maxTokens int64
 	// previous is the turn whose history precedes the caller's input.
 	previous    string
-	input       []byte
 	reservation *quorum.Reservation
 	// cell stores the program's turns and charges; reservedElsewhere is set once the charge may also
 	// be in the cells of other regions.
@@ -47,7 +46,7 @@
 
 // serveStream serves a request that is answered by a stream of events.
 func (s *Server) serveStream(ctx context.Context, w http.ResponseWriter, r *request) {
-	t := &turn{request: r, input: r.body, lastEvent: r.header.Get(s.dialect.LastEvent)}
+	t := &turn{request: r, lastEvent: r.header.Get(s.dialect.LastEvent)}
 	s.setProgram(t)
 	t.maxTokens = maxTokens(r.header, s.dialect.TokenCount)
 	t.parts = promptParts(r.header.Get(s.dialect.PromptPrefix))
@@ -188,7 +187,7 @@
 func (s *Server) relayStream(ctx context.Context, w http.ResponseWriter, t *turn, sent *attempt) *backend.Failure {
 	response := sent.answer.Response
 	if response.StatusCode != http.StatusOK || response.Header.Get(s.dialect.Signature) == "" {
-		return s.relayNonStream(w, t, sent)
+		return s.relayNonStream(ctx, w, t, sent)
 	}
 	defer sent.release()
 	s.recordVersion(t, sent.choice.Instance)
@@ -205,6 +204,9 @@
 	if failure != nil {
 		sent.answer.Discard()
 		s.logSendFailure(t.request, sent.choice, failure)
+		if failure.Verdict == verdict.MayHaveRun {
+			s.examineLostRun(t.request, sent.choice, causeOfLoss(ctx, false, sent.watch))
+		}
 		return failure
 	}
 	sent.answer.Finish()
@@ -229,7 +231,7 @@
 }
 
 // relayNonStream forwards an answer that is not a stream of events.
-func (s *Server) relayNonStream(w http.ResponseWriter, t *turn, sent *attempt) *backend.Failure {
+func (s *Server) relayNonStream(ctx context.Context, w http.ResponseWriter, t *turn, sent *attempt) *backend.Failure {
 	if t.responseStarted {
 		sent.answer.Discard()
 		sent.release()
@@ -237,7 +239,7 @@
 		return &backend.Failure{Verdict: verdict.MayHaveRun, Reason: "the stream could not be resumed"}
 	}
 	t.ran = true
-	failure := s.relayAnswer(w, t.request, sent)
+	failure := s.relayAnswer(ctx, w, t.request, sent)
 	if failure == nil {
 		s.settle(t)
 	}
--- /dev/null
+++ b/internal/quarantine/run.go
@@ -0,0 +1,74 @@
+package quarantine
+
+// Outcome is what is known of the end of a run. A later outcome in this order replaces an earlier one, so
+// that records merge to the same result in any order.
+type Outcome uint8
+
+const (
+	// Running is recorded before a suspect is sent: if its gateway ends, others know of the run.
+	Running Outcome = iota + 1
+	// Silent means that the instance's machine stopped answering: it has ended, or is cut off.
+	Silent
+	// Ended means that the instance ended during the run.
+	Ended
+	// Survived means that the instance outlived the run.
+	Survived
+	// Released means that the request completed later, or that an operator released it.
+	Released
+)
+
+// String returns the name used in logs and by commands.
+func (o Outcome) String() string {
+	switch o {
+	case Running:
+		return "running"
+	case Silent:
+		return "silent"
+	case Ended:
+		return "ended"
+	case Survived:
+		return "survived"
+	case Released:
+		return "released"
+	default:
+		return "unknown"
+	}
+}
+
+// MarshalText implements encoding.TextMarshaler for the lists of commands.
+func (o Outcome) MarshalText() ([]byte, error) { return []byte(o.String()), nil }
+
+// isOpen reports whether the outcome is not final.
+func (o Outcome) isOpen() bool { return o == Running || o == Silent }
+
+// Run is one run of a request at an instance.
+type Run struct {
+	// ID is unique among all runs: the id of the caller's attempt and the number of the send.
+	ID       string
+	Instance string
+	// Born is the start time of the instance in Unix milliseconds; 0 if unknown.
+	Born    uint64
+	Outcome Outcome
+}
+
+// Merge returns the run that knows more, and whether that is not the known one.
+func (r Run) Merge(other Run) (merged Run, changed bool) {
+	if other.Outcome > r.Outcome {
+		return other, true
+	}
+	return r, false
+}
+
+// incarnation identifies one life of an instance, which can end only once.
+type incarnation struct {
+	instance string
+	born     uint64
+}
+
+func (r Run) incarnation() incarnation { return incarnation{instance: r.Instance, born: r.Born} }
+
+// Record holds the known runs of one request.
+type Record struct {
+	Key  Key
+	Runs []Run
+}
