Failing test: a request that ends its instances is sent until none is left

Stand-in instances gain requests that end them: the process ends (connections reset, new ones refused) or the machine falls silent, at once, after events, or later, also after the caller has left.

Seen without containment, instances that ended under one request (3 allowed): resumable stream 32 at once, 56 after events, 60 late, 63 after the gateway gave it up, 64 silently; retained turn 16 each; safe call 32 each; two callers at two gateways 10; after all processes were killed 8; after its gateway was killed 7.

--- /dev/null
+++ b/internal/e2e/endedinstances_test.go
@@ -0,0 +1,272 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"swiftbank.dev/swiftbank/platform/platformtest"
+)
+
+// endedInstances is the number of instances that may end under one request.
+const endedInstances = 3
+
+// containmentSettings enable the containment of requests that end instances.
+const containmentSettings = ""
+
+// TestRequestThatEndsInstancesIsStopped sends requests that end the instances that run them, again and again as
+// their callers would, at all gateways. No more than endedInstances may end under one of them.
+func TestRequestThatEndsInstancesIsStopped(t *testing.T) {
+	f := startFleetWith(t, fleetLayout{gateways: 3, replicas: 3, engines: 8, apps: 8, gatewaySettings: containmentSettings})
+	for _, kind := range []lethalRequest{
+		{name: "resumable stream", path: "/plan/t"},
+		{name: "retained turn", path: "/chat/t"},
+		{name: "safe call", path: "/start/t"},
+	} {
+		for _, way := range []struct {
+			name      string
+			behaviour platformtest.Behaviour
+		}{
+			{"at once", platformtest.Behaviour{End: platformtest.ProcessEnds}},
+			{"after events", platformtest.Behaviour{End: platformtest.ProcessEnds, AbortAfterEvents: 2}},
+			{"late", platformtest.Behaviour{End: platformtest.ProcessEnds, EndAfter: 300 * time.Millisecond}},
+			{"after the gateway gave it up", platformtest.Behaviour{End: platformtest.ProcessEnds, EndAfter: 1200 * time.Millisecond}},
+			{"silently", platformtest.Behaviour{End: platformtest.MachineFallsSilent}},
+		} {
+			if kind.path == "/start/t" && way.behaviour.AbortAfterEvents > 0 {
+				continue
+			}
+			t.Run(kind.name+" that ends them "+way.name, func(t *testing.T) { f.testLethalRequest(t, kind, way.behaviour) })
+		}
+	}
+	t.Run("after all processes were killed", f.testLethalRequestAfterAllKilled)
+	t.Run("two callers of one request at two gateways", f.testLethalRequestAtTwoGateways)
+	t.Run("after its gateway was killed", f.testLethalRequestAfterGatewayKilled)
+}
+
+// lethalRequest is a kind of request that ends the instances that run it.
+type lethalRequest struct {
+	name, path string
+	// program is the request's program; all attempts have the same.
+	program string
+}
+
+// lethalBody is the body of requests that end instances.
+const lethalBody = "lethal"
+
+func (l lethalRequest) isCall() bool { return strings.HasPrefix(l.path, "/start/") }
+
+// attempt sends one attempt of the request.
+func (f *fleet) attempt(l lethalRequest, gateway *member, body string) exchangeResult {
+	if l.isCall() {
+		return f.post(gateway, appsHost, l.path, http.Header{"X-Program-Id": {l.program}, "X-Session-Id": {"s"}, "X-Deadline-Ms": {"3000"}}, body)
+	}
+	header := turnHeader(l.program, 100000)
+	header.Set("X-Deadline-Ms", "4000")
+	return f.post(gateway, agentHost, l.path, header, body)
+}
+
+// setLethal makes all instances, and those that replace them, end under requests with lethalBody.
+func (f *fleet) setLethal(behaviour platformtest.Behaviour) {
+	f.lethal = behaviour
+	for _, instance := range f.instances() {
+		f.armInstance(instance)
+	}
+}
+
+// instances returns all present instances.
+func (f *fleet) instances() []*platformtest.Engine {
+	f.endedMu.Lock()
+	defer f.endedMu.Unlock()
+	return slices.Concat(f.engines, f.apps)
+}
+
+func (f *fleet) armInstance(instance *platformtest.Engine) {
+	behaviour := f.lethal
+	instance.SetBehaviour(func(r *http.Request) platformtest.Behaviour {
+		body, _ := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(strings.NewReader(string(body)))
+		if strings.HasSuffix(string(body), lethalBody) {
+			return behaviour
+		}
+		return platformtest.Behaviour{}
+	})
+}
+
+// replaceEnded removes the entries of ended instances after the time in which entries lapse, and starts others
+// in their place, until the context ends.
+func (f *fleet) replaceEnded(ctx context.Context) {
+	const lapse = 600 * time.Millisecond
+	for ctx.Err() == nil {
+		f.replaceEndedOf("llm", f.engines, lapse)
+		f.replaceEndedOf("apps", f.apps, lapse)
+		<-time.After(20 * time.Millisecond)
+	}
+}
+
+func (f *fleet) replaceEndedOf(service string, instances []*platformtest.Engine, lapse time.Duration) {
+	for index, instance := range instances {
+		end, ended := instance.Ended()
+		if !ended || time.Since(end.At) < lapse {
+			continue
+		}
+		f.store.Delete("servers", instance.ID)
+		f.replacements++
+		replacement := platformtest.NewEngine(fmt.Sprintf("i-new-%d", f.replacements))
+		f.t.Cleanup(replacement.Close)
+		f.armInstance(replacement)
+		f.register(replacement, service, zones[index%len(zones)], "ready")
+		f.endedMu.Lock()
+		f.ended = append(f.ended, instance)
+		instances[index] = replacement
+		f.endedMu.Unlock()
+	}
+}
+
+// endsUnder returns how many instances ended under the requests with the given ids, and the runs that began
+// after the last of the ends that are allowed.
+func (f *fleet) endsUnder(ids []string) (ends int, late []platformtest.Run) {
+	f.endedMu.Lock()
+	all := slices.Concat(f.ended, f.engines, f.apps)
+	f.endedMu.Unlock()
+	own := map[string]bool{}
+	for _, id := range ids {
+		own[id] = true
+	}
+	var endedAt []time.Time
+	for _, instance := range all {
+		if end, ended := instance.Ended(); ended && own[end.Request] {
+			endedAt = append(endedAt, end.At)
+		}
+	}
+	if len(endedAt) < endedInstances {
+		return len(endedAt), nil
+	}
+	slices.SortFunc(endedAt, time.Time.Compare)
+	for _, id := range ids {
+		for _, run := range runsOf(id, all) {
+			if run.StartedAt.After(endedAt[endedInstances-1]) {
+				late = append(late, run)
+			}
+		}
+	}
+	return len(endedAt), late
+}
+
+// testLethalRequest sends one request until it is refused for good, beside others that must be served.
+func (f *fleet) testLethalRequest(t *testing.T, kind lethalRequest, behaviour platformtest.Behaviour) {
+	kind.program = f.newID()
+	f.setLethal(behaviour)
+	ctx, stop := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { f.replaceEnded(ctx) })
+	defer func() {
+		stop()
+		running.Wait()
+	}()
+	var ids []string
+	refused := false
+	const attempts = 16
+	for number := range attempts {
+		began := time.Now()
+		got := f.attempt(kind, f.gateways[number%len(f.gateways)], lethalBody)
+		ids = append(ids, got.id)
+		if got.status == http.StatusServiceUnavailable && strings.Contains(got.body, "request_quarantined") && got.header.Get("Retry-After") == "" {
+			require.Less(t, time.Since(began), time.Second, "a refusal comes at once")
+			refused = true
+			break
+		}
+		if got.status == http.StatusOK {
+			require.Error(t, got.err, "the request cannot succeed")
+		}
+		<-time.After(100 * time.Millisecond)
+	}
+	<-time.After(behaviour.EndAfter) // of the last run
+	ends, late := f.endsUnder(ids)
+	require.LessOrEqual(t, ends, endedInstances, "instances that ended under one request")
+	require.Empty(t, late, "runs after the last end that is allowed")
+	require.True(t, refused, "the request must be refused for good after %d attempts; %d instances ended", attempts, ends)
+	for _, gateway := range f.gateways {
+		got := f.attempt(kind, gateway, lethalBody)
+		require.Equal(t, http.StatusServiceUnavailable, got.status, "%s must refuse it too", gateway.name)
+		require.Empty(t, runsOf(got.id, f.instances()))
+		require.Eventually(t, func() bool {
+			return f.attempt(lethalRequest{path: kind.path, program: f.newID()}, gateway, "harmless").status == http.StatusOK
+		},
+			10*time.Second, 50*time.Millisecond, "other requests must be served")
+	}
+}
+
+func (f *fleet) testLethalRequestAfterAllKilled(t *testing.T) { f.testKilledBetween(t, f.members()) }
+func (f *fleet) testLethalRequestAfterGatewayKilled(t *testing.T) {
+	f.testKilledBetween(t, f.gateways[:1])
+}
+func (f *fleet) testLethalRequestAtTwoGateways(t *testing.T) {
+	kind := lethalRequest{path: "/chat/t", program: f.newID()}
+	f.setLethal(platformtest.Behaviour{End: platformtest.ProcessEnds, EndAfter: 50 * time.Millisecond})
+	ctx, stop := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { f.replaceEnded(ctx) })
+	defer func() {
+		stop()
+		running.Wait()
+	}()
+	var ids []string
+	for range 8 {
+		var pair sync.WaitGroup
+		results := make([]exchangeResult, 2)
+		for index := range results {
+			id := f.newID()
+			ids = append(ids, id)
+			pair.Go(func() {
+				results[index] = exchange(f.gateways[index], id, agentHost, kind.path, turnHeader(kind.program, 100000), lethalBody)
+			})
+		}
+		pair.Wait()
+	}
+	ends, late := f.endsUnder(ids)
+	// Both gateways may send it before any instance has ended under it.
+	require.LessOrEqual(t, ends, endedInstances+1)
+	require.Empty(t, late)
+}
+
+// testKilledBetween kills processes after two ends under a request; the third must be the last one.
+func (f *fleet) testKilledBetween(t *testing.T, killed []*member) {
+	for _, path := range []string{"/chat/t", "/start/t"} {
+		kind := lethalRequest{path: path, program: f.newID()}
+		f.setLethal(platformtest.Behaviour{End: platformtest.ProcessEnds})
+		ctx, stop := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { f.replaceEnded(ctx) })
+		var ids []string
+		for number := range 8 {
+			got := f.attempt(kind, f.gateways[number%len(f.gateways)], lethalBody)
+			ids = append(ids, got.id)
+			if number == 0 {
+				for _, m := range killed {
+					f.kill(m)
+				}
+				for _, m := range killed {
+					f.start(m)
+				}
+				for _, gateway := range f.gateways {
+					f.awaitReady(gateway)
+				}
+				f.awaitTurn()
+			}
+		}
+		ends, late := f.endsUnder(ids)
+		stop()
+		running.Wait()
+		require.LessOrEqual(t, ends, endedInstances)
+		require.Empty(t, late)
+	}
+}
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -68,6 +69,12 @@
 	lastID   int
 	// reroutedApp serves the calls of the route that testRouteChangesService reroutes.
 	reroutedApp *platformtest.Engine
+	// lethal is how requests with lethalBody end instances; replacements counts the instances that replaced
+	// ended ones. endedMu guards ended, which holds those, and the engines and apps while they are replaced.
+	lethal       platformtest.Behaviour
+	replacements int
+	endedMu      sync.Mutex
+	ended        []*platformtest.Engine
 	// backEndProxies are the proxies in front of the back ends, by back end id.
 	backEndProxies map[string]*faultproxy.Proxy
 }
