--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -58,6 +58,8 @@
 	instance Instance
 	// inFlight is the number of this gateway's requests in flight.
 	inFlight int
+	// suspects is the number of those under which instances ended before.
+	suspects int
 	// remoteInFlight is the number of requests in flight of all other gateways, by their last
 	// reports.
 	remoteInFlight int
@@ -355,6 +357,9 @@
 		return
 	}
 	m.inFlight--
+	if choice.suspect {
+		m.suspects--
+	}
 	d.inFlight[m.instance.Service]--
 	if choice.byExpectedEnd {
 		d.learnOutcome(now, m, outcome)
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"swiftbank.dev/swiftbank/internal/quarantine"
 	"swiftbank.dev/swiftbank/internal/verdict"
 )
 
@@ -53,6 +54,8 @@
 	InstanceDown bool
 	// NotSent is set when this gateway decided not to send the request.
 	NotSent bool
+	// Contained is set when the request is not sent because instances ended under it.
+	Contained quarantine.Verdict
 	// Restriction is set when a placement rule leaves no instance for the request.
 	Restriction Restriction
 	Reason      string
--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -70,6 +70,8 @@
 	// ByExpectedEnd places the request where it is expected to complete first, using the instance
 	// speeds that all gateways learn together.
 	ByExpectedEnd bool
+	// EndsBehind is the number of instances that ended, or may have ended, under the request.
+	EndsBehind int
 	// DiscountOldReports discounts the load reports of other gateways by their age.
 	DiscountOldReports bool
 }
@@ -94,6 +96,8 @@
 	member *member
 	// permit allows one send to the instance if its service limits cold starts.
 	permit coldstart.Permit
+	// suspect is set if instances ended under the request before.
+	suspect bool
 	// byExpectedEnd is set if the demand asked for ByExpectedEnd: the instance's speed is learned
 	// from the request.
 	byExpectedEnd bool
@@ -134,6 +138,10 @@
 		}
 	}
 	best.inFlight++
+	if demand.EndsBehind > 0 {
+		best.suspects++
+		choice.suspect = true
+	}
 	d.inFlight[best.instance.Service]++
 	d.loaded[best.instance.ID] = best
 	select {
@@ -298,6 +306,9 @@
 	if d.cold.Cold(now, candidate.instance.ID) {
 		cost += d.coldCost(demand, uncached)
 	}
+	if demand.EndsBehind > 0 || candidate.suspects > 0 {
+		cost += d.containmentCost(candidate, load, demand)
+	}
 	if demand.ByExpectedEnd {
 		return cost + d.expectedCompletion(now, candidate, load, uncached, demand), uncached
 	}
--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -101,9 +101,10 @@
 	p.log.Warn().Str("event", "store_call_failed").Str("kind", kind).Err(err).Msg("")
 }
 
-// serveMetrics serves the metrics until the context ends.
-func serveMetrics(ctx context.Context, address string, registry *prometheus.Registry) error {
+// serveMetrics serves the metrics, and what addRoutes adds for operators, until the context ends.
+func serveMetrics(ctx context.Context, address string, registry *prometheus.Registry, addRoutes func(*httprouter.Router)) error {
 	router := httprouter.New()
+	addRoutes(router)
 	router.Handler(http.MethodGet, "/metrics", promhttp.HandlerFor(registry, promhttp.HandlerOpts{}))
 	return serveUntil(ctx, address, router)
 }
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -78,6 +78,8 @@
 		HeldBytes:        config.HeldBytes(),
 		LimitSetAside:    config.LimitSetAside,
 		FairShares:       config.FairShares,
+		EndedInstances:   config.EndedInstances,
+		RenewalInterval:  config.RenewalInterval,
 		ColdStarts:       coldstart.Policy{Overage: config.ColdOverage, Slack: config.ColdSlack},
 	})
 	gossip := gateway.NewGossip(config.Node, config.Zone, config.Places(), directory, sentBytes)
@@ -85,6 +87,7 @@
 	if config.ProgramAdmission {
 		gossip.EnableLearnedCache(process.log)
 	}
+	gossip.AddSection(server.QuarantineSection())
 	if config.InstanceSpeeds {
 		gossip.AddSection(gateway.NewSpeedSection(directory, process.log, metrics))
 	}
@@ -108,10 +111,11 @@
 		Bool("load_control", platform.RequiresLoadControl(config.Guarantees)).Msg("")
 	var tasks conc.WaitGroup
 	tasks.Go(func() { feedNode.Run(servingCtx) })
+	tasks.Go(func() { server.RunContainment(servingCtx) })
 	tasks.Go(func() { process.logFailure("gossip", gossip.Run(servingCtx, config.PeerAddress)) })
 	tasks.Go(func() { process.logFailure("relaying", replicas.ServeRelays(servingCtx, config.PeerAddress)) })
 	tasks.Go(func() {
-		process.logFailure("metrics", serveMetrics(servingCtx, config.MetricsAddress, metrics.Registry))
+		process.logFailure("metrics", serveMetrics(servingCtx, config.MetricsAddress, metrics.Registry, server.RouteQuarantine))
 	})
 	tasks.Go(func() {
 		process.logFailure("readiness", serveReady(servingCtx, config.ReadyAddress, platform.Dialect().ReadyPath, server.Ready))
--- a/internal/command/replica.go
+++ b/internal/command/replica.go
@@ -6,6 +6,7 @@
 	"sync"
 	"syscall"
 
+	"github.com/julienschmidt/httprouter"
 	"github.com/sourcegraph/conc"
 	"github.com/spf13/cobra"
 
@@ -85,7 +86,9 @@
 	tasks.Go(func() {
 		process.logFailure("learned", learned.NewCache().Serve(ctx, config.PeerAddress, process.log, sentBytes))
 	})
-	tasks.Go(func() { process.logFailure("metrics", serveMetrics(ctx, config.MetricsAddress, metrics.Registry)) })
+	tasks.Go(func() {
+		process.logFailure("metrics", serveMetrics(ctx, config.MetricsAddress, metrics.Registry, func(*httprouter.Router) {}))
+	})
 	tasks.Go(func() {
 		process.watchReload(ctx, func() (settings.Member, error) {
 			reloaded, err := settings.LoadReplica(flags.settingsFile, flags.overrides)
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -82,7 +82,7 @@
 	}
 	root.CompletionOptions.DisableDefaultCmd = true
 	root.AddCommand(
-		newNodeCommand(), newGatewayCommand(), newReplicaCommand(), newExplainCommand(), newTimelineCommand(), newPressureCommand(), newDemoCommand(), newVersionCommand(),
+		newNodeCommand(), newGatewayCommand(), newReplicaCommand(), newExplainCommand(), newTimelineCommand(), newPressureCommand(), newQuarantineCommand(), newDemoCommand(), newVersionCommand(),
 		newValidateCommand(), newDiffCommand(), newApplyCommand(), newGetCommand(), newHistoryCommand(),
 		newStatusCommand(), newDrainCommand(), newSimulateCommand(), newExperimentCommand(), newRecordCommand(), newReplayCommand(), newLoadCommand(),
 	)
--- a/internal/e2e/endedinstances_test.go
+++ b/internal/e2e/endedinstances_test.go
@@ -20,7 +20,7 @@
 const endedInstances = 3
 
 // containmentSettings enable the containment of requests that end instances.
-const containmentSettings = ""
+const containmentSettings = "endedInstances: 3\nrenewalInterval: 500ms\n"
 
 // TestRequestThatEndsInstancesIsStopped sends requests that end the instances that run them, again and again as
 // their callers would, at all gateways. No more than endedInstances may end under one of them.
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -179,6 +179,7 @@
 	l.prepare()
 	report := Report{ID: id, Warnings: l.warnings()}
 	attempts := l.attemptsOfStream(id)
+	maps.Copy(attempts, l.attemptsWithKeyOf(id))
 	var requestLines []Line
 	for _, line := range l.Lines {
 		if attempt, named := line.Fields["id"].(string); named && attempts[attempt] {
@@ -225,6 +226,24 @@
 	return attempts
 }
 
+// attemptsWithKeyOf returns the ids of all attempts with the same request key: those of one caller at one
+// request, if instances ended under it or connections broke. Other requests have no key in the logs.
+func (l *Log) attemptsWithKeyOf(id string) map[string]bool {
+	key := ""
+	for _, line := range l.Lines {
+		if logged, _ := line.Fields["request_key"].(string); logged != "" && line.Fields["id"] == id {
+			key = logged
+		}
+	}
+	attempts := map[string]bool{}
+	for _, line := range l.Lines {
+		if attempt, named := line.Fields["id"].(string); key != "" && named && attempt != "" && line.Fields["request_key"] == key {
+			attempts[attempt] = true
+		}
+	}
+	return attempts
+}
+
 // stateChanges returns the lines without a request id that the same nodes logged from contextWindow
 // before the request's start until its last line.
 func (l *Log) stateChanges(requestLines []Line) []Line {
@@ -280,6 +299,17 @@
 			orNone(value("resumes")), value("last_event"), orNone(value("stream_version")), value("service"), value("version_source"), value("result"))
 	case "send_failed":
 		return fmt.Sprintf("send to %s failed after %s ms, verdict %s: %s", value("instance"), value("since_ms"), value("verdict"), value("reason"))
+	case "run_lost":
+		return fmt.Sprintf("lost its run at %s after %s ms (%s); %s ms later: entry %s, connection attempt %s, so the instance has %s; request key %s",
+			value("instance"), value("ran_ms"), value("cause"), value("known_after_ms"), value("entry"), orNone(value("contact")), value("outcome"), value("request_key"))
+	case "suspect_sent":
+		return fmt.Sprintf("sent to %s with %s requests there although %s instances ended under it and %s more may have; recorded: %s",
+			value("instance"), value("load"), value("ended"), value("possible"), value("recorded"))
+	case "request_contained":
+		return fmt.Sprintf("not sent (%s): %s instances ended under it and %s more may have; retry after %s ms; request key %s",
+			value("verdict"), value("ended"), value("possible"), value("retry_after"), value("request_key"))
+	case "request_released":
+		return fmt.Sprintf("nothing counts against the request any more (%s), %s runs released", value("reason"), value("runs"))
 	case "program_admission":
 		return fmt.Sprintf("new program, verdict %s: room for %s of %s slots, %s committed, %s reserved for higher priority; %s arrivals per second of rank %s, admitted with probability %s; retry after %s ms",
 			value("verdict"), value("room"), value("slots"), value("committed"), value("reserved"), value("asked_per_s"), value("rank"), value("chance"), value("wait"))
--- /dev/null
+++ b/internal/gateway/containment.go
@@ -0,0 +1,286 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"swiftbank.dev/swiftbank/internal/backend"
+	"swiftbank.dev/swiftbank/internal/ledger"
+	"swiftbank.dev/swiftbank/internal/quarantine"
+	"swiftbank.dev/swiftbank/internal/verdict"
+)
+
+// A request that ends the instances that run it is not sent again by any gateway once EndedInstances have
+// ended under it:
+//
+//   - Each run that ended its instance, or may have, is recorded on a quorum of the region's quarantine cell
+//     and sent to all gateways before the caller is answered or the request is sent again.
+//   - A request with such runs behind it is a suspect. Its next run is recorded before it is sent, and the
+//     quorum's answer tells the runs of all gateways. So two gateways cannot both send it for the last time,
+//     and a gateway that is killed leaves a record.
+//   - The runs of a turn are also recorded under its program. The reservation of the next attempt returns
+//     them, if the message from the other gateway was lost.
+//
+// All other requests pass with one atomic load.
+
+const (
+	// recordRunTimeout is how long the record of a run is awaited. Without a record, what is known here
+	// decides.
+	recordRunTimeout = 250 * time.Millisecond
+	// minWithheldRetry is the shortest Retry-After of a request that is withheld.
+	minWithheldRetry = 200 * time.Millisecond
+)
+
+// containment holds what a gateway knows of requests that end instances. It is safe for concurrent use.
+type containment struct {
+	// limit is the number of instances that may end under one request.
+	limit int
+	// records is the number of requests in the table.
+	records atomic.Int64
+	// restored is set once the records of the time before this gateway started were read, or given up.
+	restored atomic.Bool
+
+	mu    sync.Mutex
+	table *quarantine.Table
+	// unresolved are the lost runs whose outcome is not known yet.
+	unresolved []*lostRun
+	// unsent are the keys of the records that the next message to the other gateways contains.
+	unsent map[quarantine.Key]bool
+}
+
+// newContainment returns the containment of requests under which limit instances may end, nil if limit is 0.
+func newContainment(limit int) *containment {
+	if limit == 0 {
+		return nil
+	}
+	return &containment{limit: limit, table: quarantine.NewTable(), unsent: map[quarantine.Key]bool{}}
+}
+
+// merge adds runs of a request to the table and returns those that changed it.
+func (c *containment) merge(now time.Time, key quarantine.Key, runs ...quarantine.Run) []quarantine.Run {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	changed := c.table.Merge(now, key, runs...)
+	c.records.Store(int64(c.table.Size()))
+	return changed
+}
+
+// list returns the requests that something counts against.
+func (c *containment) list(now time.Time) []quarantine.Suspicion {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.List(now)
+}
+
+// verdictOn returns the decision on sending the request, and what counts against it besides the run with the
+// given id.
+func (s *Server) verdictOn(r *request, without string) (quarantine.Verdict, quarantine.Standing) {
+	c := s.containment
+	if c == nil || c.records.Load() == 0 {
+		return quarantine.Clear, quarantine.Standing{}
+	}
+	key := s.keyOf(r)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	standing := c.table.Standing(time.Now(), key, without)
+	return standing.Verdict(c.limit), standing
+}
+
+// refuseContained returns the refusal of a request that must not be sent, or nil.
+func (s *Server) refuseContained(r *request) *refusal {
+	if failure := s.containmentFailure(r, ""); failure != nil {
+		return refuseContained(failure)
+	}
+	return nil
+}
+
+// refuseContained returns the refusal for a failure of containmentFailure.
+func refuseContained(failure *backend.Failure) *refusal {
+	return refuseFor(verdict.CodeQuarantined, failure.RetryAfter, failure.Reason)
+}
+
+// refuseContainedTurn returns the refusal of a turn that must not be sent according to its program's charges, or
+// nil.
+func (s *Server) refuseContainedTurn(t *turn) *refusal {
+	if s.containment == nil || t.program == "" {
+		return nil
+	}
+	t.recordWithProgram = func(run quarantine.Run) {
+		t.cell.Settle(t.program, ledger.ProgramRunCharge(s.keyOf(t.request), run), t.route.Retention)
+	}
+	t.programRuns = t.reservation.RunsOf(func() quarantine.Key { return s.keyOf(t.request) })
+	return s.refuseContained(t.request)
+}
+
+// containmentFailure returns the failure of a request that must not be sent, or nil. A withheld request may
+// come back once it is known whether the last instances ended; a quarantined one must not.
+func (s *Server) containmentFailure(r *request, without string) *backend.Failure {
+	decision, standing := s.verdictOn(r, without)
+	r.outcome.endsBehind = standing.Ended + standing.Possible
+	if !decision.Stops() {
+		return nil
+	}
+	failure := &backend.Failure{Verdict: verdict.NotRun, Contained: decision, Reason: "instances ended while they ran this request"}
+	if decision == quarantine.Withheld {
+		failure.Reason = "instances ended, or may have ended, while they ran this request"
+		failure.RetryAfter = max(minWithheldRetry, standing.OpenFor)
+	}
+	s.logContained(r, decision, standing, failure.RetryAfter)
+	return failure
+}
+
+// beginRun records the next run of a suspect before it is sent. It returns the failure of a request that must
+// not be sent, or nil.
+func (s *Server) beginRun(ctx context.Context, r *request, choice backend.Choice) *backend.Failure {
+	decision, standing := s.verdictOn(r, "")
+	if decision == quarantine.Clear && len(r.programRuns) == 0 {
+		return nil
+	}
+	run := r.currentRun(choice.Instance)
+	run.Outcome = quarantine.Running
+	known, err := s.recordRun(ctx, r, run)
+	if err != nil && len(known) == 0 {
+		known = r.programRuns
+	}
+	s.containment.merge(time.Now(), s.keyOf(r), known...)
+	r.recordedRun = &run
+	failure := s.containmentFailure(r, run.ID)
+	if failure == nil && err != nil && standing.Ended+standing.Possible >= s.containment.limit-1 {
+		// Another gateway may be sending it for the last time.
+		failure = &backend.Failure{
+			Verdict: verdict.NotRun, Contained: quarantine.Withheld, RetryAfter: minWithheldRetry, Reason: "the last run of this request cannot be recorded: " + err.Error(),
+		}
+		s.logContained(r, quarantine.Withheld, standing, failure.RetryAfter)
+	}
+	if failure != nil {
+		s.endRecordedRun(r)
+		return failure
+	}
+	s.log.Info().Str("event", "suspect_sent").Str("id", r.id).Str("request_key", r.key.String()).Str("instance", choice.Instance.ID).
+		Int("ended", standing.Ended).Int("possible", standing.Possible).Bool("recorded", err == nil).Int("load", choice.Load).Msg("")
+	return nil
+}
+
+// recordRun records a run durably and returns the runs of the request that the quorum knows.
+func (s *Server) recordRun(ctx context.Context, r *request, run quarantine.Run) ([]quarantine.Run, error) {
+	ctx, cancel := context.WithTimeout(ctx, recordRunTimeout)
+	defer cancel()
+	return s.replicas.RecordRun(ctx, s.keyOf(r), run, s.options.Copies)
+}
+
+// endRecordedRun records that an instance outlived the request's recorded run, or never got it.
+func (s *Server) endRecordedRun(r *request) {
+	if r.recordedRun == nil {
+		return
+	}
+	run := *r.recordedRun
+	run.Outcome = quarantine.Survived
+	r.recordedRun = nil
+	s.containment.merge(time.Now(), s.keyOf(r), run)
+	s.replicas.RecordRunInBackground(s.keyOf(r), run)
+}
+
+// recordAnswered records that an instance has answered the request completely. A suspect that an instance
+// answered without an error of its own is released: it does not end instances.
+func (s *Server) recordAnswered(r *request, failed bool) {
+	decision, _ := s.verdictOn(r, runIDOf(r.recordedRun))
+	s.endRecordedRun(r)
+	if failed || decision != quarantine.Suspect {
+		return
+	}
+	s.release(s.keyOf(r), "completed", r.id)
+}
+
+func runIDOf(run *quarantine.Run) string {
+	if run == nil {
+		return ""
+	}
+	return run.ID
+}
+
+// release removes what counts against a request, at all gateways. It returns the number of runs.
+func (s *Server) release(key quarantine.Key, reason, id string) int {
+	s.containment.mu.Lock()
+	runs := s.containment.table.Release(key)
+	s.containment.mu.Unlock()
+	if len(runs) == 0 {
+		return 0
+	}
+	s.containment.merge(time.Now(), key, runs...)
+	for _, run := range runs {
+		s.replicas.RecordRunInBackground(key, run)
+	}
+	s.shareRecord(key)
+	s.metrics.released.WithLabelValues(reason).Inc()
+	s.log.Info().Str("event", "request_released").Str("id", id).Str("request_key", key.String()).Str("reason", reason).Int("runs", len(runs)).Msg("")
+	return len(runs)
+}
+
+// recordLoss records a run whose instance ended, or whose machine fell silent, and tells all gateways. It
+// waits for the record, because the caller may come back at another gateway.
+//
+// r is nil once the request is over.
+func (s *Server) recordLoss(ctx context.Context, r *request, lost *lostRun) {
+	changed := s.containment.merge(time.Now(), lost.key, lost.run)
+	if len(changed) == 0 {
+		return
+	}
+	s.shareRecord(lost.key)
+	if lost.recordWithProgram != nil {
+		lost.recordWithProgram(lost.run)
+	}
+	s.metrics.lostRuns.WithLabelValues(lost.run.Outcome.String()).Inc()
+	if r == nil {
+		s.replicas.RecordRunInBackground(lost.key, lost.run)
+		return
+	}
+	known, err := s.recordRun(ctx, r, lost.run)
+	s.containment.merge(time.Now(), lost.key, known...)
+	if err != nil {
+		s.log.Warn().Str("event", "run_unrecorded").Str("id", r.id).Str("request_key", lost.key.String()).Err(err).Msg("")
+	}
+}
+
+// logContained logs the decision not to send a request.
+func (s *Server) logContained(r *request, decision quarantine.Verdict, standing quarantine.Standing, retryAfter time.Duration) {
+	s.metrics.contained.WithLabelValues(decision.String()).Inc()
+	s.log.Warn().Str("event", "request_contained").Str("id", r.id).Str("request_key", r.key.String()).Str("verdict", decision.String()).
+		Int("ended", standing.Ended).Int("possible", standing.Possible).Dur("open_for", standing.OpenFor).Dur("retry_after", retryAfter).Msg("")
+}
+
+const (
+	// restoreRetryInterval is the first pause between attempts of a starting gateway to read the records.
+	restoreRetryInterval = 50 * time.Millisecond
+	// restoreLimit is how long it waits for them before it is ready without them.
+	restoreLimit = 1500 * time.Millisecond
+)
+
+// isContainmentRestored reports whether the gateway knows the records of the time before it started. It gives up after
+// restoreLimit.
+func (s *Server) isContainmentRestored() bool {
+	c := s.containment
+	return c == nil || c.restored.Load() || s.instancesKnown.Load() && s.sinceInstancesKnown() > restoreLimit
+}
+
+// sinceInstancesKnown returns the time since the first list of instances was received.
+func (s *Server) sinceInstancesKnown() time.Duration {
+	return time.Since(s.started) - time.Duration(s.instancesKnownAt.Load())
+}
+
+// readQuarantine reads the records of the replicas.
+func (s *Server) readQuarantine(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, restoreLimit)
+	defer cancel()
+	records, err := s.replicas.ReadQuarantine(ctx)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	for _, record := range records {
+		s.containment.merge(now, record.Key, record.Runs...)
+	}
+	s.log.Info().Str("event", "quarantine_read").Int("records", len(records)).Int64("requests", s.containment.records.Load()).Msg("")
+	return nil
+}
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -87,6 +87,9 @@
 	receivedAt atomic.Int64
 	peerCount  atomic.Int64
 
+	// socket sends broadcasts; nil before Run.
+	socket atomic.Pointer[net.PacketConn]
+
 	mu         sync.Mutex
 	neighbours rotation
 	// remotes holds the gateways of the region's other zones, and a nil address for each
@@ -185,6 +188,7 @@
 	if err != nil {
 		return err
 	}
+	g.socket.Store(&socket)
 	var running conc.WaitGroup
 	running.Go(func() { g.receive(socket) })
 	if g.caches != nil {
@@ -281,6 +285,32 @@
 	g.sendTo(socket, neighbours, report)
 }
 
+// Broadcast sends the figures of one section to all gateways, with the loads that other versions expect in a
+// report.
+func (g *Gossip) Broadcast(section string, figures []byte) {
+	socket := g.socket.Load()
+	if socket == nil || len(figures) == 0 {
+		return
+	}
+	now := time.Now()
+	sections := map[string][]byte{section: figures}
+	neighbours, others := g.everyone()
+	g.sendTo(*socket, neighbours, loadReport{Gateway: g.node, Loads: g.directory.Loads(now), Sections: sections})
+	// Each gateway gets it directly, so none forwards it.
+	g.sendTo(*socket, others, loadReport{Gateway: g.node, Zone: g.zone, Loads: g.directory.ZoneLoads(now), Passed: true, Sections: sections})
+}
+
+// everyone returns the addresses of the other gateways of the own zone, and of all others.
+func (g *Gossip) everyone() (neighbours, others []net.Addr) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	others = slices.Clone(g.remotes.addresses)
+	for _, zone := range slices.Sorted(maps.Keys(g.otherRegions)) {
+		others = append(others, g.otherRegions[zone].addresses...)
+	}
+	return slices.Clone(g.neighbours.addresses), others
+}
+
 func (g *Gossip) sendTo(socket net.PacketConn, peers []net.Addr, report loadReport) {
 	var message bytes.Buffer
 	if len(peers) == 0 || gob.NewEncoder(&message).Encode(report) != nil {
--- a/internal/gateway/lostrun.go
+++ b/internal/gateway/lostrun.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -10,7 +11,8 @@
 )
 
 // A run without a complete answer is examined: its instance may have ended, its machine may have fallen
-// silent, or only the connection broke.
+// silent, or only the connection broke. What cannot be told at once is watched until the list of instances
+// tells it.
 
 // lossCause is how a run was lost.
 type lossCause uint8
@@ -40,6 +42,10 @@
 	cause     lossCause
 	sentAt    time.Time
 	lostAt    time.Time
+	// recordWithProgram records the run under the request's program; nil if there is none.
+	recordWithProgram func(quarantine.Run)
+	// hasLeft is set once the instance has announced that it leaves.
+	hasLeft bool
 }
 
 // causeOfLoss returns how a run was lost. ctx is the request's context; overdue is set if this gateway stopped
@@ -61,7 +67,7 @@
 func (s *Server) newLostRun(r *request, choice backend.Choice, cause lossCause) *lostRun {
 	return &lostRun{
 		requestID: r.id, key: s.keyOf(r), run: r.currentRun(choice.Instance), instance: choice.Instance,
-		cause: cause, sentAt: choice.PickedAt, lostAt: time.Now(),
+		cause: cause, sentAt: choice.PickedAt, lostAt: time.Now(), recordWithProgram: r.recordWithProgram,
 	}
 }
 
@@ -82,6 +88,19 @@
 	return r.key
 }
 
+// awaitExaminations waits until it is known what became of the instances of the request's lost runs.
+func (r *request) awaitExaminations(ctx context.Context) {
+	examined := make(chan struct{})
+	go func() {
+		r.examinations.Wait()
+		close(examined)
+	}()
+	select {
+	case <-examined:
+	case <-ctx.Done():
+	}
+}
+
 // loggedKey returns the request's key if it was needed, else "".
 func (r *request) loggedKey() string {
 	if !r.hasKey {
@@ -90,24 +109,83 @@
 	return r.key.String()
 }
 
-// examineLostRun logs what became of the instance of a run without a complete answer. Only a broken connection
-// is examined, by a connection attempt in the background.
-func (s *Server) examineLostRun(r *request, choice backend.Choice, cause lossCause) {
-	lost := s.newLostRun(r, choice, cause)
-	if cause != connectionBroke {
-		s.logLostRun(lost, s.directory.EntryStateOf(lost.instance), "")
+// examineLostRun determines what became of the instance of a run without a complete answer, and records the
+// run if the instance ended or may have ended.
+//
+// Only a broken connection is examined at once, which takes one connection attempt. A run that this gateway
+// abandoned is examined while the request is tried elsewhere; one whose caller left is only watched.
+func (s *Server) examineLostRun(ctx context.Context, r *request, choice backend.Choice, cause lossCause) {
+	if s.containment == nil {
 		return
 	}
-	go func() {
-		contact, _ := s.pool.ContactSince(context.Background(), lost.instance, lost.lostAt)
-		s.logLostRun(lost, s.directory.EntryStateOf(lost.instance), contact.String())
-	}()
+	lost := s.newLostRun(r, choice, cause)
+	r.recordedRun = nil // the lost run stands for it
+	switch entry := s.directory.EntryStateOf(lost.instance); {
+	case entry == backend.EntryLeaving:
+		s.settleLostRun(ctx, r, lost, quarantine.Survived, entry, "")
+	case entry == backend.EntryReplaced:
+		s.settleLostRun(ctx, r, lost, quarantine.Ended, entry, "")
+	case cause == machineSilent && entry == backend.EntryGone:
+		s.settleLostRun(ctx, r, lost, quarantine.Ended, entry, "")
+	case cause == machineSilent:
+		s.settleLostRun(ctx, r, lost, quarantine.Silent, entry, "")
+	case cause == connectionBroke && entry == backend.EntryGone:
+		s.settleLostRun(ctx, r, lost, quarantine.Survived, entry, "") // it finished its requests after it left
+	case cause == connectionBroke:
+		s.probeLostRun(ctx, r, lost)
+	case cause == answerOverdue:
+		r.examinations.Go(func() { s.probeLostRun(context.WithoutCancel(ctx), r, lost) })
+	default:
+		s.watchLostRun(lost)
+	}
+}
+
+// probeLostRun determines by a connection attempt what became of the instance of a lost run.
+func (s *Server) probeLostRun(ctx context.Context, r *request, lost *lostRun) {
+	contact, known := s.pool.ContactSince(ctx, lost.instance, lost.lostAt)
+	entry := s.directory.EntryStateOf(lost.instance)
+	switch {
+	case entry == backend.EntryLeaving:
+		s.settleLostRun(ctx, r, lost, quarantine.Survived, entry, contact.String())
+	case known && contact == backend.Refused:
+		s.settleLostRun(ctx, r, lost, quarantine.Ended, entry, contact.String())
+	case known && contact == backend.NoContact:
+		s.settleLostRun(ctx, r, lost, quarantine.Silent, entry, contact.String())
+	default:
+		s.watchLostRun(lost)
+	}
+}
+
+// settleLostRun logs what is known of a lost run, and records it if the instance ended or may have ended. r
+// is nil once the request is over.
+func (s *Server) settleLostRun(ctx context.Context, r *request, lost *lostRun, outcome quarantine.Outcome, entry backend.EntryState, contact string) {
+	lost.run.Outcome = outcome
+	s.logLostRun(lost, entry, contact)
+	switch {
+	case outcome == quarantine.Ended:
+		s.recordLoss(ctx, r, lost)
+	case outcome == quarantine.Silent:
+		s.recordLoss(ctx, r, lost)
+		s.watchLostRun(lost)
+	case s.containment.isRecorded(lost):
+		s.recordLoss(ctx, nil, lost)
+	}
+}
+
+// isRecorded reports whether a lost run is in the table: it was recorded before it was sent, or as silent.
+func (c *containment) isRecorded(lost *lostRun) bool {
+	if c.records.Load() == 0 {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(c.table.Runs(lost.key), func(run quarantine.Run) bool { return run.ID == lost.run.ID })
 }
 
 // logLostRun logs what is known of a lost run and of its instance.
 func (s *Server) logLostRun(lost *lostRun, entry backend.EntryState, contact string) {
-	s.log.Warn().Str("event", "run_lost").Str("id", lost.requestID).Stringer("request_key", lost.key).Str("instance", lost.instance.ID).
-		Uint64("instance_born", lost.instance.Born).Stringer("cause", lost.cause).Str("contact", contact).Stringer("entry", entry).
-		Int64("ran_ms", lost.lostAt.Sub(lost.sentAt).Milliseconds()).Int64("known_after_ms", time.Since(lost.lostAt).Milliseconds()).
+	s.log.Warn().Str("event", "run_lost").Str("id", lost.requestID).Str("request_key", lost.key.String()).Str("instance", lost.instance.ID).
+		Uint64("instance_born", lost.instance.Born).Str("cause", lost.cause.String()).Str("contact", contact).Str("entry", entry.String()).
+		Str("outcome", lost.run.Outcome.String()).Int64("ran_ms", lost.lostAt.Sub(lost.sentAt).Milliseconds()).Int64("known_after_ms", time.Since(lost.lostAt).Milliseconds()).
 		Int64("list_age_ms", s.instanceListAge().Milliseconds()).Msg("")
 }
--- /dev/null
+++ b/internal/gateway/lostrunwatch.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"swiftbank.dev/swiftbank/internal/backend"
+	"swiftbank.dev/swiftbank/internal/quarantine"
+)
+
+const (
+	// watchInterval is how often the outcomes of watched runs are checked.
+	watchInterval = 250 * time.Millisecond
+	// watchWindow is how long an instance may end after a run was lost for the run to count as its cause. It
+	// covers the time until the list shows that an instance was replaced.
+	watchWindow = 5 * time.Second
+	// silentWindow is how long a silent instance is watched: its entry lapses within it.
+	silentWindow = 10 * time.Second
+	// lapsedRenewals is the number of missed renewals after which an instance without an entry has ended and
+	// one with an entry has not: one more than the entry survives.
+	lapsedRenewals = 4
+	// maxWatchedRuns bounds the watched runs; the oldest are dropped.
+	maxWatchedRuns = 4096
+)
+
+// watchLostRun watches a run until the list of instances, or the instance itself, tells its outcome.
+func (s *Server) watchLostRun(lost *lostRun) {
+	c := s.containment
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.unresolved) == 0 {
+		time.AfterFunc(watchInterval, s.checkWatchedRuns)
+	}
+	if len(c.unresolved) == maxWatchedRuns {
+		c.unresolved = slices.Delete(c.unresolved, 0, 1)
+	}
+	c.unresolved = append(c.unresolved, lost)
+}
+
+// checkWatchedRuns settles the watched runs whose outcome is known, and schedules the next check.
+func (s *Server) checkWatchedRuns() {
+	now := time.Now()
+	c := s.containment
+	c.mu.Lock()
+	watched := c.unresolved
+	c.unresolved = nil
+	c.mu.Unlock()
+	var remaining []*lostRun
+	for _, lost := range watched {
+		if !s.checkWatchedRun(now, lost) {
+			remaining = append(remaining, lost)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	scheduled := len(c.unresolved) > 0 // by a run that was added in the meantime
+	c.unresolved = append(remaining, c.unresolved...)
+	if len(c.unresolved) > 0 && !scheduled {
+		time.AfterFunc(watchInterval, s.checkWatchedRuns)
+	}
+}
+
+// checkWatchedRun settles a watched run if its outcome is known, or will not become known. It reports whether
+// the run needs no more checks.
+func (s *Server) checkWatchedRun(now time.Time, lost *lostRun) (done bool) {
+	entry := s.directory.EntryStateOf(lost.instance)
+	lost.hasLeft = lost.hasLeft || entry == backend.EntryLeaving
+	age := now.Sub(lost.lostAt)
+	switch {
+	case lost.hasLeft:
+		s.settleLostRun(context.Background(), nil, lost, quarantine.Survived, entry, "")
+	case entry == backend.EntryReplaced, entry == backend.EntryGone && lost.run.Outcome == quarantine.Silent:
+		s.settleLostRun(context.Background(), nil, lost, quarantine.Ended, entry, "")
+	case s.outlived(now, lost):
+		s.settleLostRun(context.Background(), nil, lost, quarantine.Survived, entry, "")
+	case lost.run.Outcome == quarantine.Silent:
+		return age >= silentWindow
+	case entry == backend.EntryGone:
+		go s.probeGone(lost)
+	case age >= watchWindow:
+		s.settleLostRun(context.Background(), nil, lost, quarantine.Survived, entry, "")
+	default:
+		return false
+	}
+	return true
+}
+
+// outlived reports whether the instance is known to have been alive after the run was lost. A silent one is
+// also alive if its entry is still renewed: then only the path to it is cut.
+func (s *Server) outlived(now time.Time, lost *lostRun) bool {
+	if lost.cause == answerOverdue || lost.cause == callerLeft {
+		return false // it may still be running the request
+	}
+	if s.pool.LastActivity(lost.instance.ID).After(lost.lostAt) {
+		return true
+	}
+	lapsed := now.Sub(lost.lostAt) >= lapsedRenewals*s.options.RenewalInterval
+	return lost.run.Outcome == quarantine.Silent && lapsed && !s.configurationStale() && s.directory.EntryStateOf(lost.instance) == backend.EntryListed
+}
+
+// probeGone settles a lost run of an instance that is no longer listed: some finish their requests first, and
+// have not ended then.
+func (s *Server) probeGone(lost *lostRun) {
+	contact, known := s.pool.ContactSince(context.Background(), lost.instance, time.Now())
+	if known && contact != backend.Accepted {
+		s.settleLostRun(context.Background(), nil, lost, quarantine.Ended, backend.EntryGone, contact.String())
+		return
+	}
+	s.settleLostRun(context.Background(), nil, lost, quarantine.Survived, backend.EntryGone, contact.String())
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -39,6 +39,9 @@
 	memoryBound *prometheus.CounterVec
 	// uncachedTokens counts the prompt tokens that instances were estimated not to have cached.
 	uncachedTokens prometheus.Counter
+	// lostRuns counts runs whose instance ended or fell silent, contained requests that were not sent for
+	// that reason, and released those that count as harmless again.
+	lostRuns, contained, released *prometheus.CounterVec
 	// limitRefusals counts requests refused by their tenant's limit.
 	limitRefusals *prometheus.CounterVec
 }
@@ -90,6 +93,7 @@
 	m.evacuated = prometheus.NewGauge(prometheus.GaugeOpts{Name: "swiftbank_evacuated_zones", Help: "Zones whose instances get nothing further.", ConstLabels: labels})
 	m.Registry.MustRegister(m.evacuated, m.feedAge, m.feedReading, m.requests, m.latency, m.reserve, m.commit, m.connections, m.sends, m.relayed, m.store)
 	m.registerCold(labels)
+	m.registerContainment(labels)
 	m.registerSpeeds(labels)
 	m.registerLimits(labels)
 	return m
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -51,8 +51,13 @@
 // refusalFor returns the refusal of a failed request; ran reports whether it may have run before.
 // The refusal states that the request has not run only if that is known.
 func (s *Server) refusalFor(ctx context.Context, r *request, failure *backend.Failure, ran bool) *refusal {
+	if ran {
+		r.awaitExaminations(ctx) // the caller may come back at another gateway, which must know of the ends by then
+	}
 	late := ctx.Err() != nil || !time.Now().Before(r.deadline)
 	switch {
+	case !ran && failure.Contained.Stops():
+		return refuseContained(failure)
 	case !ran && failure.Restriction != backend.NotRestricted:
 		return refuseIneligible(failure.Restriction)
 	case !ran && failure.Verdict == verdict.NotRun:
@@ -82,10 +87,11 @@
 		s.directory.EndFailed(time.Now(), sent.choice, backend.Failed)
 		failure := &backend.Failure{Verdict: verdict.MayHaveRun, Reason: "the answer was interrupted: " + err.Error()}
 		s.logSendFailure(r, sent.choice, failure)
-		s.examineLostRun(r, sent.choice, causeOfLoss(ctx, false, sent.watch))
+		s.examineLostRun(ctx, r, sent.choice, causeOfLoss(ctx, false, sent.watch))
 		return failure
 	}
 	answer.Finish()
+	s.recordAnswered(r, answer.Response.StatusCode >= http.StatusInternalServerError)
 	response := answer.Response
 	s.directory.EndFailed(time.Now(), sent.choice, outcomeOfAnswer(response.StatusCode))
 	if response.StatusCode/100 == 2 {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/admission"
@@ -36,6 +37,14 @@
 	// key identifies the request over all attempts of its caller; it is computed when it is needed.
 	key    quarantine.Key
 	hasKey bool
+	// recordedRun is the run that was recorded before it was sent; nil unless the request is a suspect.
+	recordedRun *quarantine.Run
+	// programRuns are the runs of earlier attempts that the program's charges tell of.
+	programRuns []quarantine.Run
+	// recordWithProgram records a run under the request's program; nil if it has no reservation.
+	recordWithProgram func(quarantine.Run)
+	// examinations are the examinations of lost runs that are still in progress.
+	examinations sync.WaitGroup
 	// held is the request's memory for callers; nil where that is not bounded.
 	held *holding
 	// lostAnswer is set once an instance may have run the request without a complete answer.
@@ -88,6 +97,8 @@
 	// otherCharges are the tokens charged for the program's other turns; epoch is the replica set's.
 	otherCharges int64
 	epoch        uint64
+	// endsBehind is the number of instances that ended, or may have ended, under the request.
+	endsBehind int
 	// askedAllRegions is set when all regions were asked about the program's budget.
 	askedAllRegions bool
 }
--- a/internal/gateway/sections.go
+++ b/internal/gateway/sections.go
@@ -23,9 +23,11 @@
 	apply(now time.Time, source tally.Source, version tally.Version, figures []byte)
 }
 
-// AddSection adds a section to the load reports. It must be called before Run.
+// AddSection adds a section to the load reports; nil adds none. It must be called before Run.
 func (g *Gossip) AddSection(section reportSection) {
-	g.sections = append(g.sections, section)
+	if section != nil {
+		g.sections = append(g.sections, section)
+	}
 }
 
 // ownSections and zoneSections return the encoded sections of a report.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -53,10 +53,17 @@
 // failure's verdict states whether the request may have run.
 func (s *Server) sendUntilAccepted(ctx context.Context, r *request, demand backend.Demand) (*attempt, *backend.Failure) {
 	defer s.overload.remove(r)
+	if s.containment != nil && r.outcome.sends >= s.containment.limit-1 {
+		r.awaitExaminations(ctx)
+	}
 	refusals := 0
 	excludedBefore := len(demand.Exclude)
 	lastFailure := &backend.Failure{Verdict: verdict.NotRun, Reason: "no healthy instance is known"}
 	for {
+		if failure := s.containmentFailure(r, ""); failure != nil {
+			return nil, failure
+		}
+		demand.EndsBehind = r.outcome.endsBehind
 		if !r.hasTimeToSend(time.Now()) {
 			return nil, &backend.Failure{Verdict: verdict.NotRun, Reason: "too little time is left to send the request"}
 		}
@@ -87,7 +94,7 @@
 			s.recordProgramStart(r)
 			return sent, nil
 		}
-		if failure.Verdict != verdict.NotRun || ctx.Err() != nil {
+		if failure.Verdict != verdict.NotRun || failure.Contained.Stops() || ctx.Err() != nil {
 			return nil, failure
 		}
 		lastFailure = failure
@@ -118,6 +125,12 @@
 // the attempt.
 func (s *Server) send(ctx context.Context, r *request, choice backend.Choice) (*attempt, *backend.Failure) {
 	r.outcome.sends++
+	if failure := s.beginRun(ctx, r, choice); failure != nil {
+		r.outcome.sends--
+		s.directory.Abandon(time.Now(), choice)
+		s.directory.EndFailed(time.Now(), choice, backend.NotSent)
+		return nil, failure
+	}
 	r.outcome.instance, r.outcome.instanceStarted = choice.Instance.ID, choice.Instance.Born
 	r.outcome.instanceVersion = choice.Instance.Version
 	r.outcome.load, r.outcome.cost, r.outcome.candidates = choice.Load, choice.Cost, choice.Candidates
@@ -148,8 +161,10 @@
 		watch.explain(failure)
 		s.directory.EndFailed(time.Now(), choice, outcomeOfFailedSend(ctx, failure))
 		s.logSendFailure(r, choice, failure)
-		if failure.Verdict != verdict.NotRun {
-			s.examineLostRun(r, choice, causeOfLoss(ctx, overdue.Load(), watch))
+		if failure.Verdict == verdict.NotRun {
+			s.endRecordedRun(r)
+		} else {
+			s.examineLostRun(ctx, r, choice, causeOfLoss(ctx, overdue.Load(), watch))
 		}
 		return nil, failure
 	}
@@ -157,6 +172,7 @@
 	s.directory.ResponseStarted(time.Now(), choice)
 	if failure := s.instanceRefusal(choice, answer); failure != nil {
 		release()
+		s.endRecordedRun(r)
 		s.logSendFailure(r, choice, failure)
 		return nil, failure
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -70,6 +70,11 @@
 	LimitSetAside bool
 	// FairShares makes tenants share scarce capacity fairly under load control.
 	FairShares bool
+	// EndedInstances is the number of instances that may end under one request before no gateway sends it
+	// any more; 0 means no bound.
+	EndedInstances int
+	// RenewalInterval is how often instances renew their entries.
+	RenewalInterval time.Duration
 	// ColdStarts determines by how much cold instances may exceed their limit.
 	ColdStarts coldstart.Policy
 }
@@ -121,6 +126,9 @@
 	// programs tracks the active programs.
 	programs *programs
 
+	// containment keeps requests that end instances from being sent again; nil if that is not bounded.
+	containment *containment
+
 	// members parses the registry's objects that describe the fleet itself; they are applied one
 	// change at a time.
 	members *replicaset.Reader
@@ -137,6 +145,10 @@
 		replicas: options.Replicas, metrics: options.Metrics, splitter: route.NewSplitter(options.Node), started: time.Now(),
 		allowances: newAllowances(), overload: newQueues(), shares: newTenantShares(options.Metrics), programs: newPrograms(options.Log, options.Metrics), members: replicaset.NewReader(),
 		held: newHeldMemory(options.HeldBytes), unreadTimeout: defaultUnreadTimeout,
+		containment: newContainment(options.EndedInstances),
+	}
+	if s.containment != nil {
+		s.metrics.registerSuspects(func() float64 { return float64(len(s.containment.list(time.Now()))) })
 	}
 	s.pool = backend.NewPool(s.metrics.connections.Inc)
 	s.pool.UseOtherRegion(s.directory.IsOtherRegion)
@@ -149,7 +161,7 @@
 
 // Ready reports whether the gateway accepts new callers.
 func (s *Server) Ready() bool {
-	return !s.stopping.Load() && s.table.Load() != nil && s.hasPlacementState() && !s.isolated()
+	return !s.stopping.Load() && s.table.Load() != nil && s.hasPlacementState() && s.isContainmentRestored() && !s.isolated()
 }
 
 // isolated reports whether this gateway reaches neither a quorum of replicas nor another gateway
@@ -236,6 +248,10 @@
 		s.refuse(w, r, failure)
 		return
 	}
+	if failure := s.refuseContained(r); failure != nil {
+		s.refuse(w, r, failure)
+		return
+	}
 	if failure := s.refuseIfIneligible(r); failure != nil {
 		s.refuse(w, r, failure)
 		return
@@ -259,13 +275,14 @@
 		name, version = r.route.Name, r.table.Version
 	}
 	s.metrics.observeRequest(o, took)
+	s.endRecordedRun(r)
 	s.recordLostTurn(r)
 	s.log.Info().Str("event", "request").Str("id", r.id).Str("program", r.header.Get(s.dialect.Program)).
 		Str("tenant", r.tenantName()).Str("key_fingerprint", r.keyFingerprint).Str("route", name).Uint64("config", version).Str("service", r.service.Name).
 		Int("status", o.status).Str("result", o.result).Str("reason", o.reason).
 		Str("instance", o.instance).Str("instance_version", o.instanceVersion).Str("stream_version", o.streamVersion).Str("version_source", o.versionSource).Str("resumes", r.header.Get(s.dialect.Resumes)).Str("last_event", r.header.Get(s.dialect.LastEvent)).Int("sends", o.sends).Int("load", o.load).Float64("expected_load", o.expectedLoad).Int64("reports_age_ms", o.reportsAgeMS).Float64("cost", o.cost).Int("missing", o.uncachedTokens).
 		Int("candidates", o.candidates).Str("lender", o.lender).Float64("limit_ms", o.limitMS).Float64("reserve_ms", o.reserveMS).Float64("first_ms", o.firstMS).
-		Float64("commit_ms", o.commitMS).Int("events", o.events).Str("request_key", r.loggedKey()).Int64("charged", o.otherCharges).Bool("asked_regions", o.askedAllRegions).Uint64("epoch", o.epoch).
+		Float64("commit_ms", o.commitMS).Int("events", o.events).Str("request_key", r.loggedKey()).Int("ends_behind", o.endsBehind).Int64("charged", o.otherCharges).Bool("asked_regions", o.askedAllRegions).Uint64("epoch", o.epoch).
 		Str("previous", r.header.Get(s.dialect.PreviousTurn)).Int64("list_age_ms", s.instanceListAge().Milliseconds()).
 		Int64("program_left_ms", r.programLeftMS()).Int64("took_ms", took.Milliseconds()).Msg("")
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -68,6 +68,11 @@
 		s.refuse(w, r, s.refuseForMemory(r, bound))
 		return
 	}
+	if failure := s.refuseContainedTurn(t); failure != nil {
+		s.settle(t)
+		s.refuse(w, r, failure)
+		return
+	}
 	t.firstOfProgram = t.budgeted && t.previous == "" && !t.origin.resumed && t.reservation.OtherTurnTokens == 0
 	// Checked last: a turn that is refused for other reasons must not consume the tenant's limit.
 	if failure := s.checkTenantLimit(ctx, r); failure != nil {
@@ -205,11 +210,14 @@
 		sent.answer.Discard()
 		s.logSendFailure(t.request, sent.choice, failure)
 		if failure.Verdict == verdict.MayHaveRun {
-			s.examineLostRun(t.request, sent.choice, causeOfLoss(ctx, false, sent.watch))
+			s.examineLostRun(ctx, t.request, sent.choice, causeOfLoss(ctx, false, sent.watch))
+		} else {
+			s.endRecordedRun(t.request)
 		}
 		return failure
 	}
 	sent.answer.Finish()
+	s.recordAnswered(t.request, false)
 	s.observe(t.request, sent, sent.firstEventAt, sent.events)
 	if failure := s.commitTurn(ctx, t); failure != nil {
 		return failure
--- a/internal/ledger/bytes.go
+++ b/internal/ledger/bytes.go
@@ -32,6 +32,11 @@
 	if r.Inventory != nil {
 		size += len(r.Inventory.IDs) * idBytes
 	}
+	if r.Quarantine != nil {
+		for _, record := range r.Quarantine.Records {
+			size += idBytes + len(record.Runs)*chargeBytes
+		}
+	}
 	return size
 }
 
--- a/internal/ledger/charges.go
+++ b/internal/ledger/charges.go
@@ -1,5 +1,11 @@
 package ledger
 
+import (
+	"cmp"
+
+	"swiftbank.dev/swiftbank/internal/quarantine"
+)
+
 // MergeCharge returns the result of merging a charge with the known one of its turn, and whether
 // it differs from the known one. A final charge replaces a reservation; of two charges that are
 // both final or both reserved, the larger one is kept. A known origin of the stream is kept.
@@ -12,7 +18,7 @@
 }
 
 // resolveCharge merges two charges of a turn, and reports whether the result differs from the old
-// one. The origin of the stream is merged separately, because either charge may lack it.
+// one. The origin of the stream and the run are merged separately, because either charge may lack them.
 func resolveCharge(old, charge Charge) (Charge, bool) {
 	kept := old
 	replaced := replacesCharge(old, charge)
@@ -20,7 +26,8 @@
 		kept = charge
 	}
 	kept.Origin = mergeOrigin(old.Origin, charge.Origin)
-	return kept, replaced || kept.Origin != old.Origin
+	kept.Run = mergeRun(old.Run, charge.Run)
+	return kept, replaced || kept.Origin != old.Origin || kept.Run != old.Run
 }
 
 // replacesCharge reports whether a charge replaces the old one of its turn.
@@ -40,6 +47,17 @@
 	return other
 }
 
+// mergeRun returns the run that knows more of its outcome, the old one if both know the same.
+func mergeRun(old, other *quarantine.Run) *quarantine.Run {
+	if old == nil || other == nil {
+		return cmp.Or(old, other)
+	}
+	if merged, changed := old.Merge(*other); changed {
+		return &merged
+	}
+	return old
+}
+
 // indexOf returns the index of a turn's charge, or -1. It searches from the end, because the
 // newest turns are looked up most often.
 func (p *program) indexOf(turn string) int {
--- a/internal/ledger/messages.go
+++ b/internal/ledger/messages.go
@@ -20,6 +20,7 @@
 import (
 	"time"
 
+	"swiftbank.dev/swiftbank/internal/quarantine"
 	"swiftbank.dev/swiftbank/internal/quota"
 	"swiftbank.dev/swiftbank/internal/replicaset"
 )
@@ -53,6 +54,9 @@
 	// Origin is the software that began the turn's stream; nil if the stream cannot be resumed, and
 	// in charges written by earlier versions of this program.
 	Origin *StreamOrigin
+	// Run is a run of a request whose instance ended, or may have ended, during it; nil on the charges of
+	// turns. Such a charge has no tokens, and the run's id as its turn.
+	Run *quarantine.Run
 }
 
 // StreamOrigin identifies the software whose instances generate a resumable stream: what another
@@ -104,6 +108,8 @@
 	Hello     *replicaset.Node
 	// Borrow is answered by the replica's quota lender, not by State.
 	Borrow *quota.Borrow
+	// ReadQuarantine requests all recorded runs of requests.
+	ReadQuarantine *ReadQuarantine
 }
 
 // Kind returns the request's type as a metric label.
@@ -125,6 +131,8 @@
 		return "chain"
 	case r.Borrow != nil:
 		return "borrow"
+	case r.ReadQuarantine != nil:
+		return "read_quarantine"
 	default:
 		return "hello"
 	}
@@ -214,6 +222,8 @@
 	Chain bool
 	// Loan is the reply to a Borrow.
 	Loan *quota.Loan
+	// Quarantine is the reply to a ReadQuarantine.
+	Quarantine *QuarantineReply
 }
 
 // Kind returns the reply's type as a metric label.
@@ -233,6 +243,8 @@
 		return "inventory_reply"
 	case r.Loan != nil:
 		return "loan_reply"
+	case r.Quarantine != nil:
+		return "quarantine_reply"
 	default:
 		return "durable_reply"
 	}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -30,6 +30,8 @@
 	storedIDs  []string
 	trimmedIDs int
 	programs   map[string]*program
+	// quarantine holds the names of the programs that record the runs of requests.
+	quarantine map[string]bool
 	// changeLog lists the charges in the order in which they changed.
 	changeLog changeLog
 	// peerPositions is the inventory position up to which each other disk has stored this replica's
@@ -58,7 +60,7 @@
 func NewState(disk, boot string) *State {
 	return &State{
 		disk: disk, boot: boot,
-		turns: map[string]*storedTurn{}, programs: map[string]*program{}, peerPositions: map[string]int{},
+		turns: map[string]*storedTurn{}, programs: map[string]*program{}, quarantine: map[string]bool{}, peerPositions: map[string]int{},
 	}
 }
 
@@ -104,6 +106,8 @@
 		return s.fetch(request)
 	case request.Chain != nil:
 		return s.readChain(now, request)
+	case request.ReadQuarantine != nil:
+		return s.readQuarantine(request)
 	default:
 		return Output{}
 	}
@@ -159,6 +163,9 @@
 	if known == nil {
 		known = &program{}
 		s.programs[added.Program] = known
+		if isQuarantineProgram(added.Program) {
+			s.quarantine[added.Program] = true
+		}
 	}
 	known.retention = max(known.retention, added.Retention, minRetention)
 	known.expiresAt = now.Add(known.retention + retentionMargin)
@@ -303,6 +310,7 @@
 		return true
 	})
 	maps.DeleteFunc(s.programs, func(_ string, known *program) bool { return !now.Before(known.expiresAt) })
+	maps.DeleteFunc(s.quarantine, func(name string, _ bool) bool { return s.programs[name] == nil })
 	s.trimChangeLog()
 	for len(s.storedIDs) > 0 && s.turns[s.storedIDs[0]] == nil {
 		s.storedIDs = s.storedIDs[1:]
--- a/internal/quarantine/key.go
+++ b/internal/quarantine/key.go
@@ -1,5 +1,3 @@
-// Package quarantine identifies requests over all attempts of their callers, and the runs under which instances
-// ended.
 package quarantine
 
 import (
--- /dev/null
+++ b/internal/quarantine/table.go
@@ -0,0 +1,238 @@
+// Package quarantine tracks requests that end the instances that run them. Everything that retries sends
+// such a request again, until no instance is left; a quarantined request is not sent any more.
+//
+// A gateway records a run when the run's instance ended or fell silent. Records of a request are shared by
+// all gateways, and merge to the same result in any order. What several requests ran on an instance when it
+// ended is not known, so each of them becomes a suspect; one that completes is released.
+//
+// The package is deterministic: callers pass the time in.
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// recordTTL is how long a request is remembered after its last change, clearedTTL how long once nothing
+	// counts against it any more: messages about it that were sent before may still arrive.
+	recordTTL  = time.Hour
+	clearedTTL = time.Minute
+	// openTTL is how long an open run may still be resolved. A gateway resolves its own runs within it;
+	// a run that is still open then belongs to a gateway that ended.
+	openTTL = 10 * time.Second
+	// maxRecords and maxRuns bound the memory of a table: 4096 records of a few runs take about 1 MB.
+	maxRecords = 4096
+	maxRuns    = 24
+	// evictedShare is the share of the records that are evicted together from a full table.
+	evictedShare = 4
+)
+
+// RecordTTL is how long replicas keep the runs of a request.
+const RecordTTL = recordTTL
+
+// Table holds the known runs of requests. It is not safe for concurrent use.
+type Table struct {
+	records map[Key]*record
+}
+
+type record struct {
+	runs      []Run
+	changedAt time.Time
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{records: map[Key]*record{}} }
+
+// Size returns the number of requests.
+func (t *Table) Size() int { return len(t.records) }
+
+// Merge adds runs of a request and returns those that were new or knew more. Runs of an unknown request that
+// do not count against it are ignored.
+func (t *Table) Merge(now time.Time, key Key, runs ...Run) (changed []Run) {
+	known := t.records[key]
+	if known == nil {
+		if !slices.ContainsFunc(runs, Run.counts) {
+			return nil
+		}
+		t.makeRoom(now)
+		known = &record{}
+		t.records[key] = known
+	}
+	for _, run := range runs {
+		if known.merge(run) {
+			changed = append(changed, run)
+		}
+	}
+	if len(changed) > 0 {
+		known.changedAt = now
+	}
+	return changed
+}
+
+// counts reports whether the run counts, or may count, against its request.
+func (r Run) counts() bool { return r.Outcome == Ended || r.Outcome.isOpen() }
+
+// merge adds a run and reports whether anything changed. A record with maxRuns runs takes no more: it is
+// quarantined in any case.
+func (r *record) merge(run Run) bool {
+	index := slices.IndexFunc(r.runs, func(known Run) bool { return known.ID == run.ID })
+	if index < 0 {
+		if len(r.runs) >= maxRuns {
+			return false
+		}
+		r.runs = append(r.runs, run)
+		return true
+	}
+	merged, changed := r.runs[index].Merge(run)
+	r.runs[index] = merged
+	return changed
+}
+
+// makeRoom drops expired records, and if the table is still full, those with the fewest ends, the oldest
+// first.
+func (t *Table) makeRoom(now time.Time) {
+	if len(t.records) < maxRecords {
+		return
+	}
+	t.Expire(now)
+	if len(t.records) < maxRecords {
+		return
+	}
+	keys := slices.SortedFunc(maps.Keys(t.records), func(a, b Key) int {
+		first, second := t.records[a], t.records[b]
+		return cmp.Or(cmp.Compare(countIncarnations(first.runs, Ended), countIncarnations(second.runs, Ended)),
+			first.changedAt.Compare(second.changedAt), slices.Compare(a[:], b[:]))
+	})
+	for _, key := range keys[:len(keys)/evictedShare] {
+		delete(t.records, key)
+	}
+}
+
+// Expire drops the records that have not changed for their time to live.
+func (t *Table) Expire(now time.Time) {
+	maps.DeleteFunc(t.records, func(_ Key, known *record) bool { return known.hasExpired(now) })
+}
+
+func (r *record) hasExpired(now time.Time) bool {
+	ttl := recordTTL
+	if !slices.ContainsFunc(r.runs, Run.counts) {
+		ttl = clearedTTL
+	}
+	return now.Sub(r.changedAt) >= ttl
+}
+
+// Standing is what counts against a request.
+type Standing struct {
+	// Ended is the number of instances that ended while they ran the request. Possible is the number of
+	// further ones that may have.
+	Ended, Possible int
+	// OpenFor is how long it may take until it is known whether the possible ones ended; 0 if that will not
+	// become known.
+	OpenFor time.Duration
+}
+
+// Standing returns what counts against a request, without the run with the given id.
+func (t *Table) Standing(now time.Time, key Key, without string) Standing {
+	known := t.records[key]
+	if known == nil || known.hasExpired(now) {
+		return Standing{}
+	}
+	runs := slices.DeleteFunc(slices.Clone(known.runs), func(run Run) bool { return run.ID == without })
+	standing := Standing{Ended: countIncarnations(runs, Ended)}
+	standing.Possible = countIncarnations(runs, Ended, Silent, Running) - standing.Ended
+	if standing.Possible > 0 {
+		standing.OpenFor = max(0, openTTL-now.Sub(known.changedAt))
+	}
+	return standing
+}
+
+// countIncarnations returns the number of different instances among the runs with one of the outcomes.
+func countIncarnations(runs []Run, outcomes ...Outcome) int {
+	counted := map[incarnation]bool{}
+	for _, run := range runs {
+		if slices.Contains(outcomes, run.Outcome) {
+			counted[run.incarnation()] = true
+		}
+	}
+	return len(counted)
+}
+
+// Verdict is the decision on sending a request.
+type Verdict uint8
+
+const (
+	// Clear means that nothing counts against the request.
+	Clear Verdict = iota
+	// Suspect means that instances ended, or may have ended, under the request, but too few to stop it.
+	Suspect
+	// Withheld means that the request must not be sent unless some instances turn out to be alive.
+	Withheld
+	// Quarantined means that the request must not be sent any more.
+	Quarantined
+)
+
+// String returns the name used in logs.
+func (v Verdict) String() string {
+	return [...]string{"clear", "suspect", "withheld", "quarantined"}[v]
+}
+
+// Verdict decides on a request under which at most limit instances may end.
+func (s Standing) Verdict(limit int) Verdict {
+	switch {
+	case s.Ended >= limit:
+		return Quarantined
+	case s.Ended+s.Possible >= limit && s.OpenFor > 0:
+		return Withheld
+	case s.Ended+s.Possible >= limit:
+		return Quarantined
+	case s.Ended+s.Possible > 0:
+		return Suspect
+	default:
+		return Clear
+	}
+}
+
+// Stops reports whether the request must not be sent now.
+func (v Verdict) Stops() bool { return v == Withheld || v == Quarantined }
+
+// Suspicion is one request of a table with its standing, for operators.
+type Suspicion struct {
+	Record
+	Standing Standing
+	// Age is the time since the last change.
+	Age time.Duration
+}
+
+// List returns the requests that something counts against, those with the most ends first.
+func (t *Table) List(now time.Time) []Suspicion {
+	var listed []Suspicion
+	for key, known := range t.records {
+		if standing := t.Standing(now, key, ""); standing.Ended+standing.Possible > 0 {
+			listed = append(listed, Suspicion{Record: Record{Key: key, Runs: slices.Clone(known.runs)}, Standing: standing, Age: now.Sub(known.changedAt)})
+		}
+	}
+	slices.SortFunc(listed, func(a, b Suspicion) int {
+		return cmp.Or(cmp.Compare(b.Standing.Ended, a.Standing.Ended), cmp.Compare(a.Age, b.Age), slices.Compare(a.Key[:], b.Key[:]))
+	})
+	return listed
+}
+
+// Runs returns the known runs of a request.
+func (t *Table) Runs(key Key) []Run {
+	if known := t.records[key]; known != nil {
+		return slices.Clone(known.runs)
+	}
+	return nil
+}
+
+// Release returns the runs of a request marked as released.
+func (t *Table) Release(key Key) []Run {
+	runs := t.Runs(key)
+	for index := range runs {
+		runs[index].Outcome = Released
+	}
+	return runs
+}
--- /dev/null
+++ b/internal/quarantine/table_test.go
@@ -0,0 +1,135 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+const limit = 3
+
+func run(number int, outcome Outcome) Run {
+	return Run{ID: fmt.Sprint("r", number), Instance: fmt.Sprint("i", number), Outcome: outcome}
+}
+
+func TestVerdictByEndsUnderRequest(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		outcomes []Outcome
+		want     Verdict
+	}{
+		{"none", nil, Clear},
+		{"one end", []Outcome{Ended}, Suspect},
+		{"one run of a gateway that may have ended", []Outcome{Running}, Suspect},
+		{"two ends", []Outcome{Ended, Ended}, Suspect},
+		{"three ends", []Outcome{Ended, Ended, Ended}, Quarantined},
+		{"two ends and a silent instance", []Outcome{Ended, Silent, Ended}, Withheld},
+		{"two ends and a run in progress", []Outcome{Ended, Running, Ended}, Withheld},
+		{"two ends and a survivor", []Outcome{Ended, Survived, Ended}, Suspect},
+		{"survivors only", []Outcome{Survived, Survived, Survived}, Clear},
+		{"three released ends", []Outcome{Released, Released, Released}, Clear},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			table := NewTable()
+			for number, outcome := range test.outcomes {
+				table.Merge(start, Key{1}, run(number, outcome))
+			}
+			require.Equal(t, test.want, table.Standing(start, Key{1}, "").Verdict(limit))
+		})
+	}
+}
+
+func TestUnresolvedRunsQuarantineOnceTheyCannotBeResolved(t *testing.T) {
+	table := NewTable()
+	for number := range limit {
+		table.Merge(start, Key{1}, run(number, Silent))
+	}
+	require.Equal(t, Withheld, table.Standing(start.Add(openTTL-1), Key{1}, "").Verdict(limit))
+	require.Equal(t, Quarantined, table.Standing(start.Add(openTTL), Key{1}, "").Verdict(limit))
+}
+
+func TestOneLifeOfAnInstanceEndsOnce(t *testing.T) {
+	table := NewTable()
+	for number := range limit {
+		table.Merge(start, Key{1}, Run{ID: fmt.Sprint(number), Instance: "i", Born: 7, Outcome: Ended})
+	}
+	require.Equal(t, 1, table.Standing(start, Key{1}, "").Ended)
+	table.Merge(start, Key{1}, Run{ID: "later", Instance: "i", Born: 8, Outcome: Ended})
+	require.Equal(t, 2, table.Standing(start, Key{1}, "").Ended, "it has restarted in between")
+}
+
+func TestOwnRunIsLeftOut(t *testing.T) {
+	table := NewTable()
+	table.Merge(start, Key{1}, run(1, Ended), run(2, Running))
+	require.Equal(t, Standing{Ended: 1}, table.Standing(start, Key{1}, "r2"))
+}
+
+func TestReleaseClearsAndIsNotUndoneByLateMessages(t *testing.T) {
+	table := NewTable()
+	ends := []Run{run(1, Ended), run(2, Ended), run(3, Ended)}
+	table.Merge(start, Key{1}, ends...)
+	require.Len(t, table.Merge(start, Key{1}, table.Release(Key{1})...), limit)
+	require.Empty(t, table.Merge(start, Key{1}, ends...))
+	require.Equal(t, Clear, table.Standing(start, Key{1}, "").Verdict(limit))
+	require.Empty(t, table.List(start))
+	table.Expire(start.Add(clearedTTL))
+	require.Zero(t, table.Size())
+}
+
+func TestRecordsExpire(t *testing.T) {
+	table := NewTable()
+	table.Merge(start, Key{1}, run(1, Ended))
+	table.Merge(start.Add(recordTTL-1), Key{1}, run(1, Ended))
+	require.Equal(t, Suspect, table.Standing(start.Add(recordTTL-1), Key{1}, "").Verdict(limit))
+	require.Equal(t, Clear, table.Standing(start.Add(recordTTL), Key{1}, "").Verdict(limit), "a repeated message renews nothing")
+	table.Expire(start.Add(recordTTL))
+	require.Zero(t, table.Size())
+}
+
+func TestUnknownRequestsThatNothingCountsAgainstAreIgnored(t *testing.T) {
+	table := NewTable()
+	require.Empty(t, table.Merge(start, Key{1}, run(1, Survived), run(2, Released)))
+	require.Zero(t, table.Size())
+}
+
+func TestTableIsBoundedAndKeepsTheWorst(t *testing.T) {
+	table := NewTable()
+	worst := Key{255}
+	table.Merge(start, worst, run(1, Ended), run(2, Ended), run(3, Ended))
+	for number := range 3 * maxRecords {
+		table.Merge(start.Add(time.Duration(number)), Key{1, byte(number >> 16), byte(number >> 8), byte(number)}, run(1, Ended))
+		require.LessOrEqual(t, table.Size(), maxRecords)
+	}
+	require.Equal(t, Quarantined, table.Standing(start, worst, "").Verdict(limit))
+	for number := range 2 * maxRuns {
+		table.Merge(start, worst, run(number, Ended))
+	}
+	require.Len(t, table.Runs(worst), maxRuns)
+}
+
+func TestRecordsMergeToTheSameResultInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var runs []Run
+		for range rapid.IntRange(1, 12).Draw(t, "runs") {
+			number := rapid.IntRange(1, 4).Draw(t, "number")
+			runs = append(runs, run(number, Outcome(rapid.IntRange(int(Running), int(Released)).Draw(t, "outcome"))))
+		}
+		merge := func(order []int) Verdict {
+			table := NewTable()
+			table.Merge(start, Key{1}, Run{ID: "first", Instance: "first", Outcome: Ended})
+			for _, index := range order {
+				table.Merge(start, Key{1}, runs[index])
+			}
+			return table.Standing(start, Key{1}, "").Verdict(limit)
+		}
+		seed := rapid.Uint64().Draw(t, "order")
+		random := rand.New(rand.NewPCG(seed, 0))
+		require.Equal(t, merge(random.Perm(len(runs))), merge(random.Perm(len(runs))))
+	})
+}
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -75,6 +75,8 @@
 	onlyReplica string
 	// loan is the reply to a Borrow request.
 	loan *quota.Loan
+	// quarantine holds the replies to a ReadQuarantine request, by disk.
+	quarantine map[string]*ledger.QuarantineReply
 	// initialVoters are the voters that the request is sent to first; nil means all.
 	initialVoters map[*replicaLink]bool
 	// historyReplicas are the replicas that were asked for the history, in order.
@@ -277,6 +279,7 @@
 func (c *Client) begin(pending *operation) uint64 {
 	pending.tally = NewTally()
 	pending.chains = map[string][]ledger.Turn{}
+	pending.quarantine = map[string]*ledger.QuarantineReply{}
 	pending.changed = make(chan struct{}, 1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/quorum/link.go
+++ b/internal/quorum/link.go
@@ -205,6 +205,9 @@
 	if reply.Loan != nil {
 		pending.loan = reply.Loan
 	}
+	if reply.Quarantine != nil {
+		pending.quarantine[reply.Disk] = reply.Quarantine
+	}
 	if reply.Chain {
 		pending.chains[reply.Disk] = reply.Turns
 	}
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -73,7 +73,12 @@
 	// to a cold instance in one second may exceed the limit of its service.
 	ColdOverage float64 `koanf:"coldOverage" validate:"gte=1"`
 	ColdSlack   float64 `koanf:"coldSlack" validate:"gte=0"`
-	LoadControl `koanf:",squash"`
+	// EndedInstances is the number of instances that may end under one request before it is no longer sent;
+	// 0 means no bound.
+	EndedInstances int `koanf:"endedInstances" validate:"gte=0,lte=16"`
+	// RenewalInterval is how often instances renew their entries in the store.
+	RenewalInterval time.Duration `koanf:"renewalInterval" validate:"gt=0"`
+	LoadControl     `koanf:",squash"`
 }
 
 // HeldBytes returns the number of bytes that may be buffered for callers.
@@ -111,13 +116,16 @@
 	return m.PeerAddress
 }
 
+// defaultRenewalInterval is the default of RenewalInterval.
+const defaultRenewalInterval = time.Second
+
 func defaultMember() Member {
 	return Member{MemoryMB: 256, Grace: 8 * time.Second, TolerateMachines: 1, LogLevel: "info"}
 }
 
 // LoadGateway reads the settings of a gateway.
 func LoadGateway(path string, overrides []string) (Gateway, error) {
-	return loadFile(path, overrides, Gateway{Member: defaultMember(), ColdOverage: 1, LoadControl: defaultLoadControl()})
+	return loadFile(path, overrides, Gateway{Member: defaultMember(), ColdOverage: 1, RenewalInterval: defaultRenewalInterval, LoadControl: defaultLoadControl()})
 }
 
 // LoadReplica reads the settings of a replica.
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -58,6 +58,7 @@
 	CodeNotResumable       Code = "stream_not_resumable"
 	CodeOriginUnknown      Code = "stream_origin_unknown"
 	CodeVersionGone        Code = "stream_version_gone"
+	CodeQuarantined        Code = "request_quarantined"
 	CodeBackEndFailed      Code = "back_end_failed"
 	CodeOutcomeUnknown     Code = "outcome_unknown"
 	CodeUnavailable        Code = "unavailable"
