Soak: lethal requests; a run is recorded once a connection stands, and lives are told apart

The soak gains requests that end the back ends that run them (at once, after events, late), back ends that start again under their ids, and checks the bound for each request and that no other one is quarantined.

A run is recorded after the connection stands, immediately before it is sent, and a full record drops runs that do not count. A run carries how many ends of its instance were known when it began.

Tests: TestEndIsCountedAfterManyHarmlessRuns, TestOneLifeOfAnInstanceEndsOnce.

--- a/internal/e2e/soak_checks_test.go
+++ b/internal/e2e/soak_checks_test.go
@@ -55,6 +55,11 @@
 			budgets[r.program] = r.budget
 		}
 	}
+	for _, ids := range s.lethalAttempts {
+		for _, id := range ids {
+			sent[id] = true
+		}
+	}
 	s.checkVersions(t, runs)
 	for program, spent := range tokens {
 		assert.LessOrEqual(t, spent, budgets[program]+maxTurnTokens, "budget of %s", program)
--- a/internal/e2e/soak_faults_test.go
+++ b/internal/e2e/soak_faults_test.go
@@ -79,12 +79,17 @@
 	{"configurations in series", (*soak).changeConfigurationRepeatedly},
 }
 
-// versionFaults are used with seeds that are in neither failedSeeds nor overlappingSeeds.
+// versionFaults are used with versionSeeds and lethalSeeds.
 var versionFaults = []fault{
 	{"engine replaced", (*soak).replaceListedEngine},
 	{"engine added", (*soak).addListedEngine},
 }
 
+// lethalFaults are used with seeds that are in none of the lists above.
+var lethalFaults = []fault{
+	{"lethal request", (*soak).sendLethalRequest},
+}
+
 // faultsOf returns the faults that a seed selects from.
 func faultsOf(seed uint64) []fault {
 	switch {
@@ -92,8 +97,12 @@
 		return faults
 	case slices.Contains(overlappingSeeds, seed):
 		return slices.Concat(faults, overlappingFaults)
-	default:
+	case slices.Contains(versionSeeds, seed):
 		return slices.Concat(faults, overlappingFaults, versionFaults)
+	default:
+		// Each lethal request lasts for several faults; half of all faults are one.
+		weighted := slices.Concat(faults, overlappingFaults, versionFaults)
+		return append(weighted, slices.Repeat(lethalFaults, len(weighted))...)
 	}
 }
 
--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -41,8 +41,11 @@
 // versionSeeds also replace engines by others of another software version.
 var versionSeeds = []uint64{47, 470}
 
+// lethalSeeds also send requests that end the engines that run them.
+var lethalSeeds = []uint64{50}
+
 func TestSoak(t *testing.T) {
-	seeds := slices.Concat(failedSeeds, overlappingSeeds, versionSeeds)
+	seeds := slices.Concat(failedSeeds, overlappingSeeds, versionSeeds, lethalSeeds)
 	if *soakSeed != "" {
 		seeds = nil
 		for field := range strings.SplitSeq(*soakSeed, ",") {
@@ -91,6 +94,10 @@
 	version         int
 	// spares are engines that are not listed.
 	spares []*platformtest.Engine
+	// lethalCallers send lethal requests; lethalAttempts are the ids of their attempts, by request. mu guards the
+	// latter.
+	lethalCallers  sync.WaitGroup
+	lethalAttempts map[string][]string
 }
 
 // completedTurn is a turn that a caller received completely, with the history that later prompts
@@ -102,11 +109,12 @@
 }
 
 func runSoak(t *testing.T, seed uint64) {
-	fleet := startFleetWith(t, fleetLayout{gateways: 3, replicas: 4, engines: 4, apps: 3, versions: []string{"v1", "v2"}, proxied: true, quotaSlack: soakSlack, gatewaySettings: "guarantees: [pressure]\n"})
+	fleet := startFleetWith(t, fleetLayout{gateways: 3, replicas: 4, engines: 4, apps: 3, versions: []string{"v1", "v2"}, proxied: true, quotaSlack: soakSlack, gatewaySettings: "guarantees: [pressure]\n" + containmentSettings})
 	s := &soak{fleet: fleet, seed: seed, startedAt: time.Now(), random: rand.New(rand.NewPCG(seed, 0)), busyTargets: map[string]bool{}, version: fleet.config.Version}
 	t.Cleanup(s.keepLogs)
 	t.Cleanup(s.printStory)
 	s.addSpareEngines()
+	s.armBackEnds()
 	s.config.Tenants = soakTenants
 	s.configureLoad()
 	s.version++
@@ -125,10 +133,13 @@
 		}()
 	}
 	s.startLoadGenerators(ctx, &callers)
+	callers.Go(func() { s.restartEnded(ctx) })
 	s.injectFaults(*soakFor)
 	s.healAll()
+	s.lethalCallers.Wait()
 	stop()
 	callers.Wait()
+	s.checkLethalRequests(t)
 	s.checkAll(t, s.runsByID())
 	s.checkLimits(t, s.runsByID())
 	s.checkCompletedTurns(t)
--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -40,8 +41,8 @@
 
 // Proxy forwards connections to one target. It is safe for concurrent use.
 type Proxy struct {
-	listener net.Listener
-	target   string
+	address string
+	target  string
 
 	mu        sync.Mutex
 	condition Condition
@@ -51,7 +52,9 @@
 	// blackholed holds the blackholed connections, whose data is dropped.
 	blackholed map[*net.TCPConn]bool
 	closed     bool
-	running    sync.WaitGroup
+	// listener is closed while the proxy is suspended.
+	listener net.Listener
+	running  sync.WaitGroup
 }
 
 // New starts a proxy to the target (host:port) on a free loopback port.
@@ -60,14 +63,14 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener, target: target, changed: make(chan struct{}), open: map[*net.TCPConn]bool{}, blackholed: map[*net.TCPConn]bool{}}
+	p := &Proxy{listener: listener, address: listener.Addr().String(), target: target, changed: make(chan struct{}), open: map[*net.TCPConn]bool{}, blackholed: map[*net.TCPConn]bool{}}
 	p.running.Add(1)
-	go p.accept()
+	go p.accept(listener)
 	return p, nil
 }
 
 // Address returns the host:port that the proxy listens on.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
 
 // Set replaces the condition, which also applies to open connections.
 func (p *Proxy) Set(condition Condition) {
@@ -103,10 +106,36 @@
 	return p.blackholed[connection]
 }
 
+// Suspend makes the proxy's address refuse connections, as if its target's process had ended, and resets the
+// open ones.
+func (p *Proxy) Suspend() {
+	p.mu.Lock()
+	_ = p.listener.Close()
+	p.mu.Unlock()
+	p.Reset()
+}
+
+// Resume accepts connections again after Suspend.
+func (p *Proxy) Resume() error {
+	listener, err := net.Listen("tcp", p.Address())
+	if err != nil {
+		return fmt.Errorf("faultproxy: %w", err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return listener.Close()
+	}
+	p.listener = listener
+	p.running.Add(1)
+	go p.accept(listener)
+	return nil
+}
+
 // Close stops the proxy, closes its connections and waits for its goroutines.
 func (p *Proxy) Close() {
-	_ = p.listener.Close()
 	p.mu.Lock()
+	_ = p.listener.Close()
 	p.closed = true
 	for connection := range p.open {
 		_ = connection.Close()
@@ -123,10 +152,10 @@
 	_ = connection.Close()
 }
 
-func (p *Proxy) accept() {
+func (p *Proxy) accept(listener net.Listener) {
 	defer p.running.Done()
 	for {
-		accepted, err := p.listener.Accept()
+		accepted, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/gateway/containment.go
+++ b/internal/gateway/containment.go
@@ -67,6 +67,13 @@
 	return changed
 }
 
+// endsOf returns how often an instance is known to have ended under a request.
+func (c *containment) endsOf(key quarantine.Key, instance string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.EndsOf(key, instance)
+}
+
 // list returns the requests that something counts against.
 func (c *containment) list(now time.Time) []quarantine.Suspicion {
 	c.mu.Lock()
@@ -139,7 +146,7 @@
 		return nil
 	}
 	run := r.currentRun(choice.Instance)
-	run.Outcome = quarantine.Running
+	run.Outcome, run.Life = quarantine.Running, s.containment.endsOf(s.keyOf(r), choice.Instance.ID)
 	known, err := s.recordRun(ctx, r, run)
 	if err != nil && len(known) == 0 {
 		known = r.programRuns
--- a/internal/gateway/lostrun.go
+++ b/internal/gateway/lostrun.go
@@ -65,8 +65,12 @@
 
 // newLostRun returns the lost run of a request's last send.
 func (s *Server) newLostRun(r *request, choice backend.Choice, cause lossCause) *lostRun {
+	run := r.currentRun(choice.Instance)
+	if r.recordedRun != nil {
+		run = *r.recordedRun
+	}
 	return &lostRun{
-		requestID: r.id, key: s.keyOf(r), run: r.currentRun(choice.Instance), instance: choice.Instance,
+		requestID: r.id, key: s.keyOf(r), run: run, instance: choice.Instance,
 		cause: cause, sentAt: choice.PickedAt, lostAt: time.Now(), recordWithProgram: r.recordWithProgram,
 	}
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -125,12 +125,6 @@
 // the attempt.
 func (s *Server) send(ctx context.Context, r *request, choice backend.Choice) (*attempt, *backend.Failure) {
 	r.outcome.sends++
-	if failure := s.beginRun(ctx, r, choice); failure != nil {
-		r.outcome.sends--
-		s.directory.Abandon(time.Now(), choice)
-		s.directory.EndFailed(time.Now(), choice, backend.NotSent)
-		return nil, failure
-	}
 	r.outcome.instance, r.outcome.instanceStarted = choice.Instance.ID, choice.Instance.Born
 	r.outcome.instanceVersion = choice.Instance.Version
 	r.outcome.load, r.outcome.cost, r.outcome.candidates = choice.Load, choice.Cost, choice.Candidates
@@ -149,9 +143,16 @@
 	answerTimer := time.AfterFunc(s.answerTimeout(r), func() { overdue.Store(true); release() })
 	sentAt := time.Now()
 	call := s.instanceCall(r, choice.Instance)
-	call.MaySend = func() bool { return s.directory.MaySend(time.Now(), choice) }
+	var contained *backend.Failure
+	call.MaySend = func() bool {
+		contained = s.beginRun(ctx, r, choice)
+		return contained == nil && s.directory.MaySend(time.Now(), choice)
+	}
 	answer, failure := s.pool.Do(sendCtx, choice.Instance, call)
 	answerTimer.Stop()
+	if contained != nil {
+		failure = contained
+	}
 	if failure != nil || r.route.Kind != route.Streaming {
 		stopOverdueWatch()
 	}
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -48,7 +48,10 @@
 	ID       string
 	Instance string
 	// Born is the start time of the instance in Unix milliseconds; 0 if unknown.
-	Born    uint64
+	Born uint64
+	// Life is the number of ends of the instance under the request that were known when the run began. It tells
+	// the lives of an instance apart whose start time is unknown or not yet listed.
+	Life    int
 	Outcome Outcome
 }
 
@@ -64,9 +67,12 @@
 type incarnation struct {
 	instance string
 	born     uint64
+	life     int
 }
 
-func (r Run) incarnation() incarnation { return incarnation{instance: r.Instance, born: r.Born} }
+func (r Run) incarnation() incarnation {
+	return incarnation{instance: r.Instance, born: r.Born, life: r.Life}
+}
 
 // Record holds the known runs of one request.
 type Record struct {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -75,12 +75,12 @@
 // counts reports whether the run counts, or may count, against its request.
 func (r Run) counts() bool { return r.Outcome == Ended || r.Outcome.isOpen() }
 
-// merge adds a run and reports whether anything changed. A record with maxRuns runs takes no more: it is
-// quarantined in any case.
+// merge adds a run and reports whether anything changed. A record of maxRuns runs takes another one in place of
+// one that does not count.
 func (r *record) merge(run Run) bool {
 	index := slices.IndexFunc(r.runs, func(known Run) bool { return known.ID == run.ID })
 	if index < 0 {
-		if len(r.runs) >= maxRuns {
+		if len(r.runs) >= maxRuns && (!run.counts() || !r.dropHarmless()) {
 			return false
 		}
 		r.runs = append(r.runs, run)
@@ -91,6 +91,15 @@
 	return changed
 }
 
+// dropHarmless drops one run that does not count, and reports whether there was one.
+func (r *record) dropHarmless() bool {
+	index := slices.IndexFunc(r.runs, func(run Run) bool { return !run.counts() })
+	if index >= 0 {
+		r.runs = slices.Delete(r.runs, index, index+1)
+	}
+	return index >= 0
+}
+
 // makeRoom drops expired records, and if the table is still full, those with the fewest ends, the oldest
 // first.
 func (t *Table) makeRoom(now time.Time) {
@@ -228,6 +237,15 @@
 	return nil
 }
 
+// EndsOf returns how often an instance is known to have ended under a request.
+func (t *Table) EndsOf(key Key, instance string) int {
+	known := t.records[key]
+	if known == nil {
+		return 0
+	}
+	return countIncarnations(slices.DeleteFunc(slices.Clone(known.runs), func(run Run) bool { return run.Instance != instance }), Ended)
+}
+
 // Release returns the runs of a request marked as released.
 func (t *Table) Release(key Key) []Run {
 	runs := t.Runs(key)
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -62,6 +62,10 @@
 	require.Equal(t, 1, table.Standing(start, Key{1}, "").Ended)
 	table.Merge(start, Key{1}, Run{ID: "later", Instance: "i", Born: 8, Outcome: Ended})
 	require.Equal(t, 2, table.Standing(start, Key{1}, "").Ended, "it has restarted in between")
+	require.Equal(t, 2, table.EndsOf(Key{1}, "i"))
+	require.Zero(t, table.EndsOf(Key{1}, "j"))
+	table.Merge(start, Key{1}, Run{ID: "unlisted", Instance: "i", Born: 8, Life: 2, Outcome: Ended})
+	require.Equal(t, 3, table.Standing(start, Key{1}, "").Ended, "it was sent after the end, though the list lags behind")
 }
 
 func TestOwnRunIsLeftOut(t *testing.T) {
@@ -113,6 +117,18 @@
 	require.Len(t, table.Runs(worst), maxRuns)
 }
 
+func TestEndIsCountedAfterManyHarmlessRuns(t *testing.T) {
+	table := NewTable()
+	table.Merge(start, Key{1}, run(1, Ended), run(2, Ended))
+	for number := range 2 * maxRuns {
+		table.Merge(start, Key{1}, run(10+number, Running))
+		table.Merge(start, Key{1}, run(10+number, Survived))
+	}
+	table.Merge(start, Key{1}, run(3, Ended))
+	require.Equal(t, Quarantined, table.Standing(start, Key{1}, "").Verdict(limit))
+	require.LessOrEqual(t, len(table.Runs(Key{1})), maxRuns)
+}
+
 func TestRecordsMergeToTheSameResultInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var runs []Run
