Abandoned streams are watched as well; a suspect's run is known here even without a record

By reading: a stream whose answer could not be passed on (its caller left) was taken for one whose instance outlived it, and a run that a quorum recorded late stayed 'running' there.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -92,3 +92,25 @@
 		require.Equal(t, `resumes the stream of a after event "2", which began at software version v1 of llm (known from: record): continued`, report.Steps[1].Description)
 	}
 }
+
+func TestExplainFindsAllAttemptsAtRequestThatEndsInstances(t *testing.T) {
+	const lines = `{"time":100,"node":"g1","event":"run_lost","id":"a","request_key":"k","instance":"i-1","cause":"connection_broke","contact":"refused","entry":"listed","outcome":"ended","ran_ms":40,"known_after_ms":2}
+{"time":101,"node":"g1","event":"request","id":"a","request_key":"k","status":502,"result":"outcome_unknown"}
+{"time":150,"node":"g1","event":"run_lost","id":"beside","request_key":"other","instance":"i-1","outcome":"ended"}
+{"time":200,"node":"g2","event":"suspect_sent","id":"b","request_key":"k","instance":"i-2","ended":1,"possible":0,"recorded":true,"load":0}
+{"time":300,"node":"g3","event":"request_contained","id":"c","request_key":"k","verdict":"quarantined","ended":3,"possible":0,"retry_after":0}
+{"time":301,"node":"g3","event":"request","id":"unrelated","request_key":"","status":200}
+`
+	for _, id := range []string{"a", "b", "c"} {
+		var log Log
+		require.NoError(t, log.Read(strings.NewReader(lines)))
+		report := log.Explain(id)
+		require.Len(t, report.Steps, 4, id)
+		require.Contains(t, report.Steps[0].Description, "connection attempt refused, so the instance has ended; request key k")
+		require.Contains(t, report.Steps[2].Description, "although 1 instances ended under it")
+		require.Contains(t, report.Steps[3].Description, "not sent (quarantined): 3 instances ended")
+	}
+	var log Log
+	require.NoError(t, log.Read(strings.NewReader(lines)))
+	require.Len(t, log.Explain("unrelated").Steps, 1)
+}
--- a/internal/gateway/containment.go
+++ b/internal/gateway/containment.go
@@ -151,7 +151,7 @@
 	if err != nil && len(known) == 0 {
 		known = r.programRuns
 	}
-	s.containment.merge(time.Now(), s.keyOf(r), known...)
+	s.containment.merge(time.Now(), s.keyOf(r), append(known, run)...)
 	r.recordedRun = &run
 	failure := s.containmentFailure(r, run.ID)
 	if failure == nil && err != nil && standing.Ended+standing.Possible >= s.containment.limit-1 {
--- a/internal/gateway/lostrun.go
+++ b/internal/gateway/lostrun.go
@@ -24,7 +24,8 @@
 	machineSilent
 	// answerOverdue means that this gateway stopped waiting for the answer.
 	answerOverdue
-	// callerLeft means that the caller disconnected, or its deadline passed.
+	// callerLeft means that the caller disconnected, or its deadline passed, or that the gateway could not pass
+	// the answer on.
 	callerLeft
 )
 
@@ -125,6 +126,8 @@
 	lost := s.newLostRun(r, choice, cause)
 	r.recordedRun = nil // the lost run stands for it
 	switch entry := s.directory.EntryStateOf(lost.instance); {
+	case cause == callerLeft:
+		s.watchLostRun(lost)
 	case entry == backend.EntryLeaving:
 		s.settleLostRun(ctx, r, lost, quarantine.Survived, entry, "")
 	case entry == backend.EntryReplaced:
@@ -137,10 +140,8 @@
 		s.settleLostRun(ctx, r, lost, quarantine.Survived, entry, "") // it finished its requests after it left
 	case cause == connectionBroke:
 		s.probeLostRun(ctx, r, lost)
-	case cause == answerOverdue:
-		r.examinations.Go(func() { s.probeLostRun(context.WithoutCancel(ctx), r, lost) })
 	default:
-		s.watchLostRun(lost)
+		r.examinations.Go(func() { s.probeLostRun(context.WithoutCancel(ctx), r, lost) })
 	}
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -209,11 +209,11 @@
 	if failure != nil {
 		sent.answer.Discard()
 		s.logSendFailure(t.request, sent.choice, failure)
+		cause := callerLeft
 		if failure.Verdict == verdict.MayHaveRun {
-			s.examineLostRun(ctx, t.request, sent.choice, causeOfLoss(ctx, false, sent.watch))
-		} else {
-			s.endRecordedRun(t.request)
+			cause = causeOfLoss(ctx, false, sent.watch)
 		}
+		s.examineLostRun(ctx, t.request, sent.choice, cause)
 		return failure
 	}
 	sent.answer.Finish()
