--- a/internal/e2e/endedinstances_test.go
+++ b/internal/e2e/endedinstances_test.go
@@ -25,6 +25,7 @@
 // TestRequestThatEndsInstancesIsStopped sends requests that end the instances that run them, again and again as
 // their callers would, at all gateways. No more than endedInstances may end under one of them.
 func TestRequestThatEndsInstancesIsStopped(t *testing.T) {
+	t.Parallel()
 	f := startFleetWith(t, fleetLayout{gateways: 3, replicas: 3, engines: 8, apps: 8, gatewaySettings: containmentSettings})
 	for _, kind := range []lethalRequest{
 		{name: "resumable stream", path: "/plan/t"},
--- a/internal/e2e/lethalbystanders_test.go
+++ b/internal/e2e/lethalbystanders_test.go
@@ -19,6 +19,7 @@
 // TestBystandersOfLethalRequestAreServed runs streams beside a request that ends instances. All of them must
 // complete within their callers' attempts, and only the lethal one is quarantined, until an operator releases it.
 func TestBystandersOfLethalRequestAreServed(t *testing.T) {
+	t.Parallel()
 	f := startFleetWith(t, fleetLayout{gateways: 3, replicas: 3, engines: 6, apps: 1, gatewaySettings: containmentSettings})
 	for _, engine := range f.engines {
 		engine.EventInterval = 20 * time.Millisecond
@@ -100,6 +101,7 @@
 // TestDisturbancesThatEndNoInstanceQuarantineNothing resets connections, cuts instances off and stops them as
 // planned under one request. The request must be sent as often as its caller tries it.
 func TestDisturbancesThatEndNoInstanceQuarantineNothing(t *testing.T) {
+	t.Parallel()
 	f := startFleetWith(t, fleetLayout{gateways: 3, replicas: 3, engines: 4, apps: 4, gatewaySettings: containmentSettings})
 	for _, kind := range []lethalRequest{{path: "/plan/t"}, {path: "/chat/t"}, {path: "/start/t"}} {
 		kind.program = f.newID()
--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -41,8 +41,8 @@
 // versionSeeds also replace engines by others of another software version.
 var versionSeeds = []uint64{47, 470}
 
-// lethalSeeds also send requests that end the engines that run them.
-var lethalSeeds = []uint64{50}
+// lethalSeeds also send requests that end the engines that run them. They found faults.
+var lethalSeeds = []uint64{50, 52}
 
 func TestSoak(t *testing.T) {
 	seeds := slices.Concat(failedSeeds, overlappingSeeds, versionSeeds, lethalSeeds)
--- a/internal/gateway/containment.go
+++ b/internal/gateway/containment.go
@@ -98,13 +98,13 @@
 // refuseContained returns the refusal of a request that must not be sent, or nil.
 func (s *Server) refuseContained(r *request) *refusal {
 	if failure := s.containmentFailure(r, ""); failure != nil {
-		return refuseContained(failure)
+		return containmentRefusal(failure)
 	}
 	return nil
 }
 
-// refuseContained returns the refusal for a failure of containmentFailure.
-func refuseContained(failure *backend.Failure) *refusal {
+// containmentRefusal returns the refusal for a failure of containmentFailure.
+func containmentRefusal(failure *backend.Failure) *refusal {
 	return refuseFor(verdict.CodeQuarantined, failure.RetryAfter, failure.Reason)
 }
 
@@ -210,7 +210,7 @@
 // release removes what counts against a request, at all gateways. It returns the number of runs.
 func (s *Server) release(key quarantine.Key, reason, id string) int {
 	s.containment.mu.Lock()
-	runs := s.containment.table.Release(key)
+	runs := s.containment.table.ReleasedRuns(key)
 	s.containment.mu.Unlock()
 	if len(runs) == 0 {
 		return 0
@@ -256,38 +256,3 @@
 	s.log.Warn().Str("event", "request_contained").Str("id", r.id).Str("request_key", r.key.String()).Str("verdict", decision.String()).
 		Int("ended", standing.Ended).Int("possible", standing.Possible).Dur("open_for", standing.OpenFor).Dur("retry_after", retryAfter).Msg("")
 }
-
-const (
-	// restoreRetryInterval is the first pause between attempts of a starting gateway to read the records.
-	restoreRetryInterval = 50 * time.Millisecond
-	// restoreLimit is how long it waits for them before it is ready without them.
-	restoreLimit = 1500 * time.Millisecond
-)
-
-// isContainmentRestored reports whether the gateway knows the records of the time before it started. It gives up after
-// restoreLimit.
-func (s *Server) isContainmentRestored() bool {
-	c := s.containment
-	return c == nil || c.restored.Load() || s.instancesKnown.Load() && s.sinceInstancesKnown() > restoreLimit
-}
-
-// sinceInstancesKnown returns the time since the first list of instances was received.
-func (s *Server) sinceInstancesKnown() time.Duration {
-	return time.Since(s.started) - time.Duration(s.instancesKnownAt.Load())
-}
-
-// readQuarantine reads the records of the replicas.
-func (s *Server) readQuarantine(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, restoreLimit)
-	defer cancel()
-	records, err := s.replicas.ReadQuarantine(ctx)
-	if err != nil {
-		return err
-	}
-	now := time.Now()
-	for _, record := range records {
-		s.containment.merge(now, record.Key, record.Runs...)
-	}
-	s.log.Info().Str("event", "quarantine_read").Int("records", len(records)).Int64("requests", s.containment.records.Load()).Msg("")
-	return nil
-}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -57,7 +57,7 @@
 	late := ctx.Err() != nil || !time.Now().Before(r.deadline)
 	switch {
 	case !ran && failure.Contained.Stops():
-		return refuseContained(failure)
+		return containmentRefusal(failure)
 	case !ran && failure.Restriction != backend.NotRestricted:
 		return refuseIneligible(failure.Restriction)
 	case !ran && failure.Verdict == verdict.NotRun:
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -246,8 +246,8 @@
 	return countIncarnations(slices.DeleteFunc(slices.Clone(known.runs), func(run Run) bool { return run.Instance != instance }), Ended)
 }
 
-// Release returns the runs of a request marked as released.
-func (t *Table) Release(key Key) []Run {
+// ReleasedRuns returns the runs of a request, marked as released. It does not change the table.
+func (t *Table) ReleasedRuns(key Key) []Run {
 	runs := t.Runs(key)
 	for index := range runs {
 		runs[index].Outcome = Released
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -78,7 +78,7 @@
 	table := NewTable()
 	ends := []Run{run(1, Ended), run(2, Ended), run(3, Ended)}
 	table.Merge(start, Key{1}, ends...)
-	require.Len(t, table.Merge(start, Key{1}, table.Release(Key{1})...), limit)
+	require.Len(t, table.Merge(start, Key{1}, table.ReleasedRuns(Key{1})...), limit)
 	require.Empty(t, table.Merge(start, Key{1}, ends...))
 	require.Equal(t, Clear, table.Standing(start, Key{1}, "").Verdict(limit))
 	require.Empty(t, table.List(start))
