A silent instance is not taken for cut off after an outage of the store

By reading: while the store is away no entry lapses, and once it is back, entries that are missing stay in service for a moment. A silent instance that had ended counted as alive then, for good. It is taken for cut off only if its entry is still listed after knowledge of the store has been fresh for as long as entries live, and not while it is missing from a list that may be incomplete.

TestSilentInstanceIsNotTakenForCutOffAfterAnOutageOfTheStore fails without it.

--- a/internal/backend/entrystate.go
+++ b/internal/backend/entrystate.go
@@ -6,6 +6,8 @@
 const (
 	// EntryListed means that the instance is listed unchanged.
 	EntryListed EntryState = iota
+	// EntryMissing means that the instance is missing from a list that may be incomplete.
+	EntryMissing
 	// EntryLeaving means that the instance has announced that it leaves.
 	EntryLeaving
 	// EntryGone means that the instance is no longer listed. It left without an announcement, and may still
@@ -16,7 +18,9 @@
 )
 
 // String returns the name used in logs.
-func (e EntryState) String() string { return [...]string{"listed", "leaving", "gone", "replaced"}[e] }
+func (e EntryState) String() string {
+	return [...]string{"listed", "missing", "leaving", "gone", "replaced"}[e]
+}
 
 // EntryStateOf compares an instance, as known before, with the list.
 func (d *Directory) EntryStateOf(instance Instance) EntryState {
@@ -30,6 +34,8 @@
 		return EntryGone
 	case m.instance.Leaving:
 		return EntryLeaving
+	case d.unlisted[instance.ID]:
+		return EntryMissing
 	default:
 		return EntryListed
 	}
--- a/internal/backend/entrystate_test.go
+++ b/internal/backend/entrystate_test.go
@@ -34,6 +34,16 @@
 	}
 }
 
+func TestEntryStateOfInstanceMissingFromAnIncompleteList(t *testing.T) {
+	known := Instance{ID: "i", Service: "s", Address: "a:1", Slots: 1}
+	d := NewDirectory("z")
+	d.ApplyChanges(time.Now(), Changes{Snapshot: true, Listed: []Instance{known}}, false)
+	d.ApplyChanges(time.Now(), Changes{Snapshot: true}, true)
+	require.Equal(t, EntryMissing, d.EntryStateOf(known))
+	d.ApplyChanges(time.Now(), Changes{Snapshot: true, Listed: []Instance{known}}, false)
+	require.Equal(t, EntryListed, d.EntryStateOf(known))
+}
+
 func TestContactSinceTellsAnEndedProcess(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/gateway/containment_test.go
+++ b/internal/gateway/containment_test.go
@@ -176,6 +176,24 @@
 	require.Eventually(t, func() bool { return len(g.suspects()) == 0 }, 5*time.Second, 10*time.Millisecond)
 }
 
+// Entries do not lapse while the store is away, and may be missing for a moment once it is back.
+func TestSilentInstanceIsNotTakenForCutOffAfterAnOutageOfTheStore(t *testing.T) {
+	g := newContainedGateway(t)
+	instance := backend.Instance{ID: "i-1", Service: "apps", Address: silentAddress(t), Zone: "z", Slots: 8}
+	g.options.RenewalInterval = time.Second
+	g.instances = []backend.Instance{instance}
+	g.publish()
+	lost := &lostRun{run: quarantine.Run{Outcome: quarantine.Silent}, instance: instance, cause: machineSilent, lostAt: time.Now().Add(-time.Minute)}
+	g.FeedStatusChanged(feed.Status{Confirmed: true, Lost: true})
+	require.False(t, g.outlived(time.Now(), lost))
+	g.FeedStatusChanged(feed.Status{Confirmed: true})
+	require.False(t, g.outlived(time.Now(), lost), "its entry had no time to lapse")
+	later := time.Now().Add(lapsedRenewals * time.Second)
+	require.True(t, g.outlived(later, lost))
+	g.InstancesChanged(backend.Changes{Snapshot: true}, true)
+	require.False(t, g.outlived(later, lost), "it is missing from a list that may be incomplete")
+}
+
 func TestSilentInstanceWhoseEntryLapsesHasEnded(t *testing.T) {
 	g := newContainedGateway(t)
 	instance := backend.Instance{ID: "i-1", Service: "apps", Address: silentAddress(t), Zone: "z", Slots: 8}
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -90,19 +90,25 @@
 type feedStatus struct {
 	status    feed.Status
 	updatedAt time.Time
-	// staleSince is when the status stopped being fresh; zero while it is.
-	staleSince time.Time
+	// staleSince is when the status stopped being fresh; zero while it is. freshSince is when it became fresh
+	// last.
+	staleSince, freshSince time.Time
 }
 
 // FeedStatusChanged records how fresh the configuration and the instances are.
 func (s *Server) FeedStatusChanged(status feed.Status) {
 	now := time.Now()
 	next := &feedStatus{status: status, updatedAt: now}
-	if !status.Fresh() {
+	previous := s.feedStatus.Load()
+	switch {
+	case status.Fresh() && previous != nil && previous.status.Fresh():
+		next.freshSince = previous.freshSince
+	case status.Fresh():
+		next.freshSince = now
+	case previous != nil && !previous.staleSince.IsZero():
+		next.staleSince = previous.staleSince
+	default:
 		next.staleSince = now
-		if previous := s.feedStatus.Load(); previous != nil && !previous.staleSince.IsZero() {
-			next.staleSince = previous.staleSince
-		}
 	}
 	s.feedStatus.Store(next)
 	s.log.Info().Str("event", "knowledge_changed").Bool("fresh", status.Fresh()).Bool("confirmed", status.Confirmed).
@@ -125,6 +131,15 @@
 	return time.Since(s.started)-time.Duration(s.instancesKnownAt.Load()) < confirmationTimeout
 }
 
+// freshFor returns for how long the knowledge of the store has been fresh without a break, 0 if it is not.
+func (s *Server) freshFor(now time.Time) time.Duration {
+	current := s.feedStatus.Load()
+	if current == nil || !current.status.Fresh() {
+		return 0
+	}
+	return now.Sub(current.freshSince)
+}
+
 // stateAge returns the age of the gateway's state at its last status report, for the logs.
 func (s *Server) stateAge() time.Duration {
 	current := s.feedStatus.Load()
--- a/internal/gateway/lostrunwatch.go
+++ b/internal/gateway/lostrunwatch.go
@@ -95,8 +95,9 @@
 	if s.pool.LastActivity(lost.instance.ID).After(lost.lostAt) {
 		return true
 	}
-	lapsed := now.Sub(lost.lostAt) >= lapsedRenewals*s.options.RenewalInterval
-	return lost.run.Outcome == quarantine.Silent && lapsed && !s.configurationStale() && s.directory.EntryStateOf(lost.instance) == backend.EntryListed
+	// While the store is away, entries do not lapse.
+	lapsed := min(now.Sub(lost.lostAt), s.freshFor(now)) >= lapsedRenewals*s.options.RenewalInterval
+	return lost.run.Outcome == quarantine.Silent && lapsed && s.directory.EntryStateOf(lost.instance) == backend.EntryListed
 }
 
 // probeGone settles a lost run of an instance that is no longer listed: some finish their requests first, and
