Other gateways are told of an end before the caller is answered

Traced with the ends of each instance: the call's first attempt ended two at a gateway that was killed right after its answer. Its message to the others waits 1 ms for more runs of the same instance, and had not left. The two others knew nothing and each sent the call once, the second before the first one's message.

A lost run's message leaves before the caller is answered; the quorum's record usually takes longer. TestOtherGatewaysAreToldBeforeTheCallerIsAnswered failed without it.

--- a/internal/gateway/containment.go
+++ b/internal/gateway/containment.go
@@ -48,6 +48,8 @@
 	unresolved []*lostRun
 	// unsent are the keys of the records that the next message to the other gateways contains.
 	unsent map[quarantine.Key]bool
+	// unsentDone is closed once that message was sent.
+	unsentDone chan struct{}
 }
 
 // newContainment returns the containment of requests under which limit instances may end, nil if limit is 0.
@@ -226,7 +228,7 @@
 }
 
 // recordLoss records a run whose instance ended, or whose machine fell silent, and tells all gateways. It
-// waits for the record, because the caller may come back at another gateway.
+// waits until that is done, because the caller may come back at another gateway, and this one may be killed.
 //
 // r is nil once the request is over.
 func (s *Server) recordLoss(ctx context.Context, r *request, lost *lostRun) {
@@ -234,7 +236,7 @@
 	if len(changed) == 0 {
 		return
 	}
-	s.shareRecord(lost.key)
+	sent := s.shareRecord(lost.key)
 	if lost.recordWithProgram != nil {
 		lost.recordWithProgram(lost.run)
 	}
@@ -248,6 +250,10 @@
 	if err != nil {
 		s.log.Warn().Str("event", "run_unrecorded").Str("id", r.id).Str("request_key", lost.key.String()).Err(err).Msg("")
 	}
+	select {
+	case <-sent:
+	case <-ctx.Done():
+	}
 }
 
 // logContained logs the decision not to send a request.
--- a/internal/gateway/containment_test.go
+++ b/internal/gateway/containment_test.go
@@ -98,6 +98,21 @@
 	require.Equal(t, quarantine.Standing{Ended: 1}, g.suspects()[0].Standing)
 }
 
+// A gateway that is killed right after its answer must not leave the others without the knowledge of an end.
+func TestOtherGatewaysAreToldBeforeTheCallerIsAnswered(t *testing.T) {
+	g := newContainedGateway(t)
+	for range 20 {
+		var server atomic.Pointer[httptest.Server]
+		server.Store(g.list("i-1", abort(&server)))
+		g.call("x")
+		g.containment.mu.Lock()
+		require.Empty(t, g.containment.unsent)
+		g.containment.table = quarantine.NewTable()
+		g.containment.mu.Unlock()
+		g.instances = nil
+	}
+}
+
 func TestResetConnectionIsNoEnd(t *testing.T) {
 	g := newContainedGateway(t)
 	g.list("i-1", abort(new(atomic.Pointer[httptest.Server])))
--- a/internal/gateway/containmentgossip.go
+++ b/internal/gateway/containmentgossip.go
@@ -25,15 +25,17 @@
 	quarantineSectionName = "quarantine"
 )
 
-// shareRecord sends the record of a request to all gateways.
-func (s *Server) shareRecord(key quarantine.Key) {
+// shareRecord sends the record of a request to all gateways. The returned channel is closed once it was sent.
+func (s *Server) shareRecord(key quarantine.Key) (sent <-chan struct{}) {
 	c := s.containment
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unsent[key] = true
-	if len(c.unsent) == 1 {
+	if len(c.unsent) == 0 {
+		c.unsentDone = make(chan struct{})
 		time.AfterFunc(shareDelay, s.sendUnsentRecords)
 	}
+	c.unsent[key] = true
+	return c.unsentDone
 }
 
 // sendUnsentRecords sends the changed records now and repeats them later.
@@ -45,9 +47,11 @@
 		keys = append(keys, key)
 	}
 	clear(c.unsent)
+	done := c.unsentDone
 	c.mu.Unlock()
 	send := func() { s.sendRecords(keys) }
 	send()
+	close(done)
 	time.AfterFunc(firstRepeat, send)
 	time.AfterFunc(secondRepeat, send)
 }
