TestLateEndOfAbandonedRunIsCounted always runs its check

It passed over itself when the request was placed at the other instance. Only the instance that ends is listed now, so the abandoned run is always there.

--- a/internal/gateway/containment_test.go
+++ b/internal/gateway/containment_test.go
@@ -159,14 +159,10 @@
 		<-released
 	}))
 	t.Cleanup(func() { close(released) })
-	g.list("i-2", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
 	require.GreaterOrEqual(t, g.call("x").Code, http.StatusInternalServerError)
-	if len(g.containment.unresolved) == 0 {
-		t.Skip("the request was not sent to the instance that ends")
-	}
 	require.Empty(t, g.suspects())
 	require.NoError(t, server.Load().Listener.Close())
-	g.instances = g.instances[1:]
+	g.instances = nil
 	g.publish()
 	require.Eventually(t, func() bool { return len(g.suspects()) == 1 }, 5*time.Second, 10*time.Millisecond)
 }
