Watched runs are decided once the list had time to tell

A safe call that a gateway gave up at a machine that was only cut off counted against the request until an operator released it: a run without an answer in time was never taken for outlived, so three cuts quarantined the call. And an abandoned run counted as survived after 5 s even if the store was away, or if entries lapse later than that, so an end that the list showed later was lost.

A watched run is now decided by what is known: activity after the time in which it may end its instance, or an entry that was there for as long as entries of ended instances last, not counting outages of the store.

TestSilentInstanceIsNotTakenForCutOffAfterAnOutageOfTheStore asks the check itself in place of a function that is gone, for the same outcomes.

--- a/internal/e2e/lethalbystanders_test.go
+++ b/internal/e2e/lethalbystanders_test.go
@@ -128,6 +128,37 @@
 		}
 		require.Equal(t, http.StatusOK, f.attempt(kind, f.gateways[0], "harmless").status)
 	})
+	t.Run("cuts", func(t *testing.T) {
+		f.testCutOff(t, lethalRequest{path: "/plan/t", program: f.newID()}, f.engines)
+		f.testCutOff(t, lethalRequest{path: "/start/t", program: f.newID()}, f.apps)
+	})
+}
+
+// testCutOff cuts all instances but one off while they run a request; their entries are still renewed. The
+// request must be served by the last one once that is known.
+func (f *fleet) testCutOff(t *testing.T, kind lethalRequest, instances []*platformtest.Engine) {
+	const body = "cut"
+	for _, instance := range instances[1:] {
+		instance.SetLethal(func(sent string) platformtest.Behaviour {
+			if !strings.HasSuffix(sent, body) {
+				return platformtest.Behaviour{}
+			}
+			return platformtest.Behaviour{End: platformtest.MachineFallsSilent}
+		}, nil)
+	}
+	instances[0].SetBehaviour(func(*http.Request) platformtest.Behaviour { return platformtest.Behaviour{Refuse: true} })
+	isReachable := func(instance *platformtest.Engine) bool {
+		_, silent := instance.Ended()
+		return !silent
+	}
+	for number := 0; slices.ContainsFunc(instances[1:], isReachable); number++ {
+		require.Less(t, number, 20)
+		got := f.attempt(kind, f.gateways[number%3], body)
+		require.NotEqual(t, http.StatusOK, got.status)
+		require.False(t, strings.Contains(got.body, "request_quarantined") && got.header.Get("Retry-After") == "", "nothing has ended: %s", got.body)
+	}
+	instances[0].SetBehaviour(nil)
+	require.Eventually(t, func() bool { return f.attempt(kind, f.gateways[0], body).status == http.StatusOK }, 10*time.Second, 50*time.Millisecond)
 }
 
 // stopWhileRunning stops the instance that runs a request, as planned, before it is answered.
--- a/internal/gateway/containment_test.go
+++ b/internal/gateway/containment_test.go
@@ -196,13 +196,52 @@
 	g.publish()
 	lost := &lostRun{run: quarantine.Run{Outcome: quarantine.Silent}, instance: instance, cause: machineSilent, lostAt: time.Now().Add(-time.Minute)}
 	g.FeedStatusChanged(feed.Status{Confirmed: true, Lost: true})
-	require.False(t, g.outlived(time.Now(), lost))
+	require.False(t, g.checkWatchedRun(time.Now(), lost))
 	g.FeedStatusChanged(feed.Status{Confirmed: true})
-	require.False(t, g.outlived(time.Now(), lost), "its entry had no time to lapse")
+	require.False(t, g.checkWatchedRun(time.Now(), lost), "its entry had no time to lapse")
 	later := time.Now().Add(lapsedRenewals * time.Second)
-	require.True(t, g.outlived(later, lost))
+	require.True(t, g.checkWatchedRun(later, lost))
+	require.Equal(t, quarantine.Survived, lost.run.Outcome)
+	lost.run.Outcome = quarantine.Silent
 	g.InstancesChanged(backend.Changes{Snapshot: true}, true)
-	require.False(t, g.outlived(later, lost), "it is missing from a list that may be incomplete")
+	require.False(t, g.checkWatchedRun(later, lost), "it is missing from a list that may be incomplete")
+}
+
+// A safe call that the gateway gave up may have met a cut path as well.
+func TestCutUnderAbandonedCallIsNoEnd(t *testing.T) {
+	g := newContainedGateway(t)
+	instance := backend.Instance{ID: "i-1", Service: "apps", Address: silentAddress(t), Zone: "z", Slots: 8}
+	g.instances = []backend.Instance{instance}
+	g.publish()
+	lost := &lostRun{requestID: "id", key: quarantine.Key{1}, run: quarantine.Run{ID: "id#1", Instance: "i-1"}, instance: instance, cause: answerOverdue, lostAt: time.Now()}
+	g.settleLostRun(t.Context(), nil, lost, quarantine.Silent, backend.EntryListed, "")
+	require.Equal(t, 1, g.suspects()[0].Standing.Possible)
+	require.Eventually(t, func() bool { return len(g.suspects()) == 0 }, 5*time.Second, 10*time.Millisecond)
+}
+
+// The list tells of an end only once the instance's entry had time to lapse.
+func TestAbandonedRunIsWatchedUntilTheListTells(t *testing.T) {
+	g := newContainedGateway(t)
+	instance := backend.Instance{ID: "i-1", Service: "apps", Address: silentAddress(t), Zone: "z", Slots: 8}
+	g.instances = []backend.Instance{instance}
+	g.publish()
+	now := time.Now()
+	abandoned := func() *lostRun { return &lostRun{instance: instance, cause: callerLeft, lostAt: now} }
+	later := now.Add(2 * watchWindow)
+	require.True(t, g.checkWatchedRun(later, abandoned()))
+
+	g.options.RenewalInterval = watchWindow
+	require.False(t, g.checkWatchedRun(later, abandoned()), "its entry had no time to lapse")
+	g.pool.RecordActivity(now.Add(watchWindow+1), "i-1")
+	require.True(t, g.checkWatchedRun(later, abandoned()), "it was alive when the window ended")
+
+	g.options.RenewalInterval = time.Second
+	g.pool.RecordActivity(now.Add(watchWindow-1), "i-1")
+	g.FeedStatusChanged(feed.Status{Confirmed: true, Lost: true})
+	require.False(t, g.checkWatchedRun(later, abandoned()), "the store is away")
+	silent := abandoned()
+	silent.run.Outcome = quarantine.Silent
+	require.False(t, g.checkWatchedRun(later, silent), "the store is away")
 }
 
 func TestSilentInstanceWhoseEntryLapsesHasEnded(t *testing.T) {
--- a/internal/gateway/lostrunwatch.go
+++ b/internal/gateway/lostrunwatch.go
@@ -15,8 +15,6 @@
 	// watchWindow is how long an instance may end after a run was lost for the run to count as its cause. It
 	// covers the time until the list shows that an instance was replaced.
 	watchWindow = 5 * time.Second
-	// silentWindow is how long a silent instance is watched: its entry lapses within it.
-	silentWindow = 10 * time.Second
 	// lapsedRenewals is the number of missed renewals after which an instance without an entry has ended and
 	// one with an entry has not: one more than the entry survives.
 	lapsedRenewals = 4
@@ -61,24 +59,22 @@
 	}
 }
 
-// checkWatchedRun settles a watched run if its outcome is known, or will not become known. It reports whether
-// the run needs no more checks.
+// checkWatchedRun settles a watched run if its outcome is known. It reports whether that is so.
 func (s *Server) checkWatchedRun(now time.Time, lost *lostRun) (done bool) {
 	entry := s.directory.EntryStateOf(lost.instance)
 	lost.hasLeft = lost.hasLeft || entry == backend.EntryLeaving
-	age := now.Sub(lost.lostAt)
+	silent := lost.run.Outcome == quarantine.Silent
+	listedFor := s.listedFor(now, lost, entry)
 	switch {
 	case lost.hasLeft:
 		s.settleLostRun(context.Background(), nil, lost, quarantine.Survived, entry, "")
-	case entry == backend.EntryReplaced, entry == backend.EntryGone && lost.run.Outcome == quarantine.Silent:
+	case entry == backend.EntryReplaced, entry == backend.EntryGone && silent:
 		s.settleLostRun(context.Background(), nil, lost, quarantine.Ended, entry, "")
-	case s.outlived(now, lost):
+	case s.pool.LastActivity(lost.instance.ID).After(lost.mayEndUntil()):
 		s.settleLostRun(context.Background(), nil, lost, quarantine.Survived, entry, "")
-	case lost.run.Outcome == quarantine.Silent:
-		return age >= silentWindow
 	case entry == backend.EntryGone:
 		go s.probeGone(lost)
-	case age >= watchWindow:
+	case silent && listedFor >= s.lapseTime(), listedFor >= max(watchWindow, s.lapseTime()):
 		s.settleLostRun(context.Background(), nil, lost, quarantine.Survived, entry, "")
 	default:
 		return false
@@ -86,20 +82,27 @@
 	return true
 }
 
-// outlived reports whether the instance is known to have been alive after the run was lost. A silent one is
-// also alive if its entry is still renewed: then only the path to it is cut.
-func (s *Server) outlived(now time.Time, lost *lostRun) bool {
-	if lost.cause == answerOverdue || lost.cause == callerLeft {
-		return false // it may still be running the request
+// mayEndUntil returns the time until which the run may end its instance: one that was abandoned may still be
+// in progress.
+func (l *lostRun) mayEndUntil() time.Time {
+	if l.cause == answerOverdue || l.cause == callerLeft {
+		return l.lostAt.Add(watchWindow)
 	}
-	if s.pool.LastActivity(lost.instance.ID).After(lost.lostAt) {
-		return true
+	return l.lostAt
+}
+
+// listedFor returns how long the instance's entry has been there since the run was lost; 0 if it is not there.
+// The time before an outage of the store does not count, because entries do not lapse during one.
+func (s *Server) listedFor(now time.Time, lost *lostRun, entry backend.EntryState) time.Duration {
+	if entry != backend.EntryListed {
+		return 0
 	}
-	// While the store is away, entries do not lapse.
-	lapsed := min(now.Sub(lost.lostAt), s.freshFor(now)) >= lapsedRenewals*s.options.RenewalInterval
-	return lost.run.Outcome == quarantine.Silent && lapsed && s.directory.EntryStateOf(lost.instance) == backend.EntryListed
+	return min(now.Sub(lost.lostAt), s.freshFor(now))
 }
 
+// lapseTime returns the time after which the entry of an instance that has ended is gone.
+func (s *Server) lapseTime() time.Duration { return lapsedRenewals * s.options.RenewalInterval }
+
 // probeGone settles a lost run of an instance that is no longer listed: some finish their requests first, and
 // have not ended then.
 func (s *Server) probeGone(lost *lostRun) {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -20,8 +20,8 @@
 	// counts against it any more: messages about it that were sent before may still arrive.
 	recordTTL  = time.Hour
 	clearedTTL = time.Minute
-	// openTTL is how long an open run may still be resolved. A gateway resolves its own runs within it;
-	// a run that is still open then belongs to a gateway that ended.
+	// openTTL is how long an open run counts as about to be resolved. A gateway resolves its own runs within it
+	// unless the store is away; others that are still open then belong to a gateway that ended.
 	openTTL = 10 * time.Second
 	// maxRecords and maxRuns bound the memory of a table: 4096 records of a few runs take about 1 MB.
 	maxRecords = 4096
