--- a/internal/gateway/containment_test.go
+++ b/internal/gateway/containment_test.go
@@ -176,15 +176,25 @@
 	return address
 }
 
-func TestSilentInstanceWhoseEntryIsRenewedIsCutOff(t *testing.T) {
-	g := newContainedGateway(t)
-	instance := backend.Instance{ID: "i-1", Service: "apps", Address: silentAddress(t), Zone: "z", Slots: 8}
+// loseSilently records a run whose instance i-1 is listed and does not answer.
+func (g *containedGateway) loseSilently(cause lossCause) {
+	instance := backend.Instance{ID: "i-1", Service: "apps", Address: silentAddress(g.t), Zone: "z", Slots: 8}
 	g.instances = []backend.Instance{instance}
 	g.publish()
-	lost := &lostRun{requestID: "id", key: quarantine.Key{1}, run: quarantine.Run{ID: "id#1", Instance: "i-1"}, instance: instance, cause: machineSilent, lostAt: time.Now()}
-	g.settleLostRun(t.Context(), nil, lost, quarantine.Silent, backend.EntryListed, "")
-	require.Equal(t, 1, g.suspects()[0].Standing.Possible)
-	require.Eventually(t, func() bool { return len(g.suspects()) == 0 }, 5*time.Second, 10*time.Millisecond)
+	lost := &lostRun{requestID: "id", key: quarantine.Key{1}, run: quarantine.Run{ID: "id#1", Instance: "i-1"}, instance: instance, cause: cause, lostAt: time.Now()}
+	g.settleLostRun(g.t.Context(), nil, lost, quarantine.Silent, backend.EntryListed, "")
+	require.Equal(g.t, 1, g.suspects()[0].Standing.Possible)
+}
+
+// A safe call that the gateway gave up may have met a cut path as well.
+func TestSilentInstanceWhoseEntryIsRenewedIsCutOff(t *testing.T) {
+	for _, cause := range []lossCause{machineSilent, answerOverdue} {
+		t.Run(cause.String(), func(t *testing.T) {
+			g := newContainedGateway(t)
+			g.loseSilently(cause)
+			require.Eventually(t, func() bool { return len(g.suspects()) == 0 }, 5*time.Second, 10*time.Millisecond)
+		})
+	}
 }
 
 // Entries do not lapse while the store is away, and may be missing for a moment once it is back.
@@ -207,18 +217,6 @@
 	require.False(t, g.checkWatchedRun(later, lost), "it is missing from a list that may be incomplete")
 }
 
-// A safe call that the gateway gave up may have met a cut path as well.
-func TestCutUnderAbandonedCallIsNoEnd(t *testing.T) {
-	g := newContainedGateway(t)
-	instance := backend.Instance{ID: "i-1", Service: "apps", Address: silentAddress(t), Zone: "z", Slots: 8}
-	g.instances = []backend.Instance{instance}
-	g.publish()
-	lost := &lostRun{requestID: "id", key: quarantine.Key{1}, run: quarantine.Run{ID: "id#1", Instance: "i-1"}, instance: instance, cause: answerOverdue, lostAt: time.Now()}
-	g.settleLostRun(t.Context(), nil, lost, quarantine.Silent, backend.EntryListed, "")
-	require.Equal(t, 1, g.suspects()[0].Standing.Possible)
-	require.Eventually(t, func() bool { return len(g.suspects()) == 0 }, 5*time.Second, 10*time.Millisecond)
-}
-
 // The list tells of an end only once the instance's entry had time to lapse.
 func TestAbandonedRunIsWatchedUntilTheListTells(t *testing.T) {
 	g := newContainedGateway(t)
@@ -246,12 +244,8 @@
 
 func TestSilentInstanceWhoseEntryLapsesHasEnded(t *testing.T) {
 	g := newContainedGateway(t)
-	instance := backend.Instance{ID: "i-1", Service: "apps", Address: silentAddress(t), Zone: "z", Slots: 8}
 	g.options.RenewalInterval = time.Minute
-	g.instances = []backend.Instance{instance}
-	g.publish()
-	lost := &lostRun{requestID: "id", key: quarantine.Key{1}, run: quarantine.Run{ID: "id#1", Instance: "i-1"}, instance: instance, cause: machineSilent, lostAt: time.Now()}
-	g.settleLostRun(t.Context(), nil, lost, quarantine.Silent, backend.EntryListed, "")
+	g.loseSilently(machineSilent)
 	g.instances = nil
 	g.publish()
 	require.Eventually(t, func() bool { return len(g.suspects()) == 1 && g.suspects()[0].Standing.Ended == 1 }, 5*time.Second, 10*time.Millisecond)
