An end within the drain time of an instance that left is no planned stop

A connection that breaks at an instance whose entry is gone was taken for one that finished its requests and stopped, so that end was not counted.

Instances serve on for a known time after they announce that they leave, or after their entry is removed. One that was listed when it got the request and ends before that time is over has not stopped as planned; it is examined like any other. The time is a setting, drainTime; without it, as before, whatever leaves has stopped. TestEndOfInstanceThatHasJustLeftIsCounted failed before.

Engines start again at another port, and proxies listen below the ports that the kernel assigns.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -80,6 +80,7 @@
 		FairShares:       config.FairShares,
 		EndedInstances:   config.EndedInstances,
 		RenewalInterval:  config.RenewalInterval,
+		DrainTime:        config.DrainTime,
 		ColdStarts:       coldstart.Policy{Overage: config.ColdOverage, Slack: config.ColdSlack},
 	})
 	gossip := gateway.NewGossip(config.Node, config.Zone, config.Places(), directory, sentBytes)
--- a/internal/e2e/soak_lethal_test.go
+++ b/internal/e2e/soak_lethal_test.go
@@ -64,7 +64,7 @@
 				continue
 			}
 			assert.NoError(s.t, backEnd.Restart())
-			assert.NoError(s.t, s.backEndProxies[backEnd.ID].Resume())
+			assert.NoError(s.t, s.backEndProxies[backEnd.ID].Resume(backEnd.Address()))
 			s.relist(backEnd)
 		}
 		<-time.After(10 * time.Millisecond)
--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -109,7 +109,7 @@
 }
 
 func runSoak(t *testing.T, seed uint64) {
-	fleet := startFleetWith(t, fleetLayout{gateways: 3, replicas: 4, engines: 4, apps: 3, versions: []string{"v1", "v2"}, proxied: true, quotaSlack: soakSlack, gatewaySettings: "guarantees: [pressure]\n" + containmentSettings})
+	fleet := startFleetWith(t, fleetLayout{gateways: 3, replicas: 4, engines: 4, apps: 3, versions: []string{"v1", "v2"}, proxied: true, quotaSlack: soakSlack, gatewaySettings: "guarantees: [pressure]\ndrainTime: 2s\n" + containmentSettings})
 	s := &soak{fleet: fleet, seed: seed, startedAt: time.Now(), random: rand.New(rand.NewPCG(seed, 0)), busyTargets: map[string]bool{}, version: fleet.config.Version}
 	t.Cleanup(s.keepLogs)
 	t.Cleanup(s.printStory)
--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -42,9 +43,9 @@
 // Proxy forwards connections to one target. It is safe for concurrent use.
 type Proxy struct {
 	address string
-	target  string
 
 	mu        sync.Mutex
+	target    string
 	condition Condition
 	// changed is closed and replaced at each change of the condition.
 	changed chan struct{}
@@ -59,7 +60,7 @@
 
 // New starts a proxy to the target (host:port) on a free loopback port.
 func New(target string) (*Proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listen()
 	if err != nil {
 		return nil, err
 	}
@@ -69,6 +70,19 @@
 	return p, nil
 }
 
+// listen listens on a free port below those that the kernel assigns to connections, so that no connection takes
+// the port while the proxy is suspended.
+func listen() (listener net.Listener, err error) {
+	const firstPort, ports, attempts = 20000, 12000, 100
+	for range attempts {
+		listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
+		if err == nil {
+			return listener, nil
+		}
+	}
+	return nil, fmt.Errorf("faultproxy: %w", err)
+}
+
 // Address returns the host:port that the proxy listens on.
 func (p *Proxy) Address() string { return p.address }
 
@@ -100,6 +114,12 @@
 	}
 }
 
+func (p *Proxy) currentTarget() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.target
+}
+
 func (p *Proxy) isBlackholed(connection *net.TCPConn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -115,8 +135,8 @@
 	p.Reset()
 }
 
-// Resume accepts connections again after Suspend.
-func (p *Proxy) Resume() error {
+// Resume accepts connections again after Suspend, for a target that may have another address now.
+func (p *Proxy) Resume(target string) error {
 	listener, err := net.Listen("tcp", p.Address())
 	if err != nil {
 		return fmt.Errorf("faultproxy: %w", err)
@@ -126,7 +146,7 @@
 	if p.closed {
 		return listener.Close()
 	}
-	p.listener = listener
+	p.listener, p.target = listener, target
 	p.running.Add(1)
 	go p.accept(listener)
 	return nil
@@ -172,7 +192,7 @@
 		reset(caller)
 		return
 	}
-	dialed, err := net.Dial("tcp", p.target)
+	dialed, err := net.Dial("tcp", p.currentTarget())
 	if err != nil {
 		reset(caller)
 		return
--- a/internal/faultproxy/proxy_test.go
+++ b/internal/faultproxy/proxy_test.go
@@ -118,3 +118,13 @@
 	}
 	require.ErrorIs(t, err, syscall.ECONNRESET)
 }
+
+func TestSuspendedProxyRefusesUntilItsTargetIsBack(t *testing.T) {
+	proxy := proxyTo(t, "127.0.0.1:1")
+	proxy.Suspend()
+	_, err := net.Dial("tcp", proxy.Address())
+	require.ErrorIs(t, err, syscall.ECONNREFUSED)
+	require.NoError(t, proxy.Resume(echo(t)))
+	connection, lines := dial(t, proxy)
+	require.Equal(t, "a\n", <-sendLine(connection, lines, "a"))
+}
--- a/internal/gateway/containment_test.go
+++ b/internal/gateway/containment_test.go
@@ -120,35 +120,57 @@
 	require.Empty(t, g.suspects())
 }
 
+// leavingWays are the ways in which an instance begins a planned stop.
+var leavingWays = map[string]func(*containedGateway){
+	"announced":           (*containedGateway).leave,
+	"without an announce": func(g *containedGateway) { g.instances = nil; g.publish() },
+}
+
 func TestPlannedStopIsNoEnd(t *testing.T) {
-	for name, leave := range map[string]func(*containedGateway){
-		"announced":           (*containedGateway).leave,
-		"without an announce": func(g *containedGateway) { g.instances = nil; g.publish() },
-	} {
+	for name, leave := range leavingWays {
 		t.Run(name, func(t *testing.T) {
 			g := newContainedGateway(t)
-			var server atomic.Pointer[httptest.Server]
-			began := make(chan struct{})
-			stopped := make(chan struct{})
-			server.Store(g.list("i-1", func(_ http.ResponseWriter, r *http.Request) {
-				_, _ = io.Copy(io.Discard, r.Body)
-				close(began)
-				<-stopped
-				_ = server.Load().Listener.Close()
-				panic(http.ErrAbortHandler)
-			}))
-			g.table.Load().Match("apps.test", "/safe/1").Objective = time.Second // it waits for the answer
-			answered := make(chan int, 1)
-			go func() { answered <- g.call("x").Code }()
-			<-began
-			leave(g)
-			close(stopped)
-			require.Equal(t, http.StatusBadGateway, <-answered)
+			g.endWhileLeaving(leave)
 			require.Empty(t, g.suspects())
 		})
 	}
 }
 
+// endWhileLeaving ends an instance that runs a request after it has begun to leave.
+func (g *containedGateway) endWhileLeaving(leave func(*containedGateway)) {
+	var server atomic.Pointer[httptest.Server]
+	began := make(chan struct{})
+	stopped := make(chan struct{})
+	server.Store(g.list("i-1", func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(began)
+		<-stopped
+		_ = server.Load().Listener.Close()
+		panic(http.ErrAbortHandler)
+	}))
+	g.table.Load().Match("apps.test", "/safe/1").Objective = time.Second // it waits for the answer
+	answered := make(chan int, 1)
+	go func() { answered <- g.call("x").Code }()
+	<-began
+	leave(g)
+	close(stopped)
+	require.Equal(g.t, http.StatusBadGateway, <-answered)
+}
+
+// An instance that has just announced that it leaves, or whose entry was just removed, serves on for a while: one
+// that ends before that has not stopped as planned.
+func TestEndOfInstanceThatHasJustLeftIsCounted(t *testing.T) {
+	for name, leave := range leavingWays {
+		t.Run(name, func(t *testing.T) {
+			g := newContainedGateway(t)
+			g.options.DrainTime = time.Minute
+			g.endWhileLeaving(leave)
+			require.Len(t, g.suspects(), 1)
+			require.Equal(t, quarantine.Standing{Ended: 1}, g.suspects()[0].Standing)
+		})
+	}
+}
+
 // A run that the gateway abandoned counts if its instance ends soon after.
 func TestLateEndOfAbandonedRunIsCounted(t *testing.T) {
 	g := newContainedGateway(t)
--- a/internal/gateway/lostrun.go
+++ b/internal/gateway/lostrun.go
@@ -49,6 +49,9 @@
 	hasLeft bool
 }
 
+// isAbandoned reports whether the run may still have been in progress when it was lost.
+func (l *lostRun) isAbandoned() bool { return l.cause == answerOverdue || l.cause == callerLeft }
+
 // causeOfLoss returns how a run was lost. ctx is the request's context; overdue is set if this gateway stopped
 // waiting for the answer.
 func causeOfLoss(ctx context.Context, overdue bool, watch *livenessWatch) lossCause {
@@ -125,10 +128,11 @@
 	}
 	lost := s.newLostRun(r, choice, cause)
 	r.recordedRun = nil // the lost run stands for it
+	mayHaveStopped := s.mayHaveStopped(lost)
 	switch entry := s.directory.EntryStateOf(lost.instance); {
 	case cause == callerLeft:
 		s.watchLostRun(lost)
-	case entry == backend.EntryLeaving:
+	case entry == backend.EntryLeaving && mayHaveStopped:
 		s.settleLostRun(ctx, r, lost, quarantine.Survived, entry, "")
 	case entry == backend.EntryReplaced:
 		s.settleLostRun(ctx, r, lost, quarantine.Ended, entry, "")
@@ -136,7 +140,7 @@
 		s.settleLostRun(ctx, r, lost, quarantine.Ended, entry, "")
 	case cause == machineSilent:
 		s.settleLostRun(ctx, r, lost, quarantine.Silent, entry, "")
-	case cause == connectionBroke && entry == backend.EntryGone:
+	case cause == connectionBroke && entry == backend.EntryGone && mayHaveStopped:
 		s.settleLostRun(ctx, r, lost, quarantine.Survived, entry, "") // it finished its requests after it left
 	case cause == connectionBroke:
 		s.probeLostRun(ctx, r, lost)
@@ -145,12 +149,19 @@
 	}
 }
 
+// mayHaveStopped reports whether the instance, if it has left, may have stopped as planned. One that was listed
+// when it got the request, less than DrainTime before the loss, must still have been serving.
+func (s *Server) mayHaveStopped(lost *lostRun) bool {
+	ran := lost.lostAt.Sub(lost.sentAt)
+	return lost.isAbandoned() || ran >= s.options.DrainTime || ran > s.freshFor(lost.lostAt)
+}
+
 // probeLostRun determines by a connection attempt what became of the instance of a lost run.
 func (s *Server) probeLostRun(ctx context.Context, r *request, lost *lostRun) {
 	contact, known := s.pool.ContactSince(ctx, lost.instance, lost.lostAt)
 	entry := s.directory.EntryStateOf(lost.instance)
 	switch {
-	case entry == backend.EntryLeaving:
+	case entry == backend.EntryLeaving && (contact == backend.Accepted || s.mayHaveStopped(lost)):
 		s.settleLostRun(ctx, r, lost, quarantine.Survived, entry, contact.String())
 	case known && contact == backend.Refused:
 		s.settleLostRun(ctx, r, lost, quarantine.Ended, entry, contact.String())
--- a/internal/gateway/lostrunwatch.go
+++ b/internal/gateway/lostrunwatch.go
@@ -62,8 +62,8 @@
 // checkWatchedRun settles a watched run if its outcome is known. It reports whether that is so.
 func (s *Server) checkWatchedRun(now time.Time, lost *lostRun) (done bool) {
 	entry := s.directory.EntryStateOf(lost.instance)
-	lost.hasLeft = lost.hasLeft || entry == backend.EntryLeaving
 	silent := lost.run.Outcome == quarantine.Silent
+	lost.hasLeft = lost.hasLeft || entry == backend.EntryLeaving && (!silent || s.mayHaveStopped(lost))
 	listedFor := s.listedFor(now, lost, entry)
 	switch {
 	case lost.hasLeft:
@@ -85,7 +85,7 @@
 // mayEndUntil returns the time until which the run may end its instance: one that was abandoned may still be
 // in progress.
 func (l *lostRun) mayEndUntil() time.Time {
-	if l.cause == answerOverdue || l.cause == callerLeft {
+	if l.isAbandoned() {
 		return l.lostAt.Add(watchWindow)
 	}
 	return l.lostAt
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -75,6 +75,9 @@
 	EndedInstances int
 	// RenewalInterval is how often instances renew their entries.
 	RenewalInterval time.Duration
+	// DrainTime is how long an instance serves on, at least, after it announced that it leaves or its entry was
+	// removed; 0 if that is unknown.
+	DrainTime time.Duration
 	// ColdStarts determines by how much cold instances may exceed their limit.
 	ColdStarts coldstart.Policy
 }
--- a/internal/settings/fleet.go
+++ b/internal/settings/fleet.go
@@ -78,7 +78,10 @@
 	EndedInstances int `koanf:"endedInstances" validate:"gte=0,lte=16"`
 	// RenewalInterval is how often instances renew their entries in the store.
 	RenewalInterval time.Duration `koanf:"renewalInterval" validate:"gt=0"`
-	LoadControl     `koanf:",squash"`
+	// DrainTime is how long an instance serves on, at least, after it announced that it leaves or its entry was
+	// removed; 0 means that this is unknown.
+	DrainTime   time.Duration `koanf:"drainTime" validate:"gte=0"`
+	LoadControl `koanf:",squash"`
 }
 
 // HeldBytes returns the number of bytes that may be buffered for callers.
