A refused connection tells the end of abandoned runs at once

A call that its gateway gave up, and whose instance ended a moment later, counted only once the list showed the end: after four renewals. A caller that comes back in between met further instances. Any request that is refused by the instance's address tells the same; the watch of abandoned runs now asks for that, without a connection of its own.

TestRefusedConnectionTellsTheEndOfAbandonedRun failed before (the list does not change in it).

--- a/internal/backend/liveness.go
+++ b/internal/backend/liveness.go
@@ -33,8 +33,9 @@
 // hang for seconds. It is safe for concurrent use.
 type liveness struct {
 	mu sync.Mutex
-	// lastActivity is when the instance last sent data on any connection.
-	lastActivity time.Time
+	// lastActivity is when the instance last sent data on any connection, refusedAt when its address last refused
+	// one.
+	lastActivity, refusedAt time.Time
 	// probedAt and contact are the time and the result of the last probe, probeStarted is when it or the
 	// current one began. probeDone is closed at the end of the current probe; it is nil if none is running.
 	probeStarted, probedAt time.Time
@@ -64,6 +65,22 @@
 	l.mu.Unlock()
 }
 
+// recordRefusal records that the instance's address refused a connection.
+func (l *liveness) recordRefusal(now time.Time) {
+	l.mu.Lock()
+	l.refusedAt = now
+	l.mu.Unlock()
+}
+
+// HasRefusedSince reports whether the instance's address has refused a connection since the given time: then its
+// process ended at some time before.
+func (p *Pool) HasRefusedSince(id string, since time.Time) bool {
+	state := p.livenessOf(id)
+	state.mu.Lock()
+	defer state.mu.Unlock()
+	return state.refusedAt.After(since)
+}
+
 // RecordActivity records that an instance sent data.
 func (p *Pool) RecordActivity(now time.Time, id string) { p.livenessOf(id).recordActivity(now) }
 
@@ -166,6 +183,9 @@
 	}
 	state.mu.Lock()
 	state.probedAt, state.contact = time.Now(), contact
+	if contact == Refused {
+		state.refusedAt = state.probedAt
+	}
 	close(state.probeDone)
 	state.probeDone = nil
 	state.mu.Unlock()
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"slices"
 	"sync"
@@ -77,6 +78,9 @@
 	}
 	p.Opened()
 	opened, err := peer.Dialer(connectTimeout).DialContext(ctx, "tcp", instance.Address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		p.livenessOf(instance.ID).recordRefusal(time.Now())
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/containment_test.go
+++ b/internal/gateway/containment_test.go
@@ -189,6 +189,25 @@
 	require.Eventually(t, func() bool { return len(g.suspects()) == 1 }, 5*time.Second, 10*time.Millisecond)
 }
 
+// The list shows the end of an instance late. Other requests that meet its refusal tell it at once.
+func TestRefusedConnectionTellsTheEndOfAbandonedRun(t *testing.T) {
+	g := newContainedGateway(t)
+	g.options.RenewalInterval = time.Minute
+	released := make(chan struct{})
+	server := g.list("i-1", func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-released
+	})
+	t.Cleanup(func() { close(released) })
+	require.GreaterOrEqual(t, g.call("x").Code, http.StatusInternalServerError)
+	<-time.After(2 * watchInterval)
+	require.Empty(t, g.suspects(), "the instance lives")
+	require.NoError(t, server.Listener.Close())
+	server.CloseClientConnections()
+	require.Equal(t, http.StatusServiceUnavailable, g.call("y").Code)
+	require.Eventually(t, func() bool { return len(g.suspects()) == 1 && g.suspects()[0].Standing.Ended == 1 }, 5*time.Second, 10*time.Millisecond)
+}
+
 // silentAddress returns an address whose machine answers no connection attempt.
 func silentAddress(t *testing.T) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/gateway/lostrunwatch.go
+++ b/internal/gateway/lostrunwatch.go
@@ -72,6 +72,8 @@
 		s.settleLostRun(context.Background(), nil, lost, quarantine.Ended, entry, "")
 	case s.pool.LastActivity(lost.instance.ID).After(lost.mayEndUntil()):
 		s.settleLostRun(context.Background(), nil, lost, quarantine.Survived, entry, "")
+	case s.pool.HasRefusedSince(lost.instance.ID, lost.lostAt):
+		s.settleLostRun(context.Background(), nil, lost, quarantine.Ended, entry, backend.Refused.String())
 	case entry == backend.EntryGone:
 		go s.probeGone(lost)
 	case silent && listedFor >= s.lapseTime(), listedFor >= max(watchWindow, s.lapseTime()):
