--- a/internal/e2e/soak_load_test.go
+++ b/internal/e2e/soak_load_test.go
@@ -45,7 +45,7 @@
 
 // startLoadGenerators starts the load generators, which run until the context ends.
 func (s *soak) startLoadGenerators(ctx context.Context, running *sync.WaitGroup) {
-	number := uint64(soakCallers)
+	number := uint64(soakCallers * *soakScale)
 	add := func(count, tenant int, run func(c *soakCaller)) {
 		for range count {
 			number++
--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -29,6 +29,8 @@
 	soakFor  = flag.Duration("soak.for", 4*time.Second, "duration of fault injection, for each seed")
 	soakSeed = flag.String("soak.seed", "", "comma-separated seeds; 0 selects a random seed; empty runs the regression seeds")
 	soakLogs = flag.String("soak.logs", "", "folder for the logs of failed runs")
+	// soakScale makes a fleet larger than that of CI.
+	soakScale = flag.Int("soak.scale", 1, "factor for the number of processes, back ends and callers")
 )
 
 // failedSeeds are regression seeds that found faults; docs/FINDINGS.md explains them.
@@ -57,12 +59,20 @@
 			seeds = append(seeds, seed)
 		}
 	}
+	lanes := make(chan struct{}, soakLanes)
 	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSoak(t, seed) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			lanes <- struct{}{}
+			defer func() { <-lanes }()
+			runSoak(t, seed)
+		})
 	}
 }
 
 const (
+	// soakLanes is how many seeds run at the same time: a run waits for processes most of its time.
+	soakLanes   = 2
 	soakCallers = 8
 	// minFaultPause and maxFaultPause bound the pause between the starts of two faults.
 	minFaultPause, maxFaultPause = 100 * time.Millisecond, 700 * time.Millisecond
@@ -109,7 +119,8 @@
 }
 
 func runSoak(t *testing.T, seed uint64) {
-	fleet := startFleetWith(t, fleetLayout{gateways: 3, replicas: 4, engines: 4, apps: 3, versions: []string{"v1", "v2"}, proxied: true, quotaSlack: soakSlack, gatewaySettings: "guarantees: [pressure]\ndrainTime: 2s\n" + containmentSettings})
+	scale := *soakScale
+	fleet := startFleetWith(t, fleetLayout{gateways: 3 * scale, replicas: 4 * scale, engines: 4 * scale, apps: 3 * scale, versions: []string{"v1", "v2"}, proxied: true, quotaSlack: soakSlack, gatewaySettings: "guarantees: [pressure]\ndrainTime: 2s\n" + containmentSettings})
 	s := &soak{fleet: fleet, seed: seed, startedAt: time.Now(), random: rand.New(rand.NewPCG(seed, 0)), busyTargets: map[string]bool{}, version: fleet.config.Version}
 	t.Cleanup(s.keepLogs)
 	t.Cleanup(s.printStory)
@@ -122,7 +133,7 @@
 	s.checkConfiguration(t) // until then, requests have no tenant
 	ctx, stop := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
-	for number := range uint64(soakCallers) {
+	for number := range uint64(soakCallers * scale) {
 		callers.Add(1)
 		go func() {
 			defer callers.Done()
