A gateway that starts or was suspended reads the records before it sends

Turns were safe: their reservation tells the runs.

Requests now wait until the records were read, at the start (1.5 s at most, and only readiness asked for that before) and after a suspension, which the loop that checks for missed messages finds by the age of its last check. Otherwise a request compares two numbers more.

TestRequestThatEndsInstancesIsStopped/at_a_gateway_that_starts failed before (4 ends); that of a suspended gateway passes on the former code too, because its socket still holds the messages, and TestSuspendedGatewayReadsTheRecordsBefore- ItSends asks for it without them.

--- a/internal/e2e/endedinstances_test.go
+++ b/internal/e2e/endedinstances_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -51,6 +52,8 @@
 	t.Run("after all processes were killed", f.testLethalRequestAfterAllKilled)
 	t.Run("two callers of one request at two gateways", f.testLethalRequestAtTwoGateways)
 	t.Run("after its gateway was killed", f.testLethalRequestAfterGatewayKilled)
+	t.Run("at a gateway that was suspended", f.testLethalRequestAtSuspendedGateway)
+	t.Run("at a gateway that starts", f.testLethalRequestAtStartingGateway)
 }
 
 // lethalRequest is a kind of request that ends the instances that run it.
@@ -232,9 +235,7 @@
 		}
 		pair.Wait()
 	}
-	ends, late := f.endsUnder(ids)
-	require.LessOrEqual(t, ends, endedInstances)
-	require.Empty(t, late)
+	f.requireContained(t, ids)
 }
 
 // testKilledBetween kills processes after the first attempt at a request.
@@ -260,9 +261,66 @@
 				f.awaitTurn()
 			}
 		}
-		ends, late := f.endsUnder(ids)
 		stop()
-		require.LessOrEqual(t, ends, endedInstances)
-		require.Empty(t, late)
+		f.requireContained(t, ids)
 	}
 }
+
+// quarantineAt sends a lethal call at gateways until they refuse it, and returns the ids of its attempts.
+func (f *fleet) quarantineAt(t *testing.T, kind lethalRequest, gateways []*member) []string {
+	var ids []string
+	const attempts = 8
+	for number := range attempts {
+		got := f.attempt(kind, gateways[number%len(gateways)], lethalBody)
+		ids = append(ids, got.id)
+		if strings.Contains(got.body, "request_quarantined") {
+			return ids
+		}
+	}
+	require.Fail(t, "the call is not refused")
+	return nil
+}
+
+// testLethalRequestAtSuspendedGateway sends a call to a gateway that is suspended until others have quarantined
+// the call.
+func (f *fleet) testLethalRequestAtSuspendedGateway(t *testing.T) {
+	kind := lethalRequest{path: "/start/t", program: f.newID()}
+	f.setLethal(platformtest.Behaviour{End: platformtest.ProcessEnds})
+	defer f.replaceEndedUntilStopped(t)()
+	suspended := f.gateways[0]
+	require.NoError(t, suspended.command.Process.Signal(syscall.SIGSTOP))
+	id, answered := f.newID(), make(chan exchangeResult, 1)
+	go func() {
+		answered <- exchange(suspended, id, appsHost, kind.path, http.Header{"X-Program-Id": {kind.program}, "X-Session-Id": {"s"}, "X-Deadline-Ms": {"5000"}}, lethalBody)
+	}()
+	ids := f.quarantineAt(t, kind, f.gateways[1:])
+	<-time.After(time.Second) // the messages of the others do not find it any more
+	require.NoError(t, suspended.command.Process.Signal(syscall.SIGCONT))
+	<-answered
+	f.requireContained(t, append(ids, id))
+}
+
+// testLethalRequestAtStartingGateway sends a call that others have quarantined to a gateway as soon as it serves.
+func (f *fleet) testLethalRequestAtStartingGateway(t *testing.T) {
+	kind := lethalRequest{path: "/start/t", program: f.newID()}
+	f.setLethal(platformtest.Behaviour{End: platformtest.ProcessEnds})
+	defer f.replaceEndedUntilStopped(t)()
+	starting := f.gateways[0]
+	f.kill(starting)
+	ids := f.quarantineAt(t, kind, f.gateways[1:])
+	f.start(starting)
+	require.Eventually(t, func() bool {
+		got := f.attempt(kind, starting, lethalBody)
+		ids = append(ids, got.id)
+		return strings.Contains(got.body, "request_quarantined")
+	}, 20*time.Second, time.Millisecond)
+	f.requireContained(t, ids)
+	f.awaitReady(starting)
+}
+
+// requireContained checks that no more instances ended under the attempts than may.
+func (f *fleet) requireContained(t *testing.T, ids []string) {
+	ends, late := f.endsUnder(ids)
+	require.LessOrEqual(t, ends, endedInstances)
+	require.Empty(t, late)
+}
--- a/internal/gateway/containment.go
+++ b/internal/gateway/containment.go
@@ -41,6 +41,9 @@
 	records atomic.Int64
 	// restored is set once the records of the time before this gateway started were read, or given up.
 	restored atomic.Bool
+	// checkedAt is when it was last checked whether messages of the other gateways were missed, as a duration
+	// since the gateway started; 0 before the first check.
+	checkedAt atomic.Int64
 
 	mu    sync.Mutex
 	table *quarantine.Table
@@ -143,6 +146,7 @@
 // beginRun records the next run of a suspect before it is sent. It returns the failure of a request that must
 // not be sent, or nil.
 func (s *Server) beginRun(ctx context.Context, r *request, choice backend.Choice) *backend.Failure {
+	s.awaitRecords(ctx)
 	decision, standing := s.verdictOn(r, "")
 	if decision == quarantine.Clear && len(r.programRuns) == 0 {
 		return nil
--- a/internal/gateway/containment_test.go
+++ b/internal/gateway/containment_test.go
@@ -34,6 +34,7 @@
 func newContainedGateway(t *testing.T) *containedGateway {
 	s := newTestGateway(t)
 	s.containment = newContainment(testLimit)
+	s.containment.restored.Store(true)
 	s.options.EndedInstances, s.options.RenewalInterval, s.options.Copies = testLimit, 50*time.Millisecond, 1
 	s.dialect.Signature, s.dialect.ExpectedInstance, s.dialect.NotExecuted = "X-Test-Signature", "X-Test-Expected", "X-Test-Not-Executed"
 	s.ConfigurationChanged(route.NewTable(2, []*route.Route{{
@@ -54,6 +55,22 @@
 	return server
 }
 
+// listAnswering lists an instance that answers, and returns the number of requests that it got.
+func (g *containedGateway) listAnswering(id string) *atomic.Int32 {
+	var sent atomic.Int32
+	g.list(id, func(w http.ResponseWriter, _ *http.Request) {
+		sent.Add(1)
+		w.Header().Set("X-Test-Id", "id")
+		w.Header().Set("X-Test-Signature", "s")
+	})
+	return &sent
+}
+
+// keyOfCall returns the key of a call with the given body.
+func (g *containedGateway) keyOfCall(body string) quarantine.Key {
+	return g.keyOf(&request{host: "apps.test", method: http.MethodPost, target: "http://apps.test/safe/1", header: http.Header{}, input: []byte(body)})
+}
+
 func (g *containedGateway) publish() {
 	g.InstancesChanged(backend.Changes{Snapshot: true, Listed: append([]backend.Instance(nil), g.instances...)}, false)
 }
@@ -294,13 +311,8 @@
 
 func TestQuarantinedRequestIsRefusedAtOnceAndOthersAreServed(t *testing.T) {
 	g := newContainedGateway(t)
-	var sent atomic.Int32
-	g.list("i-1", func(w http.ResponseWriter, _ *http.Request) {
-		sent.Add(1)
-		w.Header().Set("X-Test-Id", "id")
-		w.Header().Set("X-Test-Signature", "s")
-	})
-	key := g.keyOf(&request{host: "apps.test", method: http.MethodPost, target: "http://apps.test/safe/1", header: http.Header{}, input: []byte("x")})
+	sent := g.listAnswering("i-1")
+	key := g.keyOfCall("x")
 	for _, id := range []string{"a", "b", "c"} {
 		g.containment.merge(time.Now(), key, quarantine.Run{ID: id, Instance: id, Outcome: quarantine.Ended})
 	}
@@ -329,11 +341,8 @@
 
 func TestSuspectThatCompletesIsReleased(t *testing.T) {
 	g := newContainedGateway(t)
-	g.list("i-1", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("X-Test-Id", "id")
-		w.Header().Set("X-Test-Signature", "s")
-	})
-	key := g.keyOf(&request{host: "apps.test", method: http.MethodPost, target: "http://apps.test/safe/1", header: http.Header{}, input: []byte("x")})
+	g.listAnswering("i-1")
+	key := g.keyOfCall("x")
 	g.containment.merge(time.Now(), key, quarantine.Run{ID: "a", Instance: "a", Outcome: quarantine.Ended})
 	require.Len(t, g.suspects(), 1)
 	require.Equal(t, http.StatusOK, g.call("x").Code)
@@ -384,8 +393,24 @@
 	require.Len(t, to.suspects(), 1)
 }
 
+// A gateway that was suspended did not hear of the ends in the meantime.
+func TestSuspendedGatewayReadsTheRecordsBeforeItSends(t *testing.T) {
+	g := newContainedGateway(t)
+	go g.RunContainment(t.Context())
+	require.Eventually(t, func() bool { return g.containment.checkedAt.Load() > 0 }, 20*time.Second, time.Millisecond)
+	sent := g.listAnswering("i-1")
+	for _, id := range []string{"a", "b", "c"} {
+		_, err := g.replicas.RecordRun(t.Context(), g.keyOfCall("x"), quarantine.Run{ID: id, Instance: id, Outcome: quarantine.Ended}, 1)
+		require.NoError(t, err)
+	}
+	g.containment.checkedAt.Store(-int64(time.Minute))
+	require.Equal(t, http.StatusServiceUnavailable, g.call("x").Code)
+	require.Zero(t, sent.Load())
+}
+
 func TestStartingGatewayReadsTheRecords(t *testing.T) {
 	g := newContainedGateway(t)
+	g.containment.restored.Store(false)
 	require.False(t, g.isContainmentRestored())
 	_, err := g.replicas.RecordRun(t.Context(), quarantine.Key{1}, quarantine.Run{ID: "a", Instance: "a", Outcome: quarantine.Ended}, 1)
 	require.NoError(t, err)
--- a/internal/gateway/containmentloop.go
+++ b/internal/gateway/containmentloop.go
@@ -8,38 +8,66 @@
 )
 
 const (
-	// containmentInterval is how often a gateway checks whether it has lost contact to the other gateways, and
+	// containmentInterval is how often a gateway checks whether it has missed messages of the other gateways, and
 	// drops expired records.
-	containmentInterval = time.Second
+	containmentInterval = 200 * time.Millisecond
+	// readRecordsTimeout bounds one attempt to read the records.
+	readRecordsTimeout = 250 * time.Millisecond
+	// maxCheckAge is the age of the last check above which this process was suspended: a check and an attempt to
+	// read the records take less.
+	maxCheckAge = 600 * time.Millisecond
 	// restoreRetryInterval is the first pause between attempts of a starting gateway to read the records.
 	restoreRetryInterval = 50 * time.Millisecond
 	// restoreLimit is how long it waits for them before it is ready without them.
 	restoreLimit = 1500 * time.Millisecond
+	// recordsPollInterval is how often a request checks whether the records are current.
+	recordsPollInterval = 5 * time.Millisecond
 )
 
 // RunContainment reads the records of requests that end instances when the gateway starts, and again after it
-// was cut off from the other gateways, until the context ends.
+// was cut off from the other gateways or suspended, until the context ends.
 func (s *Server) RunContainment(ctx context.Context) {
-	if s.containment == nil {
+	c := s.containment
+	if c == nil {
 		return
 	}
-	for pause := restoreRetryInterval; s.readQuarantine(ctx) != nil; pause = min(2*pause, containmentInterval) {
+	for pause := restoreRetryInterval; s.readQuarantine(ctx) != nil; pause = min(2*pause, time.Second) {
 		if !wait.For(ctx, pause) {
 			return
 		}
 	}
-	s.containment.restored.Store(true)
-	missedMessages := false
-	for wait.For(ctx, containmentInterval) {
+	c.restored.Store(true)
+	c.checkedAt.Store(int64(time.Since(s.started)))
+	for missedMessages := false; wait.For(ctx, containmentInterval); {
 		now := time.Now()
-		s.containment.expire(now)
+		c.expire(now)
 		gossip := s.gossip.Load()
 		cutOff := gossip != nil && gossip.PeersTimedOut(now)
+		missedMessages = missedMessages || cutOff || !s.areRecordsCurrent()
 		if missedMessages && !cutOff {
 			missedMessages = s.readQuarantine(ctx) != nil
-			continue
 		}
-		missedMessages = missedMessages || cutOff
+		c.checkedAt.Store(int64(time.Since(s.started)))
+	}
+}
+
+// areRecordsCurrent reports whether this gateway has read the records since it started, and was not suspended
+// since its last check.
+func (s *Server) areRecordsCurrent() bool {
+	if !s.isContainmentRestored() {
+		return false
+	}
+	checkedAt := time.Duration(s.containment.checkedAt.Load())
+	return checkedAt == 0 || time.Since(s.started)-checkedAt <= maxCheckAge
+}
+
+// awaitRecords waits until the records are current. A gateway that was suspended would otherwise send requests
+// under which instances have ended in the meantime.
+func (s *Server) awaitRecords(ctx context.Context) {
+	if s.containment == nil {
+		return
+	}
+	for !s.areRecordsCurrent() && wait.For(ctx, recordsPollInterval) {
 	}
 }
 
@@ -68,7 +96,7 @@
 
 // readQuarantine reads the records of the replicas.
 func (s *Server) readQuarantine(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, restoreLimit)
+	ctx, cancel := context.WithTimeout(ctx, readRecordsTimeout)
 	defer cancel()
 	records, err := s.replicas.ReadQuarantine(ctx)
 	if err != nil {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -251,6 +251,9 @@
 		s.refuse(w, r, failure)
 		return
 	}
+	ctx, cancel := context.WithDeadline(incoming.Context(), r.deadline)
+	defer cancel()
+	s.awaitRecords(ctx)
 	if failure := s.refuseContained(r); failure != nil {
 		s.refuse(w, r, failure)
 		return
@@ -259,8 +262,6 @@
 		s.refuse(w, r, failure)
 		return
 	}
-	ctx, cancel := context.WithDeadline(incoming.Context(), r.deadline)
-	defer cancel()
 	if r.route.Kind == route.Streaming {
 		s.serveStream(ctx, w, r)
 		return
