--- a/internal/e2e/endedinstances_test.go
+++ b/internal/e2e/endedinstances_test.go
@@ -105,11 +105,11 @@
 	})
 }
 
-// replaceEndedUntilStopped replaces ended instances until the returned function is called.
-func (f *fleet) replaceEndedUntilStopped(t *testing.T) (stop func()) {
-	ctx, cancel := context.WithCancel(t.Context())
+// runUntilStopped runs a function in the background until the returned one is called.
+func runUntilStopped(run func(context.Context)) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	running.Go(func() { f.replaceEnded(ctx) })
+	running.Go(func() { run(ctx) })
 	return func() {
 		cancel()
 		running.Wait()
@@ -180,7 +180,7 @@
 func (f *fleet) testLethalRequest(t *testing.T, kind lethalRequest, behaviour platformtest.Behaviour) {
 	kind.program = f.newID()
 	f.setLethal(behaviour)
-	defer f.replaceEndedUntilStopped(t)()
+	defer runUntilStopped(f.replaceEnded)()
 	var ids []string
 	refused := false
 	const attempts = 16
@@ -221,7 +221,7 @@
 func (f *fleet) testLethalRequestAtTwoGateways(t *testing.T) {
 	kind := lethalRequest{path: "/chat/t", program: f.newID()}
 	f.setLethal(platformtest.Behaviour{End: platformtest.ProcessEnds, EndAfter: 50 * time.Millisecond})
-	defer f.replaceEndedUntilStopped(t)()
+	defer runUntilStopped(f.replaceEnded)()
 	var ids []string
 	for range 8 {
 		var pair sync.WaitGroup
@@ -243,7 +243,7 @@
 	for _, path := range []string{"/chat/t", "/start/t"} {
 		kind := lethalRequest{path: path, program: f.newID()}
 		f.setLethal(platformtest.Behaviour{End: platformtest.ProcessEnds})
-		stop := f.replaceEndedUntilStopped(t)
+		stop := runUntilStopped(f.replaceEnded)
 		var ids []string
 		for number := range 8 {
 			got := f.attempt(kind, f.gateways[number%len(f.gateways)], lethalBody)
@@ -286,7 +286,7 @@
 func (f *fleet) testLethalRequestAtSuspendedGateway(t *testing.T) {
 	kind := lethalRequest{path: "/start/t", program: f.newID()}
 	f.setLethal(platformtest.Behaviour{End: platformtest.ProcessEnds})
-	defer f.replaceEndedUntilStopped(t)()
+	defer runUntilStopped(f.replaceEnded)()
 	suspended := f.gateways[0]
 	require.NoError(t, suspended.command.Process.Signal(syscall.SIGSTOP))
 	id, answered := f.newID(), make(chan exchangeResult, 1)
@@ -304,7 +304,7 @@
 func (f *fleet) testLethalRequestAtStartingGateway(t *testing.T) {
 	kind := lethalRequest{path: "/start/t", program: f.newID()}
 	f.setLethal(platformtest.Behaviour{End: platformtest.ProcessEnds})
-	defer f.replaceEndedUntilStopped(t)()
+	defer runUntilStopped(f.replaceEnded)()
 	starting := f.gateways[0]
 	f.kill(starting)
 	ids := f.quarantineAt(t, kind, f.gateways[1:])
--- a/internal/e2e/lethalbystanders_test.go
+++ b/internal/e2e/lethalbystanders_test.go
@@ -25,7 +25,7 @@
 		engine.EventInterval = 20 * time.Millisecond
 	}
 	f.setLethal(platformtest.Behaviour{End: platformtest.ProcessEnds, EndAfter: 30 * time.Millisecond})
-	defer f.replaceEndedUntilStopped(t)()
+	defer runUntilStopped(f.replaceEnded)()
 	const callers, programs, attempts = 12, 6, 6
 	failed := make(chan string, callers*programs)
 	var bystanders sync.WaitGroup
--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -144,7 +144,7 @@
 		}()
 	}
 	s.startLoadGenerators(ctx, &callers)
-	callers.Go(func() { s.restartEnded(ctx) })
+	defer runUntilStopped(s.restartEnded)() // the checks need back ends, too
 	s.injectFaults(*soakFor)
 	s.healAll()
 	s.lethalCallers.Wait()
