--- a/internal/e2e/endedinstances_test.go
+++ b/internal/e2e/endedinstances_test.go
@@ -52,6 +52,9 @@
 	t.Run("after all processes were killed", f.testLethalRequestAfterAllKilled)
 	t.Run("two callers of one request at two gateways", f.testLethalRequestAtTwoGateways)
 	t.Run("after its gateway was killed", f.testLethalRequestAfterGatewayKilled)
+	for _, kind := range []lethalRequest{{name: "turn", path: "/chat/t"}, {name: "stream", path: "/plan/t"}, {name: "call", path: "/start/t"}} {
+		t.Run(kind.name+" whose gateway was killed amid its run", func(t *testing.T) { f.testGatewayKilledAmidRun(t, kind) })
+	}
 	t.Run("at a gateway that was suspended", f.testLethalRequestAtSuspendedGateway)
 	t.Run("at a gateway that starts", f.testLethalRequestAtStartingGateway)
 }
@@ -70,12 +73,17 @@
 
 // attempt sends one attempt of the request.
 func (f *fleet) attempt(l lethalRequest, gateway *member, body string) exchangeResult {
+	return f.attemptAs(f.newID(), l, gateway, body)
+}
+
+// attemptAs sends one attempt of the request with the given id.
+func (f *fleet) attemptAs(id string, l lethalRequest, gateway *member, body string) exchangeResult {
 	if l.isCall() {
-		return f.post(gateway, appsHost, l.path, http.Header{"X-Program-Id": {l.program}, "X-Session-Id": {"s"}, "X-Deadline-Ms": {"3000"}}, body)
+		return exchange(gateway, id, appsHost, l.path, http.Header{"X-Program-Id": {l.program}, "X-Session-Id": {"s"}, "X-Deadline-Ms": {"3000"}}, body)
 	}
 	header := turnHeader(l.program, 100000)
 	header.Set("X-Deadline-Ms", "4000")
-	return f.post(gateway, agentHost, l.path, header, body)
+	return exchange(gateway, id, agentHost, l.path, header, body)
 }
 
 // setLethal makes all instances, and those that replace them, end under requests with lethalBody.
@@ -266,6 +274,22 @@
 	}
 }
 
+// testGatewayKilledAmidRun kills the first gateway that sends a lethal request before the instance ends.
+func (f *fleet) testGatewayKilledAmidRun(t *testing.T, kind lethalRequest) {
+	kind.program = f.newID()
+	f.setLethal(platformtest.Behaviour{End: platformtest.ProcessEnds, EndAfter: 300 * time.Millisecond})
+	defer runUntilStopped(f.replaceEnded)()
+	killed := f.gateways[0]
+	id := f.newID()
+	go f.attemptAs(id, kind, killed, lethalBody)
+	require.Eventually(t, func() bool { return len(runsOf(id, f.instances())) > 0 }, 10*time.Second, time.Millisecond)
+	f.kill(killed)
+	ids := append(f.quarantineAt(t, kind, f.gateways[1:]), id)
+	f.start(killed)
+	f.awaitReady(killed)
+	f.requireContained(t, ids)
+}
+
 // quarantineAt sends a lethal call at gateways until they refuse it, and returns the ids of its attempts.
 func (f *fleet) quarantineAt(t *testing.T, kind lethalRequest, gateways []*member) []string {
 	var ids []string
@@ -290,9 +314,7 @@
 	suspended := f.gateways[0]
 	require.NoError(t, suspended.command.Process.Signal(syscall.SIGSTOP))
 	id, answered := f.newID(), make(chan exchangeResult, 1)
-	go func() {
-		answered <- exchange(suspended, id, appsHost, kind.path, http.Header{"X-Program-Id": {kind.program}, "X-Session-Id": {"s"}, "X-Deadline-Ms": {"5000"}}, lethalBody)
-	}()
+	go func() { answered <- f.attemptAs(id, kind, suspended, lethalBody) }()
 	ids := f.quarantineAt(t, kind, f.gateways[1:])
 	<-time.After(time.Second) // the messages of the others do not find it any more
 	require.NoError(t, suspended.command.Process.Signal(syscall.SIGCONT))
