An attempt of a killed gateway counts once instances ended under its request

A turn ended four instances if its first gateway was killed amid the run: the run was known to that gateway alone. But the turn's reservation is on a quorum, and was never settled. Once instances have ended under a request, an attempt of its program that has not ended, and of which no run is known, now counts as one more possible end. At the bound the request is withheld, and tried again within a second, for the attempt may be another one in progress; it then ends, and counts no more.

Nothing is asked, recorded or kept for it: the reservation's answer names these attempts, and it is looked at for suspects only.

--- a/internal/gateway/containment.go
+++ b/internal/gateway/containment.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,7 +22,8 @@
 //     quorum's answer tells the runs of all gateways. So two gateways cannot both send it for the last time,
 //     and a gateway that is killed leaves a record.
 //   - The runs of a turn are also recorded under its program. The reservation of the next attempt returns
-//     them, if the message from the other gateway was lost.
+//     them, if the message from the other gateway was lost. It also tells attempts that have not ended: one of a
+//     gateway that was killed amid the run counts as another possible end.
 //
 // All other requests pass with one atomic load.
 
@@ -94,9 +96,13 @@
 		return quarantine.Clear, quarantine.Standing{}
 	}
 	key := s.keyOf(r)
+	var unsettled []string
+	if r.unsettledTurns != nil {
+		unsettled = r.unsettledTurns()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	standing := c.table.Standing(time.Now(), key, without)
+	standing := c.table.StandingAmid(time.Now(), key, without, unsettled)
 	return standing.Verdict(c.limit), standing
 }
 
@@ -122,6 +128,9 @@
 	t.recordWithProgram = func(run quarantine.Run) {
 		t.cell.Settle(t.program, ledger.ProgramRunCharge(s.keyOf(t.request), run), t.route.Retention)
 	}
+	t.unsettledTurns = func() []string {
+		return slices.DeleteFunc(t.reservation.UnsettledTurns(), func(turn string) bool { return turn == t.id })
+	}
 	t.programRuns = t.reservation.RunsOf(func() quarantine.Key { return s.keyOf(t.request) })
 	return s.refuseContained(t.request)
 }
--- a/internal/gateway/lostrun.go
+++ b/internal/gateway/lostrun.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strconv"
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/backend"
@@ -81,7 +80,7 @@
 
 // currentRun identifies the request's last send to an instance.
 func (r *request) currentRun(instance backend.Instance) quarantine.Run {
-	return quarantine.Run{ID: r.id + "#" + strconv.Itoa(r.outcome.sends), Instance: instance.ID, Born: instance.Born}
+	return quarantine.Run{ID: quarantine.RunIDOf(r.id, r.outcome.sends), Instance: instance.ID, Born: instance.Born}
 }
 
 // keyOf returns the key that the request shares with all attempts of its caller.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -41,6 +41,8 @@
 	recordedRun *quarantine.Run
 	// programRuns are the runs of earlier attempts that the program's charges tell of.
 	programRuns []quarantine.Run
+	// unsettledTurns returns the other turns of the program that have not ended; nil if it has no reservation.
+	unsettledTurns func() []string
 	// recordWithProgram records a run under the request's program; nil if it has no reservation.
 	recordWithProgram func(quarantine.Run)
 	// examinations are the examinations of lost runs that are still in progress.
--- a/internal/ledger/quarantine.go
+++ b/internal/ledger/quarantine.go
@@ -52,6 +52,17 @@
 	return runs
 }
 
+// UnsettledTurns returns the turns among a program's charges that were reserved and have not ended.
+func UnsettledTurns(charges map[string]Charge) []string {
+	var turns []string
+	for turn, charge := range charges {
+		if !charge.Final {
+			turns = append(turns, turn)
+		}
+	}
+	return turns
+}
+
 // RecordedRuns returns the runs among the charges of a quarantine program.
 func RecordedRuns(charges map[string]Charge) []quarantine.Run {
 	var runs []quarantine.Run
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "slices"
+import (
+	"slices"
+	"strconv"
+	"strings"
+)
 
 // Outcome is what is known of the end of a run. A later outcome in this order replaces an earlier one, so
 // that records merge to the same result in any order.
@@ -44,7 +48,7 @@
 
 // Run is one run of a request at an instance.
 type Run struct {
-	// ID is unique among all runs: the id of the caller's attempt and the number of the send.
+	// ID is unique among all runs; RunIDOf makes it.
 	ID       string
 	Instance string
 	// Born is the start time of the instance in Unix milliseconds; 0 if unknown.
@@ -55,6 +59,12 @@
 	Outcome Outcome
 }
 
+// RunIDOf returns the id of a request's run: the id of the caller's attempt and the number of the send.
+func RunIDOf(attempt string, send int) string { return attempt + "#" + strconv.Itoa(send) }
+
+// isOf reports whether the run belongs to the caller's attempt with the given id.
+func (r Run) isOf(attempt string) bool { return strings.HasPrefix(r.ID, attempt+"#") }
+
 // Merge returns the run that knows more, and whether that is not the known one.
 func (r Run) Merge(other Run) (merged Run, changed bool) {
 	if other.Outcome > r.Outcome {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -23,6 +23,9 @@
 	// openTTL is how long an open run counts as about to be resolved. A gateway resolves its own runs within it
 	// unless the store is away; others that are still open then belong to a gateway that ended.
 	openTTL = 10 * time.Second
+	// maxUnsettledRetry is the longest pause after which a request is tried again that is withheld because another
+	// turn of its program has not ended.
+	maxUnsettledRetry = time.Second
 	// maxRecords and maxRuns bound the memory of a table: 4096 records of a few runs take about 1 MB.
 	maxRecords = 4096
 	maxRuns    = 24
@@ -158,6 +161,26 @@
 	return standing
 }
 
+// StandingAmid returns what counts against a request while the given attempts of its program have not ended. If
+// instances have ended under the request, one attempt without a known run counts as another possible end: its
+// gateway may have been killed amid the run. Attempts in progress end, and then count no more.
+func (t *Table) StandingAmid(now time.Time, key Key, without string, unsettled []string) Standing {
+	standing := t.Standing(now, key, without)
+	if standing.Ended == 0 {
+		return standing
+	}
+	known := t.records[key]
+	hasRun := func(attempt string) bool {
+		return slices.ContainsFunc(known.runs, func(run Run) bool { return run.isOf(attempt) })
+	}
+	if !slices.ContainsFunc(unsettled, func(attempt string) bool { return !hasRun(attempt) }) {
+		return standing
+	}
+	standing.Possible++
+	standing.OpenFor = max(standing.OpenFor, min(maxUnsettledRetry, openTTL-now.Sub(known.changedAt)))
+	return standing
+}
+
 // countIncarnations returns the number of different instances among the runs with one of the outcomes.
 func countIncarnations(runs []Run, outcomes ...Outcome) int {
 	counted := map[incarnation]bool{}
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -149,3 +149,17 @@
 		require.Equal(t, merge(random.Perm(len(runs))), merge(random.Perm(len(runs))))
 	})
 }
+
+// The run of a gateway that was killed amid it is not recorded. The attempt that it belongs to never ends.
+func TestUnsettledAttemptCountsOnceInstancesHaveEnded(t *testing.T) {
+	table := NewTable()
+	unsettled := []string{"a", "b"}
+	require.Equal(t, Standing{}, table.StandingAmid(start, Key{1}, "", unsettled), "nothing has ended")
+	table.Merge(start, Key{1}, Run{ID: RunIDOf("c", 1), Instance: "i-1", Outcome: Ended})
+	require.Equal(t, Standing{Ended: 1, Possible: 1, OpenFor: maxUnsettledRetry}, table.StandingAmid(start, Key{1}, "", unsettled), "others of the program may be in progress")
+	require.Equal(t, Standing{Ended: 1}, table.StandingAmid(start, Key{1}, "", []string{"c"}), "its run is known")
+	table.Merge(start, Key{1}, Run{ID: RunIDOf("d", 1), Instance: "i-2", Outcome: Ended})
+	require.Equal(t, Withheld, table.StandingAmid(start, Key{1}, "", unsettled).Verdict(limit))
+	require.Equal(t, Suspect, table.StandingAmid(start, Key{1}, "", nil).Verdict(limit), "the others have ended")
+	require.Equal(t, Quarantined, table.StandingAmid(start.Add(openTTL), Key{1}, "", unsettled).Verdict(limit))
+}
--- a/internal/quorum/quarantine.go
+++ b/internal/quorum/quarantine.go
@@ -93,6 +93,14 @@
 	return len(c.set.Voters) > 0 && answered >= c.set.Quorum()
 }
 
+// UnsettledTurns returns the turns of the reservation's program that have not ended, this one included: they are in
+// progress, or their gateway was killed.
+func (r *Reservation) UnsettledTurns() []string {
+	r.client.mu.Lock()
+	defer r.client.mu.Unlock()
+	return ledger.UnsettledTurns(r.operation.tally.charges)
+}
+
 // RunsOf returns the runs of a request that are recorded under the reservation's program. The key is computed
 // only if there are any runs.
 func (r *Reservation) RunsOf(key func() quarantine.Key) []quarantine.Run {
