Unsettled attempts are asked for suspects only; waits for records are bounded

The program's attempts were listed for each turn while any record was known, and only then looked at for suspects. A request at a gateway that starts without a quorum waited for the records until its deadline if no instances were known either; now 1.5 s at most. A pause without a name has one.

--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -71,16 +71,16 @@
 }
 
 // listen listens on a free port below those that the kernel assigns to connections, so that no connection takes
-// the port while the proxy is suspended.
-func listen() (listener net.Listener, err error) {
+// the port while the proxy is suspended. If it finds none, it takes any other.
+func listen() (net.Listener, error) {
 	const firstPort, ports, attempts = 20000, 12000, 100
 	for range attempts {
-		listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
 		if err == nil {
 			return listener, nil
 		}
 	}
-	return nil, fmt.Errorf("faultproxy: %w", err)
+	return net.Listen("tcp", "127.0.0.1:0")
 }
 
 // Address returns the host:port that the proxy listens on.
--- a/internal/gateway/containment.go
+++ b/internal/gateway/containment.go
@@ -25,7 +25,8 @@
 //     them, if the message from the other gateway was lost. It also tells attempts that have not ended: one of a
 //     gateway that was killed amid the run counts as another possible end.
 //
-// All other requests pass with one atomic load.
+// All other requests pass with a few atomic loads. Only at a gateway that starts, or was suspended, do they wait
+// until it has read the records.
 
 const (
 	// recordRunTimeout is how long the record of a run is awaited. Without a record, what is known here
@@ -81,6 +82,14 @@
 	return c.table.EndsOf(key, instance)
 }
 
+// standing returns what counts against a request besides the run with the given id, while the given attempts of
+// its program have not ended.
+func (c *containment) standing(key quarantine.Key, without string, unsettled []string) quarantine.Standing {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.StandingWithUnsettled(time.Now(), key, without, unsettled)
+}
+
 // list returns the requests that something counts against.
 func (c *containment) list(now time.Time) []quarantine.Suspicion {
 	c.mu.Lock()
@@ -95,14 +104,10 @@
 	if c == nil || c.records.Load() == 0 {
 		return quarantine.Clear, quarantine.Standing{}
 	}
-	key := s.keyOf(r)
-	var unsettled []string
-	if r.unsettledTurns != nil {
-		unsettled = r.unsettledTurns()
+	standing := c.standing(s.keyOf(r), without, nil)
+	if standing.Ended > 0 && r.unsettledTurns != nil {
+		standing = c.standing(s.keyOf(r), without, r.unsettledTurns())
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	standing := c.table.StandingAmid(time.Now(), key, without, unsettled)
 	return standing.Verdict(c.limit), standing
 }
 
--- a/internal/gateway/containmentloop.go
+++ b/internal/gateway/containmentloop.go
@@ -16,9 +16,12 @@
 	// maxCheckAge is the age of the last check above which this process was suspended: a check and an attempt to
 	// read the records take less.
 	maxCheckAge = 600 * time.Millisecond
-	// restoreRetryInterval is the first pause between attempts of a starting gateway to read the records.
-	restoreRetryInterval = 50 * time.Millisecond
-	// restoreLimit is how long it waits for them before it is ready without them.
+	// restoreRetryInterval is the first pause between attempts of a starting gateway to read the records,
+	// maxRestoreRetryInterval the longest.
+	restoreRetryInterval    = 50 * time.Millisecond
+	maxRestoreRetryInterval = time.Second
+	// restoreLimit is how long it waits for them before it is ready without them, and the longest that a request
+	// waits.
 	restoreLimit = 1500 * time.Millisecond
 	// recordsPollInterval is how often a request checks whether the records are current.
 	recordsPollInterval = 5 * time.Millisecond
@@ -31,7 +34,7 @@
 	if c == nil {
 		return
 	}
-	for pause := restoreRetryInterval; s.readQuarantine(ctx) != nil; pause = min(2*pause, time.Second) {
+	for pause := restoreRetryInterval; s.readQuarantine(ctx) != nil; pause = min(2*pause, maxRestoreRetryInterval) {
 		if !wait.For(ctx, pause) {
 			return
 		}
@@ -64,9 +67,11 @@
 // awaitRecords waits until the records are current. A gateway that was suspended would otherwise send requests
 // under which instances have ended in the meantime.
 func (s *Server) awaitRecords(ctx context.Context) {
-	if s.containment == nil {
+	if s.containment == nil || s.areRecordsCurrent() {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, restoreLimit)
+	defer cancel()
 	for !s.areRecordsCurrent() && wait.For(ctx, recordsPollInterval) {
 	}
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -161,10 +161,10 @@
 	return standing
 }
 
-// StandingAmid returns what counts against a request while the given attempts of its program have not ended. If
+// StandingWithUnsettled returns what counts against a request while the given attempts of its program have not ended. If
 // instances have ended under the request, one attempt without a known run counts as another possible end: its
 // gateway may have been killed amid the run. Attempts in progress end, and then count no more.
-func (t *Table) StandingAmid(now time.Time, key Key, without string, unsettled []string) Standing {
+func (t *Table) StandingWithUnsettled(now time.Time, key Key, without string, unsettled []string) Standing {
 	standing := t.Standing(now, key, without)
 	if standing.Ended == 0 {
 		return standing
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -154,12 +154,12 @@
 func TestUnsettledAttemptCountsOnceInstancesHaveEnded(t *testing.T) {
 	table := NewTable()
 	unsettled := []string{"a", "b"}
-	require.Equal(t, Standing{}, table.StandingAmid(start, Key{1}, "", unsettled), "nothing has ended")
+	require.Equal(t, Standing{}, table.StandingWithUnsettled(start, Key{1}, "", unsettled), "nothing has ended")
 	table.Merge(start, Key{1}, Run{ID: RunIDOf("c", 1), Instance: "i-1", Outcome: Ended})
-	require.Equal(t, Standing{Ended: 1, Possible: 1, OpenFor: maxUnsettledRetry}, table.StandingAmid(start, Key{1}, "", unsettled), "others of the program may be in progress")
-	require.Equal(t, Standing{Ended: 1}, table.StandingAmid(start, Key{1}, "", []string{"c"}), "its run is known")
+	require.Equal(t, Standing{Ended: 1, Possible: 1, OpenFor: maxUnsettledRetry}, table.StandingWithUnsettled(start, Key{1}, "", unsettled), "others of the program may be in progress")
+	require.Equal(t, Standing{Ended: 1}, table.StandingWithUnsettled(start, Key{1}, "", []string{"c"}), "its run is known")
 	table.Merge(start, Key{1}, Run{ID: RunIDOf("d", 1), Instance: "i-2", Outcome: Ended})
-	require.Equal(t, Withheld, table.StandingAmid(start, Key{1}, "", unsettled).Verdict(limit))
-	require.Equal(t, Suspect, table.StandingAmid(start, Key{1}, "", nil).Verdict(limit), "the others have ended")
-	require.Equal(t, Quarantined, table.StandingAmid(start.Add(openTTL), Key{1}, "", unsettled).Verdict(limit))
+	require.Equal(t, Withheld, table.StandingWithUnsettled(start, Key{1}, "", unsettled).Verdict(limit))
+	require.Equal(t, Suspect, table.StandingWithUnsettled(start, Key{1}, "", nil).Verdict(limit), "the others have ended")
+	require.Equal(t, Quarantined, table.StandingWithUnsettled(start.Add(openTTL), Key{1}, "", unsettled).Verdict(limit))
 }
