The life of a loan that waited for the disk begins when it is sent

A lender that must sync before it answers counts the loan from the moment it lent, and the gateway from the moment it asked; on a slow disk the loan had expired when it came, and its credit was gone for a window.

Its life now begins when it is sent, and ends at the latest with that of what is lent in advance, which a restarted lender counts anyway; the lender counts it for as much longer. TestLoanThatWaitedForTheDiskCanBeUsed is new.

--- a/internal/quota/lender.go
+++ b/internal/quota/lender.go
@@ -159,6 +159,12 @@
 	return loan, loan.Waiting+loan.Ahead > 0 && float64(count.unsynced) > maxUnsynced
 }
 
+// Postpone records that a loan of the given time was held back, and sent with a longer life. It counts for that
+// much longer.
+func (l *Lender) Postpone(lentAt time.Time, name string, lent, sent Loan) {
+	l.countOf(name).postpone(lent.Waiting, lentAt.Add(lent.Life+l.policy.Window), sent.Life-lent.Life)
+}
+
 // Synced records that the given number of allowances lent to a tenant is on disk.
 func (l *Lender) Synced(name string, allowances int) {
 	if count := l.counts[name]; count != nil {
@@ -231,17 +237,42 @@
 		return
 	}
 	c.unsynced += allowances
+	c.insert(allowances, until)
+}
+
+// insert adds allowances to the entry that covers the given expiry.
+func (c *windowCount) insert(allowances int, until time.Time) {
+	entry := c.entryOf(until)
+	if entry == nil {
+		c.entries = append(c.entries, windowEntry{count: allowances, firstExpiry: until, expiry: until})
+		return
+	}
+	entry.count += allowances
+	if until.After(entry.expiry) {
+		entry.expiry = until
+	}
+}
+
+// entryOf returns the entry that covers an expiry, nil if there is none.
+func (c *windowCount) entryOf(until time.Time) *windowEntry {
 	for i := range c.entries {
-		entry := &c.entries[i]
-		if offset := until.Sub(entry.firstExpiry); offset >= 0 && offset < countStep {
-			entry.count += allowances
-			if until.After(entry.expiry) {
-				entry.expiry = until
-			}
-			return
+		if offset := until.Sub(c.entries[i].firstExpiry); offset >= 0 && offset < countStep {
+			return &c.entries[i]
 		}
 	}
-	c.entries = append(c.entries, windowEntry{count: allowances, firstExpiry: until, expiry: until})
+	return nil
+}
+
+// postpone moves the expiry of allowances, which may have passed.
+func (c *windowCount) postpone(allowances int, until time.Time, delay time.Duration) {
+	if allowances == 0 {
+		return
+	}
+	if entry := c.entryOf(until); entry != nil {
+		entry.count -= allowances
+	}
+	c.entries = slices.DeleteFunc(c.entries, func(entry windowEntry) bool { return entry.count == 0 })
+	c.insert(allowances, until.Add(delay))
 }
 
 // sum drops expired entries and returns the number of allowances that count.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -89,3 +89,10 @@
 	Held     bool
 	Forecast Forecast
 }
+
+// HeldBack returns the loan as it is sent after it was held back until it was on disk. Its life begins then, and
+// ends at the latest with that of allowances lent in advance, which a restarted lender accounts for.
+func (l Loan) HeldBack(delay time.Duration) Loan {
+	l.Life = max(l.Life, min(l.Life+delay, l.AheadLife))
+	return l
+}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -198,6 +198,24 @@
 	require.False(t, b.Consume(start.Add(time.Second), "t"))
 }
 
+// A loan that waited for a slow disk had expired when it arrived: its credit was gone, and nobody could use it.
+func TestLoanThatWaitedForTheDiskCanBeUsed(t *testing.T) {
+	l, b := lenderOf(4, tenant.Limit{PerSecond: 40, Burst: 20}), NewBorrower()
+	at := start.Add(10 * second)
+	request := Borrow{Tenant: "t0", Waiting: 60}
+	loan, sync := l.Lend(at, request)
+	require.True(t, sync)
+	const delay = 400 * time.Millisecond
+	sent := loan.HeldBack(delay)
+	l.Postpone(at, "t0", loan, sent)
+	b.Lent(at.Add(delay), at, "a", request, sent)
+	require.True(t, b.Consume(at.Add(delay+policy.life()-1), "t0"))
+	require.False(t, b.Consume(at.Add(delay+policy.life()), "t0"))
+	require.Zero(t, lend(l, 10*second+policy.Window+delay+policy.life()-1))
+	require.Equal(t, 60, lend(l, 10*second+policy.Window+delay+policy.life()))
+	require.Equal(t, loan.AheadLife, loan.HeldBack(time.Minute).Life)
+}
+
 func TestHighDemandBorrowsAhead(t *testing.T) {
 	b := NewBorrower()
 	now := start
@@ -299,14 +317,20 @@
 	lender := s.lenders[name]
 	loan, sync := lender.Lend(now, request)
 	allowances := loan.Waiting + loan.Ahead
-	s.inFlight = append(s.inFlight, message{at: now.Add(time.Duration(s.random.IntN(80)) * time.Millisecond), deliver: func(then time.Time) {
+	writeTime := time.Duration(s.random.IntN(80)) * time.Millisecond
+	if s.chance(0.2) { // a disk under load
+		writeTime = time.Duration(s.random.IntN(1500)) * time.Millisecond
+	}
+	s.inFlight = append(s.inFlight, message{at: now.Add(writeTime), deliver: func(then time.Time) {
 		if s.lenders[name] != lender {
 			return
 		}
 		s.synced[name] = append(s.synced[name], syncedLending{at: now, count: allowances})
 		lender.Synced("t0", allowances)
 		if sync {
-			reply(then, loan)
+			sent := loan.HeldBack(then.Sub(now))
+			lender.Postpone(now, "t0", loan, sent)
+			reply(then, sent)
 		}
 	}})
 	if !sync {
--- a/internal/replica/lend.go
+++ b/internal/replica/lend.go
@@ -47,10 +47,16 @@
 		return
 	}
 	s.persist([]ledger.Record{s.lendingRecord(now, tenant, allowances)}, func() {
+		sent := loan
 		if sync {
+			sent = loan.HeldBack(time.Since(now))
+			reply.Loan = &sent
 			send(reply)
 		}
-		s.post(func() { s.lender.Synced(tenant, allowances) })
+		s.post(func() {
+			s.lender.Postpone(now, tenant, loan, sent)
+			s.lender.Synced(tenant, allowances)
+		})
 	})
 }
 
