A loan that comes late is kept, and awaited once no other lender has credit

It now keeps what comes within 0.5 s, and a request that found no credit elsewhere waits for the answers that it is still owed.

TestLoanThatComesLateIsUsed failed before.

--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -17,6 +17,8 @@
 	// several round trips between zones (3 ms each), and time for one relay through another
 	// gateway.
 	lenderTimeout = 120 * time.Millisecond
+	// lateLoanTimeout is how long a lender's answer is used at all: its disk may be slow.
+	lateLoanTimeout = 500 * time.Millisecond
 	// limitTimeout is the longest that a request waits for an allowance.
 	limitTimeout = 900 * time.Millisecond
 	// allowanceWaitDivisor bounds the wait for an allowance to half of the request's time; the rest
@@ -79,6 +81,20 @@
 	return a.borrower.NextForPart(time.Now(), tenant, lenders, part, homeAnswered)
 }
 
+// keepLoan adds a loan that came late.
+func (a *allowances) keepLoan(sentAt time.Time, lender string, loanRequest quota.Borrow, loan quota.Loan) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.borrower.Lent(time.Now(), sentAt, lender, loanRequest, loan)
+}
+
+// useKept consumes an allowance of a loan that came late, if there is one.
+func (a *allowances) useKept(tenant string, part quota.Part) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.consume(time.Now(), tenant, part)
+}
+
 // addLoan adds a loan and consumes an allowance of it for the request that asked.
 func (a *allowances) addLoan(sentAt time.Time, lender string, loanRequest quota.Borrow, part quota.Part, loan quota.Loan) bool {
 	now := time.Now()
@@ -124,10 +140,13 @@
 		return refuseFor(verdict.CodeUnavailable, replicaRetry, "no replicas are known yet")
 	}
 	lenders := cell.Lenders(name)
+	var late []<-chan struct{}
 	for homeAnswered := false; ; {
 		step := s.allowances.nextStep(name, lenders, part, homeAnswered)
 		switch {
 		case step.Lender != "":
+		case s.useLateLoan(ctx, name, part, late):
+			return nil
 		case step.Exhausted > 0:
 			s.recordLimitRefusal(r, part, quota.Loan{Wait: step.Wait})
 			return refuseOverLimit(max(step.Wait, minLimitRetry))
@@ -136,12 +155,15 @@
 		}
 		r.outcome.lender = step.Lender
 		sentAt := time.Now()
-		loan, err := s.askLender(ctx, cell, step.Lender, step.Request)
+		loan, lateLoan, err := s.askLender(ctx, cell, step.Lender, step.Request)
 		homeAnswered = homeAnswered || err == nil && step.Request.Part == quota.PartFirst
 		switch {
 		case ctx.Err() != nil:
 			return refuseFor(verdict.CodeUnavailable, replicaRetry, "too few replicas answered on the tenant's limit")
 		case err != nil:
+			if lateLoan != nil {
+				late = append(late, lateLoan)
+			}
 			s.allowances.recordUnanswered(step.Lender)
 			s.log.Warn().Str("event", "lender_unanswered").Str("id", r.id).Str("tenant", name).Str("lender", step.Lender).Msg("")
 		case loan.Unable:
@@ -155,11 +177,53 @@
 	}
 }
 
-// askLender requests a loan from the lender with the given name, within lenderTimeout.
-func (s *Server) askLender(ctx context.Context, cell *quorum.Client, name string, loanRequest quota.Borrow) (quota.Loan, error) {
-	ctx, cancel := context.WithTimeout(ctx, lenderTimeout+cell.ConnectAllowance(name))
+// askLender requests a loan from the lender with the given name and waits for it for lenderTimeout. A loan that
+// comes later is kept: its credit is gone, and the next request may use it. late is then closed once it has come, or
+// will not come.
+func (s *Server) askLender(ctx context.Context, cell *quorum.Client, name string, loanRequest quota.Borrow) (loan quota.Loan, late <-chan struct{}, err error) {
+	type answer struct {
+		loan quota.Loan
+		err  error
+	}
+	sentAt := time.Now()
+	answers := make(chan answer, 1)
+	go func() {
+		lateCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lateLoanTimeout)
+		defer cancel()
+		loan, err := cell.Borrow(lateCtx, name, loanRequest)
+		answers <- answer{loan, err}
+	}()
+	patience, cancel := context.WithTimeout(ctx, lenderTimeout+cell.ConnectAllowance(name))
 	defer cancel()
-	return cell.Borrow(ctx, name, loanRequest)
+	select {
+	case answered := <-answers:
+		return answered.loan, nil, answered.err
+	case <-patience.Done():
+	}
+	kept := make(chan struct{})
+	go func() {
+		defer close(kept)
+		if answered := <-answers; answered.err == nil {
+			s.allowances.keepLoan(sentAt, name, loanRequest, answered.loan)
+		}
+	}()
+	return quota.Loan{}, kept, patience.Err()
+}
+
+// useLateLoan waits for the loans that have not come in time and consumes an allowance of them. It reports whether
+// there was one.
+func (s *Server) useLateLoan(ctx context.Context, tenant string, part quota.Part, late []<-chan struct{}) bool {
+	for _, kept := range late {
+		select {
+		case <-kept:
+		case <-ctx.Done():
+			return false
+		}
+		if s.allowances.useKept(tenant, part) {
+			return true
+		}
+	}
+	return false
 }
 
 // recordLimitRefusal counts and logs the limit that a request exceeds, and when credit is
