--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -46,8 +46,10 @@
 
 	folder  string
 	program string
-	mu      sync.Mutex
-	lastID  int
+	// seeds are the addresses at which the first storage machines serve their copies of the store's content.
+	seeds  []string
+	mu     sync.Mutex
+	lastID int
 }
 
 // Member is a process of the fleet.
@@ -57,6 +59,7 @@
 
 	role         string
 	readyAddress string
+	copyAddress  string
 	settings     string
 	dataFolder   string
 	fleet        *Fleet
@@ -83,7 +86,9 @@
 		return f, err
 	}
 	for i := range layout.Replicas {
-		f.Replicas = append(f.Replicas, f.newReplica(i, addresses[i*addressesPerMember:]))
+		replica := f.newReplica(i, addresses[i*addressesPerMember:])
+		f.Replicas = append(f.Replicas, replica)
+		f.seeds = append(f.seeds, replica.copyAddress)
 	}
 	addresses = addresses[layout.Replicas*addressesPerMember:]
 	for i := range layout.Gateways {
@@ -115,11 +120,11 @@
 }
 
 func (f *Fleet) newReplicaIn(index int, zone string, addresses []string) *Member {
-	m := &Member{Name: fmt.Sprintf("storage-%d", index+1), role: "replica", Address: addresses[0], fleet: f}
+	m := &Member{Name: fmt.Sprintf("storage-%d", index+1), role: "replica", Address: addresses[0], copyAddress: addresses[2], fleet: f}
 	m.dataFolder = filepath.Join(f.folder, m.Name+"-data")
 	m.settings = f.write(m.Name, fmt.Sprintf("node: %s\nzone: %s\npeerAddress: %q\nmetricsAddress: %q\nstoreAddress: %q\nmemoryMB: 304\ngrace: 8s\n"+
 		"tolerateMachines: 1\ndataFolder: %q\ndiskMB: 380\ncopyAddress: %q\n",
-		m.Name, zone, addresses[0], addresses[1], f.Store.Address(), m.dataFolder, addresses[2]))
+		m.Name, zone, addresses[0], addresses[1], f.Store.Address(), m.dataFolder, m.copyAddress)+zoneSettings())
 	return m
 }
 
@@ -127,11 +132,20 @@
 	m := &Member{Name: fmt.Sprintf("frontend-%d", index+1), role: "gateway", Address: addresses[0], readyAddress: addresses[1], fleet: f}
 	m.settings = f.write(m.Name, fmt.Sprintf("node: %s\nzone: %s\ncallerAddress: %q\nreadyAddress: %q\npeerAddress: %q\nmetricsAddress: %q\n"+
 		"storeAddress: %q\nmemoryMB: 284\ngrace: 8s\ntolerateMachines: 1\nendedInstances: 3\nrenewalInterval: 1200ms\ndrainTime: 2000ms\n"+
-		"guarantees: [base, drain, config, cost, recover, agent, stream, engine, platform]\n",
-		m.Name, zones[index%len(zones)], addresses[0], addresses[1], addresses[2], addresses[3], f.Store.Address()))
+		"guarantees: [base, drain, config, cost, recover, agent, stream, engine, platform]\nseeds: [%s]\n",
+		m.Name, zones[index%len(zones)], addresses[0], addresses[1], addresses[2], addresses[3], f.Store.Address(), strings.Join(f.seeds, ", "))+zoneSettings())
 	return m
 }
 
+// zoneSettings returns the lines that map the zones to their region.
+func zoneSettings() string {
+	settings := "zones:\n"
+	for _, zone := range zones {
+		settings += "  " + zone + ": luzon\n"
+	}
+	return settings
+}
+
 // AddReplica starts a storage machine with an empty disk, in the zone of the replica with the index.
 func (f *Fleet) AddReplica(zoneOf int) error {
 	addresses, err := freeAddresses(addressesPerMember)
