--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -12,9 +12,11 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"swiftbank.dev/swiftbank/platform/platformtest"
@@ -29,6 +31,8 @@
 	// addressesPerMember is the number of ports that each process listens on, at most.
 	addressesPerMember = 4
 	startTimeout       = 30 * time.Second
+	// maxRunTime is how long a case may run before it is given up; the users' limit is 120 s.
+	maxRunTime = 112 * time.Second
 )
 
 // zones are the zones of a small deployment.
@@ -50,6 +54,8 @@
 	seeds  []string
 	mu     sync.Mutex
 	lastID int
+	// running holds the processes that have not exited.
+	running map[*os.Process]bool
 }
 
 // Member is a process of the fleet.
@@ -69,7 +75,8 @@
 
 // Start starts the processes in a temporary folder. Stop must be called, also after an error.
 func Start(layout Layout, record *Record) (*Fleet, error) {
-	f := &Fleet{Store: platformtest.NewStore(), Record: record}
+	f := &Fleet{Store: platformtest.NewStore(), Record: record, running: map[*os.Process]bool{}}
+	go f.endOnSignal()
 	var err error
 	if f.folder, err = os.MkdirTemp("", "swiftbank-review-"); err != nil {
 		return f, err
@@ -102,6 +109,23 @@
 	return f, f.awaitReady()
 }
 
+// endOnSignal ends all processes and exits if this process is interrupted or has run for too long.
+func (f *Fleet) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	select {
+	case <-signals:
+	case <-time.After(maxRunTime):
+	}
+	f.mu.Lock()
+	for process := range f.running {
+		_ = process.Kill()
+	}
+	f.Record.Line("cannot run: interrupted, or out of time")
+	_ = os.RemoveAll(f.folder)
+	os.Exit(2) // with the lock held, so that no further process starts
+}
+
 func (f *Fleet) members() []*Member { return append(append([]*Member{}, f.Replicas...), f.Gateways...) }
 
 // Stop ends all processes and removes the temporary folder.
@@ -177,7 +201,7 @@
 	defer log.Close()
 	m.command = exec.Command(m.fleet.program, m.role, "--settings", m.settings)
 	m.command.Stdout, m.command.Stderr = log, log
-	if err := m.command.Start(); err != nil {
+	if err := m.fleet.startProcess(m.command); err != nil {
 		return err
 	}
 	m.fleet.Record.Line("%s started, process %d", m.Name, m.command.Process.Pid)
@@ -185,11 +209,24 @@
 	m.exited = exited
 	go func() {
 		_ = command.Wait()
+		m.fleet.mu.Lock()
+		delete(m.fleet.running, command.Process)
+		m.fleet.mu.Unlock()
 		close(exited)
 	}()
 	return nil
 }
 
+func (f *Fleet) startProcess(command *exec.Cmd) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := command.Start(); err != nil {
+		return err
+	}
+	f.running[command.Process] = true
+	return nil
+}
+
 // Kill sends SIGKILL and waits for the end of the process.
 func (m *Member) Kill() {
 	if m.command == nil || m.command.Process == nil {
