--- a/review/harness/record.go
+++ b/review/harness/record.go
@@ -7,6 +7,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"swiftbank.dev/swiftbank/platform/platformtest"
 )
 
 // Record is the account of one run of a case: what was sent, answered and run.
@@ -32,5 +34,12 @@
 	_, _ = fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, arguments...))
 }
 
+// Runs writes the requests that the engine ran, with the time at which each began.
+func (r *Record) Runs(engine *platformtest.Engine) {
+	for _, run := range engine.Runs() {
+		r.Line("engine %s ran %s of program %s, begun at %.3f", engine.ID, run.ID, run.Header.Get("X-Program-Id"), run.StartedAt.Sub(r.started).Seconds())
+	}
+}
+
 // Close closes the file.
 func (r *Record) Close() { _ = r.file.Close() }
