A connection carries each request id once, so that a late copy of a refusal is not an answer

Cause: answers are matched with requests by id alone, and a refused request went back to the pool's last connection, often the one that had brought the refusal. Two sends of one id on one connection make every earlier answer to it ambiguous: a copy of any refusal (503, 429, 421, 400, with a length or chunked), right after it or after other requests.

A full pool closes the connection that has carried most. Events resend_withheld and surplus_answer, local_port in send_failed, three counters.

--- a/internal/backend/cold_test.go
+++ b/internal/backend/cold_test.go
@@ -83,7 +83,7 @@
 	_, failure := do(t, pool, s, call)
 	require.Equal(t, verdict.NotRun, failure.Verdict)
 	require.True(t, failure.NotSent)
-	require.NotNil(t, pool.pop("i"), "the connection serves the next request")
+	require.NotNil(t, pool.pop("i", hashOf("a")), "the connection serves the next request")
 }
 
 // Requests of the highest priority and long prompts go to a warm instance that has capacity for
--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -108,9 +108,9 @@
 	severalRegions bool
 	// evacuated lists the zones whose instances get no new requests.
 	evacuated map[string]bool
-	// connected reports whether there is an idle connection to an instance, idle lists the
+	// connected reports whether there is an idle connection to an instance for a request id, idle lists the
 	// instances with one. Both are nil if connections are not considered.
-	connected func(instance string) bool
+	connected func(instance, requestID string) bool
 	idle      func() []string
 
 	// placed is signaled when a request was placed.
--- a/internal/backend/directory_test.go
+++ b/internal/backend/directory_test.go
@@ -165,7 +165,7 @@
 func TestDirectoryPrefersIdleConnectionsUnlessLoaded(t *testing.T) {
 	d := NewDirectory("z")
 	d.Update(start, engines(4), false)
-	d.connected = func(instance string) bool { return instance == "e02" }
+	d.connected = func(instance, _ string) bool { return instance == "e02" }
 	for range 3 {
 		choice, _ := d.Pick(start, Demand{Service: "llm"})
 		require.Equal(t, "e02", choice.Instance.ID)
@@ -184,7 +184,7 @@
 	d := NewDirectory("z")
 	d.Update(start, engines(102), false)
 	idle := map[string]bool{}
-	d.connected = func(instance string) bool { return idle[instance] }
+	d.connected = func(instance, _ string) bool { return idle[instance] }
 	d.idle = func() []string { return slices.Sorted(maps.Keys(idle)) }
 	for range 200 {
 		choice, _ := d.Pick(start, Demand{Service: "llm"})
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -41,8 +42,14 @@
 	// NewConnection requires a new connection. A pooled one may be dead without any sign except the
 	// missing response, so a request that lost a response that way is retried on a new connection.
 	NewConnection bool
+	// Resend is set if the instance refused the request before. A connection is opened for it only within the
+	// instance's budget.
+	Resend bool
 }
 
+// id returns the id that matches a response with the call.
+func (c Call) id() string { return c.Header.Get(c.IDHeader) }
+
 // Failure is an exchange without a usable response. It implements error.
 type Failure struct {
 	// Verdict says whether the request may have run.
@@ -59,6 +66,8 @@
 	// Restriction is set when a placement rule leaves no instance for the request.
 	Restriction Restriction
 	Reason      string
+	// LocalPort is the port of the connection that the request was sent on; 0 if it was not sent.
+	LocalPort int
 	// RetryAfter is the time after which an instance may accept the request; zero if unknown.
 	RetryAfter time.Duration
 }
@@ -66,6 +75,16 @@
 // Error implements error.
 func (f *Failure) Error() string { return f.Reason }
 
+// SurplusAnswer is an answer that arrived where the answer to another request was due.
+type SurplusAnswer struct {
+	Instance string
+	// RequestID is the request whose answer was due, AnswerID the id that the surplus answer carries.
+	RequestID, AnswerID string
+	Status              int
+	// LocalPort is the port of the connection.
+	LocalPort int
+}
+
 // Answer is a response whose head has been read. Finish or Discard must be called.
 type Answer struct {
 	Response   *http.Response
@@ -81,7 +100,10 @@
 // Do sends the call and reads the head of the response. The connection is closed when the context
 // ends; instances stop their work when that happens.
 func (p *Pool) Do(ctx context.Context, instance Instance, call Call) (*Answer, *Failure) {
-	connection, err := p.acquire(ctx, instance, call.NewConnection)
+	connection, err := p.acquire(ctx, instance, call)
+	if errors.Is(err, errNoResend) {
+		return nil, &Failure{Verdict: verdict.NotRun, NotSent: true, Reason: err.Error()}
+	}
 	if err != nil {
 		return nil, &Failure{Verdict: verdict.NotRun, Unreachable: ctx.Err() == nil, InstanceDown: errors.Is(err, syscall.ECONNREFUSED), Reason: "connect: " + err.Error()}
 	}
@@ -89,15 +111,16 @@
 		p.putBack(instance, connection)
 		return nil, &Failure{Verdict: verdict.NotRun, NotSent: true, Reason: "the send permit expired before the request was sent"}
 	}
+	connection.recordSend(hashOf(call.id()))
 	answer := &Answer{Connection: connection, pool: p, instance: instance, sent: make(chan error, 1)}
 	answer.stop = context.AfterFunc(ctx, func() { _ = connection.Close() })
 	if err := answer.send(call); err != nil {
 		answer.abort(ctx)
-		return nil, &Failure{Verdict: verdict.MayHaveRun, Reason: "send: " + err.Error()}
+		return nil, &Failure{Verdict: verdict.MayHaveRun, LocalPort: answer.LocalPort(), Reason: "send: " + err.Error()}
 	}
 	if err := answer.readHead(call); err != nil {
 		answer.abort(ctx)
-		return nil, &Failure{Verdict: verdict.MayHaveRun, Reason: "read: " + err.Error()}
+		return nil, &Failure{Verdict: verdict.MayHaveRun, LocalPort: answer.LocalPort(), Reason: "read: " + err.Error()}
 	}
 	return answer, nil
 }
@@ -155,7 +178,7 @@
 // precede it and are discarded.
 func (a *Answer) readHead(call Call) error {
 	request := &http.Request{Method: call.Method}
-	id := call.Header.Get(call.IDHeader)
+	id := call.id()
 	for range maxHeads {
 		response, err := http.ReadResponse(a.Connection.reader, request)
 		if err != nil {
@@ -169,6 +192,9 @@
 			return nil
 		}
 		a.unexpected = true
+		if a.pool.SurplusReceived != nil {
+			a.pool.SurplusReceived(SurplusAnswer{Instance: a.instance.ID, RequestID: id, AnswerID: response.Header.Get(call.IDHeader), Status: response.StatusCode, LocalPort: a.LocalPort()})
+		}
 		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return errIDMismatch // this body ends with the connection, so no further response follows
 		}
@@ -179,6 +205,15 @@
 	return errIDMismatch
 }
 
+// LocalPort returns the port of the connection, which identifies it in the log.
+func (a *Answer) LocalPort() int {
+	address, ok := a.Connection.LocalAddr().(*net.TCPAddr)
+	if !ok {
+		return 0
+	}
+	return address.Port
+}
+
 // Body returns the reader of the response body.
 func (a *Answer) Body() io.Reader { return a.Response.Body }
 
@@ -193,7 +228,7 @@
 // Finish ends an exchange whose body was read to the end. The connection returns to the pool if its
 // state is certain.
 func (a *Answer) Finish() {
-	if !a.stop() || a.unexpected || a.Response.Close || !a.Framed() || a.Connection.reader.Buffered() > 0 || !a.requestSent() {
+	if !a.stop() || a.unexpected || a.Response.Close || a.Connection.isWorn() || !a.Framed() || a.Connection.reader.Buffered() > 0 || !a.requestSent() {
 		_ = a.Connection.Close()
 		return
 	}
--- a/internal/backend/liveness_test.go
+++ b/internal/backend/liveness_test.go
@@ -51,7 +51,7 @@
 	pool := NewPool(func() {})
 	silent := Instance{ID: "there", Service: "llm", Address: listener.Addr().String()}
 	require.False(t, pool.IsDown(context.Background(), silent, time.Millisecond))
-	require.True(t, pool.isIdle("there"), "the connection is kept for the next request")
+	require.True(t, pool.isIdle("there", "a"), "the connection is kept for the next request")
 	require.NoError(t, listener.Close())
 	pool.Forget("there")
 	require.False(t, pool.IsDown(context.Background(), silent, time.Millisecond), "a refusal is a response of the machine")
--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -46,7 +46,9 @@
 
 // Demand holds the placement requirements of a request.
 type Demand struct {
-	Service string
+	// RequestID is the id under which the request is sent; a connection that carried it cannot carry it again.
+	RequestID string
+	Service   string
 	// Generates is set for requests to model engines.
 	Generates bool
 	// PromptParts are the parts of the prompt, in order.
@@ -300,7 +302,7 @@
 // read.
 func (d *Directory) cost(now time.Time, candidate *member, load float64, demand Demand) (float64, int) {
 	cost := failureCost * candidate.recentFailures(now)
-	connected := d.connected == nil || d.connected(candidate.instance.ID)
+	connected := d.connected == nil || d.connected(candidate.instance.ID, demand.RequestID)
 	cost += d.network.cost(candidate.instance.Zone, connected)
 	uncached := d.uncachedTokens(now, candidate, demand)
 	if d.cold.Cold(now, candidate.instance.ID) {
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -1,10 +1,8 @@
 package backend
 
 import (
-	"bufio"
 	"context"
 	"errors"
-	"net"
 	"slices"
 	"sync"
 	"syscall"
@@ -20,24 +18,16 @@
 	// idleMargin is subtracted from what the instance specifies.
 	idleDefault = 4 * time.Second
 	idleMargin  = 600 * time.Millisecond
-	// readBuffer is the size of a connection's read buffer.
-	readBuffer = 4 << 10
 )
 
-// connection is a connection to an instance. It carries one request at a time.
-type connection struct {
-	net.Conn
-	reader *bufio.Reader
-	// reused is set from the second request on.
-	reused bool
-	// idleUntil is when the instance may close the connection.
-	idleUntil time.Time
-}
-
 // Pool holds idle connections to instances. It is safe for concurrent use.
 type Pool struct {
 	// Opened is called for each new connection, for metrics.
 	Opened func()
+	// ResendOpened is called for those that are opened for refused requests, SurplusReceived for each answer that
+	// belongs to no request. Both may be nil.
+	ResendOpened    func()
+	SurplusReceived func(SurplusAnswer)
 	// dialed is called with the time that opening a connection took, for the cost of the network
 	// path. It may be nil.
 	dialed func(instance Instance, took time.Duration)
@@ -51,32 +41,41 @@
 	idleLimit map[string]int
 	// livenessByID holds the liveness of each instance.
 	livenessByID map[string]*liveness
+	// resends holds the budgets of the instances that refused requests.
+	resends map[string]*resendBudget
 }
 
 // NewPool returns an empty pool. The callback is called for each new connection.
 func NewPool(opened func()) *Pool {
-	return &Pool{Opened: opened, idle: map[string][]*connection{}, idleLimit: map[string]int{}, livenessByID: map[string]*liveness{}}
+	return &Pool{Opened: opened, idle: map[string][]*connection{}, idleLimit: map[string]int{}, livenessByID: map[string]*liveness{}, resends: map[string]*resendBudget{}}
 }
 
 // UseOtherRegion sets the function that reports whether a zone is in another region. It must be
 // called before the first request.
 func (p *Pool) UseOtherRegion(isOtherRegion func(zone string) bool) { p.isOtherRegion = isOtherRegion }
 
-// acquire returns an idle connection that is still usable, or a new one.
-func (p *Pool) acquire(ctx context.Context, instance Instance, forceNew bool) (*connection, error) {
-	now := time.Now()
-	for !forceNew {
-		kept := p.pop(instance.ID)
+// acquire returns an idle connection that is still usable and has not carried the call's id, or a new one.
+func (p *Pool) acquire(ctx context.Context, instance Instance, call Call) (*connection, error) {
+	request := hashOf(call.id())
+	for !call.NewConnection {
+		kept := p.pop(instance.ID, request)
 		if kept == nil {
 			break
 		}
-		if now.Before(kept.idleUntil) && isReusable(kept.Conn) {
+		if isReusable(kept.Conn) {
 			kept.reused = true
 			return kept, nil
 		}
 		_ = kept.Close()
 	}
+	if call.Resend && !p.takeResend(instance) {
+		return nil, errNoResend
+	}
+	if call.Resend && p.ResendOpened != nil {
+		p.ResendOpened()
+	}
 	p.Opened()
+	began := time.Now()
 	opened, err := peer.Dialer(connectTimeout).DialContext(ctx, "tcp", instance.Address)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		p.livenessOf(instance.ID).recordRefusal(time.Now())
@@ -85,20 +84,16 @@
 		return nil, err
 	}
 	if p.dialed != nil {
-		p.dialed(instance, time.Since(now))
+		p.dialed(instance, time.Since(began))
 	}
 	return newConnection(opened), nil
 }
 
-func newConnection(opened net.Conn) *connection {
-	return &connection{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer)}
-}
-
-// isIdle reports whether there is a usable idle connection to the instance.
-func (p *Pool) isIdle(id string) bool {
+// isIdle reports whether there is an idle connection to the instance on which the request may be sent.
+func (p *Pool) isIdle(id, requestID string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return usable(p.idle[id], time.Now())
+	return lastUsable(p.idle[id], time.Now(), hashOf(requestID)) >= 0
 }
 
 // idleInstances returns the ids of the instances with an idle connection, sorted.
@@ -108,7 +103,7 @@
 	now := time.Now()
 	var ids []string
 	for id, kept := range p.idle {
-		if usable(kept, now) {
+		if len(kept) > 0 && now.Before(kept[len(kept)-1].idleUntil) {
 			ids = append(ids, id)
 		}
 	}
@@ -116,37 +111,68 @@
 	return ids
 }
 
-// usable reports whether the most recently used connection has not expired.
-func usable(kept []*connection, now time.Time) bool {
-	return len(kept) > 0 && now.Before(kept[len(kept)-1].idleUntil)
+// lastUsable returns the index of the most recently used connection that has not expired and has not carried the
+// request, -1 if there is none.
+func lastUsable(kept []*connection, now time.Time, request uint64) int {
+	for index, connection := range slices.Backward(kept) {
+		if now.Before(connection.idleUntil) && !connection.hasCarried(request) {
+			return index
+		}
+	}
+	return -1
 }
 
-// pop removes and returns the most recently used connection, nil if there is none.
-func (p *Pool) pop(id string) *connection {
+// pop removes and returns the most recently used connection on which the request may be sent, nil if there is none.
+// It closes the connections that have expired.
+func (p *Pool) pop(id string, request uint64) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	kept := p.idle[id]
-	if len(kept) == 0 {
+	now := time.Now()
+	kept := slices.DeleteFunc(p.idle[id], func(idle *connection) bool {
+		expired := !now.Before(idle.idleUntil)
+		if expired {
+			_ = idle.Close()
+		}
+		return expired
+	})
+	p.idle[id] = kept
+	index := lastUsable(kept, now, request)
+	if index < 0 {
 		return nil
 	}
-	last := kept[len(kept)-1]
-	p.idle[id] = kept[:len(kept)-1]
+	last := kept[index]
+	p.idle[id] = slices.Delete(kept, index, index+1)
 	return last
 }
 
-// put keeps a connection for the next request, or closes it if the idle limit is reached.
+// put keeps a connection for the next request. If the idle limit is reached, it closes the connection that has carried
+// the most requests, which is of use to the fewest.
 func (p *Pool) put(instance Instance, kept *connection, idle time.Duration) {
 	kept.idleUntil = time.Now().Add(idle)
 	p.mu.Lock()
-	limit, bounded := p.idleLimit[instance.Service]
-	full := bounded && len(p.idle[instance.ID]) >= limit
-	if !full {
-		p.idle[instance.ID] = append(p.idle[instance.ID], kept)
+	all := append(p.idle[instance.ID], kept)
+	var surplus *connection
+	if limit, bounded := p.idleLimit[instance.Service]; bounded && len(all) > limit {
+		most := mostWorn(all)
+		surplus = all[most]
+		all = slices.Delete(all, most, most+1)
 	}
+	p.idle[instance.ID] = all
 	p.mu.Unlock()
-	if full {
-		_ = kept.Close()
+	if surplus != nil {
+		_ = surplus.Close()
+	}
+}
+
+// mostWorn returns the index of the connection that has carried the most requests, the longest idle one of equals.
+func mostWorn(idle []*connection) int {
+	most := 0
+	for index, connection := range idle {
+		if len(connection.carried) > len(idle[most].carried) {
+			most = index
+		}
 	}
+	return most
 }
 
 // putBack returns a connection that was acquired but not used.
@@ -170,6 +196,7 @@
 func (p *Pool) Forget(id string) {
 	p.mu.Lock()
 	delete(p.livenessByID, id)
+	delete(p.resends, id)
 	p.mu.Unlock()
 	p.closeIdle(id)
 }
@@ -186,20 +213,3 @@
 		_ = connection.Close()
 	}
 }
-
-// isReusable reports whether an idle connection is open and has no data to read. Unsolicited data
-// belongs to no request.
-func isReusable(connection net.Conn) bool {
-	raw, err := connection.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	var one [1]byte
-	err = raw.Read(func(descriptor uintptr) bool {
-		_, _, receiveErr := syscall.Recvfrom(int(descriptor), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		open = receiveErr == syscall.EAGAIN
-		return true
-	})
-	return err == nil && open
-}
--- a/internal/backend/sampling.go
+++ b/internal/backend/sampling.go
@@ -63,7 +63,7 @@
 	ranks := make(map[*member]float64, len(candidates))
 	for _, candidate := range candidates {
 		uniform := (float64(d.nextRandom()>>uniformShift) + 1) / uniformRange
-		ranks[candidate] = -math.Log(uniform) * d.speeds.Estimate(now, candidate.key).Slowdown() * d.samplingPenalty(candidate)
+		ranks[candidate] = -math.Log(uniform) * d.speeds.Estimate(now, candidate.key).Slowdown() * d.samplingPenalty(candidate, demand)
 	}
 	slices.SortFunc(candidates, func(a, b *member) int { return cmp.Compare(ranks[a], ranks[b]) })
 	return candidates[:size]
@@ -72,12 +72,12 @@
 // samplingPenalty returns the factor by which an instance is less likely to be sampled because of
 // its network path: traffic between zones and new connections use resources that other requests
 // share. The caller must hold the lock.
-func (d *Directory) samplingPenalty(candidate *member) float64 {
+func (d *Directory) samplingPenalty(candidate *member, demand Demand) float64 {
 	penalty := 1.0
 	if candidate.instance.Zone != d.zone {
 		penalty *= otherZonePenalty
 	}
-	if d.connected != nil && !d.connected(candidate.instance.ID) {
+	if d.connected != nil && !d.connected(candidate.instance.ID, demand.RequestID) {
 		penalty *= noConnectionPenalty
 	}
 	return penalty
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -42,6 +42,9 @@
 	// lostRuns counts runs whose instance ended or fell silent, contained requests that were not sent for
 	// that reason, and released those that count as harmless again.
 	lostRuns, contained, released *prometheus.CounterVec
+	// resendConnections counts connections opened for refused requests, resendsWithheld requests that had to wait for
+	// one, surplusAnswers answers that belong to no request.
+	resendConnections, resendsWithheld, surplusAnswers prometheus.Counter
 	// limitRefusals counts requests refused by their tenant's limit.
 	limitRefusals *prometheus.CounterVec
 }
@@ -93,6 +96,7 @@
 	m.evacuated = prometheus.NewGauge(prometheus.GaugeOpts{Name: "swiftbank_evacuated_zones", Help: "Zones whose instances get nothing further.", ConstLabels: labels})
 	m.Registry.MustRegister(m.evacuated, m.feedAge, m.feedReading, m.requests, m.latency, m.reserve, m.commit, m.connections, m.sends, m.relayed, m.store)
 	m.registerCold(labels)
+	m.registerResends(labels)
 	m.registerContainment(labels)
 	m.registerSpeeds(labels)
 	m.registerLimits(labels)
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -55,15 +55,17 @@
 	q.queue(r.service.Name).Remove(r.id)
 }
 
-// waitForSlot pauses before the request polls instances again. It returns false if the request is
-// refused or its caller has disconnected.
-func (s *Server) waitForSlot(ctx context.Context, r *request) bool {
+// waitForSlot pauses before the request polls instances again; polled reports whether it could ask any. It returns false
+// if the request is refused or its caller has disconnected.
+func (s *Server) waitForSlot(ctx context.Context, r *request, polled bool) bool {
 	if r.isHeld() {
 		return s.awaitNextDecision(ctx, r)
 	}
 	now := time.Now()
 	capacity := s.capacity(now, r)
-	decision := s.overload.decide(now, r.service.Name, s.overloadRequest(r), capacity)
+	waiting := s.overloadRequest(r)
+	waiting.NotPolled = !polled
+	decision := s.overload.decide(now, r.service.Name, waiting, capacity)
 	s.logDecision(now, r, decision, capacity)
 	r.polls++
 	if decision.Verdict == overload.Reject {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -63,15 +64,16 @@
 		if failure := s.containmentFailure(r, ""); failure != nil {
 			return nil, failure
 		}
-		demand.EndsBehind = r.outcome.endsBehind
+		demand.EndsBehind, demand.RequestID = r.outcome.endsBehind, r.id
 		if !r.hasTimeToSend(time.Now()) {
 			return nil, &backend.Failure{Verdict: verdict.NotRun, Reason: "too little time is left to send the request"}
 		}
-		choice, found := s.pick(r, refusals, demand)
+		withheld := s.withheldInstances(r)
+		choice, found := s.pick(r, refusals, demand, withheld)
 		if failure := s.placementFailure(demand, found); failure != nil {
 			return nil, failure
 		}
-		if !found && refusals == 0 && excludedBefore > 0 {
+		if !found && refusals == 0 && excludedBefore > 0 && len(withheld) == 0 {
 			// Only instances that ran the request before are available: ask one of them again
 			// rather than none.
 			excludedBefore, demand.Exclude = 0, nil
@@ -81,7 +83,7 @@
 			if failure := s.refuseWhileCold(r, demand.Service); failure != nil {
 				return nil, failure
 			}
-			if !s.waitForSlot(ctx, r) {
+			if !s.waitForSlot(ctx, r, refusals > 0 || len(withheld) == 0) {
 				return nil, r.failureIfHeld(lastFailure)
 			}
 			refusals = 0
@@ -114,10 +116,11 @@
 
 // pick selects an instance. It finds none if enough instances have refused the request in this
 // poll, or if the request may not poll instances while there is no capacity.
-func (s *Server) pick(r *request, refusals int, demand backend.Demand) (backend.Choice, bool) {
+func (s *Server) pick(r *request, refusals int, demand backend.Demand, withheld []string) (backend.Choice, bool) {
 	if refusals >= maxRefusals || refusals == 0 && !s.admits(r) {
 		return backend.Choice{}, false
 	}
+	demand.Exclude = slices.Concat(demand.Exclude, withheld)
 	return s.directory.Pick(time.Now(), demand)
 }
 
@@ -173,6 +176,7 @@
 	s.directory.ResponseStarted(time.Now(), choice)
 	if failure := s.instanceRefusal(choice, answer); failure != nil {
 		release()
+		r.recordRefusal(choice.Instance)
 		s.endRecordedRun(r)
 		s.logSendFailure(r, choice, failure)
 		return nil, failure
@@ -209,7 +213,7 @@
 	answer.Finish()
 	s.directory.End(time.Now(), choice, backend.Full)
 	return &backend.Failure{
-		Verdict: verdict.NotRun, Unreachable: misdirected, InstanceDown: misdirected,
+		Verdict: verdict.NotRun, Unreachable: misdirected, InstanceDown: misdirected, LocalPort: answer.LocalPort(),
 		Reason: "the instance refused with status " + strconv.Itoa(status),
 	}
 }
@@ -229,5 +233,5 @@
 func (s *Server) logSendFailure(r *request, choice backend.Choice, failure *backend.Failure) {
 	s.log.Warn().Str("event", "send_failed").Str("id", r.id).Str("instance", choice.Instance.ID).
 		Str("verdict", failure.Verdict.String()).Str("reason", failure.Reason).Int("load", choice.Load).
-		Int64("since_ms", time.Since(r.arrived).Milliseconds()).Msg("")
+		Int("local_port", failure.LocalPort).Int64("since_ms", time.Since(r.arrived).Milliseconds()).Msg("")
 }
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -78,6 +78,8 @@
 	// StartBy is the time by which the answer should start. A program whose first request waits
 	// longer is late from the start, and takes slots from programs that are not.
 	StartBy time.Time
+	// NotPolled is set if no instance could be asked since the last decision, which then says nothing about free slots.
+	NotPolled bool
 	// LatencyObjective is the time from Arrived to StartBy; 0 if there is no objective.
 	LatencyObjective time.Duration
 }
--- a/internal/overload/queue.go
+++ b/internal/overload/queue.go
@@ -35,9 +35,11 @@
 	return float64(capacity.Busy) < limit
 }
 
-// Decide decides about a request that polled instances and was accepted by none.
+// Decide decides about a request that polled instances and was accepted by none, or could poll none.
 func (q *Queue) Decide(now time.Time, request Request, capacity Capacity) Decision {
-	q.forecast.add(now, 0, 1)
+	if !request.NotPolled {
+		q.forecast.add(now, 0, 1)
+	}
 	probability := q.forecast.pollProbability(now, capacity.Usual)
 	decision := decide(request, capacity, now, probability, len(q.waiting), q.waiting[request.ID])
 	if decision.Verdict == Wait {
