Tests: replies that a relay repeats or returns late change nothing

TestRepeatedRelayedRepliesChangeNothing delivers every relayed reply again with each later one, TestRepeatedRelayedRepliesOfOneReplicaAreNoQuorum does so with one replica in reach.

--- a/internal/quorum/relay_test.go
+++ b/internal/quorum/relay_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -220,3 +223,64 @@
 	}
 	require.Equal(t, maxTimeout, estimate.timeout(), "variance does not raise the timeout above the maximum")
 }
+
+// repeatReplies delivers each relayed reply again, together with those to earlier operations, whenever another arrives.
+// It returns the number of replies that were delivered again.
+func (f *relayFleet) repeatReplies() *atomic.Int64 {
+	var delivered atomic.Int64
+	deliver := f.relays.onReply
+	var mu sync.Mutex
+	var earlier []RelayReply
+	f.relays.onReply = func(reply RelayReply) {
+		mu.Lock()
+		earlier = append(earlier, reply)
+		repeated := slices.Clone(earlier)
+		mu.Unlock()
+		for _, again := range repeated {
+			deliver(again)
+			delivered.Add(1)
+		}
+		deliver(reply)
+	}
+	return &delivered
+}
+
+// Replies that a relay returns late or repeatedly belong to the operation whose number they carry and count once for
+// each replica.
+func TestRepeatedRelayedRepliesChangeNothing(t *testing.T) {
+	f := startRelayFleet(t)
+	f.repeatReplies()
+	f.addGateway(t, "g1", true)
+	charged := int64(0)
+	for number := range int64(5) {
+		reservation, err := f.reserve(t, fmt.Sprint("t", number), 10+number)
+		require.NoError(t, err)
+		require.Equal(t, charged, reservation.OtherTurnTokens)
+		require.NoError(t, reservation.Durable(contextWithTimeout(t, 20*time.Second), 1))
+		reservation.StopRetrying()
+		charged += 10 + number
+	}
+}
+
+func TestRepeatedRelayedRepliesOfOneReplicaAreNoQuorum(t *testing.T) {
+	f := startRelayFleet(t)
+	delivered := f.repeatReplies()
+	for _, replica := range f.replicas[1:] {
+		replica.server.Close()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	cells := NewCells(ctx, "g", "r0", nil, discardLogger())
+	cells.SetMembership(membershipOf(nodesOf(f.replicas...), setOf(1, f.replicas...)))
+	listener, err := peer.Listen(ctx, "127.0.0.1:0")
+	require.NoError(t, err)
+	server := peer.NewServer(listener, cells.Forward)
+	go server.Run()
+	t.Cleanup(server.Close)
+	f.relays.SetGateways(map[string]replicaset.Node{"g1": {Name: "g1", Role: replicaset.RoleGateway, Address: listener.Addr().String(), Zone: "r0"}})
+	_, err = f.disconnected.ForProgram("p", place.Homes{}).Reserve(contextWithTimeout(t, time.Second), ledger.Reserve{
+		Program: "p", Charge: ledger.Charge{Turn: "t1", Tokens: 10}, Retention: time.Minute,
+	})
+	require.ErrorIs(t, err, ErrNoQuorum)
+	require.GreaterOrEqual(t, delivered.Load(), int64(3), "the replica that is reached replied")
+}
