--- a/internal/gateway/request_test.go
+++ b/internal/gateway/request_test.go
@@ -23,3 +23,15 @@
 	require.Equal(t, int64(1500), r.programLeftMS())
 	require.Equal(t, latePriority, r.enginePriority(arrived.Add(1500*time.Millisecond)), "the program's time passed while it waited")
 }
+
+// A request without an id was sent again and again until its deadline, because every instance refuses it.
+func TestRequestWithoutIDIsRefusedAtOnce(t *testing.T) {
+	s := newTestGateway(t)
+	instance := newBusyInstance("i", 0, 0)
+	instance.refuse = func(w http.ResponseWriter) { w.WriteHeader(http.StatusBadRequest) }
+	listBusyInstances(t, s, nil, instance)
+	for _, prefix := range []string{"/unsafe/", "/safe/", "/stream/"} {
+		require.Equal(t, http.StatusBadRequest, postTo(s, prefix, "").Code)
+	}
+	require.Zero(t, instance.refusalsSoFar())
+}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -38,6 +38,7 @@
 // sendCall sends a request with the given deadline in milliseconds.
 func sendCall(s *Server, deadlineMS string) *httptest.ResponseRecorder {
 	request := httptest.NewRequest(http.MethodPost, "http://apps.test/call/1", nil)
+	request.Header.Set(s.dialect.RequestID, "r")
 	request.Header.Set(deadlineHeader, deadlineMS)
 	recorder := httptest.NewRecorder()
 	s.handle(recorder, request)
--- a/internal/gateway/tenancy_test.go
+++ b/internal/gateway/tenancy_test.go
@@ -36,6 +36,7 @@
 // sendCallWithKey sends a request with the given Authorization header, or none for "".
 func sendCallWithKey(s *Server, path, authorization string) int {
 	request := httptest.NewRequest(http.MethodPost, "http://apps.test"+path, nil)
+	request.Header.Set(s.dialect.RequestID, "r")
 	request.Header.Set(deadlineHeader, "40")
 	if authorization != "" {
 		request.Header.Set("Authorization", authorization)
