--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -345,12 +345,13 @@
 }
 
 func exchange(gateway *member, id, host, path string, header http.Header, body string) exchangeResult {
-	return exchangeWithReader(gateway, id, host, path, header, body, nil)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return exchangeOver(client, gateway, id, host, path, header, body, nil)
 }
 
-// exchangeWithReader sends a request and reads the response, through the given reader if it is not nil.
+// exchangeOver sends a request with the client and reads the response, through the given reader if it is not nil.
 // An error of the reader closes the connection.
-func exchangeWithReader(gateway *member, id, host, path string, header http.Header, body string, through func(io.Reader) io.Reader) exchangeResult {
+func exchangeOver(client *http.Client, gateway *member, id, host, path string, header http.Header, body string, through func(io.Reader) io.Reader) exchangeResult {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	result := exchangeResult{id: id}
@@ -367,7 +368,6 @@
 	if request.Header.Get("X-Deadline-Ms") == "" {
 		request.Header.Set("X-Deadline-Ms", "8000")
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
 		result.err = err
--- a/internal/e2e/soak_callers_test.go
+++ b/internal/e2e/soak_callers_test.go
@@ -47,10 +47,19 @@
 	random *rand.Rand
 	// tenant is the index of the tenant in soakTenants.
 	tenant int
+	// client keeps its connections until the gateway closes them, or opens one for each request.
+	client *http.Client
 	// readsSlowly makes the caller read responses through a slowBody.
 	readsSlowly bool
 }
 
+// newCaller returns a caller with a random number generator of its own. Every second caller keeps its connections.
+func (s *soak) newCaller(number uint64, tenant int) *soakCaller {
+	transport := &http.Transport{DisableKeepAlives: number%2 == 0}
+	s.t.Cleanup(transport.CloseIdleConnections)
+	return &soakCaller{soak: s, random: rand.New(rand.NewPCG(s.seed, number)), tenant: tenant, client: &http.Client{Transport: transport}}
+}
+
 // soakSlack is the number of requests by which a tenant may exceed its limit.
 const soakSlack = 20
 
@@ -170,7 +179,7 @@
 	header.Set("X-Tenant", "forged")
 	request.input = "input-" + id + "|"
 	request.sentAt = time.Since(c.startedAt)
-	request.exchangeResult = exchangeWithReader(gateway, id, host, path, header, request.input, c.reader(request))
+	request.exchangeResult = exchangeOver(c.client, gateway, id, host, path, header, request.input, c.reader(request))
 	request.took = time.Since(c.startedAt) - request.sentAt
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/e2e/soak_load_test.go
+++ b/internal/e2e/soak_load_test.go
@@ -49,7 +49,7 @@
 	add := func(count, tenant int, run func(c *soakCaller)) {
 		for range count {
 			number++
-			caller := &soakCaller{soak: s, random: rand.New(rand.NewPCG(s.seed, number)), tenant: tenant}
+			caller := s.newCaller(number, tenant)
 			running.Go(func() {
 				for ctx.Err() == nil {
 					run(caller)
@@ -75,7 +75,7 @@
 	for range 1 + c.random.IntN(maxTurns) {
 		var round sync.WaitGroup
 		for range subAgents {
-			agent := &soakCaller{soak: c.soak, random: rand.New(rand.NewPCG(c.random.Uint64(), 0)), tenant: c.tenant}
+			agent := &soakCaller{soak: c.soak, random: rand.New(rand.NewPCG(c.random.Uint64(), 0)), tenant: c.tenant, client: c.client}
 			round.Go(func() {
 				request := record{kind: resumableTurn, program: program, budget: budget, maxTokens: maxTurnTokens}
 				agent.send(request, agentHost, batchPath, turnHeader(program, budget))
