Refused requests look at connections of candidates only

Cause: before each placement a waiting request looked at the connections of every instance that had refused it. A service of 10,000 instances refuses a request at 120 different ones a second, so a request that waits for 5 s looked at 600 of them up to three times in each poll. Budgets of instances that were removed since were created anew and stayed.

Change: the placement asks for the candidates that it compares, 24 and the preferred ones; a full budget is not stored. resend_withheld is logged only if the request waits for that reason.

The cost at 10,000 instances is by reading, not measured.

--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -63,6 +63,8 @@
 	Pinned string
 	// Version is the software version that the instance must run; "" allows any.
 	Version string
+	// IsWithheld reports whether an instance that refused the request cannot be asked again now; nil withholds none.
+	IsWithheld func(instance string) bool
 	// Exclude lists instances that were already tried.
 	Exclude []string
 	// Homes limits the regions whose instances may get the request.
@@ -234,6 +236,7 @@
 	m.lastSample = s.number
 	switch {
 	case !m.mayServe(s.now) || slices.Contains(s.demand.Exclude, m.instance.ID):
+	case s.demand.IsWithheld != nil && s.demand.IsWithheld(m.instance.ID):
 	case !s.demand.isHome(m, s.places): // no overflow to other regions: data must stay in its home regions
 	case !s.cold.Admits(s.now, m.instance.ID):
 		s.coldWithheld = true
--- a/internal/backend/resend.go
+++ b/internal/backend/resend.go
@@ -34,23 +34,38 @@
 	b.updatedAt = now
 }
 
-// CanResend reports whether a request that the instance refused can be sent to it again, on a new connection if that is
-// required.
-func (p *Pool) CanResend(instance Instance, requestID string, newConnection bool) bool {
+// CanResend reports whether a request that an instance of the service refused can be sent to it again, on a new
+// connection if that is required.
+func (p *Pool) CanResend(instance, service, requestID string, newConnection bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	if !newConnection && lastUsable(p.idle[instance.ID], now, hashOf(requestID)) >= 0 {
+	if !newConnection && lastUsable(p.idle[instance], now, hashOf(requestID)) >= 0 {
 		return true
 	}
-	return p.refilledBudget(now, instance).available >= 1
+	budget := p.resends[instance]
+	if budget == nil {
+		return true
+	}
+	limit := p.resendLimit(service)
+	budget.refill(now, limit)
+	if budget.available >= limit { // as without an entry
+		delete(p.resends, instance)
+		return true
+	}
+	return budget.available >= 1
 }
 
 // takeResend takes a connection for a refused request from the instance's budget and reports whether there was one.
 func (p *Pool) takeResend(instance Instance) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	budget := p.refilledBudget(time.Now(), instance)
+	budget := p.resends[instance.ID]
+	if budget == nil {
+		budget = &resendBudget{}
+		p.resends[instance.ID] = budget
+	}
+	budget.refill(time.Now(), p.resendLimit(instance.Service))
 	if budget.available < 1 {
 		return false
 	}
@@ -58,13 +73,7 @@
 	return true
 }
 
-// refilledBudget returns the instance's budget as of now. The caller must hold the lock.
-func (p *Pool) refilledBudget(now time.Time, instance Instance) *resendBudget {
-	budget := p.resends[instance.ID]
-	if budget == nil {
-		budget = &resendBudget{}
-		p.resends[instance.ID] = budget
-	}
-	budget.refill(now, float64(max(minResends, p.idleLimit[instance.Service])))
-	return budget
+// resendLimit returns the size of the budget for each instance of a service. The caller must hold the lock.
+func (p *Pool) resendLimit(service string) float64 {
+	return float64(max(minResends, p.idleLimit[service]))
 }
--- a/internal/backend/resend_test.go
+++ b/internal/backend/resend_test.go
@@ -90,7 +90,9 @@
 	require.LessOrEqual(t, float64(resends), allowed)
 	require.GreaterOrEqual(t, resends, minResends)
 	require.Equal(t, 1+resends, *opened)
-	require.True(t, pool.CanResend(s.instance, "b", false), "others use the idle connections")
+	require.True(t, pool.CanResend("i", "", "b", false), "others use the idle connections")
+	pool.resends["i"] = &resendBudget{updatedAt: time.Now().Add(time.Hour)} // it does not refill
+	require.False(t, pool.CanResend("i", "", "a", false))
 }
 
 func TestResendBudgetRefills(t *testing.T) {
@@ -107,3 +109,15 @@
 	budget.refill(now, limit) // the clock of the caller went back
 	require.Equal(t, 10.0, budget.available)
 }
+
+// Budgets of instances that refuse nothing any more must not accumulate.
+func TestFullBudgetIsNotKept(t *testing.T) {
+	pool := NewPool(func() {})
+	require.True(t, pool.CanResend("i", "llm", "a", true))
+	require.Empty(t, pool.resends)
+	require.True(t, pool.takeResend(Instance{ID: "i", Service: "llm"}))
+	require.Len(t, pool.resends, 1)
+	pool.resends["i"].updatedAt = time.Now().Add(-time.Hour)
+	require.True(t, pool.CanResend("i", "llm", "a", true))
+	require.Empty(t, pool.resends)
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -49,10 +49,12 @@
 	examinations sync.WaitGroup
 	// held is the request's memory for callers; nil where that is not bounded.
 	held *holding
-	// refusedBy holds the instances that refused the request.
-	refusedBy []backend.Instance
-	// resendWithheld is set once the request could not be sent again to an instance that refused it.
-	resendWithheld bool
+	// refusedBy holds the ids of the instances that refused the request; withheld are those that the last placement
+	// passed over for lack of a connection.
+	refusedBy map[string]bool
+	withheld  []string
+	// waitedForConnection is set once the request had to wait because instances were withheld.
+	waitedForConnection bool
 	// lostAnswer is set once an instance may have run the request without a complete answer.
 	lostAnswer bool
 	// firstOfProgram is set on the first request of a program.
@@ -217,7 +219,7 @@
 	}
 	return backend.Call{
 		Method: r.method, Target: r.target, Host: r.host, Header: header, Body: r.body, IDHeader: s.dialect.RequestID, NewConnection: r.lostAnswer,
-		Resend: r.wasRefusedBy(instance.ID),
+		Resend: r.refusedBy[instance.ID],
 	}
 }
 
--- a/internal/gateway/resend.go
+++ b/internal/gateway/resend.go
@@ -1,41 +1,44 @@
 package gateway
 
 import (
-	"slices"
-
 	"github.com/prometheus/client_golang/prometheus"
 
 	"swiftbank.dev/swiftbank/internal/backend"
 )
 
 // recordRefusal records that an instance refused the request.
-func (r *request) recordRefusal(instance backend.Instance) {
-	if !r.wasRefusedBy(instance.ID) {
-		r.refusedBy = append(r.refusedBy, instance)
+func (r *request) recordRefusal(instance string) {
+	if r.refusedBy == nil {
+		r.refusedBy = map[string]bool{}
 	}
+	r.refusedBy[instance] = true
 }
 
-// wasRefusedBy reports whether the instance refused the request before.
-func (r *request) wasRefusedBy(instance string) bool {
-	return slices.ContainsFunc(r.refusedBy, func(refused backend.Instance) bool { return refused.ID == instance })
-}
-
-// withheldInstances returns the instances that refused the request and that it cannot be sent to again now, because
-// every idle connection to them has carried it and their budget for new connections is used up.
-func (s *Server) withheldInstances(r *request) []string {
-	var withheld []string
-	for _, instance := range r.refusedBy {
-		if !s.pool.CanResend(instance, r.id, r.lostAnswer) {
-			withheld = append(withheld, instance.ID)
+// isWithheld returns the function that reports whether the request cannot be sent again now to an instance that refused
+// it: every idle connection has carried it, and the budget for new ones is used up. It is nil for a request that was not
+// refused.
+func (s *Server) isWithheld(r *request) func(instance string) bool {
+	if r.refusedBy == nil {
+		return nil
+	}
+	return func(instance string) bool {
+		if !r.refusedBy[instance] || s.pool.CanResend(instance, r.service.Name, r.id, r.lostAnswer) {
+			return false
 		}
+		r.withheld = append(r.withheld, instance)
+		return true
 	}
-	if len(withheld) > 0 && !r.resendWithheld {
-		r.resendWithheld = true
-		s.metrics.resendsWithheld.Inc()
-		s.log.Info().Str("event", "resend_withheld").Str("id", r.id).Strs("instances", withheld).
-			Int("sends", r.outcome.sends).Int("refused_by", len(r.refusedBy)).Msg("")
+}
+
+// logWithheld logs the first time that the request waits although instances were only withheld.
+func (s *Server) logWithheld(r *request) {
+	if len(r.withheld) == 0 || r.waitedForConnection {
+		return
 	}
-	return withheld
+	r.waitedForConnection = true
+	s.metrics.resendsWithheld.Inc()
+	s.log.Info().Str("event", "resend_withheld").Str("id", r.id).Strs("instances", r.withheld[:min(maxLoggedInstances, len(r.withheld))]).
+		Int("sends", r.outcome.sends).Int("refused_by", len(r.refusedBy)).Msg("")
 }
 
 // surplusReceived logs an answer that belongs to no request. Its connection is not used again.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -68,12 +67,11 @@
 		if !r.hasTimeToSend(time.Now()) {
 			return nil, &backend.Failure{Verdict: verdict.NotRun, Reason: "too little time is left to send the request"}
 		}
-		withheld := s.withheldInstances(r)
-		choice, found := s.pick(r, refusals, demand, withheld)
+		choice, found := s.pick(r, refusals, demand)
 		if failure := s.placementFailure(demand, found); failure != nil {
 			return nil, failure
 		}
-		if !found && refusals == 0 && excludedBefore > 0 && len(withheld) == 0 {
+		if !found && refusals == 0 && excludedBefore > 0 && len(r.withheld) == 0 {
 			// Only instances that ran the request before are available: ask one of them again
 			// rather than none.
 			excludedBefore, demand.Exclude = 0, nil
@@ -83,7 +81,8 @@
 			if failure := s.refuseWhileCold(r, demand.Service); failure != nil {
 				return nil, failure
 			}
-			if !s.waitForSlot(ctx, r, refusals > 0 || len(withheld) == 0) {
+			s.logWithheld(r)
+			if !s.waitForSlot(ctx, r, refusals > 0 || len(r.withheld) == 0) {
 				return nil, r.failureIfHeld(lastFailure)
 			}
 			refusals = 0
@@ -116,11 +115,12 @@
 
 // pick selects an instance. It finds none if enough instances have refused the request in this
 // poll, or if the request may not poll instances while there is no capacity.
-func (s *Server) pick(r *request, refusals int, demand backend.Demand, withheld []string) (backend.Choice, bool) {
+func (s *Server) pick(r *request, refusals int, demand backend.Demand) (backend.Choice, bool) {
+	r.withheld = nil
 	if refusals >= maxRefusals || refusals == 0 && !s.admits(r) {
 		return backend.Choice{}, false
 	}
-	demand.Exclude = slices.Concat(demand.Exclude, withheld)
+	demand.IsWithheld = s.isWithheld(r)
 	return s.directory.Pick(time.Now(), demand)
 }
 
@@ -176,7 +176,7 @@
 	s.directory.ResponseStarted(time.Now(), choice)
 	if failure := s.instanceRefusal(choice, answer); failure != nil {
 		release()
-		r.recordRefusal(choice.Instance)
+		r.recordRefusal(choice.Instance.ID)
 		s.endRecordedRun(r)
 		s.logSendFailure(r, choice, failure)
 		return nil, failure
