--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -66,23 +65,6 @@
 	return folder
 }
 
-// reserve returns free addresses for processes to listen on. They are on a loopback
-// address that only this test process uses, so that no connection of another process
-// takes a port before it is used. All listeners are open at once, so that the addresses
-// differ.
-func reserve(t *testing.T, count int) []string {
-	t.Helper()
-	host := fmt.Sprintf("127.%d.%d.1", 1+(os.Getpid()>>8)%250, os.Getpid()%250)
-	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", host+":0")
-		require.NoError(t, err)
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
-	}
-	return addresses
-}
-
 func (s *system) start(binary string, arguments ...string) *exec.Cmd {
 	s.t.Helper()
 	command := exec.Command(filepath.Join(s.folder, binary), arguments...)
