--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -12,7 +12,7 @@
 const (
 	// readBuffer is the size of a connection's read buffer, in bytes.
 	readBuffer = 4 << 10
-	// maxRequestsPerConnection bounds the ids that a connection records: 24 bytes each, at most.
+	// maxRequestsPerConnection bounds the ids that a connection records.
 	maxRequestsPerConnection = 1024
 )
 
