Names: unsolicited answers, connections that are used up

Reading the diff as a newcomer: "surplus answer" is the operators' word, net/http and HTTP speak of unsolicited responses; a connection was "worn".

--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -17,7 +17,7 @@
 )
 
 // connection is a connection to an instance. It carries one request at a time, and each request id once: an instance
-// may send surplus copies of its answers at any later time, and only the id tells them apart from the answer that is
+// may send unsolicited copies of its answers at any later time, and only the id tells them apart from the answer that is
 // due.
 type connection struct {
 	net.Conn
@@ -46,8 +46,8 @@
 // recordSend records that a request with the id's hash is sent.
 func (c *connection) recordSend(request uint64) { c.carried[request] = struct{}{} }
 
-// isWorn reports whether the connection may carry no further request.
-func (c *connection) isWorn() bool { return len(c.carried) >= maxRequestsPerConnection }
+// isUsedUp reports whether the connection may carry no further request.
+func (c *connection) isUsedUp() bool { return len(c.carried) >= maxRequestsPerConnection }
 
 // isReusable reports whether an idle connection is open and has no data to read. Unsolicited data
 // belongs to no request.
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -75,10 +75,10 @@
 // Error implements error.
 func (f *Failure) Error() string { return f.Reason }
 
-// SurplusAnswer is an answer that arrived where the answer to another request was due.
-type SurplusAnswer struct {
+// UnsolicitedAnswer is an answer that arrived where the answer to another request was due.
+type UnsolicitedAnswer struct {
 	Instance string
-	// RequestID is the request whose answer was due, AnswerID the id that the surplus answer carries.
+	// RequestID is the request whose answer was due, AnswerID the id that the unsolicited answer carries.
 	RequestID, AnswerID string
 	Status              int
 	// LocalPort is the port of the connection.
@@ -192,8 +192,8 @@
 			return nil
 		}
 		a.unexpected = true
-		if a.pool.SurplusReceived != nil {
-			a.pool.SurplusReceived(SurplusAnswer{Instance: a.instance.ID, RequestID: id, AnswerID: response.Header.Get(call.IDHeader), Status: response.StatusCode, LocalPort: a.LocalPort()})
+		if a.pool.UnsolicitedReceived != nil {
+			a.pool.UnsolicitedReceived(UnsolicitedAnswer{Instance: a.instance.ID, RequestID: id, AnswerID: response.Header.Get(call.IDHeader), Status: response.StatusCode, LocalPort: a.LocalPort()})
 		}
 		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return errIDMismatch // this body ends with the connection, so no further response follows
@@ -228,7 +228,7 @@
 // Finish ends an exchange whose body was read to the end. The connection returns to the pool if its
 // state is certain.
 func (a *Answer) Finish() {
-	if !a.stop() || a.unexpected || a.Response.Close || a.Connection.isWorn() || !a.Framed() || a.Connection.reader.Buffered() > 0 || !a.requestSent() {
+	if !a.stop() || a.unexpected || a.Response.Close || a.Connection.isUsedUp() || !a.Framed() || a.Connection.reader.Buffered() > 0 || !a.requestSent() {
 		_ = a.Connection.Close()
 		return
 	}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -24,10 +24,10 @@
 type Pool struct {
 	// Opened is called for each new connection, for metrics.
 	Opened func()
-	// ResendOpened is called for those that are opened for refused requests, SurplusReceived for each answer that
+	// ResendOpened is called for those that are opened for refused requests, UnsolicitedReceived for each answer that
 	// belongs to no request. Both may be nil.
-	ResendOpened    func()
-	SurplusReceived func(SurplusAnswer)
+	ResendOpened        func()
+	UnsolicitedReceived func(UnsolicitedAnswer)
 	// dialed is called with the time that opening a connection took, for the cost of the network
 	// path. It may be nil.
 	dialed func(instance Instance, took time.Duration)
@@ -151,21 +151,21 @@
 	kept.idleUntil = time.Now().Add(idle)
 	p.mu.Lock()
 	all := append(p.idle[instance.ID], kept)
-	var surplus *connection
+	var evicted *connection
 	if limit, bounded := p.idleLimit[instance.Service]; bounded && len(all) > limit {
-		most := mostWorn(all)
-		surplus = all[most]
+		most := mostUsed(all)
+		evicted = all[most]
 		all = slices.Delete(all, most, most+1)
 	}
 	p.idle[instance.ID] = all
 	p.mu.Unlock()
-	if surplus != nil {
-		_ = surplus.Close()
+	if evicted != nil {
+		_ = evicted.Close()
 	}
 }
 
-// mostWorn returns the index of the connection that has carried the most requests, the longest idle one of equals.
-func mostWorn(idle []*connection) int {
+// mostUsed returns the index of the connection that has carried the most requests, the longest idle one of equals.
+func mostUsed(idle []*connection) int {
 	most := 0
 	for index, connection := range idle {
 		if len(connection.carried) > len(idle[most].carried) {
--- a/internal/backend/resend_test.go
+++ b/internal/backend/resend_test.go
@@ -24,7 +24,7 @@
 	})
 }
 
-// Two sends of one id on a connection would make a surplus answer to the first one the answer to the second.
+// Two sends of one id on a connection would make an unsolicited answer to the first one the answer to the second.
 func TestConnectionCarriesEachIDOnce(t *testing.T) {
 	s := startAnswering(t)
 	pool, opened := newCountingPool()
@@ -46,7 +46,7 @@
 	require.Equal(t, 2, *opened)
 }
 
-func TestWornConnectionIsClosed(t *testing.T) {
+func TestConnectionIsClosedAfterMaxRequests(t *testing.T) {
 	s := startAnswering(t)
 	pool, opened := newCountingPool()
 	for number := range maxRequestsPerConnection + 1 {
@@ -57,7 +57,7 @@
 }
 
 // The connection that is of use to the fewest requests makes room for another one.
-func TestFullPoolClosesMostWornConnection(t *testing.T) {
+func TestFullPoolClosesMostUsedConnection(t *testing.T) {
 	s := startAnswering(t)
 	s.instance.Service = "llm"
 	pool, opened := newCountingPool()
--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -43,14 +43,14 @@
 // versionSeeds also replace engines by others of another software version.
 var versionSeeds = []uint64{47, 470}
 
-// surplusSeeds also let back ends refuse requests and send copies of their answers late.
-var surplusSeeds = []uint64{56}
+// unsolicitedSeeds also let back ends refuse requests and send copies of their answers late.
+var unsolicitedSeeds = []uint64{56}
 
 // lethalSeeds also send requests that end the engines that run them. They found faults.
 var lethalSeeds = []uint64{50, 52}
 
 func TestSoak(t *testing.T) {
-	seeds := slices.Concat(failedSeeds, overlappingSeeds, versionSeeds, lethalSeeds, surplusSeeds)
+	seeds := slices.Concat(failedSeeds, overlappingSeeds, versionSeeds, lethalSeeds, unsolicitedSeeds)
 	if *soakSeed != "" {
 		seeds = nil
 		for field := range strings.SplitSeq(*soakSeed, ",") {
@@ -129,7 +129,7 @@
 	t.Cleanup(s.printStory)
 	s.addSpareEngines()
 	s.armBackEnds()
-	s.addSurplusAnswers()
+	s.addUnsolicitedAnswers()
 	s.config.Tenants = soakTenants
 	s.configureLoad()
 	s.version++
@@ -160,7 +160,7 @@
 	s.checkCompletedTurns(t)
 	s.checkConfiguration(t)
 	s.checkReportsReadable(t)
-	s.checkSurplusAnswers(t)
+	s.checkUnsolicitedAnswers(t)
 	t.Logf("%d requests, %d completed turns", len(s.records), len(s.completed))
 }
 
--- a/internal/e2e/soak_surplus_test.go
+++ b/internal/e2e/soak_unsolicited_test.go
@@ -16,27 +16,27 @@
 const (
 	// refusalShare is the share of requests that a back end refuses.
 	refusalShare = 0.5
-	// surplusShare is the share of answers that are sent again, surplusRefusalShare that of refusals.
-	surplusShare, surplusRefusalShare = 0.03, 0.5
-	// maxSurplusDelay is how many requests later a copy is sent at the most.
-	maxSurplusDelay = 3
-	// surplusStream selects the random numbers, so that faults and requests of a seed stay the same.
-	surplusStream = 1 << 33
+	// copyShare is the share of answers that are sent again, refusalCopyShare that of refusals.
+	copyShare, refusalCopyShare = 0.03, 0.5
+	// maxCopyDelay is how many requests later a copy is sent at the most.
+	maxCopyDelay = 3
+	// copyStream selects the random numbers, so that faults and requests of a seed stay the same.
+	copyStream = 1 << 33
 )
 
-// hasSurplusAnswers reports whether back ends refuse requests and send answers again: with seeds that did not find a
+// hasUnsolicitedAnswers reports whether back ends refuse requests and send answers again: with seeds that did not find a
 // fault before they did so.
-func (s *soak) hasSurplusAnswers() bool {
+func (s *soak) hasUnsolicitedAnswers() bool {
 	return !slices.Contains(slices.Concat(failedSeeds, overlappingSeeds, versionSeeds, lethalSeeds), s.seed)
 }
 
-// addSurplusAnswers makes all back ends refuse requests and send answers of all kinds again.
-func (s *soak) addSurplusAnswers() {
-	if !s.hasSurplusAnswers() {
+// addUnsolicitedAnswers makes all back ends refuse requests and send answers of all kinds again.
+func (s *soak) addUnsolicitedAnswers() {
+	if !s.hasUnsolicitedAnswers() {
 		return
 	}
 	var mu sync.Mutex
-	random := rand.New(rand.NewPCG(s.seed, surplusStream))
+	random := rand.New(rand.NewPCG(s.seed, copyStream))
 	happens := func(share float64) bool { return random.Float64() < share }
 	for _, backEnd := range append(s.backEnds(), s.spares...) {
 		backEnd.SetRefusals(func() bool {
@@ -44,29 +44,29 @@
 			defer mu.Unlock()
 			return happens(refusalShare)
 		})
-		backEnd.SetSurplusAnswers(func(answer []byte) int {
+		backEnd.SetUnsolicitedAnswers(func(answer []byte) int {
 			mu.Lock()
 			defer mu.Unlock()
-			share := surplusShare
+			share := copyShare
 			if bytes.Contains(answer, []byte("X-Not-Executed")) {
-				share = surplusRefusalShare
+				share = refusalCopyShare
 			}
 			if !happens(share) {
 				return 0
 			}
-			return 1 + random.IntN(maxSurplusDelay)
+			return 1 + random.IntN(maxCopyDelay)
 		})
 	}
 }
 
-// checkSurplusAnswers checks that back ends sent answers again.
-func (s *soak) checkSurplusAnswers(t *testing.T) {
+// checkUnsolicitedAnswers checks that back ends sent answers again.
+func (s *soak) checkUnsolicitedAnswers(t *testing.T) {
 	copies := 0
 	for _, backEnd := range append(s.backEnds(), s.spares...) {
-		copies += backEnd.SurplusAnswers()
+		copies += backEnd.UnsolicitedAnswers()
 	}
 	t.Logf("%d answers selected to be sent again", copies)
-	if s.hasSurplusAnswers() {
+	if s.hasUnsolicitedAnswers() {
 		assert.Positive(t, copies, "no answer was sent again")
 	}
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -301,7 +301,7 @@
 		return fmt.Sprintf("send to %s failed after %s ms, verdict %s: %s", value("instance"), value("since_ms"), value("verdict"), value("reason"))
 	case "resend_withheld":
 		return fmt.Sprintf("waits after %s sends: no connection to %s may carry it again", value("sends"), value("instances"))
-	case "surplus_answer":
+	case "unsolicited_answer":
 		return fmt.Sprintf("%s sent an answer to %s (status %s) in place of its answer; skipped", value("instance"), orNone(value("answer_id")), value("status"))
 	case "run_lost":
 		return fmt.Sprintf("lost its run at %s after %s ms (%s); %s ms later: entry %s, connection attempt %s, so the instance has %s; request key %s",
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -39,7 +39,7 @@
 	if failure := s.authenticate(r); failure != nil {
 		return failure
 	}
-	if r.id == "" { // instances refuse it, and nothing would tell its answer from a surplus one
+	if r.id == "" { // instances refuse it, and nothing would tell its answer from an unsolicited one
 		return &refusal{status: http.StatusBadRequest, code: verdict.CodeBadRequest, reason: "the request has no id"}
 	}
 	if limit := r.table.Limits.HeaderBytes; limit > 0 && headerBytes(incoming) > limit {
--- a/internal/gateway/lateanswer_test.go
+++ b/internal/gateway/lateanswer_test.go
@@ -59,7 +59,7 @@
 		i.refuse(w)
 		return
 	}
-	time.Sleep(i.work)
+	<-time.After(i.work)
 	i.mu.Lock()
 	i.running--
 	i.mu.Unlock()
@@ -234,8 +234,8 @@
 	require.Zero(t, instance.repeatedSends())
 }
 
-// Surplus answers of other requests neither reach a caller nor count for or against their instance.
-func TestSurplusAnswersChangeNothing(t *testing.T) {
+// Unsolicited answers of other requests neither reach a caller nor count for or against their instance.
+func TestUnsolicitedAnswersChangeNothing(t *testing.T) {
 	s := newTestGateway(t)
 	instance := newBusyInstance("i", 4, time.Millisecond)
 	instance.serve = func(w http.ResponseWriter, r *http.Request, run int) {
@@ -259,7 +259,7 @@
 		require.Equal(t, expected, answer.Body.String())
 		require.Equal(t, 1, instance.runs[id])
 	}
-	require.Equal(t, float64(requests/2), valueOf(t, s.metrics.surplusAnswers), "each connection is closed after its second request")
+	require.Equal(t, float64(requests/2), valueOf(t, s.metrics.unsolicitedAnswers), "each connection is closed after its second request")
 	require.Empty(t, s.directory.Loads(time.Now()))
 	choice, found := s.directory.Pick(time.Now(), backend.Demand{Service: "apps"})
 	require.True(t, found)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -43,8 +43,8 @@
 	// that reason, and released those that count as harmless again.
 	lostRuns, contained, released *prometheus.CounterVec
 	// resendConnections counts connections opened for refused requests, resendsWithheld requests that had to wait for
-	// one, surplusAnswers answers that belong to no request.
-	resendConnections, resendsWithheld, surplusAnswers prometheus.Counter
+	// one, unsolicitedAnswers answers that belong to no request.
+	resendConnections, resendsWithheld, unsolicitedAnswers prometheus.Counter
 	// limitRefusals counts requests refused by their tenant's limit.
 	limitRefusals *prometheus.CounterVec
 }
--- a/internal/gateway/resend.go
+++ b/internal/gateway/resend.go
@@ -41,20 +41,20 @@
 		Int("sends", r.outcome.sends).Int("refused_by", len(r.refusedBy)).Msg("")
 }
 
-// surplusReceived logs an answer that belongs to no request. Its connection is not used again.
-func (s *Server) surplusReceived(surplus backend.SurplusAnswer) {
-	s.metrics.surplusAnswers.Inc()
-	s.log.Warn().Str("event", "surplus_answer").Str("id", surplus.RequestID).Str("instance", surplus.Instance).
-		Str("answer_id", surplus.AnswerID).Int("status", surplus.Status).Int("local_port", surplus.LocalPort).Msg("")
+// unsolicitedReceived logs an answer that belongs to no request. Its connection is not used again.
+func (s *Server) unsolicitedReceived(unsolicited backend.UnsolicitedAnswer) {
+	s.metrics.unsolicitedAnswers.Inc()
+	s.log.Warn().Str("event", "unsolicited_answer").Str("id", unsolicited.RequestID).Str("instance", unsolicited.Instance).
+		Str("answer_id", unsolicited.AnswerID).Int("status", unsolicited.Status).Int("local_port", unsolicited.LocalPort).Msg("")
 }
 
-// registerResends registers the metrics of refused requests that are sent again, and of surplus answers.
+// registerResends registers the metrics of refused requests that are sent again, and of unsolicited answers.
 func (m *Metrics) registerResends(labels prometheus.Labels) {
 	counter := func(name, help string) prometheus.Counter {
 		return prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help, ConstLabels: labels})
 	}
 	m.resendConnections = counter("swiftbank_backend_resend_connections_total", "Connections opened to send refused requests again.")
 	m.resendsWithheld = counter("swiftbank_resends_withheld_total", "Refused requests that had to wait for a connection that had not carried them.")
-	m.surplusAnswers = counter("swiftbank_surplus_answers_total", "Answers of instances that belong to no request.")
-	m.Registry.MustRegister(m.resendConnections, m.resendsWithheld, m.surplusAnswers)
+	m.unsolicitedAnswers = counter("swiftbank_unsolicited_answers_total", "Answers of instances that belong to no request.")
+	m.Registry.MustRegister(m.resendConnections, m.resendsWithheld, m.unsolicitedAnswers)
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -154,7 +154,7 @@
 		s.metrics.registerSuspects(func() float64 { return float64(len(s.containment.list(time.Now()))) })
 	}
 	s.pool = backend.NewPool(s.metrics.connections.Inc)
-	s.pool.ResendOpened, s.pool.SurplusReceived = s.metrics.resendConnections.Inc, s.surplusReceived
+	s.pool.ResendOpened, s.pool.UnsolicitedReceived = s.metrics.resendConnections.Inc, s.unsolicitedReceived
 	s.pool.UseOtherRegion(s.directory.IsOtherRegion)
 	s.directory.UseConnections(s.pool)
 	s.metrics.registerHeld(s.held.held)
--- a/internal/server/match.go
+++ b/internal/server/match.go
@@ -21,7 +21,7 @@
 	return fmt.Sprintf("server: the answer to %q carries the id %q", e.sent, e.received)
 }
 
-// matchingTransport accepts only answers that belong to their requests. A back end may send a surplus answer at any
+// matchingTransport accepts only answers that belong to their requests. A back end may send an unsolicited answer at any
 // later time, where the answer to another request on the connection is due. Connections are kept for back ends that
 // repeat the request id, which tells such answers apart; other connections carry one request each. It is safe for
 // concurrent use.
