Tests: one replica's repeated replies are awaited, not timed

The test gave the replica a second to reply, which a busy machine may not keep. It stops the reservation now once the replies have been delivered again; a reservation that took them for a quorum would end before, without the error that is required.

--- a/internal/quorum/relay_test.go
+++ b/internal/quorum/relay_test.go
@@ -278,9 +278,15 @@
 	go server.Run()
 	t.Cleanup(server.Close)
 	f.relays.SetGateways(map[string]replicaset.Node{"g1": {Name: "g1", Role: replicaset.RoleGateway, Address: listener.Addr().String(), Zone: "r0"}})
-	_, err = f.disconnected.ForProgram("p", place.Homes{}).Reserve(contextWithTimeout(t, time.Second), ledger.Reserve{
-		Program: "p", Charge: ledger.Charge{Turn: "t1", Tokens: 10}, Retention: time.Minute,
-	})
-	require.ErrorIs(t, err, ErrNoQuorum)
-	require.GreaterOrEqual(t, delivered.Load(), int64(3), "the replica that is reached replied")
+	reserveCtx, stop := context.WithCancel(ctx)
+	result := make(chan error, 1)
+	go func() {
+		_, err := f.disconnected.ForProgram("p", place.Homes{}).Reserve(reserveCtx, ledger.Reserve{
+			Program: "p", Charge: ledger.Charge{Turn: "t1", Tokens: 10}, Retention: time.Minute,
+		})
+		result <- err
+	}()
+	require.Eventually(t, func() bool { return delivered.Load() >= 3 }, 20*time.Second, time.Millisecond, "the replica that is reached replies")
+	stop()
+	require.ErrorIs(t, <-result, ErrNoQuorum)
 }
