Tests: late copies of refusals at a fleet of processes, turns included

All instances refuse a request once and send each refusal again where the next answer on its connection is due; retained and resumable turns, safe and unsafe calls must run once. No product code changes.

--- a/internal/e2e/fleet_cases_test.go
+++ b/internal/e2e/fleet_cases_test.go
@@ -28,6 +28,7 @@
 	t.Run("turn over budget returns 402 and does not run", f.testBudget)
 	t.Run("unsafe call with a lost response runs once", f.testLostAnswer)
 	t.Run("refused call is retried at another instance", f.testRetryAfterRefusal)
+	t.Run("late copy of a refusal is not taken for an answer", f.testLateCopyOfRefusal)
 	t.Run("safe call is retried after an instance stops responding", f.testUnresponsiveInstance)
 	t.Run("client disconnect cancels the request at the back end", f.testClientDisconnect)
 	t.Run("route changes service under load", f.testRouteChangesService)
