Names: the hash of a request id is called so; opening a connection is a function of its own

Read as a newcomer: request was the name of a number. No behaviour changes; tests of backend and of the gateway's late answers and contention pass.

--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -37,14 +37,14 @@
 // hashOf returns the hash under which connections record a request id. Equal hashes of two ids cost a connection.
 func hashOf(id string) uint64 { return xxhash.Sum64String(id) }
 
-// hasCarried reports whether a request with the id's hash was sent on the connection.
-func (c *connection) hasCarried(request uint64) bool {
-	_, carried := c.carried[request]
+// hasCarried reports whether a request whose id has the hash was sent on the connection.
+func (c *connection) hasCarried(idHash uint64) bool {
+	_, carried := c.carried[idHash]
 	return carried
 }
 
-// recordSend records that a request with the id's hash is sent.
-func (c *connection) recordSend(request uint64) { c.carried[request] = struct{}{} }
+// recordSend records that a request whose id has the hash is sent.
+func (c *connection) recordSend(idHash uint64) { c.carried[idHash] = struct{}{} }
 
 // isUsedUp reports whether the connection may carry no further request.
 func (c *connection) isUsedUp() bool { return len(c.carried) >= maxRequestsPerConnection }
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -56,9 +56,9 @@
 
 // acquire returns an idle connection that is still usable and has not carried the call's id, or a new one.
 func (p *Pool) acquire(ctx context.Context, instance Instance, call Call) (*connection, error) {
-	request := hashOf(call.id())
+	idHash := hashOf(call.id())
 	for !call.NewConnection {
-		kept := p.pop(instance.ID, request)
+		kept := p.pop(instance.ID, idHash)
 		if kept == nil {
 			break
 		}
@@ -74,6 +74,11 @@
 	if call.Resend && p.ResendOpened != nil {
 		p.ResendOpened()
 	}
+	return p.dial(ctx, instance)
+}
+
+// dial opens a connection to the instance.
+func (p *Pool) dial(ctx context.Context, instance Instance) (*connection, error) {
 	p.Opened()
 	began := time.Now()
 	opened, err := peer.Dialer(connectTimeout).DialContext(ctx, "tcp", instance.Address)
@@ -111,11 +116,11 @@
 	return ids
 }
 
-// lastUsable returns the index of the most recently used connection that has not expired and has not carried the
-// request, -1 if there is none.
-func lastUsable(kept []*connection, now time.Time, request uint64) int {
+// lastUsable returns the index of the most recently used connection that has not expired and has not carried a request
+// whose id has the hash, -1 if there is none.
+func lastUsable(kept []*connection, now time.Time, idHash uint64) int {
 	for index, connection := range slices.Backward(kept) {
-		if now.Before(connection.idleUntil) && !connection.hasCarried(request) {
+		if now.Before(connection.idleUntil) && !connection.hasCarried(idHash) {
 			return index
 		}
 	}
@@ -124,24 +129,24 @@
 
 // pop removes and returns the most recently used connection on which the request may be sent, nil if there is none.
 // It closes the connections that have expired.
-func (p *Pool) pop(id string, request uint64) *connection {
+func (p *Pool) pop(instance string, idHash uint64) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	kept := slices.DeleteFunc(p.idle[id], func(idle *connection) bool {
+	kept := slices.DeleteFunc(p.idle[instance], func(idle *connection) bool {
 		expired := !now.Before(idle.idleUntil)
 		if expired {
 			_ = idle.Close()
 		}
 		return expired
 	})
-	p.idle[id] = kept
-	index := lastUsable(kept, now, request)
+	p.idle[instance] = kept
+	index := lastUsable(kept, now, idHash)
 	if index < 0 {
 		return nil
 	}
 	last := kept[index]
-	p.idle[id] = slices.Delete(kept, index, index+1)
+	p.idle[instance] = slices.Delete(kept, index, index+1)
 	return last
 }
 
