A lost run counts against its request until its instance has outlived it

Cause: the verdict on a lost run came from one sign of life at the time of the loss: an accepted connection, an answer to another request, the entry, or an answer that was an error of the instance's own. Instances in trouble show all of these and end a moment later. Until the end showed otherwise, the run was in no record. Class: a failure detector that trusts a suspect.

Change: such a run is recorded as unresolved and shared before the caller is answered, counts as a possible end, and is resolved by a refused connection, another life in the list, or a sign of life 2 s after the loss. Errors, unsigned successes and unframed answers of suspects are lost runs. A request at the limit waits for an outcome if its time allows it. A token bucket bounds the records of unknown outcome over the fleet.

--- a/internal/backend/liveness.go
+++ b/internal/backend/liveness.go
@@ -34,8 +34,8 @@
 type liveness struct {
 	mu sync.Mutex
 	// lastActivity is when the instance last sent data on any connection, refusedAt when its address last refused
-	// one.
-	lastActivity, refusedAt time.Time
+	// one, connectedAt when it last accepted one or held one open.
+	lastActivity, refusedAt, connectedAt time.Time
 	// probedAt and contact are the time and the result of the last probe, probeStarted is when it or the
 	// current one began. probeDone is closed at the end of the current probe; it is nil if none is running.
 	probeStarted, probedAt time.Time
@@ -153,6 +153,33 @@
 	}
 }
 
+// RefreshContact checks whether an instance is still there, without blocking: a kept connection that is open shows
+// it, otherwise a probe starts. HasRefusedSince and LastContact tell the result.
+func (p *Pool) RefreshContact(instance Instance) {
+	state := p.livenessOf(instance.ID)
+	connected := p.isConnected(instance.ID)
+	now := time.Now()
+	state.mu.Lock()
+	defer state.mu.Unlock()
+	if connected {
+		state.connectedAt = now
+		return
+	}
+	p.startProbe(now, state, instance)
+}
+
+// LastContact returns when an instance last sent data, accepted a connection or held one open; zero if it never
+// did. It may have ended right after that.
+func (p *Pool) LastContact(id string) time.Time {
+	state := p.livenessOf(id)
+	state.mu.Lock()
+	defer state.mu.Unlock()
+	if state.connectedAt.After(state.lastActivity) {
+		return state.connectedAt
+	}
+	return state.lastActivity
+}
+
 // LastActivity returns when an instance last sent data on any connection; zero if it never did.
 func (p *Pool) LastActivity(id string) time.Time {
 	state := p.livenessOf(id)
@@ -183,8 +210,11 @@
 	}
 	state.mu.Lock()
 	state.probedAt, state.contact = time.Now(), contact
-	if contact == Refused {
+	switch contact {
+	case Refused:
 		state.refusedAt = state.probedAt
+	case Accepted:
+		state.connectedAt = state.probeStarted
 	}
 	close(state.probeDone)
 	state.probeDone = nil
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -101,6 +101,14 @@
 	return lastUsable(p.idle[id], time.Now(), hashOf(requestID)) >= 0
 }
 
+// isConnected reports whether an idle connection to the instance is open: the process that accepted it lives.
+func (p *Pool) isConnected(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[id]
+	return len(kept) > 0 && isReusable(kept[len(kept)-1].Conn)
+}
+
 // idleInstances returns the ids of the instances with an idle connection, sorted.
 func (p *Pool) idleInstances() []string {
 	p.mu.Lock()
--- a/internal/command/quarantine.go
+++ b/internal/command/quarantine.go
@@ -61,7 +61,7 @@
 	for _, suspect := range listed {
 		fmt.Fprintf(out, "%s  %-11s %d ended, changed %s ago\n", suspect.Key, suspect.Verdict, suspect.Ended, time.Duration(suspect.AgeMS)*time.Millisecond)
 		for _, run := range suspect.Runs {
-			fmt.Fprintf(out, "    %-8s %s, run %s\n", run.Outcome, run.Instance, run.ID)
+			fmt.Fprintf(out, "    %-10s %s, run %s\n", run.State(), run.Instance, run.ID)
 		}
 	}
 }
--- a/internal/gateway/containment.go
+++ b/internal/gateway/containment.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 	"swiftbank.dev/swiftbank/internal/ledger"
 	"swiftbank.dev/swiftbank/internal/quarantine"
 	"swiftbank.dev/swiftbank/internal/verdict"
+	"swiftbank.dev/swiftbank/internal/wait"
 )
 
 // A request that ends the instances that run it is not sent again by any gateway once EndedInstances have
@@ -18,6 +20,8 @@
 //
 //   - Each run that ended its instance, or may have, is recorded on a quorum of the region's quarantine cell
 //     and sent to all gateways before the caller is answered or the request is sent again.
+//   - So is a run whose instance got into trouble and may yet end. It counts as an end until its outcome is known,
+//     and a request waits for that rather than be sent once more than may end.
 //   - A request with such runs behind it is a suspect. Its next run is recorded before it is sent, and the
 //     quorum's answer tells the runs of all gateways. So two gateways cannot both send it for the last time,
 //     and a gateway that is killed leaves a record.
@@ -32,6 +36,8 @@
 	// recordRunTimeout is how long the record of a run is awaited. Without a record, what is known here
 	// decides.
 	recordRunTimeout = 250 * time.Millisecond
+	// withheldPollInterval is how often a withheld request checks whether the outcomes that it waits for are known.
+	withheldPollInterval = 20 * time.Millisecond
 	// minWithheldRetry is the shortest Retry-After of a request that is withheld.
 	minWithheldRetry = 200 * time.Millisecond
 )
@@ -50,8 +56,9 @@
 
 	mu    sync.Mutex
 	table *quarantine.Table
-	// unresolved are the lost runs whose outcome is not known yet.
-	unresolved []*lostRun
+	// unresolved are the lost runs whose outcome is not known yet; unresolvedBudget bounds those that are recorded.
+	unresolved       []*lostRun
+	unresolvedBudget unresolvedBudget
 	// unsent are the keys of the records that the next message to the other gateways contains.
 	unsent map[quarantine.Key]bool
 	// unsentDone is closed once that message was sent.
@@ -112,8 +119,8 @@
 }
 
 // refuseContained returns the refusal of a request that must not be sent, or nil.
-func (s *Server) refuseContained(r *request) *refusal {
-	if failure := s.containmentFailure(r, ""); failure != nil {
+func (s *Server) refuseContained(ctx context.Context, r *request) *refusal {
+	if failure := s.awaitContainment(ctx, r); failure != nil {
 		return containmentRefusal(failure)
 	}
 	return nil
@@ -126,7 +133,7 @@
 
 // refuseContainedTurn returns the refusal of a turn that must not be sent according to its program's charges, or
 // nil.
-func (s *Server) refuseContainedTurn(t *turn) *refusal {
+func (s *Server) refuseContainedTurn(ctx context.Context, t *turn) *refusal {
 	if s.containment == nil || t.program == "" {
 		return nil
 	}
@@ -137,7 +144,25 @@
 		return slices.DeleteFunc(t.reservation.UnsettledTurns(), func(turn string) bool { return turn == t.id })
 	}
 	t.programRuns = t.reservation.RunsOf(func() quarantine.Key { return s.keyOf(t.request) })
-	return s.refuseContained(t.request)
+	return s.refuseContained(ctx, t.request)
+}
+
+// awaitContainment returns the failure of a request that must not be sent, or nil. A withheld request waits if it
+// will be known in time whether instances have ended under it.
+func (s *Server) awaitContainment(ctx context.Context, r *request) *backend.Failure {
+	for waited := false; ; waited = true {
+		decision, standing := s.verdictOn(r, "")
+		if decision != quarantine.Withheld || !r.hasTimeToSend(time.Now().Add(standing.OpenFor)) {
+			return s.containmentFailure(r, "")
+		}
+		if !waited {
+			s.log.Info().Str("event", "request_withheld").Str("id", r.id).Str("request_key", r.key.String()).
+				Int("ended", standing.Ended).Int("possible", standing.Possible).Dur("open_for", standing.OpenFor).Msg("")
+		}
+		if !wait.For(ctx, withheldPollInterval) {
+			return s.containmentFailure(r, "")
+		}
+	}
 }
 
 // containmentFailure returns the failure of a request that must not be sent, or nil. A withheld request may
@@ -209,15 +234,30 @@
 	s.replicas.RecordRunInBackground(s.keyOf(r), run)
 }
 
-// recordAnswered records that an instance has answered the request completely. A suspect that an instance
-// answered without an error of its own is released: it does not end instances.
-func (s *Server) recordAnswered(r *request, failed bool) {
+// recordAnswer records that an instance has answered the request completely. An error of the instance's own and a
+// success without its signature are signs of trouble. An answer that ends with its connection is complete, but does
+// not show that the instance lives.
+func (s *Server) recordAnswer(ctx context.Context, r *request, sent *attempt) {
+	response := sent.answer.Response
+	isError := response.StatusCode >= http.StatusInternalServerError
+	isUnsigned := response.StatusCode/100 == 2 && response.Header.Get(s.dialect.Signature) == ""
+	switch {
+	case isError || isUnsigned:
+		s.examineLostRun(ctx, r, sent.choice, answerInvalid)
+	case sent.answer.Framed():
+		s.recordAnswered(r)
+	case r.recordedRun != nil:
+		s.examineLostRun(ctx, r, sent.choice, answerInvalid)
+	}
+}
+
+// recordAnswered records that an instance has answered the request. A suspect is released: it does not end instances.
+func (s *Server) recordAnswered(r *request) {
 	decision, _ := s.verdictOn(r, runIDOf(r.recordedRun))
 	s.endRecordedRun(r)
-	if failed || decision != quarantine.Suspect {
-		return
+	if decision == quarantine.Suspect {
+		s.release(s.keyOf(r), "completed", r.id)
 	}
-	s.release(s.keyOf(r), "completed", r.id)
 }
 
 func runIDOf(run *quarantine.Run) string {
@@ -274,6 +314,24 @@
 	}
 }
 
+// recordUnresolved records a lost run whose outcome is not known, and tells all gateways. It waits until they were sent
+// the record, because the caller may come back at another gateway.
+func (s *Server) recordUnresolved(ctx context.Context, lost *lostRun) {
+	if len(s.containment.merge(time.Now(), lost.key, lost.run)) == 0 {
+		return
+	}
+	sent := s.shareRecord(lost.key)
+	if lost.recordWithProgram != nil {
+		lost.recordWithProgram(lost.run)
+	}
+	s.metrics.lostRuns.WithLabelValues(lost.run.State()).Inc()
+	s.replicas.RecordRunInBackground(lost.key, lost.run)
+	select {
+	case <-sent:
+	case <-ctx.Done():
+	}
+}
+
 // logContained logs the decision not to send a request.
 func (s *Server) logContained(r *request, decision quarantine.Verdict, standing quarantine.Standing, retryAfter time.Duration) {
 	s.metrics.contained.WithLabelValues(decision.String()).Inc()
--- a/internal/gateway/containmentmetrics.go
+++ b/internal/gateway/containmentmetrics.go
@@ -7,10 +7,13 @@
 	counter := func(name, help, label string) *prometheus.CounterVec {
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help, ConstLabels: labels}, []string{label})
 	}
-	m.lostRuns = counter("swiftbank_lost_runs_total", "Runs of this gateway whose instance ended or fell silent.", "outcome")
+	m.lostRuns = counter("swiftbank_lost_runs_total", "Runs of this gateway whose instance ended, fell silent or got into trouble.", "outcome")
 	m.contained = counter("swiftbank_contained_requests_total", "Requests that were not sent because instances ended under them.", "verdict")
 	m.released = counter("swiftbank_released_requests_total", "Requests that nothing counts against any more.", "reason")
-	m.Registry.MustRegister(m.lostRuns, m.contained, m.released)
+	m.unrecordedLosses = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "swiftbank_unrecorded_losses_total", Help: "Lost runs of unknown outcome that were only watched, because there were too many.", ConstLabels: labels,
+	})
+	m.Registry.MustRegister(m.lostRuns, m.contained, m.released, m.unrecordedLosses)
 }
 
 // registerSuspects registers the gauge of the requests under which instances ended.
--- a/internal/gateway/lostrun.go
+++ b/internal/gateway/lostrun.go
@@ -9,9 +9,10 @@
 	"swiftbank.dev/swiftbank/internal/quarantine"
 )
 
-// A run without a complete answer is examined: its instance may have ended, its machine may have fallen
-// silent, or only the connection broke. What cannot be told at once is watched until the list of instances
-// tells it.
+// A run without a valid answer is examined: its instance may have ended, its machine may have fallen silent, or
+// only the connection broke. An instance in trouble may accept connections and answer others until it ends, so no
+// sign of life at the time of the loss decides. What cannot be told at once counts against the request, and is
+// watched until the instance has outlived the run or the list of instances tells its end.
 
 // lossCause is how a run was lost.
 type lossCause uint8
@@ -26,11 +27,14 @@
 	// callerLeft means that the caller disconnected, or its deadline passed, or that the gateway could not pass
 	// the answer on.
 	callerLeft
+	// answerInvalid means that the instance answered with an error of its own, without its signature, or with an
+	// answer whose end cannot be told from the end of the instance.
+	answerInvalid
 )
 
 // String returns the name used in logs.
 func (c lossCause) String() string {
-	return [...]string{"connection_broke", "machine_silent", "answer_overdue", "caller_left"}[c]
+	return [...]string{"connection_broke", "machine_silent", "answer_overdue", "caller_left", "answer_invalid"}[c]
 }
 
 // lostRun is a run without a complete answer.
@@ -44,8 +48,10 @@
 	lostAt    time.Time
 	// recordWithProgram records the run under the request's program; nil if there is none.
 	recordWithProgram func(quarantine.Run)
-	// hasLeft is set once the instance has announced that it leaves.
+	// hasLeft is set once the instance may have stopped as planned.
 	hasLeft bool
+	// isSuspected is set once the run counts against its request although its outcome is not known.
+	isSuspected bool
 }
 
 // isAbandoned reports whether the run may still have been in progress when it was lost.
@@ -116,20 +122,21 @@
 	return r.key.String()
 }
 
-// examineLostRun determines what became of the instance of a run without a complete answer, and records the
-// run if the instance ended or may have ended.
+// examineLostRun determines what became of the instance of a run without a valid answer, and records the run if
+// the instance ended or may end.
 //
-// Only a broken connection is examined at once, which takes one connection attempt. A run that this gateway
-// abandoned is examined while the request is tried elsewhere; one whose caller left is only watched.
+// A run that this gateway abandoned is examined while the request is tried elsewhere; one whose caller left is
+// only watched. All others take one connection attempt.
 func (s *Server) examineLostRun(ctx context.Context, r *request, choice backend.Choice, cause lossCause) {
 	if s.containment == nil {
 		return
 	}
 	lost := s.newLostRun(r, choice, cause)
 	r.recordedRun = nil // the lost run stands for it
-	mayHaveStopped := s.mayHaveStopped(lost)
+	mayHaveStopped := s.mayHaveStopped(lost, lost.lostAt)
 	switch entry := s.directory.EntryStateOf(lost.instance); {
 	case cause == callerLeft:
+		s.suspectLostRun(ctx, lost, entry, "")
 		s.watchLostRun(lost)
 	case entry == backend.EntryLeaving && mayHaveStopped:
 		s.settleLostRun(ctx, r, lost, quarantine.Survived, entry, "")
@@ -141,40 +148,72 @@
 		s.settleLostRun(ctx, r, lost, quarantine.Silent, entry, "")
 	case cause == connectionBroke && entry == backend.EntryGone && mayHaveStopped:
 		s.settleLostRun(ctx, r, lost, quarantine.Survived, entry, "") // it finished its requests after it left
-	case cause == connectionBroke:
-		s.probeLostRun(ctx, r, lost)
-	default:
+	case cause == answerInvalid:
+		s.suspectLostRun(ctx, lost, entry, "")
+		s.watchLostRun(lost)
+	case cause == answerOverdue:
 		r.examinations.Go(func() { s.probeLostRun(context.WithoutCancel(ctx), r, lost) })
+	default:
+		s.probeLostRun(ctx, r, lost)
 	}
 }
 
-// mayHaveStopped reports whether the instance, if it has left, may have stopped as planned. One that was listed
-// when it got the request, less than DrainTime before the loss, must still have been serving.
-func (s *Server) mayHaveStopped(lost *lostRun) bool {
-	ran := lost.lostAt.Sub(lost.sentAt)
-	return lost.isAbandoned() || ran >= s.options.DrainTime || ran > s.freshFor(lost.lostAt)
+// mayHaveStopped reports whether the instance, if it has left, may have stopped as planned at the given time. One
+// that was listed when it got the request must still have been serving DrainTime later.
+func (s *Server) mayHaveStopped(lost *lostRun, at time.Time) bool {
+	served := at.Sub(lost.sentAt)
+	return served >= s.options.DrainTime || served > s.freshFor(at)
 }
 
-// probeLostRun determines by a connection attempt what became of the instance of a lost run.
+// probeLostRun determines by a connection attempt what became of the instance of a lost run. An accepted one does
+// not prove that the instance outlives the run.
 func (s *Server) probeLostRun(ctx context.Context, r *request, lost *lostRun) {
 	contact, known := s.pool.ContactSince(ctx, lost.instance, lost.lostAt)
 	entry := s.directory.EntryStateOf(lost.instance)
 	switch {
-	case entry == backend.EntryLeaving && (contact == backend.Accepted || s.mayHaveStopped(lost)):
+	case entry == backend.EntryLeaving && s.mayHaveStopped(lost, time.Now()):
 		s.settleLostRun(ctx, r, lost, quarantine.Survived, entry, contact.String())
 	case known && contact == backend.Refused:
 		s.settleLostRun(ctx, r, lost, quarantine.Ended, entry, contact.String())
 	case known && contact == backend.NoContact:
 		s.settleLostRun(ctx, r, lost, quarantine.Silent, entry, contact.String())
 	default:
+		s.suspectLostRun(ctx, lost, entry, contact.String())
 		s.watchLostRun(lost)
 	}
 }
 
+// suspectLostRun records a lost run whose instance may be about to end, so that it counts against the request until
+// its outcome is known. Runs that were abandoned count only if the instance has been silent for troubleSilence.
+func (s *Server) suspectLostRun(ctx context.Context, lost *lostRun, entry backend.EntryState, contact string) {
+	if lost.isSuspected || lost.isAbandoned() && !s.hasBeenSilent(lost) {
+		return
+	}
+	lost.isSuspected = true
+	lost.run.Outcome, lost.run.Lost = quarantine.Running, !lost.isAbandoned()
+	recorded := s.containment.isRecorded(lost) || s.containment.unresolvedBudget.take(time.Now(), int(s.gatewayCount.Load()))
+	s.logLostRun(lost, entry, contact)
+	if !recorded {
+		s.metrics.unrecordedLosses.Inc()
+		return
+	}
+	s.recordUnresolved(ctx, lost)
+}
+
+// hasBeenSilent reports whether the instance has sent this gateway nothing for troubleSilence since it got the
+// request.
+func (s *Server) hasBeenSilent(lost *lostRun) bool {
+	silentSince := lost.sentAt
+	if active := s.pool.LastActivity(lost.instance.ID); active.After(silentSince) {
+		silentSince = active
+	}
+	return time.Since(silentSince) >= troubleSilence
+}
+
 // settleLostRun logs what is known of a lost run, and records it if the instance ended or may have ended. r
 // is nil once the request is over.
 func (s *Server) settleLostRun(ctx context.Context, r *request, lost *lostRun, outcome quarantine.Outcome, entry backend.EntryState, contact string) {
-	lost.run.Outcome = outcome
+	lost.run.Outcome, lost.run.Lost = outcome, false
 	s.logLostRun(lost, entry, contact)
 	switch {
 	case outcome == quarantine.Ended:
@@ -201,6 +240,6 @@
 func (s *Server) logLostRun(lost *lostRun, entry backend.EntryState, contact string) {
 	s.log.Warn().Str("event", "run_lost").Str("id", lost.requestID).Str("request_key", lost.key.String()).Str("instance", lost.instance.ID).
 		Uint64("instance_born", lost.instance.Born).Str("cause", lost.cause.String()).Str("contact", contact).Str("entry", entry.String()).
-		Str("outcome", lost.run.Outcome.String()).Int64("ran_ms", lost.lostAt.Sub(lost.sentAt).Milliseconds()).Int64("known_after_ms", time.Since(lost.lostAt).Milliseconds()).
+		Str("outcome", lost.run.State()).Int64("ran_ms", lost.lostAt.Sub(lost.sentAt).Milliseconds()).Int64("known_after_ms", time.Since(lost.lostAt).Milliseconds()).
 		Int64("list_age_ms", s.instanceListAge().Milliseconds()).Msg("")
 }
--- a/internal/gateway/lostrunwatch.go
+++ b/internal/gateway/lostrunwatch.go
@@ -12,9 +12,16 @@
 const (
 	// watchInterval is how often the outcomes of watched runs are checked.
 	watchInterval = 250 * time.Millisecond
-	// watchWindow is how long an instance may end after a run was lost for the run to count as its cause. It
-	// covers the time until the list shows that an instance was replaced.
+	// endWindow is how long an instance may end after a run was lost for the run to count as its cause: a process
+	// that is about to end may keep its listener open for a while. Requests under which several instances are in
+	// trouble wait for that long.
+	endWindow = 2 * time.Second
+	// watchWindow is the same for a run that was abandoned, which may still be in progress. It covers the time
+	// until the list shows that an instance was replaced.
 	watchWindow = 5 * time.Second
+	// troubleSilence is how long an instance must have sent nothing for an abandoned run to count against its
+	// request.
+	troubleSilence = 500 * time.Millisecond
 	// lapsedRenewals is the number of missed renewals after which an instance without an entry has ended and
 	// one with an entry has not: one more than the entry survives.
 	lapsedRenewals = 4
@@ -46,9 +53,11 @@
 	c.mu.Unlock()
 	var remaining []*lostRun
 	for _, lost := range watched {
-		if !s.checkWatchedRun(now, lost) {
-			remaining = append(remaining, lost)
+		if s.checkWatchedRun(now, lost) {
+			continue
 		}
+		s.followLostRun(lost)
+		remaining = append(remaining, lost)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -59,22 +68,34 @@
 	}
 }
 
+// followLostRun checks on the instance of a watched run, if it may be about to end. An end is found sooner than the list
+// tells it.
+func (s *Server) followLostRun(lost *lostRun) {
+	if lost.run.Outcome == quarantine.Silent {
+		return
+	}
+	s.suspectLostRun(context.Background(), lost, s.directory.EntryStateOf(lost.instance), "")
+	if lost.isSuspected {
+		s.pool.RefreshContact(lost.instance)
+	}
+}
+
 // checkWatchedRun settles a watched run if its outcome is known. It reports whether that is so.
 func (s *Server) checkWatchedRun(now time.Time, lost *lostRun) (done bool) {
 	entry := s.directory.EntryStateOf(lost.instance)
 	silent := lost.run.Outcome == quarantine.Silent
-	lost.hasLeft = lost.hasLeft || entry == backend.EntryLeaving && (!silent || s.mayHaveStopped(lost))
+	lost.hasLeft = lost.hasLeft || entry == backend.EntryLeaving && s.mayHaveStopped(lost, lost.endedBy(now))
 	listedFor := s.listedFor(now, lost, entry)
 	switch {
 	case lost.hasLeft:
 		s.settleLostRun(context.Background(), nil, lost, quarantine.Survived, entry, "")
 	case entry == backend.EntryReplaced, entry == backend.EntryGone && silent:
 		s.settleLostRun(context.Background(), nil, lost, quarantine.Ended, entry, "")
-	case s.pool.LastActivity(lost.instance.ID).After(lost.mayEndUntil()):
+	case s.hasOutlived(lost):
 		s.settleLostRun(context.Background(), nil, lost, quarantine.Survived, entry, "")
 	case s.pool.HasRefusedSince(lost.instance.ID, lost.lostAt):
 		s.settleLostRun(context.Background(), nil, lost, quarantine.Ended, entry, backend.Refused.String())
-	case entry == backend.EntryGone:
+	case entry == backend.EntryGone && (lost.isAbandoned() || now.After(lost.mayEndUntil())):
 		go s.probeGone(lost)
 	case silent && listedFor >= s.lapseTime(), listedFor >= max(watchWindow, s.lapseTime()):
 		s.settleLostRun(context.Background(), nil, lost, quarantine.Survived, entry, "")
@@ -84,13 +105,34 @@
 	return true
 }
 
+// hasOutlived reports whether the instance was there once the run could not end it any more. Only what it sends shows
+// that for a run that was abandoned or fell silent.
+func (s *Server) hasOutlived(lost *lostRun) bool {
+	if lost.isAbandoned() || lost.cause == machineSilent {
+		return s.pool.LastActivity(lost.instance.ID).After(lost.mayEndUntil())
+	}
+	return s.pool.LastContact(lost.instance.ID).After(lost.mayEndUntil())
+}
+
 // mayEndUntil returns the time until which the run may end its instance: one that was abandoned may still be
 // in progress.
 func (l *lostRun) mayEndUntil() time.Time {
-	if l.isAbandoned() {
+	switch {
+	case l.isAbandoned():
 		return l.lostAt.Add(watchWindow)
+	case l.cause == machineSilent:
+		return l.lostAt
+	default:
+		return l.lostAt.Add(endWindow)
+	}
+}
+
+// endedBy returns the time by which the instance has ended, if it has: a silent one when the run was lost.
+func (l *lostRun) endedBy(now time.Time) time.Time {
+	if l.run.Outcome == quarantine.Silent {
+		return l.lostAt
 	}
-	return l.lostAt
+	return now
 }
 
 // listedFor returns how long the instance's entry has been there since the run was lost; 0 if it is not there.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -42,6 +42,8 @@
 	// lostRuns counts runs whose instance ended or fell silent, contained requests that were not sent for
 	// that reason, and released those that count as harmless again.
 	lostRuns, contained, released *prometheus.CounterVec
+	// unrecordedLosses counts lost runs that were not recorded, because there were too many.
+	unrecordedLosses prometheus.Counter
 	// resendConnections counts connections opened for refused requests, resendsWithheld requests that had to wait for
 	// one, unsolicitedAnswers answers that belong to no request.
 	resendConnections, resendsWithheld, unsolicitedAnswers prometheus.Counter
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -91,7 +91,7 @@
 		return failure
 	}
 	answer.Finish()
-	s.recordAnswered(r, answer.Response.StatusCode >= http.StatusInternalServerError)
+	s.recordAnswer(ctx, r, sent)
 	response := answer.Response
 	s.directory.EndFailed(time.Now(), sent.choice, outcomeOfAnswer(response.StatusCode))
 	if response.StatusCode/100 == 2 {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -10,6 +10,7 @@
 
 	"swiftbank.dev/swiftbank/internal/backend"
 	"swiftbank.dev/swiftbank/internal/overload"
+	"swiftbank.dev/swiftbank/internal/quarantine"
 	"swiftbank.dev/swiftbank/internal/route"
 	"swiftbank.dev/swiftbank/internal/verdict"
 )
@@ -60,7 +61,7 @@
 	excludedBefore := len(demand.Exclude)
 	lastFailure := &backend.Failure{Verdict: verdict.NotRun, Reason: "no healthy instance is known"}
 	for {
-		if failure := s.containmentFailure(r, ""); failure != nil {
+		if failure := s.awaitContainment(ctx, r); failure != nil {
 			return nil, failure
 		}
 		demand.EndsBehind, demand.RequestID = r.outcome.endsBehind, r.id
@@ -95,6 +96,9 @@
 			s.recordProgramStart(r)
 			return sent, nil
 		}
+		if decision, _ := s.verdictOn(r, ""); failure.Contained == quarantine.Withheld && decision == quarantine.Withheld {
+			continue // it waits for the outcomes of other runs
+		}
 		if failure.Verdict != verdict.NotRun || failure.Contained.Stops() || ctx.Err() != nil {
 			return nil, failure
 		}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -255,7 +255,7 @@
 	ctx, cancel := context.WithDeadline(incoming.Context(), r.deadline)
 	defer cancel()
 	s.awaitRecords(ctx)
-	if failure := s.refuseContained(r); failure != nil {
+	if failure := s.refuseContained(ctx, r); failure != nil {
 		s.refuse(w, r, failure)
 		return
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -68,7 +68,7 @@
 		s.refuse(w, r, s.refuseForMemory(r, bound))
 		return
 	}
-	if failure := s.refuseContainedTurn(t); failure != nil {
+	if failure := s.refuseContainedTurn(ctx, t); failure != nil {
 		s.settle(t)
 		s.refuse(w, r, failure)
 		return
@@ -217,7 +217,7 @@
 		return failure
 	}
 	sent.answer.Finish()
-	s.recordAnswered(t.request, false)
+	s.recordAnswer(ctx, t.request, sent)
 	s.observe(t.request, sent, sent.firstEventAt, sent.events)
 	if failure := s.commitTurn(ctx, t); failure != nil {
 		return failure
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -57,6 +57,8 @@
 	// the lives of an instance apart whose start time is unknown or not yet listed.
 	Life    int
 	Outcome Outcome
+	// Lost is set on a run without an outcome once it was lost: it becomes known soon whether its instance ends.
+	Lost bool
 }
 
 // RunIDOf returns the id of a request's run: the id of the caller's attempt and the number of the send.
@@ -65,9 +67,17 @@
 // isOf reports whether the run belongs to the caller's attempt with the given id.
 func (r Run) isOf(attempt string) bool { return strings.HasPrefix(r.ID, attempt+"#") }
 
+// State names what is known of the run: its outcome, or that it was lost.
+func (r Run) State() string {
+	if r.Lost && r.Outcome == Running {
+		return "unresolved"
+	}
+	return r.Outcome.String()
+}
+
 // Merge returns the run that knows more, and whether that is not the known one.
 func (r Run) Merge(other Run) (merged Run, changed bool) {
-	if other.Outcome > r.Outcome {
+	if other.Outcome > r.Outcome || other.Outcome == r.Outcome && other.Lost && !r.Lost {
 		return other, true
 	}
 	return r, false
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -23,6 +23,9 @@
 	// openTTL is how long an open run counts as about to be resolved. A gateway resolves its own runs within it
 	// unless the store is away; others that are still open then belong to a gateway that ended.
 	openTTL = 10 * time.Second
+	// lostTTL is how long it takes at most until the gateway of a lost run knows whether the instance ended, if it
+	// accepts connections.
+	lostTTL = 2500 * time.Millisecond
 	// maxUnsettledRetry is the longest pause after which a request is tried again that is withheld because another
 	// turn of its program has not ended.
 	maxUnsettledRetry = time.Second
@@ -42,10 +45,26 @@
 }
 
 type record struct {
-	runs      []Run
+	runs []knownRun
+	// changedAt is when any of the runs last changed.
 	changedAt time.Time
 }
 
+// knownRun is a run, with the time at which the present outcome became known here.
+type knownRun struct {
+	Run
+	since time.Time
+}
+
+// openFor returns how long it may take until the outcome of an open run is known.
+func (r knownRun) openFor(now time.Time) time.Duration {
+	age := now.Sub(r.since)
+	if r.Lost && age < lostTTL {
+		return lostTTL - age
+	}
+	return max(0, openTTL-age)
+}
+
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{records: map[Key]*record{}} }
 
@@ -65,7 +84,7 @@
 		t.records[key] = known
 	}
 	for _, run := range runs {
-		if known.merge(run) {
+		if known.merge(now, run) {
 			changed = append(changed, run)
 		}
 	}
@@ -79,24 +98,39 @@
 func (r Run) counts() bool { return r.Outcome == Ended || r.Outcome.isOpen() }
 
 // merge adds a run and reports whether anything changed. A record of maxRuns runs takes another one in place of
-// one that does not count.
-func (r *record) merge(run Run) bool {
-	index := slices.IndexFunc(r.runs, func(known Run) bool { return known.ID == run.ID })
+// one that does not count, or that counts together with another one.
+func (r *record) merge(now time.Time, run Run) bool {
+	index := slices.IndexFunc(r.runs, func(known knownRun) bool { return known.ID == run.ID })
 	if index < 0 {
-		if len(r.runs) >= maxRuns && (!run.counts() || !r.dropHarmless()) {
+		if len(r.runs) >= maxRuns && (!run.counts() || !r.dropHarmless() && !r.dropRepeated()) {
 			return false
 		}
-		r.runs = append(r.runs, run)
+		r.runs = append(r.runs, knownRun{Run: run, since: now})
 		return true
 	}
 	merged, changed := r.runs[index].Merge(run)
-	r.runs[index] = merged
+	if changed {
+		r.runs[index] = knownRun{Run: merged, since: now}
+	}
 	return changed
 }
 
 // dropHarmless drops one run that does not count, and reports whether there was one.
 func (r *record) dropHarmless() bool {
-	index := slices.IndexFunc(r.runs, func(run Run) bool { return !run.counts() })
+	index := slices.IndexFunc(r.runs, func(run knownRun) bool { return !run.counts() })
+	if index >= 0 {
+		r.runs = slices.Delete(r.runs, index, index+1)
+	}
+	return index >= 0
+}
+
+// dropRepeated drops one open run of an instance that another run counts for, and reports whether there was one.
+func (r *record) dropRepeated() bool {
+	index := slices.IndexFunc(r.runs, func(run knownRun) bool {
+		return run.Outcome.isOpen() && slices.ContainsFunc(r.runs, func(other knownRun) bool {
+			return other.ID != run.ID && other.counts() && other.incarnation() == run.incarnation()
+		})
+	})
 	if index >= 0 {
 		r.runs = slices.Delete(r.runs, index, index+1)
 	}
@@ -130,7 +164,7 @@
 
 func (r *record) hasExpired(now time.Time) bool {
 	ttl := recordTTL
-	if !slices.ContainsFunc(r.runs, Run.counts) {
+	if !slices.ContainsFunc(r.runs, func(run knownRun) bool { return run.counts() }) {
 		ttl = clearedTTL
 	}
 	return now.Sub(r.changedAt) >= ttl
@@ -141,8 +175,8 @@
 	// Ended is the number of instances that ended while they ran the request. Possible is the number of
 	// further ones that may have.
 	Ended, Possible int
-	// OpenFor is how long it may take until it is known whether the possible ones ended; 0 if that will not
-	// become known.
+	// OpenFor is how long it may take until it is known of one of the possible ones whether it ended; 0 if that
+	// will not become known.
 	OpenFor time.Duration
 }
 
@@ -152,11 +186,14 @@
 	if known == nil || known.hasExpired(now) {
 		return Standing{}
 	}
-	runs := slices.DeleteFunc(slices.Clone(known.runs), func(run Run) bool { return run.ID == without })
+	runs := slices.DeleteFunc(slices.Clone(known.runs), func(run knownRun) bool { return run.ID == without })
 	standing := Standing{Ended: countIncarnations(runs, Ended)}
 	standing.Possible = countIncarnations(runs, Ended, Silent, Running) - standing.Ended
-	if standing.Possible > 0 {
-		standing.OpenFor = max(0, openTTL-now.Sub(known.changedAt))
+	for _, run := range runs {
+		openFor := run.openFor(now)
+		if run.Outcome.isOpen() && openFor > 0 && (standing.OpenFor == 0 || openFor < standing.OpenFor) {
+			standing.OpenFor = openFor
+		}
 	}
 	return standing
 }
@@ -171,7 +208,7 @@
 	}
 	known := t.records[key]
 	hasRun := func(attempt string) bool {
-		return slices.ContainsFunc(known.runs, func(run Run) bool { return run.isOf(attempt) })
+		return slices.ContainsFunc(known.runs, func(run knownRun) bool { return run.isOf(attempt) })
 	}
 	if !slices.ContainsFunc(unsettled, func(attempt string) bool { return !hasRun(attempt) }) {
 		return standing
@@ -182,7 +219,7 @@
 }
 
 // countIncarnations returns the number of different instances among the runs with one of the outcomes.
-func countIncarnations(runs []Run, outcomes ...Outcome) int {
+func countIncarnations(runs []knownRun, outcomes ...Outcome) int {
 	counted := map[incarnation]bool{}
 	for _, run := range runs {
 		if slices.Contains(outcomes, run.Outcome) {
@@ -243,7 +280,7 @@
 	var listed []Suspicion
 	for key, known := range t.records {
 		if standing := t.Standing(now, key, ""); standing.Ended+standing.Possible > 0 {
-			listed = append(listed, Suspicion{Record: Record{Key: key, Runs: slices.Clone(known.runs)}, Standing: standing, Age: now.Sub(known.changedAt)})
+			listed = append(listed, Suspicion{Record: Record{Key: key, Runs: t.Runs(key)}, Standing: standing, Age: now.Sub(known.changedAt)})
 		}
 	}
 	slices.SortFunc(listed, func(a, b Suspicion) int {
@@ -254,10 +291,15 @@
 
 // Runs returns the known runs of a request.
 func (t *Table) Runs(key Key) []Run {
-	if known := t.records[key]; known != nil {
-		return slices.Clone(known.runs)
+	known := t.records[key]
+	if known == nil {
+		return nil
 	}
-	return nil
+	runs := make([]Run, 0, len(known.runs))
+	for _, run := range known.runs {
+		runs = append(runs, run.Run)
+	}
+	return runs
 }
 
 // EndsOf returns how often an instance is known to have ended under a request.
@@ -266,7 +308,7 @@
 	if known == nil {
 		return 0
 	}
-	return countIncarnations(slices.DeleteFunc(slices.Clone(known.runs), func(run Run) bool { return run.Instance != instance }), Ended)
+	return countIncarnations(slices.DeleteFunc(slices.Clone(known.runs), func(run knownRun) bool { return run.Instance != instance }), Ended)
 }
 
 // ReleasedRuns returns the runs of a request, marked as released. It does not change the table.
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -54,6 +54,37 @@
 	require.Equal(t, Quarantined, table.Standing(start.Add(openTTL), Key{1}, "").Verdict(limit))
 }
 
+func TestLostRunsCountUntilTheirOutcomeIsKnown(t *testing.T) {
+	table := NewTable()
+	lost := func(number int) Run {
+		r := run(number, Running)
+		r.Lost = true
+		return r
+	}
+	table.Merge(start, Key{1}, run(0, Running))
+	require.Len(t, table.Merge(start, Key{1}, lost(0)), 1, "the run is now known to be lost")
+	table.Merge(start.Add(time.Second), Key{1}, lost(1))
+	table.Merge(start.Add(2*time.Second), Key{1}, lost(2))
+	at := start.Add(2 * time.Second)
+	require.Equal(t, Withheld, table.Standing(at, Key{1}, "").Verdict(limit))
+	require.Equal(t, lostTTL-2*time.Second, table.Standing(at, Key{1}, "").OpenFor, "until the first outcome")
+	require.Empty(t, table.Merge(at, Key{1}, run(0, Running)), "a late message changes nothing")
+	table.Merge(at, Key{1}, run(0, Survived))
+	require.Equal(t, Suspect, table.Standing(at, Key{1}, "").Verdict(limit))
+	table.Merge(at, Key{1}, run(0, Ended))
+	require.Equal(t, Suspect, table.Standing(at, Key{1}, "").Verdict(limit), "it has outlived the run")
+}
+
+func TestRunsOfOneLifeMakeRoomForOthers(t *testing.T) {
+	table := NewTable()
+	for number := range maxRuns {
+		table.Merge(start, Key{1}, Run{ID: fmt.Sprint(number), Instance: "i", Outcome: Running, Lost: true})
+	}
+	table.Merge(start, Key{1}, run(100, Ended))
+	require.Equal(t, 1, table.Standing(start, Key{1}, "").Ended)
+	require.Len(t, table.Runs(Key{1}), maxRuns)
+}
+
 func TestOneLifeOfAnInstanceEndsOnce(t *testing.T) {
 	table := NewTable()
 	for number := range limit {
