Answers of instances are bounded in bytes wherever a gateway reads them

Cause: heads, lines of events and bodies that nobody needs were read without a bound; a whole answer was cut at its bound, and concurrent ones had no common one. Class: a reader that relies on the sender for an end.

Change: heads 256 KiB, events 1 MiB, unneeded bodies 256 KiB and 250 ms; an answer over 64 MiB fails (may have run) and its connection is closed; answers over 64 KiB share a quarter of the machine's memory and are held in pieces, not in a buffer that doubles. The run counts as one of an instance in trouble.

--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -2,7 +2,10 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -22,6 +25,8 @@
 type connection struct {
 	net.Conn
 	reader *bufio.Reader
+	// limit bounds what the reader takes while a head is read.
+	limit *headLimit
 	// reused is set from the second request on.
 	reused bool
 	// idleUntil is when the instance may close the connection.
@@ -31,7 +36,41 @@
 }
 
 func newConnection(opened net.Conn) *connection {
-	return &connection{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer), carried: map[uint64]struct{}{}}
+	limit := &headLimit{source: opened}
+	return &connection{Conn: opened, reader: bufio.NewReaderSize(limit, readBuffer), limit: limit, carried: map[uint64]struct{}{}}
+}
+
+// readHead reads the head of a response, of maxHeadBytes at most.
+func (c *connection) readHead(request *http.Request) (*http.Response, error) {
+	c.limit.begin(maxHeadBytes)
+	defer c.limit.end()
+	return http.ReadResponse(c.reader, request)
+}
+
+// errHeadTooLong is returned for a head of more than maxHeadBytes.
+var errHeadTooLong = errors.New("the head of the answer is too long")
+
+// headLimit bounds the bytes that are read between begin and end.
+type headLimit struct {
+	source  io.Reader
+	limited bool
+	left    int
+}
+
+func (l *headLimit) begin(bytes int) { l.limited, l.left = true, bytes }
+func (l *headLimit) end()            { l.limited = false }
+
+// Read implements io.Reader.
+func (l *headLimit) Read(buffer []byte) (int, error) {
+	if !l.limited {
+		return l.source.Read(buffer)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	read, err := l.source.Read(buffer[:min(len(buffer), l.left)])
+	l.left -= read
+	return read, err
 }
 
 // hashOf returns the hash under which connections record a request id. Equal hashes of two ids cost a connection.
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -22,8 +22,14 @@
 	// maxInlineBody is the size in bytes up to which a body is written before the response is read.
 	// A larger one is written concurrently, because an instance may respond early.
 	maxInlineBody = 2 << 10
-	// maxHeads is how many response heads are read to find the one that belongs to the request.
-	maxHeads = 3
+	// maxHeads is how many response heads are read to find the one that belongs to the request, maxHeadBytes the
+	// size of one.
+	maxHeads     = 3
+	maxHeadBytes = 256 << 10
+	// maxUnreadBytes is the size of a body that nobody needs up to which it is read, so that the connection can be
+	// used again, and maxUnreadTime how long that may take.
+	maxUnreadBytes = 256 << 10
+	maxUnreadTime  = 250 * time.Millisecond
 )
 
 // Call is one request to an instance.
@@ -63,6 +69,8 @@
 	NotSent bool
 	// Contained is set when the request is not sent because instances ended under it.
 	Contained quarantine.Verdict
+	// AnswerInvalid is set when the gateway gave the answer up because of its length.
+	AnswerInvalid bool
 	// Restriction is set when a placement rule leaves no instance for the request.
 	Restriction Restriction
 	Reason      string
@@ -180,7 +188,7 @@
 	request := &http.Request{Method: call.Method}
 	id := call.id()
 	for range maxHeads {
-		response, err := http.ReadResponse(a.Connection.reader, request)
+		response, err := a.Connection.readHead(request)
 		if err != nil {
 			return err
 		}
@@ -198,13 +206,25 @@
 		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return errIDMismatch // this body ends with the connection, so no further response follows
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := readUnneeded(response.Body); err != nil {
 			return err
 		}
 	}
 	return errIDMismatch
 }
 
+// errBodyTooLong is returned for a body that nobody needs and that is longer than maxUnreadBytes.
+var errBodyTooLong = errors.New("the body of an answer that is not needed is too long")
+
+// readUnneeded reads a body that nobody needs to its end.
+func readUnneeded(body io.Reader) error {
+	read, err := io.Copy(io.Discard, io.LimitReader(body, maxUnreadBytes+1))
+	if err == nil && read > maxUnreadBytes {
+		return errBodyTooLong
+	}
+	return err
+}
+
 // LocalPort returns the port of the connection, which identifies it in the log.
 func (a *Answer) LocalPort() int {
 	address, ok := a.Connection.LocalAddr().(*net.TCPAddr)
@@ -235,6 +255,17 @@
 	a.pool.put(a.instance, a.Connection, keepAliveTimeout(a.Response.Header))
 }
 
+// FinishUnread ends an exchange whose body nobody needs. The connection is kept only if the body ends soon.
+func (a *Answer) FinishUnread() {
+	_ = a.Connection.SetReadDeadline(time.Now().Add(maxUnreadTime))
+	if err := readUnneeded(a.Response.Body); err != nil {
+		a.Discard()
+		return
+	}
+	_ = a.Connection.SetReadDeadline(time.Time{})
+	a.Finish()
+}
+
 // requestSent reports whether the whole request had been written when the response ended.
 func (a *Answer) requestSent() bool {
 	select {
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -76,6 +76,7 @@
 		ProgramAdmission: config.ProgramAdmission,
 		ReportsAge:       config.ReportsAge,
 		HeldBytes:        config.HeldBytes(),
+		MemoryBytes:      int64(config.MemoryMB) << 20,
 		LimitSetAside:    config.LimitSetAside,
 		FairShares:       config.FairShares,
 		EndedInstances:   config.EndedInstances,
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -7,6 +7,9 @@
 	"io"
 )
 
+// maxEventBytes is the maximum size of an event.
+const maxEventBytes = 1 << 20
+
 // event is one server-sent event.
 type event struct {
 	// raw is the event as received, with the empty line that ends it.
@@ -26,23 +29,32 @@
 // errTruncatedEvent reports that the stream ended within an event.
 var errTruncatedEvent = errors.New("the stream ended within an event")
 
+// errEventTooLong reports an event of more than maxEventBytes.
+var errEventTooLong = errors.New("an event of the stream is longer than 1 MiB")
+
 // next returns the next complete event, or io.EOF at the end of the stream.
 func (r *eventReader) next() (event, error) {
 	var parsed event
+	lineStart := 0
 	for {
-		line, err := r.source.ReadBytes('\n')
-		if err == io.EOF && len(line)+len(parsed.raw) > 0 {
+		part, err := r.source.ReadSlice('\n')
+		parsed.raw = append(parsed.raw, part...)
+		switch {
+		case len(parsed.raw) > maxEventBytes:
+			return event{}, errEventTooLong
+		case err == bufio.ErrBufferFull:
+			continue // the line goes on
+		case err == io.EOF && len(parsed.raw) > 0:
 			return event{}, errTruncatedEvent
-		}
-		if err != nil {
+		case err != nil:
 			return event{}, err
 		}
-		parsed.raw = append(parsed.raw, line...)
-		line = bytes.TrimRight(line, "\r\n")
+		line := bytes.TrimRight(parsed.raw[lineStart:], "\r\n")
 		if len(line) == 0 {
 			return parsed, nil
 		}
 		parsed.parseLine(line)
+		lineStart = len(parsed.raw)
 	}
 }
 
--- a/internal/gateway/lostrun.go
+++ b/internal/gateway/lostrun.go
@@ -7,6 +7,7 @@
 
 	"swiftbank.dev/swiftbank/internal/backend"
 	"swiftbank.dev/swiftbank/internal/quarantine"
+	"swiftbank.dev/swiftbank/internal/verdict"
 )
 
 // A run without a valid answer is examined: its instance may have ended, its machine may have fallen silent, or
@@ -27,8 +28,8 @@
 	// callerLeft means that the caller disconnected, or its deadline passed, or that the gateway could not pass
 	// the answer on.
 	callerLeft
-	// answerInvalid means that the instance answered with an error of its own, without its signature, or with an
-	// answer whose end cannot be told from the end of the instance.
+	// answerInvalid means that the instance answered with an error of its own, without its signature, at too great a
+	// length, or with an answer whose end cannot be told from the end of the instance.
 	answerInvalid
 )
 
@@ -72,6 +73,26 @@
 	}
 }
 
+// causeOfBrokenAnswer returns how a run was lost whose answer could not be read to its end.
+func causeOfBrokenAnswer(ctx context.Context, watch *livenessWatch, err error) lossCause {
+	if isAnswerTooLong(err) {
+		return answerInvalid
+	}
+	return causeOfLoss(ctx, false, watch)
+}
+
+// causeOfBrokenStream returns how the run of a stream was lost that was not relayed to its end.
+func causeOfBrokenStream(ctx context.Context, watch *livenessWatch, failure *backend.Failure) lossCause {
+	switch {
+	case failure.AnswerInvalid:
+		return answerInvalid
+	case failure.Verdict == verdict.MayHaveRun:
+		return causeOfLoss(ctx, false, watch)
+	default:
+		return callerLeft
+	}
+}
+
 // newLostRun returns the lost run of a request's last send.
 func (s *Server) newLostRun(r *request, choice backend.Choice, cause lossCause) *lostRun {
 	run := r.currentRun(choice.Instance)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"slices"
@@ -16,9 +15,6 @@
 	"swiftbank.dev/swiftbank/internal/verdict"
 )
 
-// maxAnswerBytes is the maximum size of an answer that is buffered before it is forwarded.
-const maxAnswerBytes = 64 << 20
-
 // servePlain serves a request that is answered as a whole, not by a stream.
 func (s *Server) servePlain(ctx context.Context, w http.ResponseWriter, r *request) {
 	if failure := s.checkTenantLimit(ctx, r); failure != nil {
@@ -74,7 +70,9 @@
 func (s *Server) relayAnswer(ctx context.Context, w http.ResponseWriter, r *request, sent *attempt) *backend.Failure {
 	defer sent.release()
 	answer := sent.answer
-	body, err := io.ReadAll(accountingReader{source: io.LimitReader(answer.Body(), maxAnswerBytes), held: r.held, copies: 1})
+	body := &answerBuffer{answerHolding: answerHolding{memory: s.answers}}
+	defer body.release()
+	err := body.read(answer.Response, accountingReader{source: answer.Body(), held: r.held, copies: 1})
 	var outOfMemory *memoryError
 	if errors.As(err, &outOfMemory) {
 		answer.Discard()
@@ -87,7 +85,7 @@
 		s.directory.EndFailed(time.Now(), sent.choice, backend.Failed)
 		failure := &backend.Failure{Verdict: verdict.MayHaveRun, Reason: "the answer was interrupted: " + err.Error()}
 		s.logSendFailure(r, sent.choice, failure)
-		s.examineLostRun(ctx, r, sent.choice, causeOfLoss(ctx, false, sent.watch))
+		s.examineLostRun(ctx, r, sent.choice, causeOfBrokenAnswer(ctx, sent.watch, err))
 		return failure
 	}
 	answer.Finish()
@@ -108,11 +106,11 @@
 		return failure
 	}
 	copyHeader(w.Header(), response.Header)
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.Header().Set("Content-Length", strconv.FormatInt(body.size, 10))
 	r.outcome.status = response.StatusCode
 	r.outcome.result = "answered"
 	w.WriteHeader(response.StatusCode)
-	s.writeInChunks(w, r, body)
+	s.writeInChunks(w, r, body.chunks)
 	return nil
 }
 
@@ -121,12 +119,14 @@
 
 // writeInChunks writes a complete answer to the caller. The answer of a caller that disconnects or
 // stops reading is cut off.
-func (s *Server) writeInChunks(w http.ResponseWriter, r *request, body []byte) {
-	for chunk := range slices.Chunk(body, writeChunkBytes) {
-		s.extendWriteDeadline(w, r)
-		if _, err := w.Write(chunk); err != nil {
-			r.outcome.reason = s.writeErrorReason(err)
-			return
+func (s *Server) writeInChunks(w http.ResponseWriter, r *request, body [][]byte) {
+	for _, part := range body {
+		for chunk := range slices.Chunk(part, writeChunkBytes) {
+			s.extendWriteDeadline(w, r)
+			if _, err := w.Write(chunk); err != nil {
+				r.outcome.reason = s.writeErrorReason(err)
+				return
+			}
 		}
 	}
 }
--- a/internal/gateway/plain_test.go
+++ b/internal/gateway/plain_test.go
@@ -30,7 +30,7 @@
 func TestLargeAnswerIsWrittenInChunks(t *testing.T) {
 	s, body := newTestGateway(t), bytes.Repeat([]byte("x"), 3*writeChunkBytes+1)
 	caller := &chunkRecorder{ResponseRecorder: httptest.NewRecorder(), limit: len(body)}
-	s.writeInChunks(caller, &request{id: "r"}, body)
+	s.writeInChunks(caller, &request{id: "r"}, [][]byte{body})
 	require.Equal(t, []int{writeChunkBytes, writeChunkBytes, writeChunkBytes, 1}, caller.sizes)
 	require.Equal(t, body, caller.Body.Bytes())
 }
@@ -38,7 +38,7 @@
 func TestLogsCallerThatStopsReading(t *testing.T) {
 	s, r := newTestGateway(t), &request{id: "r", header: http.Header{}}
 	caller := &chunkRecorder{ResponseRecorder: httptest.NewRecorder(), limit: writeChunkBytes}
-	s.writeInChunks(caller, r, bytes.Repeat([]byte("x"), 3*writeChunkBytes))
+	s.writeInChunks(caller, r, [][]byte{bytes.Repeat([]byte("x"), 3*writeChunkBytes)})
 	require.Len(t, caller.sizes, 1)
 	require.Contains(t, r.outcome.reason, "the caller read nothing for")
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -213,8 +212,7 @@
 	if answer.Response.Header.Get(s.dialect.NotExecuted) == "" && !misdirected {
 		return nil
 	}
-	_, _ = io.Copy(io.Discard, answer.Body()) // drained so that the connection can be reused; a broken one is not reused
-	answer.Finish()
+	answer.FinishUnread()
 	s.directory.End(time.Now(), choice, backend.Full)
 	return &backend.Failure{
 		Verdict: verdict.NotRun, Unreachable: misdirected, InstanceDown: misdirected, LocalPort: answer.LocalPort(),
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -61,6 +61,8 @@
 	// ReportsAge weighs other gateways' load reports less the older they are, where load control
 	// applies.
 	ReportsAge bool
+	// MemoryBytes is the memory of the machine; 0 means unknown.
+	MemoryBytes int64
 	// HeldBytes bounds the memory held for callers where load control applies; 0 means no bound.
 	HeldBytes int64
 	// ProgramAdmission admits new programs by the expected demand of active programs, where
@@ -124,7 +126,9 @@
 	shares *tenantShares
 	// held accounts for the memory held for callers; nil where it is not bounded. unreadTimeout is
 	// how long callers may leave an answer unread.
-	held          *heldMemory
+	held *heldMemory
+	// answers accounts for the memory of larger answers.
+	answers       *answerMemory
 	unreadTimeout time.Duration
 	// programs tracks the active programs.
 	programs *programs
@@ -147,7 +151,7 @@
 		options: options, dialect: options.Dialect, log: options.Log, directory: options.Directory,
 		replicas: options.Replicas, metrics: options.Metrics, splitter: route.NewSplitter(options.Node), started: time.Now(),
 		allowances: newAllowances(), overload: newQueues(), shares: newTenantShares(options.Metrics), programs: newPrograms(options.Log, options.Metrics), members: replicaset.NewReader(),
-		held: newHeldMemory(options.HeldBytes), unreadTimeout: defaultUnreadTimeout,
+		held: newHeldMemory(options.HeldBytes), answers: newAnswerMemory(options.MemoryBytes), unreadTimeout: defaultUnreadTimeout,
 		containment: newContainment(options.EndedInstances),
 	}
 	if s.containment != nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -39,6 +39,8 @@
 	output    []byte
 	events    int
 	lastEvent string
+	// kept is the memory that output takes.
+	kept answerHolding
 	// responseStarted is set once bytes were sent to the caller.
 	responseStarted bool
 	ran             bool
@@ -46,7 +48,8 @@
 
 // serveStream serves a request that is answered by a stream of events.
 func (s *Server) serveStream(ctx context.Context, w http.ResponseWriter, r *request) {
-	t := &turn{request: r, lastEvent: r.header.Get(s.dialect.LastEvent)}
+	t := &turn{request: r, lastEvent: r.header.Get(s.dialect.LastEvent), kept: answerHolding{memory: s.answers}}
+	defer t.kept.release()
 	s.setProgram(t)
 	t.maxTokens = maxTokens(r.header, s.dialect.TokenCount)
 	t.parts = promptParts(r.header.Get(s.dialect.PromptPrefix))
@@ -209,11 +212,7 @@
 	if failure != nil {
 		sent.answer.Discard()
 		s.logSendFailure(t.request, sent.choice, failure)
-		cause := callerLeft
-		if failure.Verdict == verdict.MayHaveRun {
-			cause = causeOfLoss(ctx, false, sent.watch)
-		}
-		s.examineLostRun(ctx, t.request, sent.choice, cause)
+		s.examineLostRun(ctx, t.request, sent.choice, causeOfBrokenStream(ctx, sent.watch, failure))
 		return failure
 	}
 	sent.answer.Finish()
@@ -264,7 +263,7 @@
 			return nil
 		}
 		if err != nil {
-			return &backend.Failure{Verdict: verdict.MayHaveRun, Reason: "the stream was interrupted: " + err.Error()}
+			return &backend.Failure{Verdict: verdict.MayHaveRun, Reason: "the stream was interrupted: " + err.Error(), AnswerInvalid: isAnswerTooLong(err)}
 		}
 		t.ran = true
 		sent.recordEvent()
@@ -294,6 +293,9 @@
 			s.logMemoryBound(t.request, bound, true)
 			return &backend.Failure{Verdict: verdict.Ran, Reason: (&memoryError{bound: bound}).Error()}
 		}
+		if err := t.kept.growTo(int64(len(t.output) + len(event.data) + 1)); err != nil {
+			return &backend.Failure{Verdict: verdict.Ran, Reason: err.Error(), AnswerInvalid: true}
+		}
 		t.output = append(t.output, event.data...)
 		t.output = append(t.output, '\n')
 	}
