--- a/internal/endlessanswer/form.go
+++ b/internal/endlessanswer/form.go
@@ -47,6 +47,7 @@
 		{Name: "trailers", HasHead: true, begin: "HTTP/1.1 200 OK\r\n{header}Transfer-Encoding: chunked\r\nTrailer: X-Field\r\n\r\n0\r\n", repeated: "X-Field: a\r\n"},
 		{Name: "line of an event", HasHead: true, begin: "HTTP/1.1 200 OK\r\n{header}Content-Type: text/event-stream\r\n\r\ndata: ", repeated: "a"},
 		{Name: "lines of an event", HasHead: true, begin: "HTTP/1.1 200 OK\r\n{header}Content-Type: text/event-stream\r\n\r\n", repeated: "data: a\n"},
+		{Name: "events", HasHead: true, begin: "HTTP/1.1 200 OK\r\n{header}Content-Type: text/event-stream\r\n\r\n", repeated: "data: " + block + "\n"},
 		{Name: "body of an error", HasHead: true, begin: "HTTP/1.1 500 Internal Server Error\r\n{header}\r\n", repeated: block},
 	}
 }
@@ -69,3 +70,16 @@
 	}
 	return sent
 }
+
+// JSON returns a string in a JSON document.
+func JSON() Form {
+	return Form{Name: "JSON string", HasHead: true, begin: "HTTP/1.1 200 OK\r\n{header}\r\n{\"at\":1,\"text\":\"", repeated: "a"}
+}
+
+// EngineEvents returns events of an engine's stream.
+func EngineEvents() Form {
+	return Form{
+		Name: "events of a stream", HasHead: true, begin: "HTTP/1.1 200 OK\r\n{header}Content-Type: text/event-stream\r\n\r\n",
+		repeated: "data: {\"choices\":[{\"delta\":{\"content\":\"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\"}}]}\n\n",
+	}
+}
--- a/internal/gateway/answermemory.go
+++ b/internal/gateway/answermemory.go
@@ -27,7 +27,7 @@
 
 // isAnswerTooLong reports whether the gateway gave up an answer for its length.
 func isAnswerTooLong(err error) bool {
-	return errors.Is(err, errAnswerTooLong) || errors.Is(err, errNoAnswerMemory) || errors.Is(err, errEventTooLong)
+	return errors.Is(err, errAnswerTooLong) || errors.Is(err, errNoAnswerMemory) || errors.Is(err, errEventTooLong) || errors.Is(err, errStreamTooLong)
 }
 
 // answerMemory bounds the memory of answers that are larger than usual, whatever the instances send. It is safe for
--- a/internal/gateway/endlessanswer_test.go
+++ b/internal/gateway/endlessanswer_test.go
@@ -1,9 +1,6 @@
 package gateway
 
 import (
-	"bufio"
-	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -26,42 +23,16 @@
 	socketBytes     = 16 << 20
 )
 
-// endlessInstance answers each request without end.
-type endlessInstance struct {
-	backend.Instance
-	// sent receives the number of bytes of each answer once its connection was closed.
-	sent chan int64
-}
-
-func startEndlessInstance(t *testing.T, id string, form endlessanswer.Form) *endlessInstance {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	instance := &endlessInstance{Instance: backend.Instance{ID: id, Service: "apps", Address: listener.Addr().String(), Zone: "z", Slots: 8}, sent: make(chan int64, 100)}
-	go func() {
-		for {
-			connection, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go instance.serve(connection, form)
-		}
-	}()
-	return instance
-}
-
-func (e *endlessInstance) serve(connection net.Conn, form endlessanswer.Form) {
-	request, err := http.ReadRequest(bufio.NewReader(connection))
-	if err != nil {
-		_ = connection.Close()
-		return
-	}
-	_, _ = io.Copy(io.Discard, request.Body)
-	header := "X-Test-Signature: s\r\nX-Test-Id: " + request.Header.Get("X-Test-Id") + "\r\n"
-	if strings.HasPrefix(form.Name, "body of 5") || strings.HasPrefix(form.Name, "body of 4") {
-		header += "X-Test-Not-Executed: 1\r\n"
-	}
-	e.sent <- form.Send(connection, header)
+// listEndless lists an instance that answers each request without end.
+func (g *containedGateway) listEndless(form endlessanswer.Form, header string) *endlessanswer.Server {
+	server, err := endlessanswer.NewServer(form, func(r *http.Request) string {
+		return "X-Test-Signature: s\r\nX-Test-Id: " + r.Header.Get("X-Test-Id") + "\r\n" + header
+	})
+	require.NoError(g.t, err)
+	g.t.Cleanup(server.Close)
+	g.instances = []backend.Instance{{ID: "i-endless", Service: "apps", Address: server.Address(), Zone: "z", Slots: 8}}
+	g.publish()
+	return server
 }
 
 // newEndlessGateway returns a gateway with a route of each kind.
@@ -77,13 +48,15 @@
 	return g
 }
 
-func (g *containedGateway) callRoute(name, body string) *httptest.ResponseRecorder {
+// callRoute calls a route. aborted is set if the answer was broken off.
+func (g *containedGateway) callRoute(name, body string) (recorder *httptest.ResponseRecorder, aborted bool) {
 	request := httptest.NewRequest(http.MethodPost, "http://apps.test/"+name+"/1", strings.NewReader(body))
 	request.Header.Set(deadlineHeader, "20000")
 	request.Header.Set(g.dialect.RequestID, "id")
-	recorder := httptest.NewRecorder()
+	recorder = httptest.NewRecorder()
+	defer func() { aborted = recover() == http.ErrAbortHandler }()
 	g.handle(recorder, request)
-	return recorder
+	return recorder, false
 }
 
 // Bytes of an instance that never end must not fill the memory, hold the request or pass for a whole answer.
@@ -92,23 +65,25 @@
 		for _, kind := range []string{"safe", "unsafe", "stream"} {
 			t.Run(form.Name+" "+kind, func(t *testing.T) {
 				g := newEndlessGateway(t)
-				endless := startEndlessInstance(t, "i-endless", form)
-				g.instances = []backend.Instance{endless.Instance}
-				g.publish()
+				endless := g.listEndless(form, "")
 				began := time.Now()
-				got := g.callRoute(kind, "x")
+				got, aborted := g.callRoute(kind, "x")
 				require.Less(t, time.Since(began), 10*time.Second)
-				require.Equal(t, http.StatusBadGateway, got.Code, "the request may have run")
-				require.Empty(t, got.Header().Get("X-Test-Signature"))
 				most := int64(mostAnswerBytes)
-				if !form.HasHead || kind == "stream" {
+				switch {
+				case form.Name == "events" && kind == "stream":
+					most = maxStreamBytes
+				case form.Name == "body of an error":
+				case !form.HasHead || kind == "stream":
 					most = mostHeadBytes
 				}
-				if form.Name == "body of an error" {
-					most = mostAnswerBytes
+				require.Equal(t, most == maxStreamBytes, aborted, "events were passed on")
+				if !aborted {
+					require.Equal(t, http.StatusBadGateway, got.Code, "the request may have run")
+					require.Empty(t, got.Header().Get("X-Test-Signature"))
 				}
 				select {
-				case sent := <-endless.sent:
+				case sent := <-endless.Sent:
 					require.LessOrEqual(t, sent, most+socketBytes)
 				case <-time.After(10 * time.Second):
 					require.Fail(t, "the connection is not closed")
@@ -116,7 +91,8 @@
 				require.Equal(t, 1, g.suspects()[0].Standing.Possible, "the instance is in trouble")
 				g.instances = nil
 				g.listAnswering("i-sound")
-				require.Equal(t, http.StatusOK, g.callRoute("safe", "another").Code)
+				sound, _ := g.callRoute("safe", "another")
+				require.Equal(t, http.StatusOK, sound.Code)
 			})
 		}
 	}
@@ -128,9 +104,7 @@
 		for _, kind := range []string{"unsafe", "stream"} {
 			t.Run(status+" "+kind, func(t *testing.T) {
 				g := newEndlessGateway(t)
-				endless := startEndlessInstance(t, "i-endless", endlessanswer.WithStatus(status))
-				g.instances = []backend.Instance{endless.Instance}
-				g.publish()
+				endless := g.listEndless(endlessanswer.WithStatus(status), "X-Test-Not-Executed: 1\r\n")
 				began := time.Now()
 				request := httptest.NewRequest(http.MethodPost, "http://apps.test/"+kind+"/1", strings.NewReader("x"))
 				request.Header.Set(deadlineHeader, "1000")
@@ -139,7 +113,7 @@
 				g.handle(recorder, request)
 				require.Equal(t, http.StatusServiceUnavailable, recorder.Code)
 				require.Less(t, time.Since(began), 1100*time.Millisecond)
-				require.LessOrEqual(t, <-endless.sent, int64(mostHeadBytes+socketBytes))
+				require.LessOrEqual(t, <-endless.Sent, int64(mostHeadBytes+socketBytes))
 				require.Empty(t, g.suspects(), "it has not run")
 			})
 		}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -7,8 +7,12 @@
 	"io"
 )
 
-// maxEventBytes is the maximum size of an event.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes is the maximum size of an event.
+	maxEventBytes = 1 << 20
+	// maxStreamBytes is the maximum size of a stream, in which each token comes with its event.
+	maxStreamBytes = 256 << 20
+)
 
 // event is one server-sent event.
 type event struct {
@@ -22,6 +26,8 @@
 // eventReader splits a stream into events at empty lines. It never returns a truncated event.
 type eventReader struct {
 	source *bufio.Reader
+	// returned is the size of the events that were returned.
+	returned int
 }
 
 func newEventReader(source *bufio.Reader) *eventReader { return &eventReader{source: source} }
@@ -32,6 +38,9 @@
 // errEventTooLong reports an event of more than maxEventBytes.
 var errEventTooLong = errors.New("an event of the stream is longer than 1 MiB")
 
+// errStreamTooLong reports a stream of more than maxStreamBytes.
+var errStreamTooLong = errors.New("the stream is longer than 256 MiB")
+
 // next returns the next complete event, or io.EOF at the end of the stream.
 func (r *eventReader) next() (event, error) {
 	var parsed event
@@ -42,6 +51,8 @@
 		switch {
 		case len(parsed.raw) > maxEventBytes:
 			return event{}, errEventTooLong
+		case r.returned+len(parsed.raw) > maxStreamBytes:
+			return event{}, errStreamTooLong
 		case err == bufio.ErrBufferFull:
 			continue // the line goes on
 		case err == io.EOF && len(parsed.raw) > 0:
@@ -51,6 +62,7 @@
 		}
 		line := bytes.TrimRight(parsed.raw[lineStart:], "\r\n")
 		if len(line) == 0 {
+			r.returned += len(parsed.raw)
 			return parsed, nil
 		}
 		parsed.parseLine(line)
