Messages between processes are bounded in bytes

A peer whose message never ends (a length of 1 GB is enough) made its reader grow up to gob's own bound of 1 GB.

Change: 32 MiB a message on links and polls, 256 MiB for frames of stand-alone nodes; the connection is closed and opened anew.

Evidence: TestLinkClosesConnectionWhoseMessageDoesNotEnd, TestDecoderBoundsEachMessage (the decoder is new with them).

--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -1,7 +1,6 @@
 package feed
 
 import (
-	"bufio"
 	"context"
 	"encoding/gob"
 	"fmt"
@@ -13,14 +12,10 @@
 	"swiftbank.dev/swiftbank/internal/peer"
 )
 
-const (
-	// dialTimeout bounds a connection attempt to an upstream. The kernel retransmits a lost
-	// SYN, for example while a machine starts, only after a second; a new attempt is faster.
-	// Round trips between zones are far shorter than the timeout.
-	dialTimeout = 150 * time.Millisecond
-	// bufferBytes is the size of the read buffer of a connection.
-	bufferBytes = 8 << 10
-)
+// dialTimeout bounds a connection attempt to an upstream. The kernel retransmits a lost SYN, for
+// example while a machine starts, only after a second; a new attempt is faster. Round trips between
+// zones are far shorter than the timeout.
+const dialTimeout = 150 * time.Millisecond
 
 // runFollowing polls the upstream of the applied decision until the context ends.
 func (n *Node) runFollowing(ctx context.Context) {
@@ -73,7 +68,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	defer stop()
 	encoder := gob.NewEncoder(connection)
-	decoder := gob.NewDecoder(bufio.NewReaderSize(connection, bufferBytes))
+	decoder := peer.NewDecoder(connection)
 	for {
 		reply, err := poll(connection, encoder, decoder, n.request())
 		if err != nil {
@@ -139,7 +134,7 @@
 }
 
 // poll sends one request and waits for the reply, for at most replyTimeout.
-func poll(connection net.Conn, encoder *gob.Encoder, decoder *gob.Decoder, request Request) (Reply, error) {
+func poll(connection net.Conn, encoder *gob.Encoder, decoder *peer.Decoder, request Request) (Reply, error) {
 	if err := connection.SetDeadline(time.Now().Add(replyTimeout)); err != nil {
 		return Reply{}, fmt.Errorf("feed: %w", err)
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -115,7 +115,7 @@
 	defer l.setSender(nil)
 	defer sender.close()
 	l.handler.LinkUp()
-	decoder := gob.NewDecoder(bufio.NewReaderSize(connection, bufferBytes))
+	decoder := NewDecoder(connection)
 	for {
 		var message Receive
 		if err := decoder.Decode(&message); err != nil {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -1,8 +1,6 @@
 package peer
 
 import (
-	"bufio"
-	"encoding/gob"
 	"net"
 	"sync"
 )
@@ -98,7 +96,7 @@
 		delete(s.connections, connection)
 		s.mu.Unlock()
 	}()
-	decoder := gob.NewDecoder(bufio.NewReaderSize(connection, bufferBytes))
+	decoder := NewDecoder(connection)
 	for {
 		var message Receive
 		if decoder.Decode(&message) != nil {
--- a/internal/server/peers.go
+++ b/internal/server/peers.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"swiftbank.dev/swiftbank/internal/core"
+	"swiftbank.dev/swiftbank/internal/peer"
 	"swiftbank.dev/swiftbank/internal/topology"
 	"swiftbank.dev/swiftbank/internal/wait"
 )
@@ -21,6 +22,8 @@
 	// peerDialTimeout and peerWriteTimeout bound waiting for a peer.
 	peerDialTimeout  = time.Second
 	peerWriteTimeout = 2 * time.Second
+	// maxFrameBytes is the maximum size of one frame.
+	maxFrameBytes = 256 << 20
 	// peerRedialDelay spaces the tries to reach a peer.
 	peerRedialDelay = 100 * time.Millisecond
 )
@@ -124,7 +127,7 @@
 // decoded ends the connection; the peer opens a new one.
 func (t *peerTransport) read(connection net.Conn) {
 	defer t.untrack(connection)
-	decoder := gob.NewDecoder(connection)
+	decoder := peer.NewDecoderWithLimit(connection, maxFrameBytes)
 	for {
 		var received frame
 		if err := decoder.Decode(&received); err != nil {
