The stand-alone node, commands and clients bound what they read

The stand-alone node cut an answer at 16 MiB and passed it on as whole, and read lines of a stream that are no events without end.

Change: a longer answer may have run and is not passed on; streams 256 MiB, heads 256 KiB; commands and the object API likewise.

--- a/internal/command/quarantine.go
+++ b/internal/command/quarantine.go
@@ -95,7 +95,7 @@
 		return nil, fmt.Errorf("quarantine: %w", err)
 	}
 	defer response.Body.Close()
-	content, err := io.ReadAll(response.Body)
+	content, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, maxAnswerBytes))
 	if err != nil {
 		return nil, fmt.Errorf("quarantine: %w", err)
 	}
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -11,6 +11,9 @@
 	"swiftbank.dev/swiftbank/internal/server"
 )
 
+// maxAnswerBytes is the maximum size of an answer that a command reads.
+const maxAnswerBytes = 16 << 20
+
 func newStatusCommand() *cobra.Command {
 	command := &cobra.Command{
 		Use:     "status OPERATOR-ADDRESS...",
@@ -62,7 +65,7 @@
 	if response.StatusCode != http.StatusOK {
 		return status, fmt.Errorf("status: HTTP status %d", response.StatusCode)
 	}
-	if err := json.NewDecoder(response.Body).Decode(&status); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxAnswerBytes)).Decode(&status); err != nil {
 		return status, fmt.Errorf("status: %w", err)
 	}
 	return status, nil
--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -21,8 +21,15 @@
 // ErrNotFound says that the object does not exist.
 var ErrNotFound = errors.New("object API: no such object")
 
-// requestTimeout bounds each request, since the API may hang.
-const requestTimeout = 5 * time.Second
+const (
+	// requestTimeout bounds each request, since the API may hang.
+	requestTimeout = 5 * time.Second
+	// idleTimeout is how long a connection is kept for further requests.
+	idleTimeout = time.Minute
+	// maxHeadBytes and maxAnswerBytes are the maximum size of an answer's head and body.
+	maxHeadBytes   = 256 << 10
+	maxAnswerBytes = 64 << 20
+)
 
 // Object is one stored object.
 type Object struct {
@@ -52,7 +59,8 @@
 
 // New returns a client for a base URL.
 func New(address string) *Client {
-	return &Client{address: address, http: &http.Client{Timeout: requestTimeout}}
+	transport := &http.Transport{MaxResponseHeaderBytes: maxHeadBytes, IdleConnTimeout: idleTimeout}
+	return &Client{address: address, http: &http.Client{Timeout: requestTimeout, Transport: transport}}
 }
 
 // Get returns one object.
@@ -114,7 +122,7 @@
 	defer response.Body.Close()
 	switch response.StatusCode {
 	case http.StatusOK:
-		if err := json.NewDecoder(response.Body).Decode(into); err != nil {
+		if err := json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxAnswerBytes)).Decode(into); err != nil {
 			return fmt.Errorf("object API: decode answer: %w", err)
 		}
 		return nil
--- a/internal/program/client.go
+++ b/internal/program/client.go
@@ -53,6 +53,9 @@
 // Succeeded reports whether the complete response arrived.
 func (a *Response) Succeeded() bool { return a.Verdict == verdict.Ran && a.Code == "" }
 
+// maxAnswerBytes is the maximum size of an answer.
+const maxAnswerBytes = 16 << 20
+
 // Client sends calls to nodes in round-robin order. It is safe for concurrent use.
 type Client struct {
 	addresses []string
@@ -164,7 +167,7 @@
 }
 
 func readResponse(response *http.Response, started time.Time, call Call) (*Response, error) {
-	content, err := io.ReadAll(response.Body)
+	content, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, maxAnswerBytes))
 	if err != nil {
 		return nil, fmt.Errorf("caller: read response: %w", err)
 	}
--- a/internal/server/backends.go
+++ b/internal/server/backends.go
@@ -23,10 +23,17 @@
 const (
 	// maxAnswerBytes bounds what is read of one back end's answer.
 	maxAnswerBytes = 16 << 20
+	// maxStreamBytes bounds a stream, in which each token comes with its event.
+	maxStreamBytes = 256 << 20
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 256 << 10
 	// idleConnections is how many idle connections to one back end are kept.
 	idleConnections = 64
 )
 
+// errAnswerTooLong is returned for a stream of more than maxAnswerBytes.
+var errAnswerTooLong = errors.New("server: the stream is too long")
+
 // backEndClient sends calls to back ends and reports what became of them.
 type backEndClient struct {
 	server *Server
@@ -44,7 +51,7 @@
 }
 
 func newBackEndClient(server *Server) *backEndClient {
-	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections, DisableCompression: true}
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &backEndClient{
 		server: server, http: &http.Client{Transport: newMatchingTransport(transport)},
 		running: map[shard.AttemptID]runningAttempt{},
@@ -121,6 +128,10 @@
 		outcome.Verdict = verdict.MayHaveRun
 		outcome.Reason = "the connection to the back end was cut"
 	}
+	var tooLong *http.MaxBytesError
+	if errors.As(err, &tooLong) || errors.Is(err, errAnswerTooLong) {
+		outcome.Reason = "the back end's answer is too long"
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		outcome.Code = verdict.CodeDeadline
 		outcome.Reason = "the back end did not answer in time"
@@ -151,7 +162,7 @@
 	}
 	defer response.Body.Close()
 	c.noteLoad(action.BackEnd.Name, response.Header)
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(nil, response.Body, maxAnswerBytes))
 	if err != nil {
 		return mark.failed(err)
 	}
@@ -232,7 +243,7 @@
 		}
 		return finished
 	}
-	return c.readStream(action, response.Body, mark)
+	return c.readStream(action, http.MaxBytesReader(nil, response.Body, maxStreamBytes), mark)
 }
 
 func newEngineRequest(ctx context.Context, action core.StartAttempt) (*http.Request, error) {
@@ -322,6 +333,9 @@
 			return fmt.Errorf("server: engine event: %w", err)
 		}
 		for _, choice := range event.Choices {
+			if text.Len()+len(choice.Delta.Content) > maxAnswerBytes {
+				return errAnswerTooLong
+			}
 			text.WriteString(choice.Delta.Content)
 			if choice.Delta.Content != "" {
 				c.server.streams.append(action.Attempt, choice.Delta.Content)
--- a/internal/server/control.go
+++ b/internal/server/control.go
@@ -96,5 +96,5 @@
 	if into == nil {
 		return nil
 	}
-	return json.NewDecoder(response.Body).Decode(into)
+	return json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxAnswerBytes)).Decode(into)
 }
