An instance that started after a request was sent is another life of it

Cause: the gateway's next connection was accepted by the new life, and the list showed no restart, since the first life had no start time in its entry; the run counted as survived. Change: an entry whose start lies after the send is that of another life.

--- a/internal/backend/entrystate.go
+++ b/internal/backend/entrystate.go
@@ -1,5 +1,7 @@
 package backend
 
+import "time"
+
 // EntryState is what the list says about an instance that was known before.
 type EntryState uint8
 
@@ -22,13 +24,13 @@
 	return [...]string{"listed", "missing", "leaving", "gone", "replaced"}[e]
 }
 
-// EntryStateOf compares an instance, as known before, with the list.
-func (d *Directory) EntryStateOf(instance Instance) EntryState {
+// EntryStateOf compares an instance, as known at the given time, with the list.
+func (d *Directory) EntryStateOf(instance Instance, at time.Time) EntryState {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	m := d.members[instance.ID]
 	switch {
-	case m == nil && d.addresses[instance.Address] != "", m != nil && hasRestarted(instance, m.instance):
+	case m == nil && d.addresses[instance.Address] != "", m != nil && (hasRestarted(instance, m.instance) || m.instance.startedAfter(at)):
 		return EntryReplaced
 	case m == nil:
 		return EntryGone
@@ -40,3 +42,9 @@
 		return EntryListed
 	}
 }
+
+// startedAfter reports whether the instance says that it started after the given time. The clocks of two machines may
+// differ, which matters only for an instance that had just started.
+func (i Instance) startedAfter(at time.Time) bool {
+	return i.Born != 0 && i.Born > uint64(at.UnixMilli())
+}
--- a/internal/backend/entrystate_test.go
+++ b/internal/backend/entrystate_test.go
@@ -29,7 +29,7 @@
 			d := NewDirectory("z")
 			d.ApplyChanges(time.Now(), Changes{Snapshot: true, Listed: []Instance{known}}, false)
 			d.ApplyChanges(time.Now(), Changes{Snapshot: true, Listed: test.listed}, false)
-			require.Equal(t, test.want, d.EntryStateOf(known))
+			require.Equal(t, test.want, d.EntryStateOf(known, time.Now()))
 		})
 	}
 }
@@ -39,9 +39,23 @@
 	d := NewDirectory("z")
 	d.ApplyChanges(time.Now(), Changes{Snapshot: true, Listed: []Instance{known}}, false)
 	d.ApplyChanges(time.Now(), Changes{Snapshot: true}, true)
-	require.Equal(t, EntryMissing, d.EntryStateOf(known))
+	require.Equal(t, EntryMissing, d.EntryStateOf(known, time.Now()))
 	d.ApplyChanges(time.Now(), Changes{Snapshot: true, Listed: []Instance{known}}, false)
-	require.Equal(t, EntryListed, d.EntryStateOf(known))
+	require.Equal(t, EntryListed, d.EntryStateOf(known, time.Now()))
+}
+
+// An instance may be listed without its start time in its first life and start again at its address.
+func TestEntryStateTellsALaterStartAtTheSameAddress(t *testing.T) {
+	known := Instance{ID: "i", Service: "s", Address: "a:1", Slots: 1}
+	sentAt := time.Now()
+	for want, born := range map[EntryState]time.Time{EntryListed: sentAt.Add(-time.Second), EntryReplaced: sentAt.Add(time.Second)} {
+		listed := known
+		listed.Born = uint64(born.UnixMilli())
+		d := NewDirectory("z")
+		d.ApplyChanges(time.Now(), Changes{Snapshot: true, Listed: []Instance{known}}, false)
+		d.ApplyChanges(time.Now(), Changes{Snapshot: true, Listed: []Instance{listed}}, false)
+		require.Equal(t, want, d.EntryStateOf(known, sentAt))
+	}
 }
 
 func TestContactSinceTellsAnEndedProcess(t *testing.T) {
--- a/internal/e2e/endedinstances_test.go
+++ b/internal/e2e/endedinstances_test.go
@@ -59,6 +59,7 @@
 	}
 	t.Run("at a gateway that was suspended", f.testLethalRequestAtSuspendedGateway)
 	t.Run("at a gateway that starts", f.testLethalRequestAtStartingGateway)
+	t.Run("turn whose instance started again while its gateway was suspended", f.testInstanceRestartedWhileGatewaySuspended)
 }
 
 // TestRequestThatEndsInstancesLaterIsStopped sends requests under which instances get into trouble first and end a
@@ -376,6 +377,40 @@
 	f.requireContained(t, append(ids, id))
 }
 
+// testInstanceRestartedWhileGatewaySuspended suspends the first gateway that sends a lethal turn until the instance has
+// ended and started again at its address. The list tells that later.
+func (f *fleet) testInstanceRestartedWhileGatewaySuspended(t *testing.T) {
+	kind := lethalRequest{path: "/chat/t", program: f.newID()}
+	f.setLethal(platformtest.Behaviour{End: platformtest.ProcessEnds, EndAfter: 200 * time.Millisecond})
+	suspended := f.gateways[0]
+	id, answered := f.newID(), make(chan exchangeResult, 1)
+	go func() { answered <- f.attemptAs(id, kind, suspended, lethalBody) }()
+	var restarted *platformtest.Engine
+	require.Eventually(t, func() bool {
+		index := slices.IndexFunc(f.engines, func(engine *platformtest.Engine) bool {
+			return len(runsOf(id, []*platformtest.Engine{engine})) > 0
+		})
+		if index >= 0 {
+			restarted = f.engines[index]
+		}
+		return index >= 0
+	}, 10*time.Second, time.Millisecond)
+	require.NoError(t, suspended.command.Process.Signal(syscall.SIGSTOP))
+	require.Eventually(t, func() bool { _, ended := restarted.Ended(); return ended }, 10*time.Second, time.Millisecond)
+	require.NoError(t, restarted.RestartAtItsAddress())
+	require.NoError(t, suspended.command.Process.Signal(syscall.SIGCONT))
+	require.Equal(t, http.StatusBadGateway, (<-answered).status)
+	<-time.After(300 * time.Millisecond)
+	f.register(restarted, "llm", zones[0], "ready")
+	stop := runUntilStopped(f.replaceEnded)
+	ids := append(f.quarantineAt(t, kind, f.gateways[1:]), id)
+	stop()
+	others, late := f.endsUnder(ids)
+	ends := others + len(slices.DeleteFunc(restarted.Ends(), func(end platformtest.End) bool { return end.Request != id }))
+	require.LessOrEqual(t, ends, endedInstances)
+	require.Empty(t, late)
+}
+
 // testLethalRequestAtStartingGateway sends a call that others have quarantined to a gateway as soon as it serves.
 func (f *fleet) testLethalRequestAtStartingGateway(t *testing.T) {
 	kind := lethalRequest{path: "/start/t", program: f.newID()}
--- a/internal/e2e/soak_lethal_test.go
+++ b/internal/e2e/soak_lethal_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -30,6 +31,15 @@
 	{End: platformtest.ProcessEnds, EndAfter: 700 * time.Millisecond},
 }
 
+// troubledLethalWays are further ways: the back end shows that it is in trouble, and lives on for a while.
+var troubledLethalWays = []platformtest.Behaviour{
+	{End: platformtest.ProcessEnds, DropResponse: true, EndAfter: 300 * time.Millisecond},
+	{End: platformtest.ProcessEnds, DropResponse: true, EndAfter: 1200 * time.Millisecond},
+	{End: platformtest.ProcessEnds, FailAnswer: true, EndAfter: 100 * time.Millisecond},
+	{End: platformtest.ProcessEnds, Garble: true, EndAfter: 200 * time.Millisecond},
+	{End: platformtest.ProcessEnds, OmitSignature: true, EndAfter: 400 * time.Millisecond},
+}
+
 const (
 	// lethalAttempts is how often the caller of a lethal request tries it; it pauses for up to lethalPause.
 	lethalAttempts = 8
@@ -44,7 +54,8 @@
 	if !lethal {
 		return platformtest.Behaviour{}
 	}
-	return lethalWays[int(way[0]-'0')%len(lethalWays)]
+	ways := slices.Concat(lethalWays, troubledLethalWays)
+	return ways[int(way[0]-'0')%len(ways)]
 }
 
 // armBackEnds makes all back ends end under lethal requests. Their proxies then refuse connections.
@@ -86,7 +97,11 @@
 func (s *soak) sendLethalRequest() (string, func(), bool) {
 	caller := &soakCaller{soak: s, random: rand.New(rand.NewPCG(s.random.Uint64(), 0))}
 	kind := []struct{ host, path string }{{agentHost, "/plan/l"}, {agentHost, "/chat/l"}, {appsHost, "/start/l"}}[caller.random.IntN(3)]
-	body := fmt.Sprintf("%s%d", lethalPrefix, caller.random.IntN(len(lethalWays)))
+	ways := len(lethalWays)
+	if s.hasTroubledBackEnds() {
+		ways += len(troubledLethalWays)
+	}
+	body := fmt.Sprintf("%s%d", lethalPrefix, caller.random.IntN(ways))
 	program := "lethal-" + s.nextID()
 	s.lethalCallers.Go(func() { caller.tryLethal(program, kind.host, kind.path, body) })
 	return program + " " + kind.path + " " + body, func() {}, true
--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -46,11 +47,14 @@
 // unsolicitedSeeds also let back ends refuse requests and send copies of their answers late.
 var unsolicitedSeeds = []uint64{56}
 
+// troubledSeeds also let back ends get into trouble before they end, drop and garble answers, and send bytes without end.
+var troubledSeeds = []uint64{61}
+
 // lethalSeeds also send requests that end the engines that run them. They found faults.
 var lethalSeeds = []uint64{50, 52}
 
 func TestSoak(t *testing.T) {
-	seeds := slices.Concat(failedSeeds, overlappingSeeds, versionSeeds, lethalSeeds, unsolicitedSeeds)
+	seeds := slices.Concat(failedSeeds, overlappingSeeds, versionSeeds, lethalSeeds, unsolicitedSeeds, troubledSeeds)
 	if *soakSeed != "" {
 		seeds = nil
 		for field := range strings.SplitSeq(*soakSeed, ",") {
@@ -111,6 +115,8 @@
 	// latter.
 	lethalCallers  sync.WaitGroup
 	lethalAttempts map[string][]string
+	// troubles counts the requests that met a back end in trouble.
+	troubles atomic.Int64
 }
 
 // completedTurn is a turn that a caller received completely, with the history that later prompts
@@ -130,6 +136,7 @@
 	s.addSpareEngines()
 	s.armBackEnds()
 	s.addUnsolicitedAnswers()
+	s.addTrouble()
 	s.config.Tenants = soakTenants
 	s.configureLoad()
 	s.version++
@@ -161,6 +168,7 @@
 	s.checkConfiguration(t)
 	s.checkReportsReadable(t)
 	s.checkUnsolicitedAnswers(t)
+	s.checkTrouble(t)
 	t.Logf("%d requests, %d completed turns", len(s.records), len(s.completed))
 }
 
--- a/internal/gateway/lostrun.go
+++ b/internal/gateway/lostrun.go
@@ -155,7 +155,7 @@
 	lost := s.newLostRun(r, choice, cause)
 	r.recordedRun = nil // the lost run stands for it
 	mayHaveStopped := s.mayHaveStopped(lost, lost.lostAt)
-	switch entry := s.directory.EntryStateOf(lost.instance); {
+	switch entry := s.directory.EntryStateOf(lost.instance, lost.sentAt); {
 	case cause == callerLeft:
 		s.suspectLostRun(ctx, lost, entry, "")
 		s.watchLostRun(lost)
@@ -190,7 +190,7 @@
 // not prove that the instance outlives the run.
 func (s *Server) probeLostRun(ctx context.Context, r *request, lost *lostRun) {
 	contact, known := s.pool.ContactSince(ctx, lost.instance, lost.lostAt)
-	entry := s.directory.EntryStateOf(lost.instance)
+	entry := s.directory.EntryStateOf(lost.instance, lost.sentAt)
 	switch {
 	case entry == backend.EntryLeaving && s.mayHaveStopped(lost, time.Now()):
 		s.settleLostRun(ctx, r, lost, quarantine.Survived, entry, contact.String())
--- a/internal/gateway/lostrunwatch.go
+++ b/internal/gateway/lostrunwatch.go
@@ -74,7 +74,7 @@
 	if lost.run.Outcome == quarantine.Silent {
 		return
 	}
-	s.suspectLostRun(context.Background(), lost, s.directory.EntryStateOf(lost.instance), "")
+	s.suspectLostRun(context.Background(), lost, s.directory.EntryStateOf(lost.instance, lost.sentAt), "")
 	if lost.isSuspected {
 		s.pool.RefreshContact(lost.instance)
 	}
@@ -82,7 +82,7 @@
 
 // checkWatchedRun settles a watched run if its outcome is known. It reports whether that is so.
 func (s *Server) checkWatchedRun(now time.Time, lost *lostRun) (done bool) {
-	entry := s.directory.EntryStateOf(lost.instance)
+	entry := s.directory.EntryStateOf(lost.instance, lost.sentAt)
 	silent := lost.run.Outcome == quarantine.Silent
 	lost.hasLeft = lost.hasLeft || entry == backend.EntryLeaving && s.mayHaveStopped(lost, lost.endedBy(now))
 	listedFor := s.listedFor(now, lost, entry)
