Events that cannot belong to a stream are not passed on

Cause: whatever looked like an event was counted and passed on. Change: a stream ends with the tokens that its request allows (and one event); on routes that are resumed or stored, the id of each event has to rise. Else the answer is broken off or resumed elsewhere, and the instance is in trouble.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -266,6 +266,9 @@
 			return &backend.Failure{Verdict: verdict.MayHaveRun, Reason: "the stream was interrupted: " + err.Error(), AnswerInvalid: isAnswerTooLong(err)}
 		}
 		t.ran = true
+		if failure := t.refuseEvent(event); failure != nil {
+			return failure
+		}
 		sent.recordEvent()
 		if err := s.awaitReservation(ctx, t); err != nil {
 			return &backend.Failure{Verdict: verdict.Ran, Reason: "the reservation is not durable: " + err.Error()}
