A gateway that was suspended reads the records although other gateways seem out of reach

A gateway woke after 3.9 s, sent the call before it had read the records, and to another life of an instance that had ended under it. Cause: after more than 2 s without reports it took itself for cut off, which postponed the reading, and then counted its records as current.

Change: after a suspension the records are read whatever the reports say, and requests wait for that for up to 1.5 s.

Evidence: TestSuspendedGatewayReadsTheRecordsThoughItHeardOfNoOther failed before (the call was sent) and passes.

--- a/internal/gateway/containment_test.go
+++ b/internal/gateway/containment_test.go
@@ -511,6 +511,26 @@
 	require.Zero(t, sent.Load())
 }
 
+// After a longer suspension the other gateways seem to be out of reach, until their reports are read.
+func TestSuspendedGatewayReadsTheRecordsThoughItHeardOfNoOther(t *testing.T) {
+	g := newContainedGateway(t)
+	gossip := NewGossip("g", "z", nil, g.directory, nil)
+	gossip.peerCount.Store(1)
+	gossip.started = time.Now().Add(-time.Minute)
+	require.True(t, gossip.PeersTimedOut(time.Now()))
+	g.gossip.Store(gossip)
+	go g.RunContainment(t.Context())
+	require.Eventually(t, func() bool { return g.containment.checkedAt.Load() > 0 }, 20*time.Second, time.Millisecond)
+	sent := g.listAnswering("i-1")
+	for _, id := range []string{"a", "b", "c"} {
+		_, err := g.replicas.RecordRun(t.Context(), g.keyOfCall("x"), quarantine.Run{ID: id, Instance: id, Outcome: quarantine.Ended}, 1)
+		require.NoError(t, err)
+	}
+	g.containment.checkedAt.Store(-int64(time.Minute))
+	require.Equal(t, http.StatusServiceUnavailable, g.call("x").Code)
+	require.Zero(t, sent.Load())
+}
+
 func TestStartingGatewayReadsTheRecords(t *testing.T) {
 	g := newContainedGateway(t)
 	g.containment.restored.Store(false)
--- a/internal/gateway/containmentloop.go
+++ b/internal/gateway/containmentloop.go
@@ -42,18 +42,41 @@
 	c.restored.Store(true)
 	c.checkedAt.Store(int64(time.Since(s.started)))
 	for missedMessages := false; wait.For(ctx, containmentInterval); {
-		now := time.Now()
-		c.expire(now)
-		gossip := s.gossip.Load()
-		cutOff := gossip != nil && gossip.PeersTimedOut(now)
-		missedMessages = missedMessages || cutOff || !s.areRecordsCurrent()
-		if missedMessages && !cutOff {
-			missedMessages = s.readQuarantine(ctx) != nil
-		}
+		missedMessages = s.checkRecords(ctx, missedMessages)
 		c.checkedAt.Store(int64(time.Since(s.started)))
 	}
 }
 
+// checkRecords drops expired records, and reads those of the replicas if messages of the other gateways may have been
+// missed. It reports whether some may still be missing.
+func (s *Server) checkRecords(ctx context.Context, missedMessages bool) bool {
+	now := time.Now()
+	s.containment.expire(now)
+	gossip := s.gossip.Load()
+	cutOff := gossip != nil && gossip.PeersTimedOut(now)
+	if !s.areRecordsCurrent() {
+		// Requests wait for this. Reports that came during a suspension are not read yet, so the other gateways seem to
+		// be out of reach.
+		return s.readQuarantineWithin(ctx, restoreLimit) != nil || cutOff
+	}
+	if cutOff {
+		return true
+	}
+	return missedMessages && s.readQuarantine(ctx) != nil
+}
+
+// readQuarantineWithin reads the records, and tries again for the given time.
+func (s *Server) readQuarantineWithin(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for {
+		err := s.readQuarantine(ctx)
+		if err == nil || !wait.For(ctx, restoreRetryInterval) {
+			return err
+		}
+	}
+}
+
 // areRecordsCurrent reports whether this gateway has read the records since it started, and was not suspended
 // since its last check.
 func (s *Server) areRecordsCurrent() bool {
