One probe of an instance serves all lost runs of a check

Each unresolved run of an instance could open a connection in the same check, if the one before had just been accepted and was not kept.

--- a/internal/backend/liveness.go
+++ b/internal/backend/liveness.go
@@ -161,11 +161,12 @@
 	now := time.Now()
 	state.mu.Lock()
 	defer state.mu.Unlock()
-	if connected {
+	switch {
+	case connected:
 		state.connectedAt = now
-		return
+	case now.Sub(state.probedAt) >= probeResultTTL:
+		p.startProbe(now, state, instance)
 	}
-	p.startProbe(now, state, instance)
 }
 
 // LastContact returns when an instance last sent data, accepted a connection or held one open; zero if it never
