--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -304,8 +304,11 @@
 	case "unsolicited_answer":
 		return fmt.Sprintf("%s sent an answer to %s (status %s) in place of its answer; skipped", value("instance"), orNone(value("answer_id")), value("status"))
 	case "run_lost":
-		return fmt.Sprintf("lost its run at %s after %s ms (%s); %s ms later: entry %s, connection attempt %s, so the instance has %s; request key %s",
-			value("instance"), value("ran_ms"), value("cause"), value("known_after_ms"), value("entry"), orNone(value("contact")), value("outcome"), value("request_key"))
+		return fmt.Sprintf("lost its run at %s after %s ms (%s); %s ms later: entry %s, connection attempt %s, so the instance %s; request key %s",
+			value("instance"), value("ran_ms"), value("cause"), value("known_after_ms"), value("entry"), orNone(value("contact")), describeOutcome(value("outcome")), value("request_key"))
+	case "request_withheld":
+		return fmt.Sprintf("waits for %s ms at most: %s instances ended under it, and of %s more it becomes known whether they did; request key %s",
+			value("open_for"), value("ended"), value("possible"), value("request_key"))
 	case "suspect_sent":
 		return fmt.Sprintf("sent to %s with %s requests there although %s instances ended under it and %s more may have; recorded: %s",
 			value("instance"), value("load"), value("ended"), value("possible"), value("recorded"))
@@ -353,6 +356,14 @@
 	}
 }
 
+// describeOutcome says what became of the instance of a lost run.
+func describeOutcome(outcome string) string {
+	if outcome == "unresolved" || outcome == "running" {
+		return "may yet end"
+	}
+	return "has " + outcome
+}
+
 // describePlacement describes the expected load of a placement that used aged load reports. It returns
 // "" for placements that did not.
 func describePlacement(line Line) string {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -114,3 +114,15 @@
 	require.NoError(t, log.Read(strings.NewReader(lines)))
 	require.Len(t, log.Explain("unrelated").Steps, 1)
 }
+
+func TestExplainTellsRunsWhoseOutcomeIsNotKnown(t *testing.T) {
+	const lines = `{"time":100,"node":"g1","event":"run_lost","id":"a","request_key":"k","instance":"i-1","cause":"answer_invalid","contact":"","entry":"listed","outcome":"unresolved","ran_ms":40,"known_after_ms":0}
+{"time":101,"node":"g1","event":"request_withheld","id":"a","request_key":"k","ended":1,"possible":2,"open_for":1800}
+`
+	var log Log
+	require.NoError(t, log.Read(strings.NewReader(lines)))
+	report := log.Explain("a")
+	require.Len(t, report.Steps, 2)
+	require.Contains(t, report.Steps[0].Description, "so the instance may yet end; request key k")
+	require.Contains(t, report.Steps[1].Description, "waits for 1800 ms at most: 1 instances ended under it, and of 2 more")
+}
