A sign of life after missed checks proves nothing

Its gateway was suspended for 1.9 s after an instance had answered 500; the instance ended and started again at its address meanwhile, the store was away, and the next connection, to the new life, was taken for the proof that the first one had outlived the run. Change: if more than 1 s lies between two checks of an unresolved run, only the list decides, once its entry had time to lapse since.

Evidence: TestContactAfterMissedChecksProvesNothing (the record of checks is new with it).

--- a/internal/gateway/containment_test.go
+++ b/internal/gateway/containment_test.go
@@ -179,6 +179,29 @@
 	require.Eventually(t, func() bool { return g.suspects()[0].Standing == quarantine.Standing{Ended: 1} }, endWindow, 10*time.Millisecond)
 }
 
+// While a gateway is suspended, an instance may end and start again at its address, and the list may not tell it yet.
+func TestContactAfterMissedChecksProvesNothing(t *testing.T) {
+	for name, suspension := range map[string]time.Duration{"checked all the time": 0, "suspended": 2 * maxCheckGap} {
+		t.Run(name, func(t *testing.T) {
+			g := newContainedGateway(t)
+			g.options.RenewalInterval = time.Minute
+			g.listAnswering("i-1")
+			began := time.Now()
+			lost := &lostRun{instance: g.instances[0], cause: connectionBroke, lostAt: began}
+			now := began.Add(suspension)
+			for ; !now.After(began.Add(endWindow + suspension)); now = now.Add(watchInterval) {
+				lost.recordCheck(now)
+				require.False(t, g.checkWatchedRun(now, lost))
+			}
+			g.pool.RecordActivity(now, "i-1")
+			require.Equal(t, suspension == 0, g.checkWatchedRun(now, lost))
+			g.options.RenewalInterval = time.Second
+			require.True(t, g.checkWatchedRun(now.Add(watchWindow), lost), "the entry had time to lapse")
+			require.Equal(t, quarantine.Survived, lost.run.Outcome)
+		})
+	}
+}
+
 // Errors of an instance's own and unsigned answers precede an end as often as a broken connection does.
 func TestInvalidAnswerCountsUntilTheInstanceHasOutlivedIt(t *testing.T) {
 	for name, answer := range map[string]func(http.ResponseWriter){
--- a/internal/gateway/lostrun.go
+++ b/internal/gateway/lostrun.go
@@ -51,6 +51,9 @@
 	recordWithProgram func(quarantine.Run)
 	// hasLeft is set once the instance may have stopped as planned.
 	hasLeft bool
+	// checkedAt is when the instance was last checked; unobservedUntil is the end of the last time in which checks were
+	// missed, because this gateway was suspended.
+	checkedAt, unobservedUntil time.Time
 	// isSuspected is set once the run counts against its request although its outcome is not known.
 	isSuspected bool
 }
--- a/internal/gateway/lostrunwatch.go
+++ b/internal/gateway/lostrunwatch.go
@@ -25,6 +25,9 @@
 	// lapsedRenewals is the number of missed renewals after which an instance without an entry has ended and
 	// one with an entry has not: one more than the entry survives.
 	lapsedRenewals = 4
+	// maxCheckGap is the time between two checks from which on an end between them may have been missed: an address is
+	// refused for longer than that before another process has it.
+	maxCheckGap = time.Second
 	// maxWatchedRuns bounds the watched runs; the oldest are dropped.
 	maxWatchedRuns = 4096
 )
@@ -53,6 +56,7 @@
 	c.mu.Unlock()
 	var remaining []*lostRun
 	for _, lost := range watched {
+		lost.recordCheck(now)
 		if s.checkWatchedRun(now, lost) {
 			continue
 		}
@@ -111,7 +115,20 @@
 	if lost.isAbandoned() || lost.cause == machineSilent {
 		return s.pool.LastActivity(lost.instance.ID).After(lost.mayEndUntil())
 	}
-	return s.pool.LastContact(lost.instance.ID).After(lost.mayEndUntil())
+	return lost.unobservedUntil.IsZero() && s.pool.LastContact(lost.instance.ID).After(lost.mayEndUntil())
+}
+
+// recordCheck records that the instance is checked. If checks were missed, it may have ended and started again at its
+// address meanwhile: only the list tells that.
+func (l *lostRun) recordCheck(now time.Time) {
+	last := l.lostAt
+	if l.checkedAt.After(last) {
+		last = l.checkedAt
+	}
+	if now.Sub(last) > maxCheckGap {
+		l.unobservedUntil = now
+	}
+	l.checkedAt = now
 }
 
 // mayEndUntil returns the time until which the run may end its instance: one that was abandoned may still be
@@ -136,12 +153,17 @@
 }
 
 // listedFor returns how long the instance's entry has been there since the run was lost; 0 if it is not there.
-// The time before an outage of the store does not count, because entries do not lapse during one.
+// The time before an outage of the store or a suspension of this gateway does not count: entries do not lapse during
+// the one, and are not received during the other.
 func (s *Server) listedFor(now time.Time, lost *lostRun, entry backend.EntryState) time.Duration {
 	if entry != backend.EntryListed {
 		return 0
 	}
-	return min(now.Sub(lost.lostAt), s.freshFor(now))
+	since := lost.lostAt
+	if lost.unobservedUntil.After(since) {
+		since = lost.unobservedUntil
+	}
+	return min(now.Sub(since), s.freshFor(now))
 }
 
 // lapseTime returns the time after which the entry of an instance that has ended is gone.
