--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -48,7 +48,7 @@
 var unsolicitedSeeds = []uint64{56}
 
 // troubledSeeds also let back ends get into trouble before they end, drop and garble answers, and send bytes without end.
-var troubledSeeds = []uint64{61}
+var troubledSeeds = []uint64{61, 9214, 9243}
 
 // lethalSeeds also send requests that end the engines that run them. They found faults.
 var lethalSeeds = []uint64{50, 52}
