--- a/internal/e2e/endedinstances_test.go
+++ b/internal/e2e/endedinstances_test.go
@@ -65,27 +65,34 @@
 // TestRequestThatEndsInstancesLaterIsStopped sends requests under which instances get into trouble first and end a
 // moment later, while they still accept connections, answer others and renew their entries.
 func TestRequestThatEndsInstancesLaterIsStopped(t *testing.T) {
-	t.Parallel()
-	f := startFleetWith(t, fleetLayout{gateways: 3, replicas: 3, engines: 8, apps: 8, gatewaySettings: containmentSettings})
 	for _, kind := range []lethalRequest{
 		{name: "resumable stream", path: "/plan/t"},
 		{name: "retained turn", path: "/chat/t"},
 		{name: "safe call", path: "/start/t"},
 	} {
-		for _, symptom := range []struct {
-			name      string
-			behaviour platformtest.Behaviour
-		}{
-			{"dropped connection", platformtest.Behaviour{DropResponse: true}},
-			{"failed answer", platformtest.Behaviour{FailAnswer: true}},
-			{"bytes that are no answer", platformtest.Behaviour{Garble: true}},
-			{"answer without a signature", platformtest.Behaviour{OmitSignature: true}},
-		} {
-			for _, delay := range []time.Duration{50 * time.Millisecond, 300 * time.Millisecond, time.Second} {
-				behaviour := symptom.behaviour
-				behaviour.End, behaviour.EndAfter = platformtest.ProcessEnds, delay
-				t.Run(fmt.Sprintf("%s, %s, end after %s", kind.name, symptom.name, delay), func(t *testing.T) { f.testLethalRequest(t, kind, behaviour) })
-			}
+		t.Run(kind.name, func(t *testing.T) {
+			t.Parallel()
+			f := startFleetWith(t, fleetLayout{gateways: 3, replicas: 3, engines: 8, apps: 8, gatewaySettings: containmentSettings})
+			f.testEndsLater(t, kind)
+		})
+	}
+}
+
+// testEndsLater sends requests of one kind, with all symptoms and several pauses before the end.
+func (f *fleet) testEndsLater(t *testing.T, kind lethalRequest) {
+	for _, symptom := range []struct {
+		name      string
+		behaviour platformtest.Behaviour
+	}{
+		{"dropped connection", platformtest.Behaviour{DropResponse: true}},
+		{"failed answer", platformtest.Behaviour{FailAnswer: true}},
+		{"bytes that are no answer", platformtest.Behaviour{Garble: true}},
+		{"answer without a signature", platformtest.Behaviour{OmitSignature: true}},
+	} {
+		for _, delay := range []time.Duration{50 * time.Millisecond, 300 * time.Millisecond, time.Second} {
+			behaviour := symptom.behaviour
+			behaviour.End, behaviour.EndAfter = platformtest.ProcessEnds, delay
+			t.Run(fmt.Sprintf("%s, end after %s", symptom.name, delay), func(t *testing.T) { f.testLethalRequest(t, kind, behaviour) })
 		}
 	}
 }
