--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -257,15 +257,24 @@
 
 // FinishUnread ends an exchange whose body nobody needs. The connection is kept only if the body ends soon.
 func (a *Answer) FinishUnread() {
-	_ = a.Connection.SetReadDeadline(time.Now().Add(maxUnreadTime))
-	if err := readUnneeded(a.Response.Body); err != nil {
+	if a.readUnneeded() != nil {
 		a.Discard()
 		return
 	}
-	_ = a.Connection.SetReadDeadline(time.Time{})
 	a.Finish()
 }
 
+// readUnneeded reads the rest of the body within maxUnreadTime.
+func (a *Answer) readUnneeded() error {
+	if err := a.Connection.SetReadDeadline(time.Now().Add(maxUnreadTime)); err != nil {
+		return err
+	}
+	if err := readUnneeded(a.Response.Body); err != nil {
+		return err
+	}
+	return a.Connection.SetReadDeadline(time.Time{})
+}
+
 // requestSent reports whether the whole request had been written when the response ended.
 func (a *Answer) requestSent() bool {
 	select {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -356,14 +356,6 @@
 	}
 }
 
-// describeOutcome says what became of the instance of a lost run.
-func describeOutcome(outcome string) string {
-	if outcome == "unresolved" || outcome == "running" {
-		return "may yet end"
-	}
-	return "has " + outcome
-}
-
 // describePlacement describes the expected load of a placement that used aged load reports. It returns
 // "" for placements that did not.
 func describePlacement(line Line) string {
--- a/internal/gateway/containment_test.go
+++ b/internal/gateway/containment_test.go
@@ -519,19 +519,24 @@
 	require.Len(t, to.suspects(), 1)
 }
 
+// requireRefusedAfterSuspension lets other gateways record ends while this one is suspended.
+func (g *containedGateway) requireRefusedAfterSuspension() {
+	sent := g.listAnswering("i-1")
+	for _, id := range []string{"a", "b", "c"} {
+		_, err := g.replicas.RecordRun(g.t.Context(), g.keyOfCall("x"), quarantine.Run{ID: id, Instance: id, Outcome: quarantine.Ended}, 1)
+		require.NoError(g.t, err)
+	}
+	g.containment.checkedAt.Store(-int64(time.Minute))
+	require.Equal(g.t, http.StatusServiceUnavailable, g.call("x").Code)
+	require.Zero(g.t, sent.Load())
+}
+
 // A gateway that was suspended did not hear of the ends in the meantime.
 func TestSuspendedGatewayReadsTheRecordsBeforeItSends(t *testing.T) {
 	g := newContainedGateway(t)
 	go g.RunContainment(t.Context())
 	require.Eventually(t, func() bool { return g.containment.checkedAt.Load() > 0 }, 20*time.Second, time.Millisecond)
-	sent := g.listAnswering("i-1")
-	for _, id := range []string{"a", "b", "c"} {
-		_, err := g.replicas.RecordRun(t.Context(), g.keyOfCall("x"), quarantine.Run{ID: id, Instance: id, Outcome: quarantine.Ended}, 1)
-		require.NoError(t, err)
-	}
-	g.containment.checkedAt.Store(-int64(time.Minute))
-	require.Equal(t, http.StatusServiceUnavailable, g.call("x").Code)
-	require.Zero(t, sent.Load())
+	g.requireRefusedAfterSuspension()
 }
 
 // After a longer suspension the other gateways seem to be out of reach, until their reports are read.
@@ -544,14 +549,7 @@
 	g.gossip.Store(gossip)
 	go g.RunContainment(t.Context())
 	require.Eventually(t, func() bool { return g.containment.checkedAt.Load() > 0 }, 20*time.Second, time.Millisecond)
-	sent := g.listAnswering("i-1")
-	for _, id := range []string{"a", "b", "c"} {
-		_, err := g.replicas.RecordRun(t.Context(), g.keyOfCall("x"), quarantine.Run{ID: id, Instance: id, Outcome: quarantine.Ended}, 1)
-		require.NoError(t, err)
-	}
-	g.containment.checkedAt.Store(-int64(time.Minute))
-	require.Equal(t, http.StatusServiceUnavailable, g.call("x").Code)
-	require.Zero(t, sent.Load())
+	g.requireRefusedAfterSuspension()
 }
 
 func TestStartingGatewayReadsTheRecords(t *testing.T) {
