A refusal is remembered after its instance was removed, and unresolved runs are probed at each check

The instance ended, its address refused the gateway, its entry was removed, and with it the refusal was forgotten; another process had the port by then and accepted the next attempt, so the run counted as survived. Besides, every second check reused the result of the one before, since both intervals are 250 ms, so refusals were found up to 500 ms late.

Change: the liveness of a removed instance is kept for 10 s; a check uses results of up to 50 ms.

Evidence: TestRefusalIsKnownAfterTheInstanceWasRemoved (fails without the change: Forget dropped the entry).

--- a/internal/backend/entrystate_test.go
+++ b/internal/backend/entrystate_test.go
@@ -72,6 +72,25 @@
 	require.Equal(t, Refused, contact, "an earlier result is not used")
 }
 
+// An address may be given to another instance as soon as the entry of the former one is gone.
+func TestRefusalIsKnownAfterTheInstanceWasRemoved(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	instance := Instance{ID: "i", Address: listener.Addr().String()}
+	require.NoError(t, listener.Close())
+	pool, lostAt := NewPool(func() {}), time.Now()
+	pool.RefreshContact(instance)
+	require.Eventually(t, func() bool { return pool.HasRefusedSince("i", lostAt) }, 10*time.Second, time.Millisecond)
+	pool.Forget("i")
+	pool.Forget("another")
+	require.True(t, pool.HasRefusedSince("i", lostAt))
+	pool.mu.Lock()
+	pool.forgetLiveness(time.Now().Add(forgottenTTL), "third")
+	_, kept := pool.livenessByID["i"]
+	pool.mu.Unlock()
+	require.False(t, kept)
+}
+
 // A request under which instances ended goes where few others run, and others avoid its instance.
 func TestSuspectsAreKeptApart(t *testing.T) {
 	d := NewDirectory("z")
--- a/internal/backend/liveness.go
+++ b/internal/backend/liveness.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -26,6 +27,10 @@
 	otherRegionProbeTimeout = 900 * time.Millisecond
 	// probeResultTTL is how long the result of a probe is used for all requests to the instance.
 	probeResultTTL = 250 * time.Millisecond
+	// refreshTTL is how long it is used for lost runs that are checked at the same time.
+	refreshTTL = 50 * time.Millisecond
+	// forgottenTTL is how long it is known whether the address of a removed instance refused connections.
+	forgottenTTL = 10 * time.Second
 )
 
 // liveness tracks when an instance last sent data and whether its machine responds. A machine
@@ -81,6 +86,24 @@
 	return state.refusedAt.After(since)
 }
 
+// forgottenInstance is a removed instance whose liveness is still kept.
+type forgottenInstance struct {
+	id string
+	at time.Time
+}
+
+// forgetLiveness drops the liveness of instances that were removed some time ago, and later that of the given one. The
+// caller must hold the lock.
+func (p *Pool) forgetLiveness(now time.Time, id string) {
+	p.forgotten = append(p.forgotten, forgottenInstance{id: id, at: now})
+	expired := 0
+	for expired < len(p.forgotten) && now.Sub(p.forgotten[expired].at) >= forgottenTTL {
+		delete(p.livenessByID, p.forgotten[expired].id)
+		expired++
+	}
+	p.forgotten = slices.Delete(p.forgotten, 0, expired)
+}
+
 // RecordActivity records that an instance sent data.
 func (p *Pool) RecordActivity(now time.Time, id string) { p.livenessOf(id).recordActivity(now) }
 
@@ -164,7 +187,7 @@
 	switch {
 	case connected:
 		state.connectedAt = now
-	case now.Sub(state.probedAt) >= probeResultTTL:
+	case now.Sub(state.probedAt) >= refreshTTL:
 		p.startProbe(now, state, instance)
 	}
 }
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -41,6 +41,8 @@
 	idleLimit map[string]int
 	// livenessByID holds the liveness of each instance.
 	livenessByID map[string]*liveness
+	// forgotten are the removed instances whose liveness is still kept, the oldest first.
+	forgotten []forgottenInstance
 	// resends holds the budgets of the instances that refused requests.
 	resends map[string]*resendBudget
 }
@@ -208,7 +210,7 @@
 // Forget removes all state of an instance that was removed, and closes its idle connections.
 func (p *Pool) Forget(id string) {
 	p.mu.Lock()
-	delete(p.livenessByID, id)
+	p.forgetLiveness(time.Now(), id)
 	delete(p.resends, id)
 	p.mu.Unlock()
 	p.closeIdle(id)
