--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -11,7 +11,7 @@
 	// maxEventBytes is the maximum size of an event.
 	maxEventBytes = 1 << 20
 	// maxStreamBytes is the maximum size of a stream, in which each token comes with its event.
-	maxStreamBytes = 256 << 20
+	maxStreamBytes = 64 << 20
 )
 
 // event is one server-sent event.
@@ -39,7 +39,7 @@
 var errEventTooLong = errors.New("an event of the stream is longer than 1 MiB")
 
 // errStreamTooLong reports a stream of more than maxStreamBytes.
-var errStreamTooLong = errors.New("the stream is longer than 256 MiB")
+var errStreamTooLong = errors.New("the stream is longer than 64 MiB")
 
 // next returns the next complete event, or io.EOF at the end of the stream.
 func (r *eventReader) next() (event, error) {
--- a/internal/server/backends.go
+++ b/internal/server/backends.go
@@ -24,7 +24,7 @@
 	// maxAnswerBytes bounds what is read of one back end's answer.
 	maxAnswerBytes = 16 << 20
 	// maxStreamBytes bounds a stream, in which each token comes with its event.
-	maxStreamBytes = 256 << 20
+	maxStreamBytes = 64 << 20
 	// maxHeadBytes bounds the head of an answer.
 	maxHeadBytes = 256 << 10
 	// idleConnections is how many idle connections to one back end are kept.
