--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -33,6 +33,8 @@
 	// proxied puts a fault proxy in front of each replica and each back end, and between
 	// each process and the store.
 	proxied bool
+	// proxiedDatagrams puts a proxy in front of what other gateways send to each gateway.
+	proxiedDatagrams bool
 	// settings are YAML lines added to the settings of every process.
 	settings string
 	// gatewaySettings are YAML lines added to the settings of every gateway.
@@ -103,6 +105,8 @@
 	// nil unless the layout is proxied.
 	storeProxy *faultproxy.Proxy
 	peerProxy  *faultproxy.Proxy
+	// datagrams is the path of datagrams to this process; nil unless the layout has proxiedDatagrams.
+	datagrams *faultproxy.Datagrams
 }
 
 func baseConfiguration() platformtest.Configuration {
@@ -222,13 +226,27 @@
 	}
 	m.storeProxy = f.proxyTo(f.store.Address())
 	settings := "storeAddress: " + m.storeProxy.Address() + "\n"
-	if m.subcommand == "replica" { // gateways exchange datagrams, which the proxy does not forward
+	if m.subcommand == "replica" { // addDatagramProxy starts those of gateways
 		m.peerProxy = f.proxyTo(peer)
 		settings += "advertisedAddress: " + m.peerProxy.Address() + "\n"
 	}
 	return settings
 }
 
+// addDatagramProxy starts the proxies of a gateway's peer address if the layout has them, and returns the settings with the
+// address that other gateways use. Connections to it are only forwarded.
+func (f *fleet) addDatagramProxy(m *member, peer string) string {
+	if !f.layout.proxiedDatagrams {
+		return ""
+	}
+	m.peerProxy = f.proxyTo(peer)
+	datagrams, err := faultproxy.NewDatagrams(m.peerProxy.Address(), peer, uint64(len(f.gateways)))
+	require.NoError(f.t, err)
+	f.t.Cleanup(datagrams.Close)
+	m.datagrams = datagrams
+	return "advertisedAddress: " + m.peerProxy.Address() + "\n"
+}
+
 func (f *fleet) newReplica(name, zone string, addresses []string) *member {
 	peer, metrics := addresses[0], addresses[1]
 	m := &member{name: name, subcommand: "replica", address: peer, metricsAddress: metrics, copyAddress: addresses[2], dataFolder: f.t.TempDir()}
@@ -240,7 +258,7 @@
 func (f *fleet) newGateway(name, zone string, addresses []string) *member {
 	m := &member{name: name, subcommand: "gateway", address: addresses[0], readyAddress: addresses[1], metricsAddress: addresses[3]}
 	m.settings = f.write(name, fmt.Sprintf("node: %s\nzone: %s\ncallerAddress: %s\nreadyAddress: %s\npeerAddress: %s\nmetricsAddress: %s\nmemoryMB: 256\ngrace: 8s\ntolerateMachines: 1\n",
-		name, zone, addresses[0], addresses[1], addresses[2], addresses[3])+f.layout.settings+f.layout.gatewaySettings+f.addProxies(m, addresses[2])+f.layout.regionSettings())
+		name, zone, addresses[0], addresses[1], addresses[2], addresses[3])+f.layout.settings+f.layout.gatewaySettings+f.addProxies(m, addresses[2])+f.addDatagramProxy(m, addresses[2])+f.layout.regionSettings())
 	return m
 }
 
--- a/internal/e2e/soak_faults_test.go
+++ b/internal/e2e/soak_faults_test.go
@@ -106,6 +106,9 @@
 		if hasSilence(seed) {
 			weighted = append(weighted, silenceFaults...)
 		}
+		if hasDatagramFaults(seed) {
+			weighted = append(weighted, datagramFaults...)
+		}
 		return append(weighted, slices.Repeat(lethalFaults, len(weighted))...)
 	}
 }
--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -67,7 +67,7 @@
 
 func TestSoak(t *testing.T) {
 	t.Parallel()
-	seeds := slices.Concat(failedSeeds, overlappingSeeds, versionSeeds, lethalSeeds, unsolicitedSeeds, troubledSeeds, unseenSeeds, refusedSeeds, lateSeeds, silencedSeeds)
+	seeds := slices.Concat(failedSeeds, overlappingSeeds, versionSeeds, lethalSeeds, unsolicitedSeeds, troubledSeeds, unseenSeeds, refusedSeeds, lateSeeds, silencedSeeds, datagramSeeds)
 	if *soakSeed != "" {
 		seeds = nil
 		for field := range strings.SplitSeq(*soakSeed, ",") {
@@ -147,7 +147,7 @@
 
 func runSoak(t *testing.T, seed uint64) {
 	scale := *soakScale
-	fleet := startFleetWith(t, fleetLayout{gateways: 3 * scale, replicas: 4 * scale, engines: 4 * scale, apps: 3 * scale, versions: []string{"v1", "v2"}, proxied: true, quotaSlack: soakSlack, gatewaySettings: "guarantees: [pressure]\ndrainTime: 2s\n" + containmentSettings})
+	fleet := startFleetWith(t, fleetLayout{gateways: 3 * scale, replicas: 4 * scale, engines: 4 * scale, apps: 3 * scale, versions: []string{"v1", "v2"}, proxied: true, proxiedDatagrams: hasDatagramFaults(seed), quotaSlack: soakSlack, gatewaySettings: "guarantees: [pressure]\ndrainTime: 2s\n" + containmentSettings})
 	s := &soak{fleet: fleet, seed: seed, startedAt: time.Now(), random: rand.New(rand.NewPCG(seed, 0)), busyTargets: map[string]bool{}, version: fleet.config.Version}
 	t.Cleanup(s.keepLogs)
 	t.Cleanup(s.printStory)
--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -1,6 +1,7 @@
-// Package faultproxy provides a TCP proxy on loopback that injects network faults in
-// tests: it can delay traffic, hold it back in one direction, reset connections or
-// silently drop their data while the processes on both sides keep running.
+// Package faultproxy provides proxies on loopback that inject network faults in
+// tests. Proxy forwards TCP connections: it can delay traffic, hold it back in one direction, reset
+// connections or silently drop their data while the processes on both sides keep running. Datagrams
+// forwards UDP datagrams and can lose, delay, reorder and duplicate them.
 package faultproxy
 
 import (
