--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -51,6 +51,8 @@
 type process struct {
 	log    *log.Logger
 	writer *eventlog.Writer
+	// unreadable counts the objects of the shared store that could not be decoded.
+	unreadable *prometheus.CounterVec
 }
 
 func newProcess(member settings.Member) *process {
@@ -59,7 +61,11 @@
 	writer := eventlog.NewWriter(os.Stdout)
 	logger := eventlog.New(writer, member.Node)
 	logger.Level = log.ParseLevel(member.LogLevel)
-	return &process{log: logger, writer: writer}
+	unreadable := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "swiftbank_unreadable_objects_total", Help: "Objects of the shared store that could not be decoded, by kind.",
+		ConstLabels: prometheus.Labels{"node": member.Node},
+	}, []string{"kind"})
+	return &process{log: logger, writer: writer, unreadable: unreadable}
 }
 
 // close flushes the log, for at most logFlushTimeout.
@@ -92,10 +98,15 @@
 	p.log.Info().Str("event", "dependency_regained").Str("dependency", source).Msg("")
 }
 
+// maxLoggedError bounds the text of an error that may quote what another writer stored, in bytes.
+const maxLoggedError = 512
+
 // storeCallFailed logs a failed call to the shared store, or a malformed object in it.
 func (p *process) storeCallFailed(kind string, err error) {
 	if errors.Is(err, platform.ErrUnreadable) {
-		p.log.Warn().Str("event", "object_unreadable").Str("kind", kind).Err(err).Msg("")
+		p.unreadable.WithLabelValues(kind).Inc()
+		text := err.Error()
+		p.log.Warn().Str("event", "object_unreadable").Str("kind", kind).Str("error", text[:min(maxLoggedError, len(text))]).Msg("")
 		return
 	}
 	p.log.Warn().Str("event", "store_call_failed").Str("kind", kind).Err(err).Msg("")
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -96,6 +96,7 @@
 	if config.FairShares && platform.RequiresLoadControl(config.Guarantees) {
 		gossip.AddSection(server.ShareSection())
 	}
+	metrics.Registry.MustRegister(process.unreadable)
 	store := platform.NewStore(config.StoreAddress, metrics.StoreCall, process.storeCallFailed)
 	feedNode := feed.NewNode(feed.Options{
 		Node: config.Node, Zone: config.Zone, Places: config.Places(), Role: replicaset.RoleGateway, Seeds: config.Seeds, FirstStart: config.FirstStart, Store: store,
--- a/internal/command/replica.go
+++ b/internal/command/replica.go
@@ -53,6 +53,7 @@
 	defer process.close()
 	metrics := replica.NewMetrics(config.Node)
 	sentBytes := traffic.NewCounter(config.Node, config.Zone, config.Places(), metrics.Registry)
+	metrics.Registry.MustRegister(process.unreadable)
 	store := platform.NewStore(config.StoreAddress, metrics.StoreCall, process.storeCallFailed)
 	starting := &startingReplica{}
 	feedNode := feed.NewNode(feed.Options{
--- a/internal/e2e/soak_datagrams_test.go
+++ b/internal/e2e/soak_datagrams_test.go
@@ -23,7 +23,9 @@
 }
 
 // hasDatagramFaults reports whether the soak plays datagramFaults.
-func hasDatagramFaults(seed uint64) bool { return *soakDatagrams || slices.Contains(datagramSeeds, seed) }
+func hasDatagramFaults(seed uint64) bool {
+	return *soakDatagrams || slices.Contains(datagramSeeds, seed)
+}
 
 // degradeDatagrams sets a condition on what the other gateways send to a gateway.
 func (s *soak) degradeDatagrams(m *member) (string, func(), bool) {
