Gateways are told of recorded runs by the voters that store them, and know how old that is

Callers saw: a request that ends instances was sent once more by each gateway that had not heard the others: 7 ends in 7 attempts where all datagrams between six gateways were lost, 4 where those to three of them were. Cause: what is known of a run travelled by datagrams that nobody acknowledges. The records on the replicas were read at a start and after a suspension only; a gateway without a record took that for innocence. Change: a gateway follows the records at the voters of its region's cell: they send changes over the connections as they are recorded, with a position, and confirm once a second that there are no others. KnownAt tells the age of the knowledge; where neither a quorum nor another gateway is heard, a request is stopped after its first end or possible end (decided in currentLimit), all else is served. ends_knowledge_changed, run_unshared, follower_lost, swiftbank_ends_knowledge_age_seconds.

--- a/internal/gateway/containment.go
+++ b/internal/gateway/containment.go
@@ -11,6 +11,7 @@
 	"swiftbank.dev/swiftbank/internal/backend"
 	"swiftbank.dev/swiftbank/internal/ledger"
 	"swiftbank.dev/swiftbank/internal/quarantine"
+	"swiftbank.dev/swiftbank/internal/quorum"
 	"swiftbank.dev/swiftbank/internal/verdict"
 	"swiftbank.dev/swiftbank/internal/wait"
 )
@@ -28,6 +29,9 @@
 //   - The runs of a turn are also recorded under its program. The reservation of the next attempt returns
 //     them, if the message from the other gateway was lost. It also tells attempts that have not ended: one of a
 //     gateway that was killed amid the run counts as another possible end.
+//   - The voters that store the records tell all gateways of them (containmentnews.go), so that a lost message hides no end.
+//   - A gateway that neither the voters nor other gateways tell of ends knows its own only. It serves on, but stops a
+//     request after the first end.
 //
 // All other requests pass with a few atomic loads. Only at a gateway that starts, or was suspended, do they wait
 // until it has read the records.
@@ -57,6 +61,12 @@
 	// started; 0 if it was not.
 	suspendedUntil atomic.Int64
 
+	// follower tells of the records of other gateways; nil before RunContainment.
+	follower atomic.Pointer[quorum.QuarantineFollower]
+	// uninformed is set while nobody tells this gateway of the ends at other gateways; outdated is set while the voters
+	// do not.
+	uninformed, outdated atomic.Bool
+
 	mu    sync.Mutex
 	table *quarantine.Table
 	// unresolved are the lost runs whose outcome is not known yet; unresolvedBudget bounds those that are recorded.
@@ -127,7 +137,7 @@
 	if standing.Ended > 0 && r.unsettledTurns != nil {
 		standing = c.standing(s.keyOf(r), without, r.unsettledTurns())
 	}
-	return standing.Verdict(c.limit), standing
+	return standing.Verdict(c.currentLimit()), standing
 }
 
 // refuseContained returns the refusal of a request that must not be sent, or nil.
@@ -348,7 +358,7 @@
 }
 
 // recordUnresolved records a lost run whose outcome is not known, and tells all gateways unless it is local. It waits
-// until they were sent the record, because the caller may come back at another gateway.
+// until a quorum knows the run and the gateways were sent it, because the caller may come back at another gateway.
 func (s *Server) recordUnresolved(ctx context.Context, lost *lostRun) {
 	if len(s.containment.merge(time.Now(), lost.key, lost.run)) == 0 {
 		return
@@ -361,13 +371,27 @@
 	if lost.recordWithProgram != nil {
 		lost.recordWithProgram(lost.run)
 	}
-	s.replicas.RecordRunInBackground(lost.key, lost.run)
+	s.shareRun(ctx, lost)
 	select {
 	case <-sent:
 	case <-ctx.Done():
 	}
 }
 
+// shareRun waits until a quorum knows the run, because messages to the other gateways may be lost. The request of a run that
+// is only watched is over, so nobody waits for it.
+func (s *Server) shareRun(ctx context.Context, lost *lostRun) {
+	if lost.isWatched {
+		s.replicas.RecordRunInBackground(lost.key, lost.run)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordRunTimeout)
+	defer cancel()
+	if err := s.replicas.ShareRun(ctx, lost.key, lost.run); err != nil {
+		s.log.Warn().Str("event", "run_unshared").Str("id", lost.requestID).Str("request_key", lost.key.String()).Err(err).Msg("")
+	}
+}
+
 // logContained logs the decision not to send a request.
 func (s *Server) logContained(r *request, decision quarantine.Verdict, standing quarantine.Standing, retryAfter time.Duration) {
 	s.metrics.contained.WithLabelValues(decision.String()).Inc()
--- a/internal/gateway/containmentgossip.go
+++ b/internal/gateway/containmentgossip.go
@@ -111,6 +111,11 @@
 		s.log.Warn().Str("event", "quarantine_unreadable").Str("peer", source.Gateway+source.Zone).Err(err).Msg("")
 		return
 	}
+	s.learnRecords(now, source.Gateway+source.Zone, records)
+}
+
+// learnRecords merges the records that a peer has sent.
+func (s *Server) learnRecords(now time.Time, peer string, records []quarantine.Record) {
 	var learned []string
 	changes := 0
 	for _, record := range records {
@@ -121,6 +126,6 @@
 		}
 	}
 	if changes > 0 {
-		s.log.Info().Str("event", "runs_learned").Str("peer", source.Gateway+source.Zone).Int("changes", changes).Strs("runs", learned).Msg("")
+		s.log.Info().Str("event", "runs_learned").Str("peer", peer).Int("changes", changes).Strs("runs", learned).Msg("")
 	}
 }
--- a/internal/gateway/containmentloop.go
+++ b/internal/gateway/containmentloop.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"swiftbank.dev/swiftbank/internal/wait"
 )
 
@@ -34,6 +36,9 @@
 	if c == nil {
 		return
 	}
+	var following conc.WaitGroup
+	defer following.Wait()
+	following.Go(func() { s.followRecords(ctx) })
 	for pause := restoreRetryInterval; s.readQuarantine(ctx) != nil; pause = min(2*pause, maxRestoreRetryInterval) {
 		if !wait.For(ctx, pause) {
 			return
@@ -42,6 +47,7 @@
 	c.restored.Store(true)
 	c.checkedAt.Store(int64(time.Since(s.started)))
 	for missedMessages := false; wait.For(ctx, containmentInterval); {
+		s.observeKnowledge(time.Now())
 		missedMessages = s.checkRecords(ctx, missedMessages)
 		c.checkedAt.Store(int64(time.Since(s.started)))
 	}
--- a/internal/gateway/containmentmetrics.go
+++ b/internal/gateway/containmentmetrics.go
@@ -13,7 +13,10 @@
 	m.unrecordedLosses = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "swiftbank_unrecorded_losses_total", Help: "Lost runs of unknown outcome that were only watched, because there were too many.", ConstLabels: labels,
 	})
-	m.Registry.MustRegister(m.lostRuns, m.contained, m.released, m.unrecordedLosses)
+	m.knowledgeAge = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "swiftbank_ends_knowledge_age_seconds", Help: "Age of what the replicas tell of ends at other gateways.", ConstLabels: labels,
+	})
+	m.Registry.MustRegister(m.lostRuns, m.contained, m.released, m.unrecordedLosses, m.knowledgeAge)
 }
 
 // registerSuspects registers the gauge of the requests under which instances ended.
--- a/internal/gateway/exposedrun.go
+++ b/internal/gateway/exposedrun.go
@@ -110,7 +110,7 @@
 		}
 	}
 	standing.Exposed = len(instances)
-	return instances, standing.IsConfined(c.limit)
+	return instances, standing.IsConfined(c.currentLimit())
 }
 
 // isConfinedFrom reports whether the request must not be sent to a life of an instance: it may end it besides those that
--- a/internal/gateway/lostrun.go
+++ b/internal/gateway/lostrun.go
@@ -72,6 +72,8 @@
 	isSuspected, isLocal bool
 	// exposedSince is when the instance had outlived the run; it may still end of it. Zero otherwise.
 	exposedSince time.Time
+	// isWatched is set once the run is checked in the background.
+	isWatched bool
 	// isLate is set once the instance ended, or may have ended, after that.
 	isLate bool
 }
--- a/internal/gateway/lostrunwatch.go
+++ b/internal/gateway/lostrunwatch.go
@@ -35,6 +35,7 @@
 // watchLostRun watches a run until the list of instances, or the instance itself, tells its outcome.
 func (s *Server) watchLostRun(lost *lostRun) {
 	c := s.containment
+	lost.isWatched = true
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.unresolved) == 0 {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -44,6 +44,8 @@
 	lostRuns, contained, released *prometheus.CounterVec
 	// unrecordedLosses counts lost runs that were not recorded, because there were too many.
 	unrecordedLosses prometheus.Counter
+	// knowledgeAge is the age of what the replicas tell of ends at other gateways.
+	knowledgeAge prometheus.Gauge
 	// resendConnections counts connections opened for refused requests, resendsWithheld requests that had to wait for
 	// one, unsolicitedAnswers answers that belong to no request.
 	resendConnections, resendsWithheld, unsolicitedAnswers prometheus.Counter
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -222,6 +222,9 @@
 	for s.inFlight.Load() > 0 && wait.For(ctx, drainPollInterval) {
 	}
 	s.closing.Store(true)
+	if s.inFlight.Load() == 0 {
+		s.leave()
+	}
 	// Requests that are being read at this moment are refused; leave time for those answers.
 	wait.For(context.Background(), drainPollInterval)
 	if remaining := s.inFlight.Load(); remaining > 0 {
--- a/internal/ledger/quarantine.go
+++ b/internal/ledger/quarantine.go
@@ -1,9 +1,8 @@
 package ledger
 
 import (
-	"maps"
-	"slices"
 	"strings"
+	"time"
 
 	"swiftbank.dev/swiftbank/internal/quarantine"
 )
@@ -15,15 +14,49 @@
 // byte.
 const quarantinePrefix = "\x00quarantine "
 
-// ReadQuarantine requests all recorded runs of requests.
+// QuarantinePosition is how far a gateway has read the recorded runs of a replica. The zero value is the start.
+type QuarantinePosition struct {
+	// Boot identifies one run of the replica's process; positions are only comparable within a run.
+	Boot string
+	// Position counts the changes.
+	Position uint64
+}
+
+// IsBefore reports whether the position leaves a gap before the next one, which follows it in the same run if there is none.
+func (p QuarantinePosition) IsBefore(next QuarantinePosition) bool {
+	if p.Boot != next.Boot {
+		return next.Position > 0
+	}
+	return p.Position < next.Position
+}
+
+// ReadQuarantine requests the recorded runs of requests that changed after a position.
 type ReadQuarantine struct {
-	// MaxRuns bounds the runs in the reply.
+	// MaxRuns bounds the runs in a reply; a reply has one request at least.
 	MaxRuns int
+	// After is the position up to which the reader knows the runs.
+	After QuarantinePosition
+	// Follow is how long the replica sends further replies as runs change; 0 requests one reply only. Follower identifies
+	// the process that does so, and Renewal numbers its requests.
+	Follow   time.Duration
+	Follower string
+	Renewal  uint64
+	// Leave is set in the last request of a process that has ended all its requests.
+	Leave bool
 }
 
-// QuarantineReply lists the requests with recorded runs.
+// QuarantineReply lists the requests with recorded runs that changed between two positions.
 type QuarantineReply struct {
 	Records []quarantine.Record
+	// After and Next are the positions before and after the changes. More is set if further changes follow.
+	After, Next QuarantinePosition
+	More        bool
+	// Renewal is the number of the last request that the replica has got.
+	Renewal uint64
+	// FollowerLost is set if a follower has ended lately without leaving; FollowerLostFor is the time since it last
+	// sent a request.
+	FollowerLost    bool
+	FollowerLostFor time.Duration
 }
 
 // QuarantineProgram returns the name under which the runs of a request are recorded.
@@ -74,24 +107,48 @@
 	return runs
 }
 
+// readQuarantine returns the requests whose runs changed after a position, the oldest change first.
 func (s *State) readQuarantine(request Request) Output {
 	reply := s.reply(request.Number)
-	reply.Quarantine = &QuarantineReply{}
+	query := *request.ReadQuarantine
+	if query.After.Boot != s.boot {
+		query.After = QuarantinePosition{Boot: s.boot}
+	}
+	answer := &QuarantineReply{Renewal: query.Renewal, After: query.After, Next: QuarantinePosition{Boot: s.boot, Position: s.quarantine.last}}
 	listed := 0
-	for _, name := range slices.Sorted(maps.Keys(s.quarantine)) {
-		var record quarantine.Record
-		if record.Key.UnmarshalText([]byte(strings.TrimPrefix(name, quarantinePrefix))) != nil {
-			continue // of a later version
+	for _, changed := range s.quarantine.after(query.After.Position) {
+		record, isKnown := s.quarantineRecord(changed.name)
+		if !isKnown {
+			continue
 		}
-		for _, charge := range s.programs[name].charges {
-			if charge.Run != nil {
-				record.Runs = append(record.Runs, *charge.Run)
-			}
-		}
-		if listed += len(record.Runs); listed > request.ReadQuarantine.MaxRuns {
+		if listed += len(record.Runs); listed > query.MaxRuns && len(answer.Records) > 0 {
+			answer.More = true
 			break
 		}
-		reply.Quarantine.Records = append(reply.Quarantine.Records, record)
+		answer.Records = append(answer.Records, record)
+		answer.Next.Position = changed.position
+	}
+	if !answer.More {
+		answer.Next.Position = s.quarantine.last
 	}
+	reply.Quarantine = answer
 	return Output{Immediate: []Reply{reply}}
 }
+
+// quarantineRecord returns the recorded runs of a request; isKnown is false if a later version of this program named it.
+func (s *State) quarantineRecord(name string) (record quarantine.Record, isKnown bool) {
+	if record.Key.UnmarshalText([]byte(strings.TrimPrefix(name, quarantinePrefix))) != nil || s.programs[name] == nil {
+		return record, false
+	}
+	for _, charge := range s.programs[name].charges {
+		if charge.Run != nil {
+			record.Runs = append(record.Runs, *charge.Run)
+		}
+	}
+	return record, true
+}
+
+// QuarantinePosition returns the position after the last change of a recorded run.
+func (s *State) QuarantinePosition() QuarantinePosition {
+	return QuarantinePosition{Boot: s.boot, Position: s.quarantine.last}
+}
--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -30,8 +30,8 @@
 	storedIDs  []string
 	trimmedIDs int
 	programs   map[string]*program
-	// quarantine holds the names of the programs that record the runs of requests.
-	quarantine map[string]bool
+	// quarantine lists the programs that record the runs of requests.
+	quarantine quarantineLog
 	// changeLog lists the charges in the order in which they changed.
 	changeLog changeLog
 	// peerPositions is the inventory position up to which each other disk has stored this replica's
@@ -60,7 +60,7 @@
 func NewState(disk, boot string) *State {
 	return &State{
 		disk: disk, boot: boot,
-		turns: map[string]*storedTurn{}, programs: map[string]*program{}, quarantine: map[string]bool{}, peerPositions: map[string]int{},
+		turns: map[string]*storedTurn{}, programs: map[string]*program{}, quarantine: newQuarantineLog(), peerPositions: map[string]int{},
 	}
 }
 
@@ -163,9 +163,6 @@
 	if known == nil {
 		known = &program{}
 		s.programs[added.Program] = known
-		if isQuarantineProgram(added.Program) {
-			s.quarantine[added.Program] = true
-		}
 	}
 	known.retention = max(known.retention, added.Retention, minRetention)
 	known.expiresAt = now.Add(known.retention + retentionMargin)
@@ -174,6 +171,9 @@
 		return nil
 	}
 	s.changeLog.add(added.Program, merged)
+	if isQuarantineProgram(added.Program) {
+		s.quarantine.add(added.Program)
+	}
 	return []Record{{Charge: &added}}
 }
 
@@ -310,7 +310,7 @@
 		return true
 	})
 	maps.DeleteFunc(s.programs, func(_ string, known *program) bool { return !now.Before(known.expiresAt) })
-	maps.DeleteFunc(s.quarantine, func(name string, _ bool) bool { return s.programs[name] == nil })
+	s.quarantine.drop(func(name string) bool { return s.programs[name] == nil })
 	s.trimChangeLog()
 	for len(s.storedIDs) > 0 && s.turns[s.storedIDs[0]] == nil {
 		s.storedIDs = s.storedIDs[1:]
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -10,6 +10,8 @@
 	listener net.Listener
 	receive  func(from *Connection[Send], message Receive)
 	onSent   func(to net.Addr, message Send, bytes int)
+	// onEnd is called when a connection has ended; nil if nobody needs it.
+	onEnd func(from *Connection[Send])
 	// outgoing bounds the bytes queued for sending on all connections.
 	outgoing *Budget
 
@@ -39,6 +41,9 @@
 	s.onSent = onSent
 }
 
+// ReportEnds makes the server call onEnd when a connection has ended. It must be called before Run.
+func (s *Server[Receive, Send]) ReportEnds(onEnd func(from *Connection[Send])) { s.onEnd = onEnd }
+
 // LimitOutgoing bounds the total bytes of the messages queued for sending on all connections. It
 // must be called before Run.
 func (s *Server[Receive, Send]) LimitOutgoing(budget *Budget) { s.outgoing = budget }
@@ -95,6 +100,9 @@
 		s.mu.Lock()
 		delete(s.connections, connection)
 		s.mu.Unlock()
+		if s.onEnd != nil {
+			s.onEnd(accepted)
+		}
 	}()
 	decoder := NewDecoder(connection)
 	for {
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -89,20 +89,20 @@
 	return r
 }
 
-// isRefused reports whether AsRefused returned the run.
-func (r Run) isRefused() bool { return strings.HasSuffix(r.ID, refusedSuffix) }
+// IsRefused reports whether the instance refused the request, promising not to run it.
+func (r Run) IsRefused() bool { return strings.HasSuffix(r.ID, refusedSuffix) }
 
-// isExposed reports whether the instance outlived the run, and may still end of it.
-func (r Run) isExposed() bool { return r.Outcome == Survived && r.Lost }
+// IsExposed reports whether the instance outlived the run, and may still end of it.
+func (r Run) IsExposed() bool { return r.Outcome == Survived && r.Lost }
 
 // IsRefusal reports whether the run is a refusal after which no end is known. It matters for a moment and is not recorded
 // durably: records of ends would give way to those of full instances.
-func (r Run) IsRefusal() bool { return r.isRefused() && r.isExposed() }
+func (r Run) IsRefusal() bool { return r.IsRefused() && r.IsExposed() }
 
 // ExposedFor returns how long the instance of an exposed run may still end of it. Refusals are ordinary, so those that
 // refused the request are exposed only until an end soon after the refusal is known.
 func (r Run) ExposedFor() time.Duration {
-	if r.isRefused() {
+	if r.IsRefused() {
 		return lostTTL
 	}
 	return ExposedTTL
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -85,7 +85,7 @@
 func (t *Table) Merge(now time.Time, key Key, runs ...Run) (changed []Run) {
 	known := t.records[key]
 	if known == nil {
-		if !slices.ContainsFunc(runs, func(run Run) bool { return run.counts() || run.isExposed() }) {
+		if !slices.ContainsFunc(runs, func(run Run) bool { return run.counts() || run.IsExposed() }) {
 			return nil
 		}
 		t.makeRoom(now)
@@ -126,10 +126,10 @@
 
 // makeRoomFor drops a run that matters less than the given one, and reports whether there was one.
 func (r *record) makeRoomFor(run Run) bool {
-	if !run.counts() && !run.isExposed() {
+	if !run.counts() && !run.IsExposed() {
 		return false
 	}
-	if r.drop(func(known knownRun) bool { return !known.counts() && !known.isExposed() }) {
+	if r.drop(func(known knownRun) bool { return !known.counts() && !known.IsExposed() }) {
 		return true
 	}
 	return run.counts() && (r.drop(func(known knownRun) bool { return !known.counts() }) || r.dropRepeated())
@@ -220,7 +220,7 @@
 	standing := Standing{Ended: countIncarnations(runs, Ended)}
 	standing.Possible = countIncarnations(runs, Ended, Silent, Running) - standing.Ended
 	standing.Exposed = len(exposedInstances(now, runs))
-	standing.Refused = standing.Exposed - len(exposedInstances(now, slices.DeleteFunc(slices.Clone(runs), func(run knownRun) bool { return run.isRefused() })))
+	standing.Refused = standing.Exposed - len(exposedInstances(now, slices.DeleteFunc(slices.Clone(runs), func(run knownRun) bool { return run.IsRefused() })))
 	for _, run := range runs {
 		openFor := run.openFor(now)
 		if run.Outcome.isOpen() && openFor > 0 && (standing.OpenFor == 0 || openFor < standing.OpenFor) {
@@ -276,14 +276,14 @@
 func exposedInstances(now time.Time, runs []knownRun) []string {
 	var instances []string
 	for _, run := range runs {
-		if !run.isExposed() || now.Sub(run.since) >= run.ExposedFor() || slices.Contains(instances, run.Instance) {
+		if !run.IsExposed() || now.Sub(run.since) >= run.ExposedFor() || slices.Contains(instances, run.Instance) {
 			continue
 		}
 		isCleared := func(other knownRun) bool {
 			if other.Instance != run.Instance {
 				return false
 			}
-			return other.ID == run.AsLate().ID || other.Outcome.isOpen() || other.isExposed() && now.Sub(other.since) >= provenTTL
+			return other.ID == run.AsLate().ID || other.Outcome.isOpen() || other.IsExposed() && now.Sub(other.since) >= provenTTL
 		}
 		if !slices.ContainsFunc(runs, isCleared) {
 			instances = append(instances, run.Instance)
--- a/internal/quorum/client.go
+++ b/internal/quorum/client.go
@@ -77,6 +77,9 @@
 	loan *quota.Loan
 	// quarantine holds the replies to a ReadQuarantine request, by disk.
 	quarantine map[string]*ledger.QuarantineReply
+	// follows is set if the replica sends further replies to a ReadQuarantine request, which are collected in changes.
+	follows bool
+	changes []*ledger.QuarantineReply
 	// initialVoters are the voters that the request is sent to first; nil means all.
 	initialVoters map[*replicaLink]bool
 	// historyReplicas are the replicas that were asked for the history, in order.
@@ -327,6 +330,11 @@
 	if replica.up && !c.credit.spend() {
 		return
 	}
+	if request.ReadQuarantine != nil {
+		once := *request.ReadQuarantine
+		once.Follow = 0 // a relay returns one reply
+		request.ReadQuarantine = &once
+	}
 	c.relays.send(RelayRequest{Cell: c.cell, Replica: replica.node.Name, Request: request}, c.roundTrips.timeout())
 }
 
--- a/internal/quorum/link.go
+++ b/internal/quorum/link.go
@@ -205,7 +205,10 @@
 	if reply.Loan != nil {
 		pending.loan = reply.Loan
 	}
-	if reply.Quarantine != nil {
+	switch {
+	case reply.Quarantine != nil && pending.follows:
+		pending.changes = append(pending.changes, reply.Quarantine)
+	case reply.Quarantine != nil:
 		pending.quarantine[reply.Disk] = reply.Quarantine
 	}
 	if reply.Chain {
--- a/internal/quorum/quarantine.go
+++ b/internal/quorum/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"swiftbank.dev/swiftbank/internal/ledger"
 	"swiftbank.dev/swiftbank/internal/place"
@@ -47,6 +48,25 @@
 	return runs, nil
 }
 
+// ShareRun records a run of a request and returns once a quorum of the own region knows it, so that the run is told to all
+// gateways although this one may end. It is made durable in the background, in all regions. It returns ErrNoQuorum if the
+// context ends first.
+func (c *Cells) ShareRun(ctx context.Context, key quarantine.Key, run quarantine.Run) error {
+	c.RecordRunInBackground(key, run)
+	cell := c.ForProgram(quarantineCell, place.Homes{})
+	if cell == nil || !cell.isAvailable(time.Now()) {
+		return ErrNoQuorum
+	}
+	reservation, err := cell.Reserve(ctx, ledger.Reserve{
+		Program: ledger.QuarantineProgram(key), Charge: ledger.RunCharge(run), Retention: quarantineRetention,
+	})
+	if err != nil {
+		return err
+	}
+	reservation.StopRetrying()
+	return nil
+}
+
 // RecordRunInBackground records a run of a request in all regions without waiting.
 func (c *Cells) RecordRunInBackground(key quarantine.Key, run quarantine.Run) {
 	for _, cell := range c.ForProgramInAllRegions(quarantineCell) {
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -76,7 +76,9 @@
 	peers   map[string]*peerState
 	claims  *claims
 	members membership
-	context context.Context
+	// followers are told of the recorded runs of requests.
+	followers *followers
+	context   context.Context
 	// stopped is closed when the loop accepts no more work.
 	stopped chan struct{}
 
@@ -94,7 +96,7 @@
 func New(options Options) (*Server, error) {
 	s := &Server{
 		options: options, log: options.Log,
-		inbox: make(chan func(), inboxCapacity), peers: map[string]*peerState{}, claims: newClaims(), context: context.Background(),
+		inbox: make(chan func(), inboxCapacity), peers: map[string]*peerState{}, claims: newClaims(), followers: newFollowers(), context: context.Background(),
 		stopped: make(chan struct{}), lender: quota.NewLender(options.Quota),
 		limits: newLimits(options.MemoryMB),
 	}
@@ -200,6 +202,7 @@
 	})
 	server.CountSent(func(to net.Addr, reply ledger.Reply, bytes int) { s.options.Traffic.AddSentTo(reply.Kind(), to, bytes) })
 	server.LimitOutgoing(s.limits.outgoing)
+	server.ReportEnds(func(from *peer.Connection[ledger.Reply]) { s.post(func() { s.followerDisconnected(from) }) })
 	return server
 }
 
@@ -233,6 +236,10 @@
 		return
 	}
 	now := time.Now()
+	if request.ReadQuarantine != nil {
+		s.follow(now, from, request)
+		return
+	}
 	output := s.state.Step(now, request)
 	s.logRequest(request, output)
 	for _, reply := range output.Immediate {
@@ -241,6 +248,7 @@
 		}
 		from.Send(reply)
 	}
+	s.notifyFollowers(now)
 	if len(output.AfterSync) == 0 && len(output.Records) == 0 {
 		return
 	}
@@ -280,6 +288,7 @@
 	}
 	s.tickMembership(now)
 	s.updateLender(now)
+	s.checkFollowers(now)
 	if now.Sub(s.purgedAt) >= purgeInterval {
 		s.purgedAt = now
 		s.state.Purge(now)
