Several gateways watch the instance of a lost run

Callers saw: a stream whose gateways were killed 2.8 s after its run was lost, 1.2 s before its instance ended, ended 12 instances in twelve attempts and was never refused. A call whose gateways were killed at once was withheld for twelve attempts. Cause: only the gateway that had sent a request watched what became of its instance. An end after it was killed counted nowhere. Change: three gateways, by rank of the run's id, adopt each lost run that counts, or whose instance may still end; they find an end in the list, or by a refused connection, and open none until the list lacks the instance. They record it under the id of the run, so it counts once. run_adopted; run_lost has adopted.

--- a/internal/backend/directory.go
+++ b/internal/backend/directory.go
@@ -183,6 +183,17 @@
 	return m != nil && !m.instance.Leaving
 }
 
+// Find returns an instance that is known.
+func (d *Directory) Find(id string) (instance Instance, known bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m := d.members[id]
+	if m == nil {
+		return Instance{}, false
+	}
+	return m.instance, true
+}
+
 // IsOtherRegion reports whether a zone is in a different region than this gateway.
 func (d *Directory) IsOtherRegion(zone string) bool {
 	return d.network.places.Distance(d.zone, zone) == place.OtherRegion
--- a/internal/gateway/containment.go
+++ b/internal/gateway/containment.go
@@ -29,7 +29,8 @@
 //   - The runs of a turn are also recorded under its program. The reservation of the next attempt returns
 //     them, if the message from the other gateway was lost. It also tells attempts that have not ended: one of a
 //     gateway that was killed amid the run counts as another possible end.
-//   - The voters that store the records tell all gateways of them (containmentnews.go), so that a lost message hides no end.
+//   - The voters that store the records tell all gateways of them (containmentnews.go), and several gateways watch the
+//     instance of each lost run (adoptedrun.go), so that neither a lost message nor a killed gateway hides an end.
 //   - A gateway that neither the voters nor other gateways tell of ends knows its own only. It serves on, but stops a
 //     request after the first end.
 //
@@ -69,6 +70,8 @@
 
 	mu    sync.Mutex
 	table *quarantine.Table
+	// handled holds when the runs were first seen that this gateway watches, or leaves to others to watch, by their ids.
+	handled map[string]time.Time
 	// unresolved are the lost runs whose outcome is not known yet; unresolvedBudget bounds those that are recorded.
 	unresolved       []*lostRun
 	unresolvedBudget *recordBudget
@@ -88,7 +91,7 @@
 		return nil
 	}
 	return &containment{
-		limit: limit, table: quarantine.NewTable(), unsent: map[quarantine.Key]bool{},
+		limit: limit, table: quarantine.NewTable(), unsent: map[quarantine.Key]bool{}, handled: map[string]time.Time{},
 		unresolvedBudget: &recordBudget{rate: unresolvedRate, burst: unresolvedBurst},
 		refusedBudget:    &recordBudget{rate: refusedRate, burst: refusedBurst},
 	}
--- a/internal/gateway/containmentloop.go
+++ b/internal/gateway/containmentloop.go
@@ -48,6 +48,7 @@
 	c.checkedAt.Store(int64(time.Since(s.started)))
 	for missedMessages := false; wait.For(ctx, containmentInterval); {
 		s.observeKnowledge(time.Now())
+		s.adoptRuns(time.Now())
 		missedMessages = s.checkRecords(ctx, missedMessages)
 		c.checkedAt.Store(int64(time.Since(s.started)))
 	}
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/backend"
@@ -77,6 +79,8 @@
 	s.gossip.Store(gossip)
 	relays.SetGateways(membership.Gateways)
 	s.gatewayCount.Store(int64(len(membership.Gateways)))
+	names := slices.Sorted(maps.Keys(membership.Gateways))
+	s.gatewayNames.Store(&names)
 	s.directory.SetGateways(time.Now(), coldGateways(membership.Gateways))
 	s.limitIdleConnections()
 }
--- a/internal/gateway/lostrun.go
+++ b/internal/gateway/lostrun.go
@@ -72,8 +72,8 @@
 	isSuspected, isLocal bool
 	// exposedSince is when the instance had outlived the run; it may still end of it. Zero otherwise.
 	exposedSince time.Time
-	// isWatched is set once the run is checked in the background.
-	isWatched bool
+	// isWatched is set once the run is checked in the background. isAdopted is set if another gateway sent the request.
+	isWatched, isAdopted bool
 	// isLate is set once the instance ended, or may have ended, after that.
 	isLate bool
 }
@@ -317,7 +317,7 @@
 func (s *Server) logLostRun(lost *lostRun, entry backend.EntryState, contact string) {
 	s.log.Warn().Str("event", "run_lost").Str("id", lost.requestID).Str("request_key", lost.key.String()).Str("instance", lost.instance.ID).
 		Uint64("instance_born", lost.instance.Born).Int64("life", lost.life.ID()).Bool("life_open", lost.life.IsOpen()).Bool("life_closed", lost.life.HasClosed()).
-		Str("cause", lost.cause.String()).Bool("late", lost.isLate).Str("contact", contact).Str("entry", entry.String()).
+		Str("cause", lost.cause.String()).Bool("late", lost.isLate).Bool("adopted", lost.isAdopted).Str("contact", contact).Str("entry", entry.String()).
 		Str("outcome", lost.run.State()).Int64("ran_ms", lost.lostAt.Sub(lost.sentAt).Milliseconds()).Int64("known_after_ms", time.Since(lost.lostAt).Milliseconds()).
 		Int64("list_age_ms", s.instanceListAge().Milliseconds()).Msg("")
 }
--- a/internal/gateway/lostrunwatch.go
+++ b/internal/gateway/lostrunwatch.go
@@ -38,6 +38,7 @@
 	lost.isWatched = true
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.handled[lost.run.ID] = time.Now()
 	if len(c.unresolved) == 0 {
 		time.AfterFunc(watchInterval, s.checkWatchedRuns)
 	}
@@ -76,6 +77,9 @@
 // followLostRun checks on the instance of a watched run, if it may be about to end. An end is found sooner than the list
 // tells it.
 func (s *Server) followLostRun(lost *lostRun) {
+	if lost.isAdopted {
+		return // it opens no connections
+	}
 	if lost.cause == runRefused {
 		s.followRefusal(lost.instance, lost.life)
 		return
@@ -107,6 +111,9 @@
 func (s *Server) checkWatchedRun(now time.Time, lost *lostRun) (done bool) {
 	entry := s.directory.EntryStateOf(lost.instance, lost.life, lost.sentAt)
 	s.pool.CloseExpired(lost.instance.ID)
+	if lost.isAdopted {
+		return s.checkAdoptedRun(now, lost, entry)
+	}
 	if lost.isExposed() {
 		return s.checkExposedRun(now, lost, entry)
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -100,8 +100,9 @@
 	// started; evacuationsKnown is set once the evacuated zones are known.
 	instancesKnownAt atomic.Int64
 	evacuationsKnown atomic.Bool
-	// gatewayCount is the number of gateways that the registry lists.
+	// gatewayCount is the number of gateways that the registry lists, gatewayNames are their names.
 	gatewayCount atomic.Int64
+	gatewayNames atomic.Pointer[[]string]
 	// stopping ends readiness; closing refuses requests that are not forwarded yet.
 	stopping atomic.Bool
 	closing  atomic.Bool
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -111,6 +111,12 @@
 // isOf reports whether the run belongs to the caller's attempt with the given id.
 func (r Run) isOf(attempt string) bool { return strings.HasPrefix(r.ID, attempt+"#") }
 
+// Attempt returns the id of the caller's attempt that the run belongs to.
+func (r Run) Attempt() string {
+	attempt, _, _ := strings.Cut(r.ID, "#")
+	return attempt
+}
+
 // State names what is known of the run: its outcome, or that it was lost, or that its outcome will not become known.
 func (r Run) State() string {
 	switch {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -103,6 +103,46 @@
 	return changed
 }
 
+// Unsettled returns the runs of all requests of which it matters whether their instances end: those without an outcome that
+// may become known, and those that their instances have outlived so far.
+func (t *Table) Unsettled(now time.Time) []Record {
+	var unsettled []Record
+	for key, known := range t.records {
+		var runs []Run
+		for _, run := range known.runs {
+			if run.isWatchable(now) {
+				runs = append(runs, run.Run)
+			}
+		}
+		if len(runs) > 0 {
+			unsettled = append(unsettled, Record{Key: key, Runs: runs})
+		}
+	}
+	return unsettled
+}
+
+// isWatchable reports whether it matters whether the run's instance ends, and may become known.
+func (r knownRun) isWatchable(now time.Time) bool {
+	switch {
+	case r.isLate(), r.Unproven:
+		return false
+	case r.IsExposed():
+		return now.Sub(r.since) < r.ExposedFor()
+	default:
+		return (r.Outcome == Silent || r.Outcome == Running && r.Lost) && now.Sub(r.since) < openTTL
+	}
+}
+
+// RunOf returns a run of a request.
+func (t *Table) RunOf(key Key, id string) (run Run, known bool) {
+	for _, run := range t.Runs(key) {
+		if run.ID == id {
+			return run, true
+		}
+	}
+	return Run{}, false
+}
+
 // counts reports whether the run counts, or may count, against its request.
 func (r Run) counts() bool { return r.Outcome == Ended || r.Outcome.isOpen() }
 
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -290,3 +290,21 @@
 	require.Equal(t, Standing{Exposed: 1}, table.Standing(start.Add(lostTTL), Key{1}, ""), "an end soon after the refusal is known by then")
 	require.False(t, Standing{}.IsOnlyRefused())
 }
+
+func TestUnsettledRunsAreThoseWhoseEndsMatter(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable()
+	runs := []Run{
+		{ID: "1#1", Instance: "i-1", Outcome: Running, Lost: true},
+		{ID: "1#2", Instance: "i-2", Outcome: Survived, Lost: true},
+		{ID: "1#3", Instance: "i-3", Outcome: Silent},
+		{ID: "1#4", Instance: "i-4", Outcome: Running},
+		{ID: "1#5", Instance: "i-5", Outcome: Running, Lost: true, Unproven: true},
+		{ID: "1#6", Instance: "i-6", Outcome: Ended},
+		{ID: "1#7", Instance: "i-7", Outcome: Survived},
+	}
+	table.Merge(now, Key{1}, runs...)
+	table.Merge(now, Key{2}, runs[5])
+	require.Equal(t, []Record{{Key: Key{1}, Runs: runs[:3]}}, table.Unsettled(now))
+	require.Empty(t, table.Unsettled(now.Add(ExposedTTL)))
+}
