A request of which a killed gateway may have had the first run counts one possible end more

Cause: calls have no reservation, and nothing is recorded before a run is lost: of that run nobody else knew. A request without a reservation whose first lost run becomes known within 10 s after a gateway was lost counts one possible end more, once anything else counts against it. Gateways that stop as planned leave. Nothing is added to a request.

--- a/internal/gateway/containment.go
+++ b/internal/gateway/containment.go
@@ -12,6 +12,7 @@
 	"swiftbank.dev/swiftbank/internal/ledger"
 	"swiftbank.dev/swiftbank/internal/quarantine"
 	"swiftbank.dev/swiftbank/internal/quorum"
+	"swiftbank.dev/swiftbank/internal/route"
 	"swiftbank.dev/swiftbank/internal/verdict"
 	"swiftbank.dev/swiftbank/internal/wait"
 )
@@ -136,13 +137,23 @@
 	if c == nil || c.records.Load() == 0 {
 		return quarantine.Clear, quarantine.Standing{}
 	}
+	c.observeLostGateways()
 	standing := c.standing(s.keyOf(r), without, nil)
 	if standing.Ended > 0 && r.unsettledTurns != nil {
 		standing = c.standing(s.keyOf(r), without, r.unsettledTurns())
 	}
+	if !r.hasReservation(s.dialect) {
+		standing.Possible += standing.Missed
+	}
 	return standing.Verdict(c.currentLimit()), standing
 }
 
+// hasReservation reports whether the request's program tells of runs that were not recorded: those of its attempts that
+// have not ended.
+func (r *request) hasReservation(dialect Dialect) bool {
+	return r.route != nil && r.route.Kind == route.Streaming && r.header.Get(dialect.Program) != ""
+}
+
 // refuseContained returns the refusal of a request that must not be sent, or nil.
 func (s *Server) refuseContained(ctx context.Context, r *request) *refusal {
 	if failure := s.awaitContainment(ctx, r); failure != nil {
--- a/internal/gateway/containmentloop.go
+++ b/internal/gateway/containmentloop.go
@@ -162,7 +162,7 @@
 	}
 	now := time.Now()
 	for _, record := range records {
-		s.containment.merge(now, record.Key, record.Runs...)
+		s.containment.mergeRead(now, record)
 	}
 	s.log.Info().Str("event", "quarantine_read").Int("records", len(records)).Int64("requests", s.containment.records.Load()).Msg("")
 	return nil
--- a/internal/gateway/containmentnews.go
+++ b/internal/gateway/containmentnews.go
@@ -65,6 +65,29 @@
 	return c.limit
 }
 
+// observeLostGateways records when a gateway was lost that may have sent requests without a record.
+func (c *containment) observeLostGateways() {
+	follower := c.follower.Load()
+	if follower == nil {
+		return
+	}
+	lostAt := follower.GatewayLostAt()
+	if lostAt.IsZero() {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.GatewayLost(lostAt)
+}
+
+// mergeRead adds the runs of a request that were read from the voters at a start or after a suspension.
+func (c *containment) mergeRead(now time.Time, record quarantine.Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.MergeRead(now, record.Key, record.Runs...)
+	c.records.Store(int64(c.table.Size()))
+}
+
 // leave tells the voters that this gateway has ended all its requests.
 func (s *Server) leave() {
 	if s.containment == nil {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -26,6 +26,8 @@
 	// lostTTL is how long it takes at most until the gateway of a lost run knows whether the instance ended, if it
 	// accepts connections.
 	lostTTL = 2700 * time.Millisecond
+	// missedRunWindow is how long after a gateway was lost a caller may come back whose request it ran.
+	missedRunWindow = 10 * time.Second
 	// provenTTL is how long an instance outlives lost runs of a request until it is known not to end of them.
 	provenTTL = time.Minute
 	// maxUnsettledRetry is the longest pause after which a request is tried again that is withheld because another
@@ -48,12 +50,16 @@
 // Table holds the known runs of requests. It is not safe for concurrent use.
 type Table struct {
 	records map[Key]*record
+	// gatewayLostAt is when a gateway that ended without leaving was last known to live.
+	gatewayLostAt time.Time
 }
 
 type record struct {
 	runs []knownRun
-	// changedAt is when any of the runs last changed.
-	changedAt time.Time
+	// beganAt is when the first run became known, changedAt when any of the runs last changed.
+	beganAt, changedAt time.Time
+	// mayMissRun is set if a gateway that was lost may have run the request, without a record.
+	mayMissRun bool
 }
 
 // knownRun is a run, with the time at which the present outcome became known here.
@@ -89,7 +95,7 @@
 			return nil
 		}
 		t.makeRoom(now)
-		known = &record{}
+		known = &record{beganAt: now}
 		t.records[key] = known
 	}
 	for _, run := range runs {
@@ -103,6 +109,23 @@
 	return changed
 }
 
+// GatewayLost records when a gateway that ended without leaving was last known to live. It may have run any request for the
+// first time, without a record: one of which the first run becomes known soon after may have had another run before.
+func (t *Table) GatewayLost(at time.Time) {
+	if at.After(t.gatewayLostAt) {
+		t.gatewayLostAt = at
+	}
+}
+
+// mayMissRunOf reports whether a gateway that was lost may have run the request, without a record.
+func (t *Table) mayMissRunOf(known *record) bool {
+	since := known.beganAt.Sub(t.gatewayLostAt)
+	if !t.gatewayLostAt.IsZero() && since >= 0 && since < missedRunWindow {
+		known.mayMissRun = true
+	}
+	return known.mayMissRun
+}
+
 // Unsettled returns the runs of all requests of which it matters whether their instances end: those without an outcome that
 // may become known, and those that their instances have outlived so far.
 func (t *Table) Unsettled(now time.Time) []Record {
@@ -143,6 +166,16 @@
 	return Run{}, false
 }
 
+// MergeRead is like Merge, for runs that were recorded before this process knew of lost gateways.
+func (t *Table) MergeRead(now time.Time, key Key, runs ...Run) (changed []Run) {
+	wasKnown := t.records[key] != nil
+	changed = t.Merge(now, key, runs...)
+	if known := t.records[key]; known != nil && !wasKnown {
+		known.beganAt = time.Time{}
+	}
+	return changed
+}
+
 // counts reports whether the run counts, or may count, against its request.
 func (r Run) counts() bool { return r.Outcome == Ended || r.Outcome.isOpen() }
 
@@ -245,6 +278,9 @@
 	// Exposed is the number of instances that have outlived lost runs of the request so far, and may still end of
 	// them. Refused is the number of those that only refused the request.
 	Exposed, Refused int
+	// Missed is 1 if instances ended, or may have ended, under the request, and a gateway that was lost may have run it before,
+	// without a record.
+	Missed int
 	// OpenFor is how long it may take until it is known of one of the possible ones whether it ended; 0 if that
 	// will not become known.
 	OpenFor time.Duration
@@ -259,6 +295,9 @@
 	runs := slices.DeleteFunc(slices.Clone(known.runs), func(run knownRun) bool { return run.ID == without })
 	standing := Standing{Ended: countIncarnations(runs, Ended)}
 	standing.Possible = countIncarnations(runs, Ended, Silent, Running) - standing.Ended
+	if standing.Ended+standing.Possible > 0 && t.mayMissRunOf(known) {
+		standing.Missed = 1
+	}
 	standing.Exposed = len(exposedInstances(now, runs))
 	standing.Refused = standing.Exposed - len(exposedInstances(now, slices.DeleteFunc(slices.Clone(runs), func(run knownRun) bool { return run.IsRefused() })))
 	for _, run := range runs {
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -291,6 +291,25 @@
 	require.False(t, Standing{}.IsOnlyRefused())
 }
 
+// A gateway that was killed may have run a request for the first time, without a record.
+func TestRequestThatBeginsSoonAfterAGatewayWasLostMayHaveAnotherRun(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable()
+	table.GatewayLost(now)
+	table.Merge(now.Add(time.Second), Key{1}, Run{ID: "1#1", Instance: "i-1", Outcome: Survived, Lost: true})
+	require.Zero(t, table.Standing(now.Add(time.Second), Key{1}, "").Missed, "no instance may have ended")
+	table.Merge(now.Add(time.Second), Key{1}, Run{ID: "1#2", Instance: "i-2", Outcome: Running, Lost: true})
+	require.Equal(t, 1, table.Standing(now.Add(time.Second), Key{1}, "").Missed)
+	table.Merge(now.Add(missedRunWindow), Key{2}, Run{ID: "2#1", Instance: "i-2", Outcome: Ended})
+	require.Zero(t, table.Standing(now.Add(missedRunWindow), Key{2}, "").Missed, "long after")
+	table.Merge(now.Add(missedRunWindow), Key{3}, Run{ID: "3#1", Instance: "i-3", Outcome: Ended})
+	table.GatewayLost(now.Add(missedRunWindow + time.Second))
+	require.Zero(t, table.Standing(now.Add(missedRunWindow+time.Second), Key{3}, "").Missed, "its runs were recorded before they were sent")
+	require.Equal(t, 1, table.Standing(now.Add(missedRunWindow+time.Second), Key{1}, "").Missed, "it stays so")
+	table.MergeRead(now.Add(missedRunWindow+2*time.Second), Key{4}, Run{ID: "4#1", Instance: "i-4", Outcome: Ended})
+	require.Zero(t, table.Standing(now.Add(missedRunWindow+2*time.Second), Key{4}, "").Missed, "when it began is not known")
+}
+
 func TestUnsettledRunsAreThoseWhoseEndsMatter(t *testing.T) {
 	now := time.Unix(1000, 0)
 	table := NewTable()
