--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -126,6 +126,10 @@
 	return known.mayMissRun
 }
 
+// hasClosed reports whether the run's instance ended, or closed all its connections. Single connections that break are
+// ordinary.
+func (r knownRun) hasClosed() bool { return r.Outcome == Ended || r.Outcome == Running && r.Unproven }
+
 // Unsettled returns the runs of all requests of which it matters whether their instances end: those without an outcome that
 // may become known, and those that their instances have outlived so far.
 func (t *Table) Unsettled(now time.Time) []Record {
@@ -278,8 +282,8 @@
 	// Exposed is the number of instances that have outlived lost runs of the request so far, and may still end of
 	// them. Refused is the number of those that only refused the request.
 	Exposed, Refused int
-	// Missed is 1 if instances ended, or may have ended, under the request, and a gateway that was lost may have run it before,
-	// without a record.
+	// Missed is 1 if an instance ended under the request, or closed all its connections, and a gateway that was lost may have
+	// run it before, without a record.
 	Missed int
 	// OpenFor is how long it may take until it is known of one of the possible ones whether it ended; 0 if that
 	// will not become known.
@@ -295,7 +299,7 @@
 	runs := slices.DeleteFunc(slices.Clone(known.runs), func(run knownRun) bool { return run.ID == without })
 	standing := Standing{Ended: countIncarnations(runs, Ended)}
 	standing.Possible = countIncarnations(runs, Ended, Silent, Running) - standing.Ended
-	if standing.Ended+standing.Possible > 0 && t.mayMissRunOf(known) {
+	if slices.ContainsFunc(runs, knownRun.hasClosed) && t.mayMissRunOf(known) {
 		standing.Missed = 1
 	}
 	standing.Exposed = len(exposedInstances(now, runs))
