A turn that a killed gateway had under way counts beside closed connections, too

Cause, traced: its gateway was killed amid the first run; the next three instances closed all connections and were back, so none of them was known to have ended, and the reservation that had not ended counted only beside a known end. Change: it counts beside an instance that closed all its connections as well, as a missed run of a call does. Measured: TestUnsettledAttemptCountsOnceAnInstanceClosedItsConnections fails without the change (1 possible end), passes (2).

--- a/internal/gateway/containment.go
+++ b/internal/gateway/containment.go
@@ -139,7 +139,7 @@
 	}
 	c.observeLostGateways()
 	standing := c.standing(s.keyOf(r), without, nil)
-	if standing.Ended > 0 && r.unsettledTurns != nil {
+	if standing.Ended+standing.Possible > 0 && r.unsettledTurns != nil {
 		standing = c.standing(s.keyOf(r), without, r.unsettledTurns())
 	}
 	if !r.hasReservation(s.dialect) {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -314,14 +314,15 @@
 }
 
 // StandingWithUnsettled returns what counts against a request while the given attempts of its program have not ended. If
-// instances have ended under the request, one attempt without a known run counts as another possible end: its
-// gateway may have been killed amid the run. Attempts in progress end, and then count no more.
+// instances have ended under the request, or closed all their connections, one attempt without a known run counts as
+// another possible end: its gateway may have been killed amid the run. Attempts in progress end, and then count no more.
 func (t *Table) StandingWithUnsettled(now time.Time, key Key, without string, unsettled []string) Standing {
 	standing := t.Standing(now, key, without)
-	if standing.Ended == 0 {
+	known := t.records[key]
+	hasClosed := func(run knownRun) bool { return run.ID != without && run.hasClosed() }
+	if standing.Ended+standing.Possible == 0 || !slices.ContainsFunc(known.runs, hasClosed) {
 		return standing
 	}
-	known := t.records[key]
 	hasRun := func(attempt string) bool {
 		return slices.ContainsFunc(known.runs, func(run knownRun) bool { return run.isOf(attempt) })
 	}
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -328,3 +328,13 @@
 	require.Equal(t, []Record{{Key: Key{1}, Runs: runs[:3]}}, table.Unsettled(now))
 	require.Empty(t, table.Unsettled(now.Add(ExposedTTL)))
 }
+
+// A gateway may have been killed amid the run of an instance that is back at its address at once: nothing shows its end.
+func TestUnsettledAttemptCountsOnceAnInstanceClosedItsConnections(t *testing.T) {
+	table := NewTable()
+	table.Merge(start, Key{1}, Run{ID: "b#1", Instance: "i-1", Outcome: Running, Lost: true})
+	require.Equal(t, Standing{Possible: 1, OpenFor: lostTTL}, table.StandingWithUnsettled(start, Key{1}, "", []string{"a"}), "single connections broke")
+	table.Merge(start, Key{1}, Run{ID: "b#1", Instance: "i-1", Outcome: Running, Lost: true, Unproven: true})
+	require.Equal(t, Standing{Possible: 2, OpenFor: maxUnsettledRetry}, table.StandingWithUnsettled(start, Key{1}, "", []string{"a"}))
+	require.Equal(t, Standing{Possible: 1}, table.StandingWithUnsettled(start, Key{1}, "", []string{"b"}), "its run is known")
+}
