Records of the time before a gateway started are told apart from news; knowledge is observed while a start waits

Cause: by reading: a gateway that starts follows the voters before it has read the records, so that old records seemed to begin after a gateway was lost; and a gateway that starts cut off from the voters never determined that it is uninformed. Change: the follower says which records a voter had when it was first asked; the age is observed while the records are awaited. Measured: TestRecordsOfTheTimeBeforeAreToldApart; the tests of killed gateways pass.

--- a/internal/gateway/containmentloop.go
+++ b/internal/gateway/containmentloop.go
@@ -40,6 +40,7 @@
 	defer following.Wait()
 	following.Go(func() { s.followRecords(ctx) })
 	for pause := restoreRetryInterval; s.readQuarantine(ctx) != nil; pause = min(2*pause, maxRestoreRetryInterval) {
+		s.observeKnowledge(time.Now())
 		if !wait.For(ctx, pause) {
 			return
 		}
@@ -160,10 +161,7 @@
 		s.log.Warn().Str("event", "quarantine_unread").Err(err).Msg("")
 		return err
 	}
-	now := time.Now()
-	for _, record := range records {
-		s.containment.mergeRead(now, record)
-	}
+	s.mergeReadRecords(time.Now(), records)
 	s.log.Info().Str("event", "quarantine_read").Int("records", len(records)).Int64("requests", s.containment.records.Load()).Msg("")
 	return nil
 }
--- a/internal/gateway/containmentnews.go
+++ b/internal/gateway/containmentnews.go
@@ -31,11 +31,21 @@
 // followRecords receives the records of other gateways until the context ends.
 func (s *Server) followRecords(ctx context.Context) {
 	process := s.options.Node + "/" + strconv.FormatInt(s.started.UnixNano(), 36)
-	follower := s.replicas.NewQuarantineFollower(process, func(records []quarantine.Record) { s.learnRecords(time.Now(), votersName, records) })
+	follower := s.replicas.NewQuarantineFollower(process, s.recordsChanged)
 	s.containment.follower.Store(follower)
 	follower.Run(ctx)
 }
 
+// recordsChanged learns records from a voter; isFirst is set for those of the time before this gateway asked.
+func (s *Server) recordsChanged(records []quarantine.Record, isFirst bool) {
+	now := time.Now()
+	if isFirst {
+		s.mergeReadRecords(now, records)
+		return
+	}
+	s.learnRecords(now, votersName, records)
+}
+
 // observeKnowledge determines whether this gateway is told of the ends at other gateways, and logs a change.
 func (s *Server) observeKnowledge(now time.Time) {
 	c := s.containment
@@ -80,11 +90,14 @@
 	c.table.GatewayLost(lostAt)
 }
 
-// mergeRead adds the runs of a request that were read from the voters at a start or after a suspension.
-func (c *containment) mergeRead(now time.Time, record quarantine.Record) {
+// mergeReadRecords adds records that the voters had before this gateway asked.
+func (s *Server) mergeReadRecords(now time.Time, records []quarantine.Record) {
+	c := s.containment
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.table.MergeRead(now, record.Key, record.Runs...)
+	for _, record := range records {
+		c.table.MergeRead(now, record.Key, record.Runs...)
+	}
 	c.records.Store(int64(c.table.Size()))
 }
 
--- a/internal/quorum/quarantinefollower.go
+++ b/internal/quorum/quarantinefollower.go
@@ -31,8 +31,9 @@
 	cells *Cells
 	// process identifies this run of the gateway's process.
 	process string
-	// changed is called with the records that changed, from one goroutine for each voter.
-	changed func(records []quarantine.Record)
+	// changed is called with the records that changed, from one goroutine for each voter. isFirst is set for those that a
+	// voter had when it was first asked.
+	changed func(records []quarantine.Record, isFirst bool)
 
 	mu     sync.Mutex
 	voters map[string]*followedVoter
@@ -51,6 +52,8 @@
 	// The fields below are guarded by the follower's lock.
 
 	position ledger.QuarantinePosition
+	// isReadingFirst is set until what the voter had when it was first asked is known.
+	isReadingFirst bool
 	// renewal numbers the requests, renewedAt is when the last one was sent.
 	renewal   uint64
 	renewedAt time.Time
@@ -60,8 +63,9 @@
 	gatewayLostAt time.Time
 }
 
-// NewQuarantineFollower returns a follower for the process. changed is called with the records that changed.
-func (c *Cells) NewQuarantineFollower(process string, changed func([]quarantine.Record)) *QuarantineFollower {
+// NewQuarantineFollower returns a follower for the process. changed is called with the records that changed; isFirst is set for
+// those that a voter had when it was first asked.
+func (c *Cells) NewQuarantineFollower(process string, changed func(records []quarantine.Record, isFirst bool)) *QuarantineFollower {
 	return &QuarantineFollower{cells: c, process: process, changed: changed, voters: map[string]*followedVoter{}}
 }
 
@@ -191,13 +195,23 @@
 func (f *QuarantineFollower) apply(followed *followedVoter) (more bool) {
 	for _, reply := range followed.client.takeChanges(followed.operation) {
 		if len(reply.Records) > 0 {
-			f.changed(reply.Records)
+			f.changed(reply.Records, f.isFirst(followed, reply))
 		}
 		more = f.advance(followed, reply) && reply.More
 	}
 	return more
 }
 
+// isFirst reports whether a reply is one of the first that a run of a voter has sent.
+func (f *QuarantineFollower) isFirst(followed *followedVoter, reply *ledger.QuarantineReply) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if reply.Next.Boot != followed.position.Boot {
+		followed.isReadingFirst = true
+	}
+	return followed.isReadingFirst
+}
+
 // advance records how far the voter's changes are known. It reports whether the reply leaves no gap.
 func (f *QuarantineFollower) advance(followed *followedVoter, reply *ledger.QuarantineReply) bool {
 	now := time.Now()
@@ -217,6 +231,9 @@
 	if followed.position.Boot != reply.Next.Boot || followed.position.Position < reply.Next.Position {
 		followed.position = reply.Next
 	}
+	if !reply.More {
+		followed.isReadingFirst = false
+	}
 	if reply.Renewal == followed.renewal && !reply.More {
 		followed.confirmedAt = followed.renewedAt
 	}
--- a/internal/quorum/quarantinefollower_test.go
+++ b/internal/quorum/quarantinefollower_test.go
@@ -18,7 +18,7 @@
 	table *quarantine.Table
 }
 
-func (f *followedTable) changed(records []quarantine.Record) {
+func (f *followedTable) changed(records []quarantine.Record, _ bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, record := range records {
@@ -68,7 +68,7 @@
 }
 
 func TestRepliesThatLeaveAGapConfirmNothing(t *testing.T) {
-	follower := (&Cells{}).NewQuarantineFollower("g/1", func([]quarantine.Record) {})
+	follower := (&Cells{}).NewQuarantineFollower("g/1", func([]quarantine.Record, bool) {})
 	position := func(boot string, number uint64) ledger.QuarantinePosition {
 		return ledger.QuarantinePosition{Boot: boot, Position: number}
 	}
@@ -89,8 +89,27 @@
 
 // A voter of an earlier version sends all records with each reply.
 func TestVoterOfAnEarlierVersionConfirmsWithEachReply(t *testing.T) {
-	follower := (&Cells{}).NewQuarantineFollower("g/1", func([]quarantine.Record) {})
+	follower := (&Cells{}).NewQuarantineFollower("g/1", func([]quarantine.Record, bool) {})
 	followed := &followedVoter{renewal: 3, renewedAt: time.Unix(1000, 0)}
 	require.True(t, follower.advance(followed, &ledger.QuarantineReply{}))
 	require.Equal(t, followed.renewedAt, followed.confirmedAt)
 }
+
+func TestRecordsOfTheTimeBeforeAreToldApart(t *testing.T) {
+	var first []bool
+	follower := (&Cells{}).NewQuarantineFollower("g/1", func(_ []quarantine.Record, isFirst bool) { first = append(first, isFirst) })
+	client := &Client{}
+	followed := &followedVoter{client: client, operation: &operation{}, renewal: 1}
+	apply := func(after, next uint64, more bool) {
+		reply := &ledger.QuarantineReply{
+			Records: []quarantine.Record{{}}, Renewal: 1, More: more,
+			After: ledger.QuarantinePosition{Boot: "a", Position: after}, Next: ledger.QuarantinePosition{Boot: "a", Position: next},
+		}
+		followed.operation.changes = append(followed.operation.changes, reply)
+		follower.apply(followed)
+	}
+	apply(0, 5, true)
+	apply(5, 8, false)
+	apply(8, 9, false)
+	require.Equal(t, []bool{true, true, false}, first)
+}
