--- a/internal/gateway/containment_test.go
+++ b/internal/gateway/containment_test.go
@@ -28,11 +28,11 @@
 // containedGateway is a gateway with one cell and instances that the test controls.
 type containedGateway struct {
 	*Server
-	t         *testing.T
+	t         testing.TB
 	instances []backend.Instance
 }
 
-func newContainedGateway(t *testing.T) *containedGateway {
+func newContainedGateway(t testing.TB) *containedGateway {
 	s := newTestGateway(t)
 	s.containment = newContainment(testLimit)
 	s.containment.restored.Store(true)
@@ -465,7 +465,7 @@
 }
 
 // silentAddress returns an address whose machine answers no connection attempt.
-func silentAddress(t *testing.T) string {
+func silentAddress(t testing.TB) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	address := listener.Addr().String()
@@ -712,3 +712,14 @@
 	require.Eventually(t, g.isContainmentRestored, 20*time.Second, time.Millisecond)
 	require.Len(t, g.suspects(), 1)
 }
+
+// BenchmarkCallWithoutEnds measures a call under which nothing ends.
+func BenchmarkCallWithoutEnds(b *testing.B) {
+	g := newContainedGateway(b)
+	g.listAnswering("i-1")
+	for b.Loop() {
+		if g.call("x").Code != http.StatusOK {
+			b.Fatal("the call failed")
+		}
+	}
+}
--- a/internal/gateway/reservation_test.go
+++ b/internal/gateway/reservation_test.go
@@ -16,7 +16,7 @@
 )
 
 // addReplica gives the gateway a cell of one replica, which stores nothing on disk.
-func addReplica(t *testing.T, s *Server) {
+func addReplica(t testing.TB, s *Server) {
 	listener, err := peer.Listen(t.Context(), "127.0.0.1:0")
 	require.NoError(t, err)
 	var mu sync.Mutex
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -19,7 +19,7 @@
 const deadlineHeader = "X-Test-Deadline"
 
 // newTestGateway returns a gateway with one route of plain calls and no instances.
-func newTestGateway(t *testing.T) *Server {
+func newTestGateway(t testing.TB) *Server {
 	quiet := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	s := New(Options{
 		Node: "g", Zone: "z", Dialect: Dialect{Deadline: deadlineHeader, RequestID: "X-Test-Id"},
--- a/internal/replica/followers_test.go
+++ b/internal/replica/followers_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"encoding/gob"
 	"testing"
 	"time"
 
@@ -44,7 +45,7 @@
 	now time.Time
 }
 
-func newFollowedReplica(t *testing.T) *followedReplica {
+func newFollowedReplica(t testing.TB) *followedReplica {
 	r := &followedReplica{Server: newLender(t, t.TempDir(), quota.Policy{Window: time.Hour}), now: time.Unix(1000, 0)}
 	r.checkFollowers(r.now)
 	return r
@@ -152,3 +153,67 @@
 	r.checkFollowers(r.now)
 	require.Empty(t, r.followers.lost)
 }
+
+// encodingGateway encodes what it is sent, as a connection does.
+type encodingGateway struct {
+	encoder *gob.Encoder
+	written *countingWriter
+}
+
+func newEncodingGateway() *encodingGateway {
+	written := &countingWriter{}
+	return &encodingGateway{encoder: gob.NewEncoder(written), written: written}
+}
+
+// countingWriter counts the bytes that it drops.
+type countingWriter struct{ bytes int }
+
+func (w *countingWriter) Write(content []byte) (int, error) {
+	w.bytes += len(content)
+	return len(content), nil
+}
+
+func (g *encodingGateway) Send(reply ledger.Reply) bool { return g.encoder.Encode(reply) == nil }
+
+// BenchmarkNotifyFollowers measures what one recorded run costs a voter that all gateways follow, and the bytes that each of them
+// gets.
+func BenchmarkNotifyFollowers(b *testing.B) {
+	const gateways = 890
+	r := newFollowedReplica(b)
+	request := (&testGateway{name: "gateway-890/dnck5c9pvb99"}).request(ledger.QuarantinePosition{})
+	var sent []*encodingGateway
+	for range gateways {
+		g := newEncodingGateway()
+		sent = append(sent, g)
+		r.follow(r.now, g, request)
+	}
+	before := sent[0].written.bytes
+	number := 0
+	for b.Loop() {
+		number++
+		r.now = r.now.Add(notifyInterval)
+		key := quarantine.Key{byte(number), byte(number >> 8), byte(number >> 16)}
+		run := quarantine.Run{ID: quarantine.RunIDOf("9c41d07be2a35f68", 1), Instance: "i-7f3a91c2aa", Born: 1796448207908, Life: 1796448207908000000, Outcome: quarantine.Ended}
+		r.state.Step(r.now, ledger.Request{Reserve: &ledger.Reserve{Program: ledger.QuarantineProgram(key), Charge: ledger.RunCharge(run), Retention: time.Hour}})
+		r.notifyFollowers(r.now)
+	}
+	b.ReportMetric(float64(sent[0].written.bytes-before)/float64(number), "bytes/gateway")
+}
+
+// BenchmarkRenewal measures what a renewal without news costs a voter, and its bytes both ways.
+func BenchmarkRenewal(b *testing.B) {
+	r, g := newFollowedReplica(b), newEncodingGateway()
+	asked := &countingWriter{}
+	requests := gob.NewEncoder(asked)
+	request := (&testGateway{name: "gateway-890/dnck5c9pvb99"}).request(r.state.QuarantinePosition())
+	require.NoError(b, requests.Encode(request))
+	r.follow(r.now, g, request)
+	askedBefore, sentBefore, number := asked.bytes, g.written.bytes, 0
+	for b.Loop() {
+		number++
+		require.NoError(b, requests.Encode(request))
+		r.follow(r.now, g, request)
+	}
+	b.ReportMetric(float64(asked.bytes-askedBefore)/float64(number), "request-bytes")
+	b.ReportMetric(float64(g.written.bytes-sentBefore)/float64(number), "reply-bytes")
+}
--- a/internal/replica/lend_test.go
+++ b/internal/replica/lend_test.go
@@ -17,7 +17,7 @@
 
 // newLender returns a replica on the given disk that knows a tenant with a limit of five requests a
 // second. Its loop does not run; the test calls its methods instead.
-func newLender(t *testing.T, folder string, policy quota.Policy) *Server {
+func newLender(t testing.TB, folder string, policy quota.Policy) *Server {
 	s, err := New(Options{
 		Node: "r", Zone: "z", DataFolder: folder, DiskMB: 8, Quota: policy,
 		Log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
