--- a/internal/e2e/unheardgateways_test.go
+++ b/internal/e2e/unheardgateways_test.go
@@ -64,15 +64,20 @@
 		after    time.Duration
 		path     string
 		endAfter time.Duration
+		// datagrams is the condition of what gateways send to each other.
+		datagrams faultproxy.DatagramCondition
 	}{
-		{"stream, gateways killed 2.8 s after their answers, ends after 4 s", 2800 * time.Millisecond, "/plan/t", 4 * time.Second},
-		{"call, gateways killed 2.8 s after their answers, ends after 4 s", 2800 * time.Millisecond, "/start/t", 4 * time.Second},
-		{"stream, gateways killed 1 s after their answers, ends after 2 s", time.Second, "/plan/t", 2 * time.Second},
-		{"call, gateways killed at once, ends after 700 ms", 0, "/start/t", 700 * time.Millisecond},
+		{"stream, gateways killed 2.8 s after their answers, ends after 4 s", 2800 * time.Millisecond, "/plan/t", 4 * time.Second, faultproxy.DatagramCondition{}},
+		{"call, gateways killed 2.8 s after their answers, ends after 4 s", 2800 * time.Millisecond, "/start/t", 4 * time.Second, faultproxy.DatagramCondition{}},
+		{"stream, gateways killed 1 s after their answers, ends after 2 s", time.Second, "/plan/t", 2 * time.Second, faultproxy.DatagramCondition{}},
+		{"call, gateways killed at once, ends after 700 ms", 0, "/start/t", 700 * time.Millisecond, faultproxy.DatagramCondition{}},
+		{"stream, datagrams lost, gateways killed 2.8 s after their answers, ends after 4 s", 2800 * time.Millisecond, "/plan/t", 4 * time.Second, faultproxy.Lost},
+		{"call, datagrams lost, gateways killed at once, ends after 700 ms", 0, "/start/t", 700 * time.Millisecond, faultproxy.Lost},
 	} {
 		t.Run(moment.name, func(t *testing.T) {
 			t.Parallel()
-			f := startFleetWith(t, fleetLayout{gateways: 3, replicas: 3, engines: 14, apps: 14, gatewaySettings: containmentSettings})
+			f := startFleetWith(t, fleetLayout{gateways: 3, replicas: 3, engines: 14, apps: 14, gatewaySettings: containmentSettings, proxiedDatagrams: true})
+			f.setDatagrams(f.gateways, moment.datagrams)
 			behaviour := platformtest.Behaviour{End: platformtest.ProcessEnds, EndAfter: moment.endAfter, DropResponse: true}
 			f.testGatewaysKilledAfterAnswers(t, lethalRequest{path: moment.path}, behaviour, moment.after)
 		})
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -5,6 +5,16 @@
 // all gateways, and merge to the same result in any order. What several requests ran on an instance when it
 // ended is not known, so each of them becomes a suspect; one that completes is released.
 //
+// A run goes through these states:
+//
+//   - Under way. The gateway that sent it holds it, of a suspect also a quorum of the voters that store the records. That
+//     gateway moves it on, when the instance answers or the run is lost.
+//   - Lost, with an outcome that is open: Running and Lost, Unproven, or Silent. A quorum and all gateways hold it. Its gateway and
+//     those that adopt it move it to Ended or Survived.
+//   - Survived and Lost: the instance is exposed, and may still end of it. The same hold and watch it; its late end is a run of
+//     its own.
+//   - Ended, or Survived for good. All hold it until it expires, or the request is released.
+//
 // The package is deterministic: callers pass the time in.
 package quarantine
 
