--- a/internal/e2e/unheardgateways_test.go
+++ b/internal/e2e/unheardgateways_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -113,3 +114,24 @@
 		}, 10*time.Second, 50*time.Millisecond, "other requests must be served")
 	}
 }
+
+// Requests of a gateway that was lost may have no record. One that stops as planned has ended all of its requests.
+func TestGatewayThatStopsAsPlannedIsNotLost(t *testing.T) {
+	t.Parallel()
+	f := startFleetWith(t, fleetLayout{gateways: 2, replicas: 3, engines: 2, apps: 2, gatewaySettings: containmentSettings})
+	hasLost := func() bool {
+		for _, replica := range f.replicas {
+			if strings.Contains(replica.log.String(), `"event":"follower_lost"`) {
+				return true
+			}
+		}
+		return false
+	}
+	<-time.After(2 * time.Second) // both follow the replicas, and have renewed their subscriptions
+	require.NoError(t, f.gateways[0].command.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, <-f.gateways[0].exited)
+	<-time.After(time.Second)
+	require.False(t, hasLost())
+	f.kill(f.gateways[1])
+	require.Eventually(t, hasLost, 10*time.Second, 10*time.Millisecond)
+}
