--- a/internal/quorum/quarantinemodel_test.go
+++ b/internal/quorum/quarantinemodel_test.go
@@ -108,6 +108,15 @@
 	return m.follower.advance(v.followed, reply)
 }
 
+// exchange renews the subscription at a voter, and delivers whatever is under way both ways.
+func (m *followModel) exchange(v *modelVoter) {
+	m.renew(v)
+	for len(v.asked)+len(v.sent) > 0 {
+		m.answer(v)
+		m.deliver(v, 0)
+	}
+}
+
 // record lets two voters accept the record of a request, or of another run of a known one.
 func (m *followModel) record(without int, key quarantine.Key) {
 	m.requests++
@@ -171,9 +180,11 @@
 		for range steps {
 			v := m.voters[rapid.IntRange(0, 2).Draw(t, "voter")]
 			m.now = m.now.Add(10 * time.Millisecond)
-			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			switch rapid.IntRange(0, 12).Draw(t, "step") {
 			case 0, 1:
 				m.record(rapid.IntRange(0, 2).Draw(t, "without"), quarantine.Key{byte(rapid.IntRange(0, 5).Draw(t, "key"))})
+			case 10, 11, 12:
+				m.exchange(v)
 			case 2:
 				m.renew(v)
 			case 3, 4:
