--- a/internal/gateway/adoptedrun.go
+++ b/internal/gateway/adoptedrun.go
@@ -148,7 +148,7 @@
 // isAdoptedRunSettled applies what became known of the run elsewhere. It reports whether its end does not matter any more.
 func (s *Server) isAdoptedRunSettled(now time.Time, lost *lostRun) bool {
 	run, known := s.containment.runOf(lost.key, lost.run.ID)
-	if !known || s.containment.isUnproven(run) {
+	if !known || isUnproven(run) {
 		return true
 	}
 	if run.IsExposed() && !lost.isExposed() {
@@ -162,7 +162,7 @@
 }
 
 // isUnproven reports whether nothing is left that could tell the outcome of a run.
-func (c *containment) isUnproven(run quarantine.Run) bool {
+func isUnproven(run quarantine.Run) bool {
 	return run.Outcome == quarantine.Running && run.Unproven
 }
 
--- a/internal/ledger/quarantine.go
+++ b/internal/ledger/quarantine.go
@@ -22,7 +22,7 @@
 	Position uint64
 }
 
-// IsBefore reports whether the position leaves a gap before the next one, which follows it in the same run if there is none.
+// IsBefore reports whether changes lie between the position and the next one. Of another run, all changes before the next one do.
 func (p QuarantinePosition) IsBefore(next QuarantinePosition) bool {
 	if p.Boot != next.Boot {
 		return next.Position > 0
