--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"swiftbank.dev/swiftbank/internal/loopback"
 	"swiftbank.dev/swiftbank/platform/platformtest"
 )
 
@@ -33,6 +34,9 @@
 	// TokensPerEvent is the number of tokens of each event of the engines.
 	TokensPerEvent = 10
 
+	// hostNumber is the loopback host of the processes among those that this process may use.
+	hostNumber = 1
+
 	binary         = "target/swiftbank"
 	startTimeout   = 20 * time.Second
 	pollInterval   = 20 * time.Millisecond
@@ -168,9 +172,10 @@
 	return ran
 }
 
-// freeAddress returns a loopback address with a free port.
+// freeAddress returns a loopback address with a free port. No other process uses the host, so nothing takes the port before
+// it is listened on.
 func (r *Rig) freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", net.JoinHostPort(loopback.Host(hostNumber), "0"))
 	r.Require(err == nil, "no free port: %v", err)
 	defer listener.Close()
 	return listener.Addr().String()
