--- a/review/6/main.go
+++ b/review/7/main.go
@@ -1,6 +1,6 @@
 //go:build review2
 
-// Command 6 shows that a configuration is not in force in time after the open watches at the store have fallen silent.
+// Command 7 shows that a configuration is not in force in time after the open watches at the store have fallen silent.
 package main
 
 import (
@@ -25,7 +25,7 @@
 )
 
 func main() {
-	r := rig.New("review/6")
+	r := rig.New("review/7")
 	r.Store.Put("config", "main", rig.Configuration(1))
 	r.AddEngine("i-llm-1", "llm", "centrs")
 	before := r.AddEngine("i-app-1", "apps", "centrs")
