--- a/review/draft1/main.go
+++ b/review/draft1/main.go
@@ -26,13 +26,16 @@
 	garbleFor, garblePause = 5500 * time.Millisecond, time.Second
 	minWork, maxWork       = 10 * time.Millisecond, 40 * time.Millisecond
 	// maxResetDelay is the longest time between the first half of an answer and the reset.
-	maxResetDelay = 500 * time.Microsecond
+	maxResetDelay = 300 * time.Microsecond
 	answerBytes   = 800
 
 	requestsPerSecond = 600
 	traffic           = 92 * time.Second
 )
 
+// gatewayOf says which gateway the clients' requests go to: the shares are uneven.
+var gatewayOf = []int{0, 0, 0, 1}
+
 // engine answers requests without a length: each answer ends with its connection.
 type engine struct {
 	id       string
@@ -198,7 +201,7 @@
 		<-ticker.C
 		sending.Go(func() {
 			id := fmt.Sprintf("%016x", number)
-			gateway := fleet.Gateways[number%len(fleet.Gateways)]
+			gateway := fleet.Gateways[gatewayOf[number%len(gatewayOf)]]
 			answer := stage.Send(client, gateway, "apps.test", "/fare/post", map[string]string{
 				"X-Request-Id": id, "X-Program-Id": "p" + id, "X-Session-Id": "s" + id, "X-Program-Deadline-Ms": "9000",
 			}, []byte("charge "+id))
--- a/review/draft2/main.go
+++ b/review/draft2/main.go
@@ -19,8 +19,8 @@
 
 const (
 	// inputBytes is the length of a turn's input; maxBodyBytes is what the configuration allows.
-	inputBytes, maxBodyBytes = 280 << 10, 4 << 20
-	turns, turnsPerSecond    = 360, 14
+	inputBytes, maxBodyBytes = 266 << 10, 4 << 20
+	turns, turnsPerSecond    = 275, 14
 	// A turn has 4 events of tokensPerEvent tokens, and may have maxTokens.
 	tokensPerEvent, maxTokens, budget = 9, 40, 200
 	// recoverySeconds is recovery_s of the site.
@@ -83,7 +83,7 @@
 }
 
 func newFixture(record *stage.Record) (*fixture, error) {
-	fleet, err := stage.New(stage.Layout{Gateways: 2, Replicas: 4, GatewayMemoryMB: 244, ReplicaMemoryMB: 512, DiskMB: 350})
+	fleet, err := stage.New(stage.Layout{Gateways: 2, Replicas: 4, GatewayMemoryMB: 244, ReplicaMemoryMB: 254, DiskMB: 270})
 	if err != nil {
 		return nil, err
 	}
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -57,6 +58,7 @@
 		return nil, err
 	}
 	f := &Fleet{Folder: folder, Store: platformtest.NewStore()}
+	go f.closeOnSignal()
 	for i := range layout.Replicas {
 		name := fmt.Sprintf("storage-%d", i+1)
 		data := filepath.Join(folder, name)
@@ -176,6 +178,15 @@
 	<-exited
 }
 
+// closeOnSignal ends the fleet and this process when this process is to end.
+func (f *Fleet) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	f.Close()
+	os.Exit(CouldNotRun)
+}
+
 // Processes returns all processes, the replicas first.
 func (f *Fleet) Processes() []*Process {
 	return append(append([]*Process{}, f.Replicas...), f.Gateways...)
