--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -1,10 +1,11 @@
+//go:build review2
+
 // Package stage starts gateways and replicas as processes with the commands of the deploy file, beside a stand-in of
 // the platform's store, for the cases of the review.
 package stage
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -15,9 +16,13 @@
 	"syscall"
 	"time"
 
+	"swiftbank.dev/swiftbank/internal/loopback"
 	"swiftbank.dev/swiftbank/platform/platformtest"
 )
 
+// longestCase is how long a case may take.
+const longestCase = 115 * time.Second
+
 // Zones are the zones of the deployment.
 var Zones = []string{"zone-a", "zone-b", "zone-c", "zone-d"}
 
@@ -58,7 +63,7 @@
 		return nil, err
 	}
 	f := &Fleet{Folder: folder, Store: platformtest.NewStore()}
-	go f.closeOnSignal()
+	go f.closeAtEnd()
 	for i := range layout.Replicas {
 		name := fmt.Sprintf("storage-%d", i+1)
 		data := filepath.Join(folder, name)
@@ -90,20 +95,16 @@
 	return &Process{Name: name, Role: role, Settings: path}
 }
 
-// freeAddresses returns loopback addresses that the kernel has chosen.
+// freeAddresses returns loopback addresses that nothing else takes.
 func freeAddresses(count int) []string {
-	var listeners []net.Listener
 	var addresses []string
 	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := loopback.Listen()
 		if err != nil {
 			panic(err)
 		}
-		listeners = append(listeners, listener)
 		addresses = append(addresses, listener.Addr().String())
-	}
-	for _, listener := range listeners {
-		_ = listener.Close()
+		_ = loopback.Close(listener)
 	}
 	return addresses
 }
@@ -178,11 +179,14 @@
 	<-exited
 }
 
-// closeOnSignal ends the fleet and this process when this process is to end.
-func (f *Fleet) closeOnSignal() {
+// closeAtEnd ends the fleet and this process when this process is to end, or the case takes too long.
+func (f *Fleet) closeAtEnd() {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	<-signals
+	select {
+	case <-signals:
+	case <-time.After(longestCase):
+	}
 	f.Close()
 	os.Exit(CouldNotRun)
 }
--- a/review/stage/turn.go
+++ b/review/stage/turn.go
@@ -1,3 +1,5 @@
+//go:build review2
+
 package stage
 
 import (
