--- a/review/7/main.go
+++ b/review/7/main.go
@@ -85,7 +85,7 @@
 }
 
 func newFixture(record *stage.Record) (*fixture, error) {
-	fleet, err := stage.New(stage.Layout{Gateways: 2, Replicas: 4, GatewayMemoryMB: 244, ReplicaMemoryMB: 254, DiskMB: 270})
+	fleet, err := stage.New(stage.Layout{Gateways: 2, Replicas: 3, GatewayMemoryMB: 284, ReplicaMemoryMB: 304, DiskMB: 270})
 	if err != nil {
 		return nil, err
 	}
