Membership: a lost disk answers for nothing that a quorum accepted

One replica of three is down while 80 tokens are spent, returns, then another one is cut off and the third one loses its disk.

Cause, from the logs of the replicas: 5 s after the cut began the replica that had been down removed the one that was cut off. voterToRemove took the lost disk for reachable, because its machine responds, and changeIfSettled relied on adjacent quorums sharing a voter: here the shared voter is the lost disk. The new disk then joined what lacked the charges. A leaving voter took itself out the same way.

Change: lost disks are never reachable, and a change is made only if the disks that remain, without the lost ones, have a member in every quorum of the present set. If the lost disks alone may be a quorum, all others stay. Until then the cell refuses with 503.

--- a/internal/quorum/model_test.go
+++ b/internal/quorum/model_test.go
@@ -39,6 +39,8 @@
 	goOnUnsettled bool
 	// keepDiskIdentity lets a machine with an empty disk reply under its old disk identity.
 	keepDiskIdentity bool
+	// removeBesideLostDisk lets a voter remove another one that is cut off while the disk of a third one is lost.
+	removeBesideLostDisk bool
 }
 
 type modelReplica struct {
@@ -94,6 +96,8 @@
 	leaving, cut string
 	// returning is the machine that was cut off last, until it is a voter again.
 	returning string
+	// down is a machine to which no message is delivered.
+	down string
 }
 
 func newModel(seed uint64, removed guards) *model {
@@ -203,6 +207,9 @@
 	if message.request != nil && message.requester != "" && m.isCut(message.requester, message.replica) {
 		return
 	}
+	if message.request != nil && message.replica == m.down {
+		return
+	}
 	if message.request != nil {
 		r := m.replicas[message.replica]
 		m.apply(r, r.state.Step(m.now, *message.request), message)
@@ -301,6 +308,9 @@
 		return
 	}
 	change := replicaset.Plan(view)
+	if m.guards.removeBesideLostDisk && m.cut != "" && r.isVoter(m.set) && m.replicas[m.cut].isVoter(m.set) {
+		change = replicaset.Change{Kind: replicaset.Remove, Next: m.set.Without(m.replicas[m.cut].state.Disk())}
+	}
 	switch change.Kind {
 	case replicaset.Wait:
 		m.requestAdoption(r)
@@ -343,15 +353,16 @@
 	if m.returning != "" && m.replicas[m.returning].isVoter(m.set) {
 		m.returning = ""
 	}
-	if m.recovering != "" || m.leaving != "" || m.cut != "" || m.returning != "" {
-		return true
-	}
+	return m.recovering != "" || m.leaving != "" || m.cut != "" || m.returning != "" || !m.areVotersSettled()
+}
+
+func (m *model) areVotersSettled() bool {
 	for _, voter := range m.set.Voters {
 		if m.replicas[voter.Node].state.Settled() < m.set.Epoch {
-			return true
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // beginLeaving begins to drain a machine. Its disk is no loss once that is complete.
@@ -412,7 +423,7 @@
 	case roll < 97:
 		m.changeCircumstances()
 	default:
-		m.views[m.random.IntN(len(m.views))] = m.set
+		m.refreshView()
 	}
 }
 
@@ -435,6 +446,8 @@
 const (
 	modelSteps = 900
 	modelSeeds = 300
+	// lostDiskSeeds is the number of runs in which a disk is lost while a machine is cut off.
+	lostDiskSeeds = 100
 )
 
 func TestModelNeverExceedsBudget(t *testing.T) {
@@ -449,6 +462,56 @@
 	require.Greater(t, productive, modelSeeds*9/10, "the model must grant tokens in most runs")
 }
 
+// loseDiskBesideCut spends the budget while one machine is down. Then another one is cut off, and a third one loses its disk
+// meanwhile, so that only the machine that missed the charges responds.
+func (m *model) loseDiskBesideCut() {
+	const turns, changes = 20, 200
+	missing, cut, wiped := m.names[0], m.names[1], m.names[2]
+	m.runUndisturbed(changes, m.changeMembership)
+	m.down = missing
+	m.runUndisturbed(turns, m.begin)
+	m.down, m.cut, m.messages = "", cut, nil
+	m.replaceDisk(m.replicas[wiped])
+	m.recovering = wiped
+	m.runUndisturbed(changes, m.changeMembership)
+	m.runUndisturbed(turns, m.refreshView, m.begin)
+	m.cut = ""
+	m.runUndisturbed(changes, m.changeMembership)
+}
+
+// runUndisturbed takes each action a number of times, and delivers and syncs everything in between.
+func (m *model) runUndisturbed(rounds int, actions ...func()) {
+	for range rounds {
+		for _, action := range actions {
+			action()
+		}
+		for len(m.messages) > 0 {
+			m.deliver()
+			m.sync(m.replicas[m.names[m.random.IntN(len(m.names))]])
+		}
+		for _, name := range m.names {
+			m.sync(m.replicas[name])
+		}
+	}
+}
+
+func (m *model) refreshView() { m.views[m.random.IntN(len(m.views))] = m.set }
+
+// A voter that missed a charge must not go on with a lost disk in place of the voter that holds the charge and is cut off:
+// a program then spends its budget again.
+func TestModelNeverExceedsBudgetWhenADiskIsLostBesideACut(t *testing.T) {
+	rejoined := 0
+	for seed := range uint64(lostDiskSeeds) {
+		m := newModel(seed, guards{})
+		m.loseDiskBesideCut()
+		require.LessOrEqual(t, m.grantedTokens, int64(modelBudget), "seed %d", seed)
+		if m.recovering == "" {
+			rejoined++
+		}
+	}
+	require.Greater(t, rejoined, lostDiskSeeds*9/10, "the machine with the new disk must rejoin after the cut in most runs")
+}
+
 func TestModelDetectsMissingGuards(t *testing.T) {
 	removed := map[string]guards{
 		"act before durable":           {actBeforeDurable: true},
@@ -471,6 +534,17 @@
 	}
 }
 
+func TestModelDetectsRemovalBesideLostDisk(t *testing.T) {
+	for seed := range uint64(lostDiskSeeds) {
+		m := newModel(seed, guards{removeBesideLostDisk: true})
+		m.loseDiskBesideCut()
+		if m.grantedTokens > modelBudget {
+			return
+		}
+	}
+	t.Fatal("no seed shows that a voter must stay while a disk is lost")
+}
+
 // A replica accepts a reservation, loses power before the sync, and accepts it once more. If only the second confirmation
 // that it is durable arrives, what the replica had accepted in between is not counted.
 func TestModelCountsWhatWasAcceptedBetweenTwoLivesOfAReplica(t *testing.T) {
--- a/internal/replicaset/plan.go
+++ b/internal/replicaset/plan.go
@@ -97,32 +97,42 @@
 	return Change{Kind: None}
 }
 
-// changeIfSettled returns the change if every quorum of the next set has a voter that settled the present one, else Wait. If
-// fewer voters than that are left, because the disks of the others are known to be lost, all of these must have settled it.
+// changeIfSettled returns the change if the disks of the next set hold what the present one accepted, else Wait:
+//   - Every quorum of the present set has a member among them. A lost disk answers for nothing that was accepted, so it
+//     is no such member. If the disks that are left have none in some quorum, all of them stay.
+//   - Every quorum of the next set has a voter that settled the present one. If fewer voters than that are left, because
+//     the disks of the others are lost, all of these must have settled it.
 func changeIfSettled(view View, change Change) Change {
-	settled, remaining := 0, 0
-	for _, voter := range change.Next.Voters {
-		if isDiskLost(view, voter) || !view.Set.Has(voter.Disk) {
-			continue
-		}
-		remaining++
+	remaining := remainingVoters(view, change.Next)
+	if len(remaining) < min(view.Set.minIntersecting(), len(remainingVoters(view, view.Set))) {
+		return Change{Kind: Wait, Reason: "the remaining disks lack what a quorum may have accepted"}
+	}
+	settled := 0
+	for _, voter := range remaining {
 		if view.Settled[voter.Disk] {
 			settled++
 		}
 	}
-	if settled < min(change.Next.minIntersecting(), remaining) {
+	if settled < min(change.Next.minIntersecting(), len(remaining)) {
 		return Change{Kind: Wait, Reason: "too few voters have settled the epoch"}
 	}
 	return change
 }
 
+// remainingVoters returns the voters of a set that are voters of the present one and whose disks are not known to be lost.
+func remainingVoters(view View, set Set) []Voter {
+	return slices.DeleteFunc(slices.Clone(set.Voters), func(voter Voter) bool {
+		return isDiskLost(view, voter) || !view.Set.Has(voter.Disk)
+	})
+}
+
 // voterBlockingQuorum returns an unreachable voter without which the reachable ones are a quorum, if they are none
 // with it and have a member in every quorum of the set nevertheless: one of two voters, or two of four. What a quorum
 // accepted is then known to them, and no other voters can accept anything once they have adopted the next epoch. The
 // store admits one next set only, so that of two halves at most one goes on. It is the half that somebody reaches.
 func voterBlockingQuorum(view View) (Voter, bool) {
 	absent := unreachableVoters(view)
-	reachable := len(view.Set.Voters) - len(absent)
+	reachable := reachableVoters(view)
 	if len(absent) == 0 || !view.InContact || reachable >= view.Set.Quorum() || reachable < view.Set.minIntersecting() {
 		return Voter{}, false
 	}
@@ -130,6 +140,18 @@
 	return absent[0], reachable >= without.Quorum() && view.Unreachable[absent[0].Disk] >= removalTimeout
 }
 
+// reachableVoters returns the number of voters that can take part in a quorum, this one included. A voter whose disk is lost
+// cannot, even if its machine responds.
+func reachableVoters(view View) int {
+	reachable := 0
+	for _, voter := range remainingVoters(view, view.Set) {
+		if voter == view.Self || view.Unreachable[voter.Disk] < UnreachableTimeout {
+			reachable++
+		}
+	}
+	return reachable
+}
+
 // unreachableVoters returns the other voters that have been unreachable for UnreachableTimeout.
 func unreachableVoters(view View) []Voter {
 	var absent []Voter
@@ -151,7 +173,7 @@
 	if len(absent) == 0 {
 		return Voter{}, false
 	}
-	reachable := len(view.Set.Voters) - len(absent)
+	reachable := reachableVoters(view)
 	absent = slices.DeleteFunc(absent, func(voter Voter) bool { return isReachableFromMajority(view, voter, reachable) })
 	if len(absent) == 0 {
 		return Voter{}, false
--- a/internal/replicaset/plan_test.go
+++ b/internal/replicaset/plan_test.go
@@ -100,6 +100,14 @@
 			View{Self: own, Tolerate: 1, InContact: true, Set: Set{3, voters("own", "b", "c", "d")}, Settled: adopted("own", "b"), Unreachable: unreachable(absent, "c", "d")}, Remove, "disk-c"},
 		"one of three does not go on": {
 			View{Self: own, Tolerate: 1, InContact: true, Set: Set{3, voters("own", "b", "c")}, Adopted: adopted("own", "b", "c"), Unreachable: unreachable(absent, "b", "c")}, None, ""},
+		"voter that is cut off stays while the disk of another one is lost": {
+			View{Self: own, Tolerate: 1, InContact: true, Set: Set{3, voters("own", "b", "c")}, Settled: adopted("own"), Unreachable: unreachable(absent, "b"), Disks: map[string]string{"c": "new"}}, None, ""},
+		"voter of four that is cut off is removed while the disk of another one is lost": {
+			View{Self: own, Tolerate: 1, InContact: true, Set: Set{3, voters("own", "b", "c", "d")}, Settled: adopted("own", "b"), Unreachable: unreachable(absent, "d"), Disks: map[string]string{"c": "new"}}, Remove, "disk-d"},
+		"leaving voter waits until a lost disk has been replaced": {
+			View{Self: own, Leaving: true, Set: Set{3, voters("own", "b", "c")}, Settled: adopted("own", "b"), Disks: map[string]string{"c": "new"}}, Wait, ""},
+		"leaving voter of two waits until the lost disk of the other one has been replaced": {
+			View{Self: own, Leaving: true, Set: Set{3, voters("own", "b")}, Settled: adopted("own"), Disks: map[string]string{"b": "new"}}, Wait, ""},
 		"last voter cannot leave": {
 			View{Self: own, Leaving: true, Set: Set{3, voters("own")}, Adopted: adopted("own")}, Wait, ""},
 	}
