Log: what cannot be read is damaged, never an empty disk

The segment then read as empty, the folder as an empty disk, and the older segments were gone already. Evidence: `start` with disk_is_new beside a log of 75 MB, on all three replicas.

Change: batches are bounded by bytes when written; reading checks batches of any length without holding them; a new segment is read back before older ones are removed. Only the last batch can be torn, and never the first: all else is damage, which the replica logs (log_damaged) before it joins under a new disk identity with what it could read.

Measured: TestSnapshotOfLargeRecordsIsRead, TestLargeAppendIsRead and TestLargeBatchOfAnEarlierVersionIsRead failed before and pass now.

--- a/internal/ledger/state.go
+++ b/internal/ledger/state.go
@@ -92,6 +92,10 @@
 // this replica's turns.
 func (s *State) PeerPosition(disk string) int { return s.peerPositions[disk] }
 
+// ReplaceDisk gives the replica the identity of a disk that has answered for nothing yet. It keeps its turns and charges, and
+// counts as settled in no epoch.
+func (s *State) ReplaceDisk(disk string) { s.disk, s.settled = disk, 0 }
+
 // Output is what the caller of Step must do: send the Immediate replies, append and sync the
 // records, then send the AfterSync replies.
 type Output struct {
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -93,8 +93,9 @@
 	rotating bool
 }
 
-// New returns a replica with the state that it reads from the disk. A disk without a log gets a new
-// identity.
+// New returns a replica with the state that it reads from the disk. A disk without a log gets a new identity. So does one
+// whose log is damaged: the replica keeps what can be read, and joins as a machine that has lost its disk, because
+// its answers no longer hold all that it accepted.
 func New(options Options) (*Server, error) {
 	s := &Server{
 		options: options, log: options.Log,
@@ -121,8 +122,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if !existed || s.state.Disk() == "" {
-		s.state.Replay(startedAt, ledger.Record{Disk: uuid.NewString()})
+	damage := disk.Damage()
+	if !existed || damage != nil || s.state.Disk() == "" {
+		s.state.ReplaceDisk(uuid.NewString())
+	}
+	if damage != nil {
+		s.logDamage(damage)
 	}
 	s.resumeLending(lendings.Recent())
 	if err := rotateAtStart(disk, s.snapshot(startedAt)); err != nil {
@@ -139,6 +144,12 @@
 	return s, nil
 }
 
+// logDamage logs what of the disk could not be read.
+func (s *Server) logDamage(damage *wal.DamageError) {
+	s.log.Error().Str("event", "log_damaged").Str("file", damage.Path).Str("reason", damage.Reason).Int64("offset", damage.Offset).
+		Int64("bytes", damage.Size).Int("records", damage.Records).Str("disk", s.state.Disk()).Msg("")
+}
+
 // rotateAtStart starts a new segment. It retries, because a full disk may need time to free space.
 func rotateAtStart(disk *wal.Log[ledger.Record], snapshot []ledger.Record) error {
 	const maxAttempts = 100
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -2,18 +2,20 @@
 // and a checksum, in numbered segments.
 //
 // After a power failure, a segment contains everything up to its last sync; later writes
-// may be missing or torn. Reading therefore ends a segment at its first invalid batch;
-// nothing after it was ever acknowledged. A segment's name is durable once its folder
-// is synced, which Rotate does before it returns. A segment starts with a
-// snapshot, so that all earlier segments can be removed.
+// may be missing or torn. Reading therefore ends a segment at its first invalid batch.
+// If that is the last one, nothing in it was ever acknowledged; otherwise the segment is
+// damaged, and the caller learns what could not be read. A damaged segment is kept, under
+// another name, until the next one is found.
+//
+// A segment's name is durable once its folder is synced, which Rotate does before it returns.
+// A segment starts with a snapshot, so that all earlier segments can be removed once the
+// new one was read back.
 package wal
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/binary"
 	"encoding/gob"
-	"errors"
 	"fmt"
 	"hash/crc32"
 	"io"
@@ -24,18 +26,15 @@
 )
 
 const (
-	// headerBytes is the size of a batch's length and checksum.
-	headerBytes = 8
-	// maxBatchBytes is the largest valid length of a batch; a torn length may exceed it.
+	// maxBatchBytes is the largest batch that is written. Earlier versions take a larger one for a torn one.
 	maxBatchBytes = 64 << 20
-	// snapshotRecords is how many records of a snapshot are encoded at once.
-	snapshotRecords = 256
-	segmentSuffix   = ".log"
-	partialSuffix   = ".partial"
+	// snapshotBatchBytes is the size from which on a batch of a snapshot is written.
+	snapshotBatchBytes = 1 << 20
+	segmentSuffix      = ".log"
+	partialSuffix      = ".partial"
+	damagedSuffix      = ".damaged"
 )
 
-var castagnoli = crc32.MakeTable(crc32.Castagnoli)
-
 // Log appends batches of records of type R.
 type Log[R any] struct {
 	folder string
@@ -48,11 +47,12 @@
 	// pending holds encoded records that are not durable yet.
 	pending *bytes.Buffer
 	encoder *gob.Encoder
+	// damage is what Open could not read.
+	damage *DamageError
 }
 
-// Open reads the newest complete segment of the folder and passes its records to
-// replay in order. existed reports whether there was one. The caller must call Rotate before
-// Append.
+// Open reads the newest segment of the folder and passes its records to replay in order. existed reports whether there was
+// one with records. Damage returns what could not be read. The caller must call Rotate before Append.
 func Open[R any](folder string, replay func(R)) (log *Log[R], existed bool, err error) {
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return nil, false, fmt.Errorf("wal: %w", err)
@@ -64,7 +64,7 @@
 	log = &Log[R]{folder: folder}
 	for _, number := range slices.Backward(numbers) {
 		log.number = max(log.number, number)
-		count, err := readSegment(log.path(number, segmentSuffix), replay)
+		count, err := log.replay(number, replay)
 		if err != nil {
 			return nil, false, err
 		}
@@ -75,6 +75,30 @@
 	return log, false, nil
 }
 
+// replay passes the records of a segment to replay and returns their number. It records the damage of the newest damaged
+// segment.
+func (l *Log[R]) replay(number int, replay func(R)) (int, error) {
+	path := l.path(number, segmentSuffix)
+	content, err := openSegment(path)
+	if err != nil {
+		return 0, err
+	}
+	defer content.file.Close()
+	count, reason := replaySegment(content, replay)
+	if reason == "" {
+		if reason, err = content.damage(); err != nil {
+			return count, fmt.Errorf("wal: %w", err)
+		}
+	}
+	if reason != "" && l.damage == nil {
+		l.damage = &DamageError{Path: path, Offset: content.valid, Size: content.size, Records: count, Reason: reason}
+	}
+	return count, nil
+}
+
+// Damage returns what could not be read of the newest segment that Open found damaged, nil if all was read.
+func (l *Log[R]) Damage() *DamageError { return l.damage }
+
 func segments(folder string) ([]int, error) {
 	entries, err := os.ReadDir(folder)
 	if err != nil {
@@ -96,87 +120,6 @@
 	return filepath.Join(l.folder, fmt.Sprintf("%08d%s", number, suffix))
 }
 
-// readSegment passes the records of the segment's valid batches to replay and returns
-// their number. It holds one batch in memory at a time, because a segment may be as large as
-// the memory of the machine.
-func readSegment[R any](path string, replay func(R)) (int, error) {
-	file, err := os.Open(path)
-	if err != nil {
-		return 0, fmt.Errorf("wal: %w", err)
-	}
-	defer file.Close()
-	info, err := file.Stat()
-	if err != nil {
-		return 0, fmt.Errorf("wal: %w", err)
-	}
-	batches := &batchReader{source: bufio.NewReader(file), remaining: info.Size()}
-	decoder := gob.NewDecoder(bufio.NewReader(batches))
-	for count := 0; ; count++ {
-		var record R
-		err := decoder.Decode(&record)
-		if errors.Is(err, io.EOF) {
-			return count, nil
-		}
-		if err != nil {
-			return count, fmt.Errorf("wal: %s: record %d: %w", path, count, err)
-		}
-		replay(record)
-	}
-}
-
-// batchReader reads the concatenated content of the batches before the first invalid one.
-type batchReader struct {
-	source io.Reader
-	// remaining is an upper bound of the batch bytes not read yet from the segment.
-	remaining int64
-	// unread is the part of the current batch that was not returned yet, buffer the memory of the batch.
-	unread []byte
-	buffer []byte
-}
-
-// Read implements io.Reader.
-func (r *batchReader) Read(p []byte) (int, error) {
-	if len(r.unread) == 0 && !r.next() {
-		return 0, io.EOF
-	}
-	size := copy(p, r.unread)
-	r.unread = r.unread[size:]
-	return size, nil
-}
-
-// next reads the next batch and reports whether it is valid.
-func (r *batchReader) next() bool {
-	var header [headerBytes]byte
-	if _, err := io.ReadFull(r.source, header[:]); err != nil {
-		return false
-	}
-	length := binary.LittleEndian.Uint32(header[:])
-	sum := binary.LittleEndian.Uint32(header[4:])
-	if length == 0 || length > maxBatchBytes {
-		return false
-	}
-	if !r.readBatch(int(length)) || crc32.Checksum(r.buffer, castagnoli) != sum {
-		return false
-	}
-	r.unread = r.buffer
-	return true
-}
-
-// readBatch fills the buffer with a batch of the given length, which may be torn and exceed the
-// remaining bytes.
-func (r *batchReader) readBatch(length int) bool {
-	if int64(length) > r.remaining {
-		return false
-	}
-	if cap(r.buffer) < length {
-		r.buffer = make([]byte, length)
-	}
-	r.buffer = r.buffer[:length]
-	_, err := io.ReadFull(r.source, r.buffer)
-	r.remaining -= int64(length)
-	return err == nil
-}
-
 // Size returns the size of the current segment in bytes.
 func (l *Log[R]) Size() int64 { return l.size }
 
@@ -188,9 +131,12 @@
 	if err != nil {
 		return fmt.Errorf("wal: %w", err)
 	}
-	fresh := Log[R]{folder: l.folder, number: next, file: file, pending: &bytes.Buffer{}}
+	fresh := Log[R]{folder: l.folder, number: next, file: file, pending: &bytes.Buffer{}, damage: l.damage}
 	fresh.encoder = gob.NewEncoder(fresh.pending)
 	err = fresh.writeSnapshot(snapshot)
+	if err == nil {
+		err = fresh.readBack()
+	}
 	if err == nil {
 		err = os.Rename(l.path(next, partialSuffix), l.path(next, segmentSuffix))
 	}
@@ -208,20 +154,37 @@
 	return nil
 }
 
-// writeSnapshot writes the records in chunks, to bound the memory for encoded records, and
+// writeSnapshot writes the records in batches of about snapshotBatchBytes, to bound the memory for encoded records, and
 // syncs only once, because the segment is not used before its rename.
 func (l *Log[R]) writeSnapshot(snapshot []R) error {
-	for chunk := range slices.Chunk(snapshot, snapshotRecords) {
-		if err := l.encode(chunk); err != nil {
+	for index, record := range snapshot {
+		if err := l.encode([]R{record}); err != nil {
 			return err
 		}
-		if err := l.writePending(); err != nil {
-			return fmt.Errorf("wal: snapshot: %w", err)
+		if l.pending.Len() < snapshotBatchBytes && index < len(snapshot)-1 {
+			continue
+		}
+		for l.pending.Len() > 0 {
+			if err := l.writeBatch(syncLater); err != nil {
+				return fmt.Errorf("wal: snapshot: %w", err)
+			}
 		}
 	}
 	return l.file.Sync()
 }
 
+// readBack checks that all of the segment's batches can be read.
+func (l *Log[R]) readBack() error {
+	valid, err := validBytes(l.file, l.size)
+	if err != nil {
+		return err
+	}
+	if valid != l.size {
+		return &DamageError{Path: l.file.Name(), Offset: valid, Size: l.size, Reason: "the new segment cannot be read back"}
+	}
+	return nil
+}
+
 // Append writes and syncs records. After an error they remain pending, and the next
 // Append writes them first; that call may pass no records of its own. None of them is
 // durable until an Append succeeds.
@@ -229,21 +192,16 @@
 	if err := l.encode(records); err != nil {
 		return err
 	}
-	if l.pending.Len() == 0 {
-		return nil
-	}
-	if err := l.truncateTorn(); err != nil {
-		return fmt.Errorf("wal: truncate torn bytes: %w", err)
-	}
-	l.torn = true
-	if err := l.write(l.pending.Bytes()); err != nil {
-		return fmt.Errorf("wal: append: %w", err)
-	}
-	if err := l.file.Sync(); err != nil {
-		return fmt.Errorf("wal: append: %w", err)
+	for l.pending.Len() > 0 {
+		if err := l.truncateTorn(); err != nil {
+			return fmt.Errorf("wal: truncate torn bytes: %w", err)
+		}
+		l.torn = true
+		if err := l.writeBatch(l.file.Sync); err != nil {
+			return fmt.Errorf("wal: append: %w", err)
+		}
+		l.torn = false
 	}
-	l.torn = false
-	l.recordWritten()
 	return nil
 }
 
@@ -257,19 +215,31 @@
 	return nil
 }
 
-// writePending writes the pending records without a sync.
-func (l *Log[R]) writePending() error {
-	if err := l.write(l.pending.Bytes()); err != nil {
+// writeBatch writes a batch of pending bytes and syncs it. They remain pending after an error.
+func (l *Log[R]) writeBatch(sync func() error) error {
+	batch := l.nextBatch()
+	if err := l.write(batch); err != nil {
+		return err
+	}
+	if err := sync(); err != nil {
 		return err
 	}
-	l.recordWritten()
+	l.recordWritten(len(batch))
 	return nil
 }
 
-// recordWritten adds the pending bytes to the size of the segment and clears them.
-func (l *Log[R]) recordWritten() {
-	l.size += int64(headerBytes + l.pending.Len())
-	l.pending.Reset()
+// syncLater leaves the sync to the caller.
+func syncLater() error { return nil }
+
+// nextBatch returns the pending bytes, up to the largest batch. A batch may end within a record.
+func (l *Log[R]) nextBatch() []byte {
+	return l.pending.Bytes()[:min(l.pending.Len(), maxBatchBytes)]
+}
+
+// recordWritten adds a batch of the given length to the size of the segment and removes it from the pending bytes.
+func (l *Log[R]) recordWritten(length int) {
+	l.size += int64(headerBytes + length)
+	l.pending.Next(length)
 }
 
 // truncateTorn removes bytes that a failed write may have left after the synced ones.
@@ -309,14 +279,30 @@
 	return opened.Sync()
 }
 
+// removeOlder removes the older segments, and sets a damaged one aside. An error is tolerated: what is left is older than
+// the segment in use.
 func (l *Log[R]) removeOlder() {
 	numbers, err := segments(l.folder)
 	if err != nil {
 		return
 	}
 	for _, number := range numbers {
-		if number < l.number {
-			_ = os.Remove(l.path(number, segmentSuffix))
+		path := l.path(number, segmentSuffix)
+		switch {
+		case number >= l.number:
+		case l.damage != nil && l.damage.Path == path:
+			l.setAside(path)
+		default:
+			_ = os.Remove(path)
 		}
 	}
 }
+
+// setAside keeps a damaged segment for the operator, in place of one that was kept before.
+func (l *Log[R]) setAside(path string) {
+	kept, _ := filepath.Glob(filepath.Join(l.folder, "*"+damagedSuffix)) // the pattern is valid
+	for _, older := range kept {
+		_ = os.Remove(older)
+	}
+	_ = os.Rename(path, path+damagedSuffix)
+}
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -161,3 +161,136 @@
 	require.Equal(t, snapshot, read)
 	require.Less(t, allocatedByRead, uint64(content*5/2), "reading a segment of %d bytes", content)
 }
+
+// largeRecords returns records that take more than maxBatchBytes together.
+func largeRecords() [][]byte {
+	const recordBytes = 266 << 10
+	records := make([][]byte, maxBatchBytes/recordBytes+8)
+	for i := range records {
+		records[i] = bytes.Repeat([]byte{byte(i)}, recordBytes)
+	}
+	return records
+}
+
+func readLarge(t *testing.T, folder string) (read [][]byte) {
+	log, existed, err := Open(folder, func(record []byte) { read = append(read, record) })
+	require.NoError(t, err)
+	require.True(t, existed)
+	require.Nil(t, log.Damage())
+	return read
+}
+
+// A snapshot whose records take more than the largest batch is read as a whole after a restart, and not taken for an empty disk.
+func TestSnapshotOfLargeRecordsIsRead(t *testing.T) {
+	folder := t.TempDir()
+	log, _, err := Open(folder, func([]byte) {})
+	require.NoError(t, err)
+	records := largeRecords()
+	require.NoError(t, log.Rotate(records))
+	require.NoError(t, log.Append([][]byte{{1}}))
+	require.NoError(t, log.Close())
+	require.Equal(t, append(records, []byte{1}), readLarge(t, folder))
+}
+
+// Records that are appended at once and take more than the largest batch are read after a restart.
+func TestLargeAppendIsRead(t *testing.T) {
+	folder := t.TempDir()
+	log, _, err := Open(folder, func([]byte) {})
+	require.NoError(t, err)
+	records := largeRecords()
+	require.NoError(t, log.Rotate(records[:1]))
+	require.NoError(t, log.Append(records[1:]))
+	require.NoError(t, log.Close())
+	require.Equal(t, records, readLarge(t, folder))
+}
+
+// Earlier versions wrote snapshots in larger batches than they could read.
+func TestLargeBatchOfAnEarlierVersionIsRead(t *testing.T) {
+	folder := t.TempDir()
+	log, _, err := Open(folder, func([]byte) {})
+	require.NoError(t, err)
+	records := largeRecords()
+	require.NoError(t, log.Rotate(records[:1]))
+	require.NoError(t, log.encode(records[1:]))
+	require.NoError(t, log.write(log.pending.Bytes()))
+	require.NoError(t, log.Close())
+	require.Equal(t, records, readLarge(t, folder))
+}
+
+// changeByte changes one byte of the log's segment.
+func changeByte(t require.TestingT, log *Log[record], offset int64) {
+	path := log.path(log.number, segmentSuffix)
+	content, err := os.ReadFile(path)
+	require.NoError(t, err)
+	content[offset] ^= 0x5a
+	require.NoError(t, os.WriteFile(path, content, 0o600))
+}
+
+// A segment whose synced batches cannot be read is never taken for one that ends before them.
+func TestDamageToSyncedBatchesIsReported(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		folder, err := os.MkdirTemp("", "wal")
+		require.NoError(t, err)
+		defer os.RemoveAll(folder)
+		log := openRotated(t, folder, record{Text: "0"})
+		batches := rapid.IntRange(0, 5).Draw(t, "batches")
+		durable := log.Size()
+		for batch := range batches {
+			durable = log.Size()
+			require.NoError(t, log.Append([]record{{Text: fmt.Sprint(batch + 1)}}))
+		}
+		changeByte(t, log, rapid.Int64Range(0, durable-1).Draw(t, "offset"))
+		reopened, read, _ := open(t, folder)
+		require.NotNil(t, reopened.Damage())
+		require.Equal(t, len(read), reopened.Damage().Records)
+		require.Less(t, len(read), batches+1)
+		for index, r := range read {
+			require.Equal(t, fmt.Sprint(index), r.Text)
+		}
+	})
+}
+
+func TestDamagedSegmentIsKeptAside(t *testing.T) {
+	folder := t.TempDir()
+	log := openRotated(t, folder, record{Text: "snapshot"})
+	snapshotBytes := log.Size()
+	require.NoError(t, log.Append([]record{{Text: "lost"}}))
+	require.NoError(t, log.Append([]record{{Text: "also lost"}}))
+	changeByte(t, log, snapshotBytes)
+	damaged, read, existed := open(t, folder)
+	require.True(t, existed)
+	require.ErrorContains(t, damaged.Damage(), "00000001.log")
+	require.NoError(t, damaged.Rotate(read))
+	_, read, _ = open(t, folder)
+	require.Equal(t, []record{{Text: "snapshot"}}, read)
+	files, err := filepath.Glob(filepath.Join(folder, "*"))
+	require.NoError(t, err)
+	require.Equal(t, []string{filepath.Join(folder, "00000001.log.damaged"), filepath.Join(folder, "00000002.log")}, files)
+	require.Nil(t, func() *DamageError { log, _, _ := open(t, folder); return log.Damage() }())
+}
+
+// FuzzOpen reads arbitrary bytes as the newest segment. One without a record is damaged, not empty.
+func FuzzOpen(f *testing.F) {
+	folder := f.TempDir()
+	log := openRotated(f, folder, record{Text: "snapshot"})
+	require.NoError(f, log.Append([]record{{Text: "a", List: []int{1, 2}}}))
+	require.NoError(f, log.Append([]record{{Text: "b"}}))
+	content, err := os.ReadFile(log.path(log.number, segmentSuffix))
+	require.NoError(f, err)
+	f.Add(content)
+	f.Add(content[:len(content)-1])
+	f.Add(content[3:])
+	f.Add(append(bytes.Clone(content), content...))
+	f.Add([]byte{})
+	f.Add(make([]byte, 64))
+	f.Fuzz(func(t *testing.T, content []byte) {
+		folder := t.TempDir()
+		require.NoError(t, os.WriteFile(filepath.Join(folder, "00000001.log"), content, 0o600))
+		log, read, existed := open(t, folder)
+		require.Equal(t, len(read) > 0, existed)
+		require.True(t, existed || log.Damage() != nil)
+		require.NoError(t, log.Rotate(append(read, record{Text: "new"})))
+		_, again, _ := open(t, folder)
+		require.Equal(t, append(read, record{Text: "new"}), again)
+	})
+}
