Answers: a reset ends no answer, whichever call was told of it

Cause: Linux reports the error of a socket to one call. The write of the upload or a look at the connection (MSG_PEEK) is told of the reset, and the read of the answer sees the end of the stream. Evidence: a test that looks at the connection between head and body, deterministic.

Change: who reads the end asks the kernel for the state of the connection (package tcpend). The stand-alone node's back ends, the store's client, the object API's and programs' clients use it as well. A write records a lost path, as reads and looks do.

--- a/internal/backend/connection.go
+++ b/internal/backend/connection.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"swiftbank.dev/swiftbank/internal/tcpend"
 )
 
 const (
@@ -52,13 +54,26 @@
 	return c
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It returns io.EOF only if the instance has ended the connection in order: another call on the
+// connection may be the one that is told of a reset.
 func (c *connection) Read(buffer []byte) (int, error) {
 	count, err := c.Conn.Read(buffer)
+	c.recordError(err)
+	return count, tcpend.ReadError(c.Conn, err)
+}
+
+// Write implements net.Conn.
+func (c *connection) Write(content []byte) (int, error) {
+	count, err := c.Conn.Write(content)
+	c.recordError(err)
+	return count, err
+}
+
+// recordError keeps in mind what only this call was told.
+func (c *connection) recordError(err error) {
 	if isPathLoss(err) {
 		c.lost.Store(true)
 	}
-	return count, err
 }
 
 // state returns what can be told of the connection without reading from it.
--- a/internal/backend/exchange_test.go
+++ b/internal/backend/exchange_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -313,3 +314,22 @@
 	}
 	require.Equal(t, 3, *opened)
 }
+
+// The look that tells whether the instance lives is the one that is told of the reset.
+func TestAnswerWhoseResetALookWasToldOfIsNotWhole(t *testing.T) {
+	s := startScripted(t, func(c net.Conn, r *bufio.Reader, _ int) bool {
+		id, _, ok := readRequest(r)
+		if ok {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\n\r\nfirst half")
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+		return false
+	})
+	pool, _ := newCountingPool()
+	answer, failure := pool.Do(t.Context(), s.instance, callWith("1", "x"))
+	require.Nil(t, failure)
+	defer answer.Discard()
+	require.Eventually(t, func() bool { return !answer.Connection.life.IsOpen() }, 5*time.Second, time.Millisecond)
+	_, err := io.ReadAll(answer.Body())
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+}
--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -9,10 +9,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
 	"time"
+
+	"swiftbank.dev/swiftbank/internal/tcpend"
 )
 
 // ErrConflict says that the object's version is not the expected one.
@@ -59,7 +62,7 @@
 
 // New returns a client for a base URL.
 func New(address string) *Client {
-	transport := &http.Transport{MaxResponseHeaderBytes: maxHeadBytes, IdleConnTimeout: idleTimeout}
+	transport := &http.Transport{DialContext: tcpend.DialContext(&net.Dialer{}), MaxResponseHeaderBytes: maxHeadBytes, IdleConnTimeout: idleTimeout}
 	return &Client{address: address, http: &http.Client{Timeout: requestTimeout, Transport: transport}}
 }
 
--- a/internal/program/client.go
+++ b/internal/program/client.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -14,6 +15,7 @@
 	"time"
 
 	"swiftbank.dev/swiftbank/internal/server"
+	"swiftbank.dev/swiftbank/internal/tcpend"
 	"swiftbank.dev/swiftbank/internal/verdict"
 )
 
@@ -65,7 +67,7 @@
 
 // NewClient returns a client for the given node addresses ("host:port").
 func NewClient(addresses []string) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: 256}
+	transport := &http.Transport{DialContext: tcpend.DialContext(&net.Dialer{}), MaxIdleConnsPerHost: 256}
 	return &Client{addresses: addresses, http: &http.Client{Transport: transport}}
 }
 
--- a/internal/server/backends.go
+++ b/internal/server/backends.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -17,6 +18,7 @@
 
 	"swiftbank.dev/swiftbank/internal/core"
 	"swiftbank.dev/swiftbank/internal/shard"
+	"swiftbank.dev/swiftbank/internal/tcpend"
 	"swiftbank.dev/swiftbank/internal/verdict"
 )
 
@@ -51,7 +53,7 @@
 }
 
 func newBackEndClient(server *Server) *backEndClient {
-	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
+	transport := &http.Transport{DialContext: tcpend.DialContext(&net.Dialer{}), MaxIdleConnsPerHost: idleConnections, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &backEndClient{
 		server: server, http: &http.Client{Transport: newMatchingTransport(transport)},
 		running: map[shard.AttemptID]runningAttempt{},
