Answers: what is no valid HTTP is no answer

Cause: http.ReadResponse accepts any three digits, any version and blanks in names, and the gateway took each status below 200 for an interim answer.

Change: package httpanswer checks version, status, and the names of fields in heads, interim heads and trailers. What is invalid closes the connection, and the outcome of the request is unknown. The stand-alone node, the store's client, the object API's and programs' clients use it too.

--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"swiftbank.dev/swiftbank/internal/httpanswer"
 	"swiftbank.dev/swiftbank/internal/quarantine"
 	"swiftbank.dev/swiftbank/internal/verdict"
 )
@@ -204,6 +205,9 @@
 		if err != nil {
 			return err
 		}
+		if err := httpanswer.Check(response); err != nil {
+			return err
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
--- a/internal/gateway/brokenanswer_test.go
+++ b/internal/gateway/brokenanswer_test.go
@@ -42,3 +42,26 @@
 		})
 	}
 }
+
+// Bytes that are no answer in the protocol are none for the caller either, whatever follows them.
+func TestInvalidAnswerIsNoAnswer(t *testing.T) {
+	const fields = "X-Test-Id: {id}\r\nX-Test-Signature: s\r\n"
+	answers := rawanswer.Invalid(fields)
+	answers["stream of events"] = "HTTP/1.1 200 OK\r\n" + fields + "X Field: a\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: one\n\n"
+	answers["refusal"] = "HTTP/1.1 503 Service Unavailable\r\nX-Test-Not-Executed: 1\r\n" + fields + "X Field: a\r\nContent-Length: 0\r\n\r\n"
+	answers["answer to another request"] = "HTTP/1.1 200 OK\r\nX-Test-Id: other\r\nX Field: a\r\nContent-Length: 0\r\n\r\n" +
+		"HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 5\r\n\r\nother"
+	for name, answer := range answers {
+		for _, kind := range []string{"safe", "unsafe", "stream"} {
+			t.Run(name+" "+kind, func(t *testing.T) {
+				g := newEndlessGateway(t)
+				g.listRaw(answer, rawanswer.Close)
+				got, aborted := g.callRoute(kind, "x")
+				require.False(t, aborted)
+				require.Equal(t, http.StatusBadGateway, got.Code, "%s", got.Body.String())
+				require.Empty(t, got.Header().Get("X-Test-Signature"))
+				require.Equal(t, 1, g.suspects()[0].Standing.Possible, "the instance is in trouble")
+			})
+		}
+	}
+}
--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"time"
 
+	"swiftbank.dev/swiftbank/internal/httpanswer"
 	"swiftbank.dev/swiftbank/internal/tcpend"
 )
 
@@ -63,7 +64,7 @@
 // New returns a client for a base URL.
 func New(address string) *Client {
 	transport := &http.Transport{DialContext: tcpend.DialContext(&net.Dialer{}), MaxResponseHeaderBytes: maxHeadBytes, IdleConnTimeout: idleTimeout}
-	return &Client{address: address, http: &http.Client{Timeout: requestTimeout, Transport: transport}}
+	return &Client{address: address, http: &http.Client{Timeout: requestTimeout, Transport: httpanswer.NewTransport(transport)}}
 }
 
 // Get returns one object.
--- a/internal/program/client.go
+++ b/internal/program/client.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"swiftbank.dev/swiftbank/internal/httpanswer"
 	"swiftbank.dev/swiftbank/internal/server"
 	"swiftbank.dev/swiftbank/internal/tcpend"
 	"swiftbank.dev/swiftbank/internal/verdict"
@@ -68,7 +69,7 @@
 // NewClient returns a client for the given node addresses ("host:port").
 func NewClient(addresses []string) *Client {
 	transport := &http.Transport{DialContext: tcpend.DialContext(&net.Dialer{}), MaxIdleConnsPerHost: 256}
-	return &Client{addresses: addresses, http: &http.Client{Transport: transport}}
+	return &Client{addresses: addresses, http: &http.Client{Transport: httpanswer.NewTransport(transport)}}
 }
 
 // Close closes idle connections.
--- a/internal/server/brokenanswer_test.go
+++ b/internal/server/brokenanswer_test.go
@@ -37,3 +37,13 @@
 		require.Equal(t, verdict.MayHaveRun, outcome.Verdict, "%s", outcome.Body)
 	}
 }
+
+// Bytes that are no answer in the protocol say nothing about the call, whatever follows them.
+func TestInvalidAnswerMayHaveRun(t *testing.T) {
+	for name, answer := range rawanswer.Invalid(headerRequestID + ": {id}\r\n") {
+		t.Run(name, func(t *testing.T) {
+			outcome := callRaw(t, answer, rawanswer.Close, "[]")
+			require.Equal(t, verdict.MayHaveRun, outcome.Verdict, "%s", outcome.Body)
+		})
+	}
+}
--- a/internal/server/match.go
+++ b/internal/server/match.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+
+	"swiftbank.dev/swiftbank/internal/httpanswer"
 )
 
 // headerRequestID names a send; back ends that repeat it in their answers let connections be kept.
@@ -26,7 +28,7 @@
 // repeat the request id, which tells such answers apart; other connections carry one request each. It is safe for
 // concurrent use.
 type matchingTransport struct {
-	transport *http.Transport
+	transport *httpanswer.Transport
 	unnamed   atomic.Uint64
 
 	mu sync.Mutex
@@ -35,7 +37,7 @@
 }
 
 func newMatchingTransport(transport *http.Transport) *matchingTransport {
-	return &matchingTransport{transport: transport, repeats: map[string]bool{}}
+	return &matchingTransport{transport: httpanswer.NewTransport(transport), repeats: map[string]bool{}}
 }
 
 // RoundTrip implements http.RoundTripper. The request's id must not have been used before; a request without one gets
