Stop: a waiting request that the end of the grace could cut off is not sent

Callers saw (LOST, reported by other operators): requests that came late in the grace of a planned stop were passed on and cut at its end.

Cause: the check that refuses requests whose deadlines lie behind the end of the grace runs once, when a request is admitted. One that waits for an instance by then is sent whenever one is free.

Change: the check runs again before each send of a request that has not run and whose caller could not repeat it; it is refused with 503 and Retry-After.

Measured: TestStoppingGatewaySendsNoWaitingRequestThatItMayAbort failed before (unsafe, stream) and passes now.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -65,7 +65,7 @@
 	s.setDeadline(r)
 	r.setProgramDeadline(s.dialect.ProgramDeadline)
 	if s.drainEndsBefore(r.deadline) {
-		return refuseFor(verdict.CodeUnavailable, otherGatewayRetry, "the gateway shuts down before the request's deadline")
+		return refuseFor(verdict.CodeUnavailable, otherGatewayRetry, stoppingReason)
 	}
 	return nil
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -69,6 +69,9 @@
 		if !r.hasTimeToSend(time.Now()) {
 			return nil, &backend.Failure{Verdict: verdict.NotRun, Reason: "too little time is left to send the request"}
 		}
+		if s.mayAbort(r) {
+			return nil, &backend.Failure{Verdict: verdict.NotRun, RetryAfter: otherGatewayRetry, Reason: stoppingReason}
+		}
 		choice, found := s.pick(r, refusals, demand)
 		if failure := s.placementFailure(demand, found); failure != nil {
 			return nil, failure
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -244,6 +244,15 @@
 	return endsAt != 0 && deadline.After(s.started.Add(time.Duration(endsAt)))
 }
 
+// stoppingReason is the reason for refusals at the end of a graceful stop.
+const stoppingReason = "the gateway shuts down before the request's deadline"
+
+// mayAbort reports whether the end of a graceful stop could cut off a request that is sent now, and whose caller could not
+// repeat it then. A request that may have run already cannot be refused any more.
+func (s *Server) mayAbort(r *request) bool {
+	return r.route.Kind != route.Safe && !r.lostAnswer && s.drainEndsBefore(r.deadline)
+}
+
 // handle serves one request of a caller.
 func (s *Server) handle(w http.ResponseWriter, incoming *http.Request) {
 	s.inFlight.Add(1)
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -56,3 +56,29 @@
 	require.NotEmpty(t, late.Header().Get("Retry-After"))
 	require.Contains(t, sendCall(s, "100").Body.String(), "overloaded", "a request that ends in time is accepted")
 }
+
+// A request that waits when the gateway begins to stop must not be sent so late that the end of the grace cuts it off. A safe
+// one may be sent: its caller repeats it after any failure.
+func TestStoppingGatewaySendsNoWaitingRequestThatItMayAbort(t *testing.T) {
+	for prefix, want := range map[string]int{"/unsafe/": http.StatusServiceUnavailable, "/stream/": http.StatusServiceUnavailable, "/safe/": http.StatusOK} {
+		t.Run(prefix, func(t *testing.T) {
+			s := newTestGateway(t)
+			instance := newBusyInstance("i", 0, time.Millisecond)
+			if prefix == "/stream/" {
+				instance.serve = writeEvents
+			}
+			listBusyInstances(t, s, nil, instance)
+			answered := make(chan *httptest.ResponseRecorder, 1)
+			go func() { answered <- postTo(s, prefix, "a") }()
+			require.Eventually(t, func() bool { return instance.refusalsSoFar() > 0 }, 5*time.Second, time.Millisecond)
+			s.drainDeadline.Store(int64(time.Since(s.started) + time.Second))
+			instance.setSlots(1)
+			got := <-answered
+			require.Equal(t, want, got.Code, got.Body.String())
+			if want == http.StatusServiceUnavailable {
+				require.Zero(t, instance.runs["a"])
+				require.NotEmpty(t, got.Header().Get("Retry-After"))
+			}
+		})
+	}
+}
