Membership: only voters that respond hold what was accepted

Change: a machine that responds with another disk is unreachable as the old voter, and the disks that must have a member in every quorum of the present set must respond. A leaving voter of three with one down waits until the third one has removed that one.

--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -226,7 +226,8 @@
 	}
 }
 
-// unreachableFor returns how long a voter has been unreachable; 0 if it is reachable.
+// unreachableFor returns how long a voter has been unreachable; 0 if it is reachable. A machine that responds with another
+// disk no longer is the voter.
 func (s *Server) unreachableFor(now time.Time, voter replicaset.Voter) time.Duration {
 	peer := s.peers[voter.Node]
 	switch {
@@ -234,6 +235,8 @@
 		return 0
 	case peer == nil || peer.lastReplyAt.IsZero():
 		return now.Sub(s.started)
+	case peer.disk != voter.Disk:
+		return max(replicaset.UnreachableTimeout, now.Sub(peer.diskSince))
 	case peer.connected && now.Sub(peer.lastReplyAt) <= replyTimeout:
 		return 0
 	default:
--- a/internal/replica/membership_test.go
+++ b/internal/replica/membership_test.go
@@ -28,3 +28,13 @@
 	require.Equal(t, replicaset.Remove, change.Kind, "no voter reaches it")
 	require.False(t, change.Next.Has("disk-b"))
 }
+
+// A machine that responds with another disk says nothing of the voter that it was.
+func TestVoterWhoseMachineHasAnotherDiskIsUnreachable(t *testing.T) {
+	s := newLender(t, t.TempDir(), quota.Policy{})
+	now := s.started.Add(time.Hour)
+	other := &peerState{server: s, node: replicaset.Node{Name: "b"}, connected: true, lastReplyAt: now, disk: "new"}
+	s.peers["b"] = other
+	require.Zero(t, s.unreachableFor(now, replicaset.Voter{Node: "b", Disk: "new"}))
+	require.GreaterOrEqual(t, s.unreachableFor(now, replicaset.Voter{Node: "b", Disk: "old"}), replicaset.UnreachableTimeout)
+}
--- a/internal/replica/peers.go
+++ b/internal/replica/peers.go
@@ -34,8 +34,9 @@
 	connected bool
 	// lastReplyAt is when the peer last sent something; zero before that.
 	lastReplyAt time.Time
-	// disk is the peer's disk according to its last reply.
-	disk string
+	// disk is the peer's disk according to its last reply; diskSince is when it first replied with it.
+	disk      string
+	diskSince time.Time
 	// position is the position in the peer's inventory up to which its turns are durable here;
 	// boot is the run of the peer's process to which it belongs.
 	boot     string
@@ -119,7 +120,7 @@
 	p.lastReplyAt = time.Now()
 	p.silence.Reset()
 	if p.disk != reply.Disk {
-		p.settledEpoch = 0
+		p.settledEpoch, p.diskSince = 0, p.lastReplyAt
 	}
 	p.disk = reply.Disk
 	if reply.ReportsSettled {
--- a/internal/replicaset/plan.go
+++ b/internal/replicaset/plan.go
@@ -98,13 +98,13 @@
 }
 
 // changeIfSettled returns the change if the disks of the next set hold what the present one accepted, else Wait:
-//   - Every quorum of the present set has a member among them. A lost disk answers for nothing that was accepted, so it
-//     is no such member. If the disks that are left have none in some quorum, all of them stay.
+//   - Every quorum of the present set has a member among those that respond. A lost disk answers for nothing that was
+//     accepted, so it is no such member. If the disks that are left have none in some quorum, all of them stay.
 //   - Every quorum of the next set has a voter that settled the present one. If fewer voters than that are left, because
 //     the disks of the others are lost, all of these must have settled it.
 func changeIfSettled(view View, change Change) Change {
 	remaining := remainingVoters(view, change.Next)
-	if len(remaining) < min(view.Set.minIntersecting(), len(remainingVoters(view, view.Set))) {
+	if reachableOf(view, remaining) < min(view.Set.minIntersecting(), len(remainingVoters(view, view.Set))) {
 		return Change{Kind: Wait, Reason: "the remaining disks lack what a quorum may have accepted"}
 	}
 	settled := 0
@@ -132,7 +132,7 @@
 // store admits one next set only, so that of two halves at most one goes on. It is the half that somebody reaches.
 func voterBlockingQuorum(view View) (Voter, bool) {
 	absent := unreachableVoters(view)
-	reachable := reachableVoters(view)
+	reachable := reachableOf(view, remainingVoters(view, view.Set))
 	if len(absent) == 0 || !view.InContact || reachable >= view.Set.Quorum() || reachable < view.Set.minIntersecting() {
 		return Voter{}, false
 	}
@@ -140,11 +140,10 @@
 	return absent[0], reachable >= without.Quorum() && view.Unreachable[absent[0].Disk] >= removalTimeout
 }
 
-// reachableVoters returns the number of voters that can take part in a quorum, this one included. A voter whose disk is lost
-// cannot, even if its machine responds.
-func reachableVoters(view View) int {
+// reachableOf returns how many of the voters respond, this one included.
+func reachableOf(view View, voters []Voter) int {
 	reachable := 0
-	for _, voter := range remainingVoters(view, view.Set) {
+	for _, voter := range voters {
 		if voter == view.Self || view.Unreachable[voter.Disk] < UnreachableTimeout {
 			reachable++
 		}
@@ -173,7 +172,7 @@
 	if len(absent) == 0 {
 		return Voter{}, false
 	}
-	reachable := reachableVoters(view)
+	reachable := reachableOf(view, remainingVoters(view, view.Set))
 	absent = slices.DeleteFunc(absent, func(voter Voter) bool { return isReachableFromMajority(view, voter, reachable) })
 	if len(absent) == 0 {
 		return Voter{}, false
--- a/internal/replicaset/plan_test.go
+++ b/internal/replicaset/plan_test.go
@@ -106,6 +106,12 @@
 			View{Self: own, Tolerate: 1, InContact: true, Set: Set{3, voters("own", "b", "c", "d")}, Settled: adopted("own", "b"), Unreachable: unreachable(absent, "d"), Disks: map[string]string{"c": "new"}}, Remove, "disk-d"},
 		"leaving voter waits until a lost disk has been replaced": {
 			View{Self: own, Leaving: true, Set: Set{3, voters("own", "b", "c")}, Settled: adopted("own", "b"), Disks: map[string]string{"c": "new"}}, Wait, ""},
+		"leaving voter waits while another voter is unreachable and the third one may lack charges": {
+			View{Self: own, Leaving: true, Set: Set{3, voters("own", "b", "c")}, Settled: adopted("own", "b"), Unreachable: unreachable(long, "c")}, Wait, ""},
+		"leaving voter of four leaves while another voter is unreachable": {
+			View{Self: own, Leaving: true, Set: Set{3, voters("own", "b", "c", "d")}, Settled: adopted("own", "b", "c"), Unreachable: unreachable(long, "d")}, Remove, "disk-own"},
+		"new disk does not remove the old one while the other voter is unreachable": {
+			View{Self: Voter{"a", "new"}, Set: Set{3, voters("a", "b")}, Adopted: adopted("b"), Unreachable: unreachable(long, "b"), Disks: map[string]string{"a": "new"}}, Wait, ""},
 		"leaving voter of two waits until the lost disk of the other one has been replaced": {
 			View{Self: own, Leaving: true, Set: Set{3, voters("own", "b")}, Settled: adopted("own"), Disks: map[string]string{"b": "new"}}, Wait, ""},
 		"last voter cannot leave": {
