--- a/internal/quorum/model_test.go
+++ b/internal/quorum/model_test.go
@@ -451,6 +451,9 @@
 	modelSeeds = 300
 	// scriptedSeeds is the number of runs whose losses are scripted.
 	scriptedSeeds = 100
+	// scriptedTurns and scriptedChanges are how often turns are begun and changes planned in each step of a script.
+	scriptedTurns   = 20
+	scriptedChanges = 200
 )
 
 func TestModelNeverExceedsBudget(t *testing.T) {
@@ -468,35 +471,37 @@
 // loseDiskBesideCut spends the budget while one machine is down. Then another one is cut off, and a third one loses its disk
 // meanwhile, so that only the machine that missed the charges responds.
 func (m *model) loseDiskBesideCut() {
-	const turns, changes = 20, 200
 	missing, cut, wiped := m.names[0], m.names[1], m.names[2]
-	m.runUndisturbed(changes, m.changeMembership)
-	m.down = missing
-	m.runUndisturbed(turns, m.begin)
-	m.down, m.cut, m.messages = "", cut, nil
+	m.spendWhileDown(missing)
+	m.cut = cut
 	m.replaceDisk(m.replicas[wiped])
 	m.recovering = wiped
-	m.runUndisturbed(changes, m.changeMembership)
-	m.runUndisturbed(turns, m.refreshView, m.begin)
+	m.runUndisturbed(scriptedChanges, m.changeMembership)
+	m.runUndisturbed(scriptedTurns, m.refreshView, m.begin)
 	m.cut = ""
-	m.runUndisturbed(changes, m.changeMembership)
+	m.runUndisturbed(scriptedChanges, m.changeMembership)
 }
 
 // cutAmidRetirement spends the budget while one machine is down. Then another one is drained, and once it has left the set
 // the third one is cut off, so that only the voter that missed the charges responds.
 func (m *model) cutAmidRetirement() {
-	const turns, changes = 20, 200
 	missing, cut, retired := m.names[0], m.names[1], m.names[2]
-	m.runUndisturbed(changes, m.changeMembership)
-	m.down = missing
-	m.runUndisturbed(turns, m.begin)
-	m.down, m.leaving, m.messages = "", retired, nil
-	for change := 0; change < changes && m.replicas[retired].isVoter(m.set); change++ {
+	m.spendWhileDown(missing)
+	m.leaving = retired
+	for change := 0; change < scriptedChanges && m.replicas[retired].isVoter(m.set); change++ {
 		m.runUndisturbed(1, func() { m.changeMembershipBy(m.replicas[retired]) })
 	}
 	m.cut = cut
-	m.runUndisturbed(changes, func() { m.changeMembershipBy(m.replicas[missing]) })
-	m.runUndisturbed(turns, m.refreshView, m.begin)
+	m.runUndisturbed(scriptedChanges, func() { m.changeMembershipBy(m.replicas[missing]) })
+	m.runUndisturbed(scriptedTurns, m.refreshView, m.begin)
+}
+
+// spendWhileDown spends the budget in a settled set of which one machine misses all charges.
+func (m *model) spendWhileDown(missing string) {
+	m.runUndisturbed(scriptedChanges, m.changeMembership)
+	m.down = missing
+	m.runUndisturbed(scriptedTurns, m.begin)
+	m.down, m.messages = "", nil
 }
 
 // runUndisturbed takes each action a number of times, and delivers and syncs everything in between.
