Log: many batches are read at once

Cause: reading a log made several calls of the system for each batch, and there is a batch for each sync.

Change: batches are checked and read through buffers of 64 KiB.

--- a/internal/wal/segment.go
+++ b/internal/wal/segment.go
@@ -67,42 +67,56 @@
 
 // validBytes returns the end of the valid batches at the start of a file of the given size.
 func validBytes(file io.ReaderAt, size int64) (int64, error) {
-	offset := int64(0)
-	for {
-		end, isValid, err := checkBatch(file, offset, size)
+	source := newScanReader(file, 0, size)
+	for offset := int64(0); ; {
+		length, isValid, err := checkBatch(source, size-offset)
 		if err != nil || !isValid {
 			return offset, err
 		}
-		offset = end
+		offset += headerBytes + length
 	}
 }
 
-// checkBatch reports whether a valid batch begins at an offset, and where it ends. It holds no batch in memory, because
-// a batch may be as large as the segment.
-func checkBatch(file io.ReaderAt, offset, size int64) (end int64, isValid bool, err error) {
-	length, sum, isComplete, err := readHeader(file, offset, size)
-	if err != nil || !isComplete {
-		return 0, false, err
+// newScanReader returns a reader of a part of a file. It reads many batches at once.
+func newScanReader(file io.ReaderAt, from, to int64) *bufio.Reader {
+	return bufio.NewReaderSize(io.NewSectionReader(file, from, to-from), scanBufferBytes)
+}
+
+// checkBatch reads a batch from a source that has the given number of bytes left, and reports whether it is valid. It does
+// not hold the batch in memory, because that may be as large as the segment.
+func checkBatch(source *bufio.Reader, left int64) (length int64, isValid bool, err error) {
+	if left < headerBytes {
+		return 0, false, nil
 	}
-	checksum := crc32.New(castagnoli)
-	content := io.NewSectionReader(file, offset+headerBytes, length)
-	if _, err := io.CopyBuffer(checksum, content, make([]byte, min(length, scanBufferBytes))); err != nil {
+	header, err := source.Peek(headerBytes)
+	if err != nil {
 		return 0, false, err
 	}
-	return offset + headerBytes + length, checksum.Sum32() == sum, nil
+	length, sum := decodeHeader(header)
+	if length == 0 || length > left-headerBytes {
+		return 0, false, nil
+	}
+	checksum, err := checksumOf(source, length)
+	return length, checksum == sum, err
 }
 
-// readHeader reads the header at an offset, and reports whether the file is long enough for the batch.
-func readHeader(file io.ReaderAt, offset, size int64) (length int64, sum uint32, isComplete bool, err error) {
-	if size-offset < headerBytes {
-		return 0, 0, false, nil
+// checksumOf reads a header and the content after it, and returns the content's checksum.
+func checksumOf(source *bufio.Reader, length int64) (checksum uint32, err error) {
+	if _, err := source.Discard(headerBytes); err != nil {
+		return 0, err
 	}
-	var header [headerBytes]byte
-	if _, err := file.ReadAt(header[:], offset); err != nil {
-		return 0, 0, false, err
+	for unread := length; unread > 0; {
+		part, err := source.Peek(int(min(unread, scanBufferBytes)))
+		if err != nil {
+			return 0, err
+		}
+		checksum = crc32.Update(checksum, castagnoli, part)
+		unread -= int64(len(part))
+		if _, err := source.Discard(len(part)); err != nil {
+			return 0, err
+		}
 	}
-	length, sum = decodeHeader(header[:])
-	return length, sum, length > 0 && length <= size-offset-headerBytes, nil
+	return checksum, nil
 }
 
 func decodeHeader(header []byte) (length int64, sum uint32) {
@@ -126,14 +140,14 @@
 // hasBatchBehind reports whether a valid batch begins at an offset or behind it. The length of the invalid batch
 // before it may be wrong, so every offset is tried.
 func (s *segment) hasBatchBehind(offset int64) (bool, error) {
-	rest := bufio.NewReaderSize(io.NewSectionReader(s.file, offset, max(0, s.size-offset)), scanBufferBytes)
+	rest := newScanReader(s.file, offset, max(offset, s.size))
 	for ; s.size-offset > headerBytes; offset++ {
 		header, err := rest.Peek(headerBytes)
 		if err != nil {
 			return false, err
 		}
 		if length, _ := decodeHeader(header); s.mayBeBatch(offset, length) {
-			if _, isValid, err := checkBatch(s.file, offset, s.size); err != nil || isValid {
+			if _, isValid, err := checkBatch(newScanReader(s.file, offset, s.size), s.size-offset); err != nil || isValid {
 				return isValid, err
 			}
 		}
@@ -154,14 +168,18 @@
 	if end == s.size {
 		return true
 	}
-	_, _, isComplete, err := readHeader(s.file, end, s.size)
-	return err == nil && isComplete
+	var header [headerBytes]byte
+	if _, err := s.file.ReadAt(header[:], end); err != nil {
+		return false
+	}
+	next, _ := decodeHeader(header[:])
+	return next > 0 && next <= s.size-end-headerBytes
 }
 
 // replaySegment passes the records of the valid batches to replay, and returns their number and why further ones
 // cannot be read. A record that ends with the valid batches is torn like a batch.
 func replaySegment[R any](s *segment, replay func(R)) (count int, damage string) {
-	decoder := gob.NewDecoder(bufio.NewReader(&batchReader{file: s.file, end: s.valid}))
+	decoder := gob.NewDecoder(bufio.NewReader(&batchReader{source: newScanReader(s.file, 0, s.valid)}))
 	for ; ; count++ {
 		var record R
 		err := decoder.Decode(&record)
@@ -177,29 +195,21 @@
 
 // batchReader reads the concatenated content of valid batches.
 type batchReader struct {
-	file io.ReaderAt
-	// offset is where the next batch begins, end where the valid ones end.
-	offset, end int64
-	// unread is the part of the current batch that was not returned yet; nil before the first.
-	unread *io.SectionReader
+	source *bufio.Reader
+	// unread is the number of bytes of the current batch that were not returned yet.
+	unread int64
 }
 
 // Read implements io.Reader.
 func (r *batchReader) Read(p []byte) (int, error) {
-	for {
-		if r.unread != nil {
-			if count, err := r.unread.Read(p); count > 0 || !errors.Is(err, io.EOF) {
-				return count, err
-			}
-		}
-		if r.offset >= r.end {
-			return 0, io.EOF
-		}
-		length, _, _, err := readHeader(r.file, r.offset, r.end)
-		if err != nil {
+	for r.unread == 0 {
+		var header [headerBytes]byte
+		if _, err := io.ReadFull(r.source, header[:]); err != nil {
 			return 0, err
 		}
-		r.unread = io.NewSectionReader(r.file, r.offset+headerBytes, length)
-		r.offset += headerBytes + length
+		r.unread, _ = decodeHeader(header[:])
 	}
+	count, err := r.source.Read(p[:min(int64(len(p)), r.unread)])
+	r.unread -= int64(count)
+	return count, err
 }
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"runtime"
@@ -269,6 +270,35 @@
 	require.Nil(t, func() *DamageError { log, _, _ := open(t, folder); return log.Damage() }())
 }
 
+// countingReader counts the reads of a file.
+type countingReader struct {
+	source io.ReaderAt
+	reads  int
+}
+
+func (r *countingReader) ReadAt(p []byte, offset int64) (int, error) {
+	r.reads++
+	return r.source.ReadAt(p, offset)
+}
+
+// A segment has a batch for each sync. A call of the system for each of them takes a replica a tenth of a second at its start.
+func TestSegmentOfSmallBatchesIsReadInFewReads(t *testing.T) {
+	const batches = 10000
+	log := openRotated(t, t.TempDir(), record{Text: "snapshot"})
+	for range batches {
+		require.NoError(t, log.encode([]record{{Text: "small"}}))
+		require.NoError(t, log.writeBatch(syncLater))
+	}
+	file := &countingReader{source: log.file}
+	valid, err := validBytes(file, log.size)
+	require.NoError(t, err)
+	require.Equal(t, log.size, valid)
+	content, err := io.ReadAll(&batchReader{source: newScanReader(file, 0, valid)})
+	require.NoError(t, err)
+	require.Len(t, content, int(valid)-(batches+1)*headerBytes)
+	require.Less(t, file.reads, batches/100)
+}
+
 // FuzzOpen reads arbitrary bytes as the newest segment. One without a record is damaged, not empty.
 func FuzzOpen(f *testing.F) {
 	folder := f.TempDir()
