--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -29,7 +29,7 @@
 	// maxBatchBytes is the largest batch that is written. Earlier versions take a larger one for a torn one.
 	maxBatchBytes = 64 << 20
 	// snapshotBatchBytes is the size from which on a batch of a snapshot is written.
-	snapshotBatchBytes = 1 << 20
+	snapshotBatchBytes = 256 << 10
 	segmentSuffix      = ".log"
 	partialSuffix      = ".partial"
 	damagedSuffix      = ".damaged"
